--- /dev/null
+++ b/sesameplank/callers/problems.py
@@ -0,0 +1,93 @@
+"""Problem details (RFC 9457) with a typed kind and whether the request ran."""
+
+from enum import Enum
+
+import msgspec
+
+from ..core.outcomes import Ran
+
+
+class ProblemKind(Enum):
+    """The kinds of refusal; the value ends the problem's type URI."""
+
+    BAD_REQUEST = "bad-request"
+    UNKNOWN_CALLER = "unknown-caller"
+    UNKNOWN_COLLECTION = "unknown-collection"
+    NOT_FOUND = "not-found"
+    TOO_LARGE = "too-large"
+    NOT_READY = "not-ready"
+    OVERLOADED = "overloaded"
+    LEAVING = "leaving"
+    LOW_COVERAGE = "low-coverage"
+    SNAPSHOT_UNAVAILABLE = "snapshot-unavailable"
+    OUTCOME_UNKNOWN = "outcome-unknown"
+    TARGET_UNAVAILABLE = "target-unavailable"
+    KEY_CONFLICT = "key-conflict"
+    INTERNAL = "internal"
+
+
+STATUSES = {
+    ProblemKind.BAD_REQUEST: "400 Bad Request",
+    ProblemKind.UNKNOWN_CALLER: "403 Forbidden",
+    ProblemKind.UNKNOWN_COLLECTION: "404 Not Found",
+    ProblemKind.NOT_FOUND: "404 Not Found",
+    ProblemKind.TOO_LARGE: "413 Content Too Large",
+    ProblemKind.NOT_READY: "503 Service Unavailable",
+    ProblemKind.OVERLOADED: "503 Service Unavailable",
+    ProblemKind.LEAVING: "503 Service Unavailable",
+    ProblemKind.LOW_COVERAGE: "503 Service Unavailable",
+    ProblemKind.SNAPSHOT_UNAVAILABLE: "503 Service Unavailable",
+    ProblemKind.OUTCOME_UNKNOWN: "504 Gateway Timeout",
+    ProblemKind.TARGET_UNAVAILABLE: "503 Service Unavailable",
+    ProblemKind.KEY_CONFLICT: "409 Conflict",
+    ProblemKind.INTERNAL: "500 Internal Server Error",
+}
+
+
+class Problem(msgspec.Struct, frozen=True, omit_defaults=True):
+    """A refusal as it travels; `retry_after_ms` is when to come back."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    ran: Ran
+    remedy: str
+    request_id: str = ""
+    retry_after_ms: int | None = None
+
+
+class Refusal(Exception):  # noqa: N818 - it is an answer to a caller, not a fault.
+    """Raised to answer a caller with a problem.
+
+    `ran` is NOT_RUN only when no target can have run the request.
+    """
+
+    def __init__(
+        self,
+        kind: ProblemKind,
+        detail: str,
+        remedy: str,
+        *,
+        ran: Ran = Ran.NOT_RUN,
+        retry_after_ms: int | None = None,
+    ) -> None:
+        super().__init__(detail)
+        self.kind = kind
+        self.detail = detail
+        self.remedy = remedy
+        self.ran = ran
+        self.retry_after_ms = retry_after_ms
+
+    def make_problem(self, request_id: str) -> Problem:
+        """Return the problem document of the refusal."""
+        return Problem(
+            type=f"urn:sesameplank:problem:{self.kind.value}",
+            title=self.kind.value.replace("-", " ").capitalize(),
+            status=int(STATUSES[self.kind].split()[0]),
+            detail=self.detail,
+            ran=self.ran,
+            remedy=self.remedy,
+            request_id=request_id,
+            retry_after_ms=self.retry_after_ms,
+        )
--- /dev/null
+++ b/sesameplank/commands/entry.py
@@ -0,0 +1,54 @@
+"""The process on an entry VM."""
+
+import signal
+
+import gevent
+
+from ..conf.settings import Setting
+from ..entry import Entry, EntrySettings
+from ..ids import DataCentre, EntryId
+from ..net import Address
+from .base import Command, run_command
+
+
+class EntryCommand(Command):
+    """Serve callers from this VM until told to stop."""
+
+    help = "Serves callers: answers searches and bookings over many targets."
+    settings = (
+        Setting("entry_id", "", "This VM's id in the platform's VM list."),
+        Setting("data_centre", "", "The data centre that this VM stands in."),
+        Setting("address", "127.0.0.1:8080", "IP:PORT that callers connect to."),
+        Setting("peer_address", "127.0.0.1:8081", "IP:PORT for other entries."),
+        Setting("platform_address", "127.0.0.1:7000", "IP:PORT of the platform."),
+        Setting("health_interval_s", 1.0, "Seconds between polls of a target."),
+        Setting("address_ttl_s", 5.0, "Seconds for which callers keep addresses."),
+        Setting("seed", 0, "Seed of random choices; 0 draws one."),
+    )
+
+    def handle(self, arguments: list[str], values: dict) -> int:
+        """Run the entry until SIGTERM or SIGINT."""
+        settings = EntrySettings(
+            entry_id=EntryId(values["entry_id"]),
+            data_centre=DataCentre(values["data_centre"]),
+            address=Address.parse(values["address"]),
+            peer_address=Address.parse(values["peer_address"]),
+            platform_address=Address.parse(values["platform_address"]),
+            health_interval_s=values["health_interval_s"],
+            address_ttl_s=values["address_ttl_s"],
+            seed=values["seed"],
+        )
+        with Entry(settings) as entry:
+            for number in (signal.SIGTERM, signal.SIGINT):
+                gevent.signal_handler(number, entry.request_stop)
+            entry.wait()
+        return 0
+
+
+def main() -> None:
+    """Run the binary."""
+    run_command(EntryCommand())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sesameplank/conf/documents.py
@@ -0,0 +1,167 @@
+"""The documents that the platform publishes, as typed values.
+
+The configuration document names targets, collections, callers and the preset
+in force; the VM list names the entry VMs. Decoding checks types and bounds;
+the rules that tie parts of a document together live in `rules`.
+"""
+
+from enum import Enum
+from typing import Annotated
+
+import msgspec
+
+from ..core.ranges import KEY_SPACE, KeyRange
+from ..ids import (
+    CallerName,
+    CollectionName,
+    ConfigVersion,
+    DataCentre,
+    EntryId,
+    ShardId,
+    TargetId,
+)
+
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
+Fraction = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+Positive = Annotated[int, msgspec.Meta(ge=1)]
+
+
+class PresetName(Enum):
+    """The presets; exactly one is in force at any time."""
+
+    ORDINARY = "ordinary"
+    PEAK = "peak"
+    MAINTENANCE = "maintenance"
+
+
+class CallerClass(Enum):
+    """Priority classes of callers, the first served first."""
+
+    FIRST = "first"
+    SECOND = "second"
+    THIRD = "third"
+
+
+class TargetState(Enum):
+    """What operators say of a target."""
+
+    SERVING = "serving"
+    LEAVING = "leaving"
+
+
+class VmState(Enum):
+    """What the platform says of an entry VM."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class Document(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True
+):
+    """Base of the published documents and their parts."""
+
+
+class Target(Document, frozen=True):
+    """One instance of a back end: its address, limits and state."""
+
+    address: Name
+    data_centre: DataCentre
+    slots: Positive = 2
+    connections: Positive = 25
+    state: TargetState = TargetState.SERVING
+
+
+class Shard(Document, frozen=True):
+    """One range of a collection's positions and the targets that hold it."""
+
+    id: ShardId
+    start: Annotated[int, msgspec.Meta(ge=0, lt=KEY_SPACE)]
+    end: Annotated[int, msgspec.Meta(gt=0, le=KEY_SPACE)]
+    replicas: Annotated[tuple[TargetId, ...], msgspec.Meta(min_length=1)]
+
+    @property
+    def range(self) -> KeyRange:
+        """The positions of the shard."""
+        return KeyRange(self.start, self.end)
+
+
+class Collection(Document, frozen=True):
+    """A searchable collection of records, spread over shards."""
+
+    shards: Annotated[tuple[Shard, ...], msgspec.Meta(min_length=1)]
+
+    def get_shard(self, position: int) -> Shard:
+        """Return the shard that holds the position, or raise LookupError."""
+        for shard in self.shards:
+            if shard.range.contains(position):
+                return shard
+        raise LookupError(f"no shard holds position {position}")
+
+
+class Caller(Document, frozen=True):
+    """A caller that may use the system, and its priority class."""
+
+    priority: CallerClass = CallerClass.SECOND
+
+
+class Policy(Document, frozen=True):
+    """What a preset sets; times in milliseconds, budgets as fractions."""
+
+    default_deadline_ms: Positive = 1_000
+    max_deadline_ms: Positive = 10_000
+    hedge_quantile: Fraction = 0.95
+    hedge_budget: Fraction = 0.04
+    retry_budget: Fraction = 0.1
+
+
+class Configuration(Document, frozen=True):
+    """The whole configuration document."""
+
+    deployment: Name
+    preset: PresetName
+    targets: dict[TargetId, Target]
+    collections: dict[CollectionName, Collection]
+    callers: dict[CallerName, Caller]
+    presets: dict[PresetName, Policy] = {}
+
+    @property
+    def policy(self) -> Policy:
+        """The policy of the preset in force."""
+        return self.presets.get(self.preset, DEFAULT_POLICIES[self.preset])
+
+
+class PublishedConfiguration(msgspec.Struct, frozen=True):
+    """A configuration as the platform answers it.
+
+    `document` stays undecoded until it is validated; `published_at` is in
+    seconds since the Unix epoch by the platform's clock.
+    """
+
+    version: ConfigVersion
+    document: msgspec.Raw
+    published_at: float = 0.0
+
+
+class Vm(Document, frozen=True):
+    """One entry VM in the platform's list."""
+
+    id: EntryId
+    address: Name
+    peer_address: Name
+    data_centre: DataCentre
+    state: VmState = VmState.LIVE
+
+
+class PublishedVms(msgspec.Struct, frozen=True):
+    """The platform's list of entry VMs."""
+
+    version: int
+    vms: tuple[Vm, ...]
+
+
+DEFAULT_POLICIES = {
+    PresetName.ORDINARY: Policy(),
+    PresetName.PEAK: Policy(default_deadline_ms=800, hedge_budget=0.02),
+    PresetName.MAINTENANCE: Policy(default_deadline_ms=3_000, hedge_budget=0.02),
+}
--- /dev/null
+++ b/sesameplank/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output: clocks and randomness are passed in."""
--- /dev/null
+++ b/sesameplank/core/coverage.py
@@ -0,0 +1,47 @@
+"""What an answer covers and what it lacks, with the reason for each."""
+
+from enum import Enum
+
+import msgspec
+
+from .ranges import KEY_SPACE, KeyRange, count_positions
+
+
+class MissingReason(Enum):
+    """Why a range is missing from an answer."""
+
+    DEADLINE = "deadline"
+    UNREACHABLE = "unreachable"
+    OVERLOADED = "overloaded"
+    NOT_OWNED = "not_owned"
+    SNAPSHOT_GONE = "snapshot_gone"
+
+
+class MissingRange(msgspec.Struct, frozen=True):
+    """A range that an answer lacks."""
+
+    start: int
+    end: int
+    reason: MissingReason
+
+    @property
+    def range(self) -> KeyRange:
+        """The positions that are missing."""
+        return KeyRange(self.start, self.end)
+
+
+class Coverage(msgspec.Struct, frozen=True):
+    """The ranges that an answer covers and the ones it lacks."""
+
+    covered: tuple[KeyRange, ...]
+    missing: tuple[MissingRange, ...] = ()
+
+    @property
+    def fraction(self) -> float:
+        """The share of the key space that is covered, from 0 to 1."""
+        return count_positions(self.covered) / KEY_SPACE
+
+    @property
+    def is_whole(self) -> bool:
+        """Tell whether the whole key space is covered."""
+        return count_positions(self.covered) == KEY_SPACE
--- /dev/null
+++ b/sesameplank/core/messages.py
@@ -0,0 +1,228 @@
+"""Messages of the callers' interface and of the calls to targets.
+
+Callers' messages travel as JSON over HTTP; so do the calls to targets, whose
+interface is the platform's. Times are in milliseconds.
+"""
+
+from enum import Enum
+from typing import Annotated
+
+import msgspec
+
+from ..ids import (
+    CollectionName,
+    ConfigVersion,
+    IdempotencyKey,
+    RecordKey,
+    RequestId,
+    ShardId,
+    Snapshot,
+    TargetId,
+)
+from .coverage import Coverage
+
+MAX_LIMIT = 1_000
+Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+
+
+class Message(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Base of messages that tolerate fields added later."""
+
+
+class StrictMessage(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True, omit_defaults=True
+):
+    """Base of callers' requests, in which an unknown field is a fault."""
+
+
+class Filter(StrictMessage, frozen=True):
+    """Keep records whose field equals the value."""
+
+    field: Text
+    equals: str | int | float | bool
+
+
+class Order(StrictMessage, frozen=True):
+    """Sort hits by a field, ties by record key."""
+
+    field: Text = "key"
+    descending: bool = False
+
+
+class SearchRequest(StrictMessage, frozen=True):
+    """A caller's query over a whole collection."""
+
+    collection: CollectionName
+    terms: tuple[Text, ...] = ()
+    filters: tuple[Filter, ...] = ()
+    order: Order = Order()
+    limit: Annotated[int, msgspec.Meta(ge=0, le=MAX_LIMIT)] = 10
+    deadline_ms: Annotated[int, msgspec.Meta(ge=1)] | None = None
+    at_least_snapshot: Annotated[int, msgspec.Meta(ge=0)] = 0
+    min_coverage: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    explain: bool = False
+
+
+class Record(Message, frozen=True):
+    """One record: its key and fields."""
+
+    key: RecordKey
+    fields: dict[str, str | int | float | bool]
+
+
+class ShardExplanation(Message, frozen=True):
+    """How one shard of a query was served."""
+
+    shard: ShardId
+    target: TargetId | None
+    attempts: int
+    hedged: bool
+    elapsed_ms: float
+    missing: str | None = None
+
+
+class Explanation(Message, frozen=True):
+    """Where a query's time and work went."""
+
+    shards: tuple[ShardExplanation, ...]
+    plans: int
+    target_calls: int
+    slowest_target_ms: float
+    elapsed_ms: float
+
+
+class SearchAnswer(Message, frozen=True):
+    """The merged answer of one snapshot, with what it covers."""
+
+    request_id: RequestId
+    collection: CollectionName
+    snapshot: Snapshot
+    config_version: ConfigVersion
+    preset: str
+    total: int
+    hits: tuple[Record, ...]
+    coverage: Coverage
+    explanation: Explanation | None = None
+
+
+class BookingRequest(StrictMessage, frozen=True):
+    """A caller's non-idempotent request to reserve stock of one record."""
+
+    collection: CollectionName
+    record: Annotated[RecordKey, msgspec.Meta(min_length=1, max_length=200)]
+    quantity: Annotated[int, msgspec.Meta(ge=1)] = 1
+    deadline_ms: Annotated[int, msgspec.Meta(ge=1)] | None = None
+
+
+class BookingResult(Enum):
+    """What a target decided about a booking that it ran."""
+
+    ACCEPTED = "accepted"
+    DECLINED = "declined"
+
+
+class BookingAnswer(Message, frozen=True):
+    """The result of a booking that ran, and the snapshot that contains it."""
+
+    request_id: RequestId
+    idempotency_key: IdempotencyKey
+    result: BookingResult
+    snapshot: Snapshot
+    config_version: ConfigVersion
+
+
+class ShardStatus(Enum):
+    """What a target says of one shard of a search call."""
+
+    OK = "ok"
+    SNAPSHOT_MISSING = "snapshot_missing"
+    NOT_OWNED = "not_owned"
+    SHED = "shed"
+
+
+class ShardRequest(Message, frozen=True):
+    """The part of a search call that concerns one shard."""
+
+    shard: ShardId
+    start: int
+    end: int
+
+
+class TargetSearch(Message, frozen=True):
+    """A search call to one target, for all shards asked of it together."""
+
+    request_id: RequestId
+    collection: CollectionName
+    snapshot: Snapshot
+    deadline_ms: int
+    shards: tuple[ShardRequest, ...]
+    terms: tuple[str, ...] = ()
+    filters: tuple[Filter, ...] = ()
+    order: Order = Order()
+    limit: int = 10
+
+
+class ShardResult(Message, frozen=True):
+    """A target's answer for one shard; `oldest` to `newest` are held."""
+
+    shard: ShardId
+    status: ShardStatus
+    oldest: Snapshot
+    newest: Snapshot
+    total: int = 0
+    hits: tuple[Record, ...] = ()
+
+
+class TargetSearchAnswer(Message, frozen=True):
+    """A target's answer to a search call."""
+
+    request_id: RequestId
+    snapshot: Snapshot
+    results: tuple[ShardResult, ...]
+    draining: bool = False
+
+
+class TargetBooking(Message, frozen=True):
+    """A booking as it is sent to the target that owns the record's shard."""
+
+    request_id: RequestId
+    idempotency_key: IdempotencyKey
+    collection: CollectionName
+    record: RecordKey
+    quantity: int
+    deadline_ms: int
+
+
+class TargetBookingStatus(Enum):
+    """What a target says of a booking; only RAN has run it."""
+
+    RAN = "ran"
+    NOT_OWNED = "not_owned"
+    SHED = "shed"
+
+
+class TargetBookingAnswer(Message, frozen=True):
+    """A target's answer to a booking."""
+
+    request_id: RequestId
+    status: TargetBookingStatus
+    result: BookingResult | None = None
+    snapshot: Snapshot = Snapshot(0)
+    draining: bool = False
+
+
+class TargetShardHealth(Message, frozen=True):
+    """The snapshots that a target holds of one shard."""
+
+    collection: CollectionName
+    shard: ShardId
+    oldest: Snapshot
+    newest: Snapshot
+
+
+class TargetHealth(Message, frozen=True):
+    """A target's health and load report, which may lag or mislead."""
+
+    state: str
+    load: float
+    shards: tuple[TargetShardHealth, ...] = ()
--- /dev/null
+++ b/sesameplank/core/plan.py
@@ -0,0 +1,33 @@
+"""The plan of a query: one snapshot, one shard map, one range for each shard."""
+
+from collections.abc import Iterable
+
+import msgspec
+
+from ..ids import CollectionName, ShardId, Snapshot, TargetId
+from .ranges import KeyRange
+
+
+class PlannedShard(msgspec.Struct, frozen=True):
+    """One shard of a plan and the replicas that may serve it."""
+
+    id: ShardId
+    range: KeyRange
+    replicas: tuple[TargetId, ...]
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """What a query asks of whom; every attempt of the query is pinned to it."""
+
+    collection: CollectionName
+    snapshot: Snapshot
+    shards: tuple[PlannedShard, ...]
+
+
+def make_plan(
+    collection: CollectionName,
+    snapshot: Snapshot,
+    shards: Iterable[PlannedShard],
+) -> Plan:
+    """Return the plan of a query over disjoint shards."""
+    return Plan(collection, snapshot, tuple(shards))
--- /dev/null
+++ b/sesameplank/entry.py
@@ -0,0 +1,197 @@
+"""The entry process: puts the parts together and owns them."""
+
+import contextlib
+import random
+import secrets
+
+import gevent
+import msgspec
+from gevent.event import Event
+
+from .bookings import BookingRunner
+from .callers import CallersApp
+from .callers.app import CallerRequest
+from .callers.problems import ProblemKind, Refusal
+from .conf import PublishedVms, VmState
+from .core.addresses import AddressAnswer, choose_addresses
+from .core.choice import RandomReplicaChooser
+from .core.clock import SystemClock
+from .core.hedging import NoHedges
+from .core.messages import SearchAnswer, SearchRequest
+from .core.outcomes import Ran
+from .core.snapshots import SnapshotTracker
+from .core.versions import AcceptedConfiguration, ConfigurationStore
+from .ids import DataCentre, EntryId
+from .logs import log_event
+from .net import Address, make_server
+from .platform import PlatformReader
+from .platform.watch import ConfigurationWatch, VmWatch
+from .queries import QueryRunner
+from .targets import DirectDispatcher
+from .targets.health import HealthPoller
+
+CONNECTION_SHARE = 8
+
+
+class EntrySettings(msgspec.Struct, frozen=True):
+    """The checked settings of an entry; times in seconds."""
+
+    entry_id: EntryId
+    data_centre: DataCentre
+    address: Address
+    peer_address: Address
+    platform_address: Address
+    health_interval_s: float
+    address_ttl_s: float
+    seed: int
+
+
+class Entry:
+    """One entry process; a context manager that starts and stops its parts."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.settings = settings
+        self.clock = SystemClock()
+        self.rng = random.Random(settings.seed or secrets.randbits(64))
+        self.store = ConfigurationStore(self.clock)
+        self.snapshots = SnapshotTracker()
+        self.vms: PublishedVms | None = None
+        self.dispatcher = DirectDispatcher(self.clock, CONNECTION_SHARE)
+        self.poller = HealthPoller(
+            self.dispatcher, self.snapshots, self.clock, settings.health_interval_s
+        )
+        self.queries = QueryRunner(
+            self.dispatcher,
+            self.snapshots,
+            RandomReplicaChooser(self.rng),
+            lambda pinned: NoHedges(),
+            self.clock,
+        )
+        self.bookings = BookingRunner(self.dispatcher, self.clock)
+        self.store.listeners.append(self.apply_configuration)
+        self.stopping = Event()
+        self.resources = contextlib.ExitStack()
+        self.greenlets: list[gevent.Greenlet] = []
+
+    def __enter__(self) -> "Entry":
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self.dispatcher)
+            server = make_server(self.settings.address, self.make_app())
+            server.start()
+            stack.callback(server.stop)
+            stack.callback(lambda: gevent.killall(self.greenlets))
+            self.start_watches()
+            self.resources = stack.pop_all()
+        log_event("entry_started", entry=self.settings.entry_id)
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.resources.close()
+        log_event("entry_stopped", entry=self.settings.entry_id)
+
+    def start_watches(self) -> None:
+        """Start the loops that keep configuration, VMs and health current."""
+        config_reader = PlatformReader(self.settings.platform_address)
+        vm_reader = PlatformReader(self.settings.platform_address)
+        loops = (
+            ConfigurationWatch(config_reader, self.store, self.rng),
+            VmWatch(vm_reader, self.apply_vms, self.rng),
+            self.poller,
+        )
+        self.greenlets += [gevent.spawn(loop.run) for loop in loops]
+
+    def make_app(self) -> CallersApp:
+        """Return the callers' interface of this entry."""
+        return CallersApp(
+            self.settings.entry_id,
+            self.store,
+            self.clock,
+            self.search,
+            self.bookings.run,
+            {
+                "/v1/addresses": self.get_addresses,
+                "/healthz": self.get_health,
+                "/readyz": self.get_readiness,
+                "/state": self.get_state,
+            },
+        )
+
+    def apply_configuration(self, accepted: AcceptedConfiguration) -> None:
+        """Put a newly accepted configuration in force."""
+        self.dispatcher.update_targets(accepted.configuration)
+
+    def apply_vms(self, vms: PublishedVms) -> None:
+        """Take a newer VM list in."""
+        self.vms = vms
+
+    def search(self, call: CallerRequest, request: SearchRequest) -> SearchAnswer:
+        """Answer a caller's query, or raise Refusal."""
+        if request.collection not in call.pinned.configuration.collections:
+            raise Refusal(
+                ProblemKind.UNKNOWN_COLLECTION,
+                f"the collection {request.collection!r} is not in the configuration",
+                "use a published collection's name",
+            )
+        result = self.queries.run(
+            call.request_id, request, call.pinned, call.deadline_at
+        )
+        coverage = result.answer.coverage.fraction
+        if coverage < request.min_coverage:
+            raise Refusal(
+                ProblemKind.LOW_COVERAGE,
+                f"the answer covers {coverage:.4f}, below {request.min_coverage}",
+                "ask again, with a longer deadline or a lower min_coverage",
+                ran=Ran.UNKNOWN if result.was_sent else Ran.NOT_RUN,
+                retry_after_ms=100,
+            )
+        return result.answer
+
+    def get_addresses(self, environ: dict) -> AddressAnswer:
+        """Tell a caller which entries to use, and for how long."""
+        live = [
+            vm.address
+            for vm in (self.vms.vms if self.vms else ())
+            if vm.state is VmState.LIVE
+        ]
+        addresses = choose_addresses(live or [str(self.settings.address)], self.rng)
+        return AddressAnswer(addresses, int(self.settings.address_ttl_s * 1_000))
+
+    def get_health(self, environ: dict) -> dict:
+        """Say that the process runs."""
+        return {"status": "running"}
+
+    def get_readiness(self, environ: dict) -> dict:
+        """Say that the entry can serve, or raise Refusal."""
+        if self.store.current is None or self.vms is None:
+            raise Refusal(
+                ProblemKind.NOT_READY,
+                "the entry waits for its first configuration and VM list",
+                "check that the platform can be reached",
+                retry_after_ms=1_000,
+            )
+        return {"status": "ready"}
+
+    def get_state(self, environ: dict) -> dict:
+        """Return the state dump."""
+        return {
+            "entry": self.settings.entry_id,
+            "config_version": self.store.version,
+            "refused": self.store.refused,
+            "vms": self.vms,
+            "targets": {
+                target_id: {
+                    "in_flight": pool.in_flight,
+                    "waiting": pool.waiting,
+                    "size": pool.size,
+                }
+                for target_id, pool in self.dispatcher.pools.items()
+            },
+        }
+
+    def request_stop(self) -> None:
+        """Begin a planned stop."""
+        self.stopping.set()
+
+    def wait(self) -> None:
+        """Return when a planned stop was requested."""
+        self.stopping.wait()
--- /dev/null
+++ b/sesameplank/ids.py
@@ -0,0 +1,17 @@
+"""Identifiers, each a distinct type so that one cannot stand in for another."""
+
+from typing import NewType
+
+AttemptId = NewType("AttemptId", int)
+CallerName = NewType("CallerName", str)
+CollectionName = NewType("CollectionName", str)
+ConfigVersion = NewType("ConfigVersion", int)
+DataCentre = NewType("DataCentre", str)
+EntryId = NewType("EntryId", str)
+IdempotencyKey = NewType("IdempotencyKey", str)
+Incarnation = NewType("Incarnation", int)
+RecordKey = NewType("RecordKey", str)
+RequestId = NewType("RequestId", str)
+ShardId = NewType("ShardId", str)
+Snapshot = NewType("Snapshot", int)
+TargetId = NewType("TargetId", str)
--- /dev/null
+++ b/sesameplank/net.py
@@ -0,0 +1,70 @@
+"""Sockets and servers as every process of the project sets them up."""
+
+import socket
+from collections.abc import Callable, Iterable
+
+import gevent.pywsgi
+import gevent.socket
+
+WsgiApp = Callable[[dict, Callable], Iterable[bytes]]
+
+
+class Address(tuple):
+    """An IP number and port, written `host:port`."""
+
+    __slots__ = ()
+
+    def __new__(cls, host: str, port: int) -> "Address":
+        """Make an address from its two parts."""
+        return super().__new__(cls, (host, port))
+
+    @classmethod
+    def parse(cls, text: str) -> "Address":
+        """Parse `host:port`, or raise ValueError naming the form."""
+        host, separator, port = text.rpartition(":")
+        if not separator or not host or not port.isdigit():
+            raise ValueError(f"{text!r} is not an address; write it as IP:PORT")
+        return cls(host, int(port))
+
+    @property
+    def host(self) -> str:
+        """The IP number."""
+        return self[0]
+
+    @property
+    def port(self) -> int:
+        """The port."""
+        return self[1]
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+def set_no_delay(sock: socket.socket) -> None:
+    """Send small writes at once; delayed acknowledgements cost 40 ms otherwise."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
+def open_connection(address: Address, timeout_s: float) -> gevent.socket.socket:
+    """Open a TCP connection without send delay, or raise OSError."""
+    sock = gevent.socket.create_connection(address, timeout=timeout_s)
+    set_no_delay(sock)
+    return sock
+
+
+class QuietHandler(gevent.pywsgi.WSGIHandler):
+    """Handle one HTTP connection without send delay or access log."""
+
+    def __init__(self, sock, address, server, rfile=None) -> None:
+        set_no_delay(sock)
+        super().__init__(sock, address, server, rfile)
+
+    def log_request(self) -> None:
+        """Log nothing; the application logs its own events."""
+
+
+def make_server(address: Address, app: WsgiApp) -> gevent.pywsgi.WSGIServer:
+    """Return a WSGI server for the app, not yet started."""
+    return gevent.pywsgi.WSGIServer(
+        tuple(address), app, log=None, error_log=None, handler_class=QuietHandler
+    )
--- /dev/null
+++ b/sesameplank/platform/__init__.py
@@ -0,0 +1,5 @@
+"""Reads and watches what the platform publishes."""
+
+from .reader import PlatformReader
+
+__all__ = ["PlatformReader"]
--- /dev/null
+++ b/sesameplank/platform/reader.py
@@ -0,0 +1,70 @@
+"""Reads the platform's configuration service and VM list over HTTP."""
+
+import msgspec
+from gevent import Timeout
+from geventhttpclient import HTTPClient
+
+from ..conf import PublishedConfiguration, PublishedVms
+from ..exceptions import PlatformError
+from ..net import Address
+
+READ_MARGIN_S = 2.0
+
+
+class PlatformReader:
+    """Makes one call at a time; each counts against the service's rate."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.calls = 0
+
+    def read_configuration(
+        self, after_version: int, wait_s: float
+    ) -> PublishedConfiguration | None:
+        """Return the configuration if its version passes `after_version`.
+
+        The call waits up to `wait_s` seconds for one and returns None if none
+        came. Raises PlatformError when the service cannot be read.
+        """
+        path = f"/config?after={after_version}&wait_ms={int(wait_s * 1_000)}"
+        body = self.get(path, wait_s)
+        return self.decode(body, PublishedConfiguration) if body else None
+
+    def read_vms(self, after_version: int, wait_s: float) -> PublishedVms | None:
+        """Return the VM list if its version passes `after_version`, else None."""
+        path = f"/vms?after={after_version}&wait_ms={int(wait_s * 1_000)}"
+        body = self.get(path, wait_s)
+        return self.decode(body, PublishedVms) if body else None
+
+    def get(self, path: str, wait_s: float) -> bytes:
+        """Return the body of a 200 answer, empty for 204 No Content."""
+        self.calls += 1
+        client = HTTPClient(self.address.host, self.address.port, concurrency=1)
+        try:
+            with Timeout(wait_s + READ_MARGIN_S):
+                response = client.get(path)
+                body = bytes(response.read())
+        except (Timeout, Exception) as error:
+            raise PlatformError(
+                f"the platform at {self.address} did not answer GET {path}: "
+                f"{error!r}; check its address and health"
+            ) from error
+        finally:
+            client.close()
+        if response.status_code == 204:
+            return b""
+        if response.status_code != 200:
+            raise PlatformError(
+                f"the platform answered {response.status_code} to GET {path}; "
+                "check its health"
+            )
+        return body
+
+    def decode(self, body: bytes, kind):
+        """Return the typed body, or raise PlatformError."""
+        try:
+            return msgspec.json.decode(body, type=kind)
+        except msgspec.DecodeError as error:
+            raise PlatformError(
+                f"the platform's answer is malformed: {error}; check its version"
+            ) from error
--- /dev/null
+++ b/sesameplank/queries.py
@@ -0,0 +1,259 @@
+"""Runs queries: pins a snapshot, sends attempts, and merges one answer."""
+
+from collections.abc import Callable
+
+import gevent
+import msgspec
+from gevent.queue import Empty, SimpleQueue
+
+from .core.choice import ReplicaChooser
+from .core.clock import Clock
+from .core.hedging import HedgePolicy
+from .core.merge import count_total, merge_hits
+from .core.messages import (
+    Explanation,
+    SearchAnswer,
+    SearchRequest,
+    ShardExplanation,
+    ShardRequest,
+    TargetSearch,
+    TargetSearchAnswer,
+)
+from .core.outcomes import Failure
+from .core.plan import Plan, PlannedShard, make_plan
+from .core.query import Attempt, QueryState
+from .core.snapshots import HeldSnapshots, SnapshotTracker
+from .core.versions import AcceptedConfiguration
+from .ids import RequestId, Snapshot
+from .targets import Dispatcher
+
+RETURN_MARGIN_S = 0.002
+REPLAN_PAUSE_S = 0.01
+
+
+class QueryResult(msgspec.Struct, frozen=True):
+    """The answer of a query and whether any target may have run part of it."""
+
+    answer: SearchAnswer
+    was_sent: bool
+
+
+class QueryRunner:
+    """Runs one query after another on behalf of callers."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        snapshots: SnapshotTracker,
+        chooser: ReplicaChooser,
+        make_hedges: Callable[[AcceptedConfiguration], HedgePolicy],
+        clock: Clock,
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.snapshots = snapshots
+        self.chooser = chooser
+        self.make_hedges = make_hedges
+        self.clock = clock
+
+    def run(
+        self,
+        request_id: RequestId,
+        request: SearchRequest,
+        pinned: AcceptedConfiguration,
+        deadline_at: float,
+    ) -> QueryResult:
+        """Return the best answer that one snapshot gives before the deadline.
+
+        The configuration stays pinned over every plan of the query.
+        """
+        execution = QueryExecution(self, request_id, request, pinned, deadline_at)
+        return execution.run()
+
+
+class QueryExecution:
+    """One query while it runs, over one plan or several in turn."""
+
+    def __init__(
+        self,
+        runner: QueryRunner,
+        request_id: RequestId,
+        request: SearchRequest,
+        pinned: AcceptedConfiguration,
+        deadline_at: float,
+    ) -> None:
+        self.runner = runner
+        self.clock = runner.clock
+        self.request_id = request_id
+        self.request = request
+        self.pinned = pinned
+        self.started_at = self.clock.now()
+        self.stop_at = deadline_at - RETURN_MARGIN_S
+        self.plans = 0
+        self.calls = 0
+        self.slowest_s = 0.0
+
+    def run(self) -> QueryResult:
+        """Plan and run until an answer is whole or the deadline is near."""
+        best: QueryState | None = None
+        at_least = Snapshot(self.request.at_least_snapshot)
+        while True:
+            state = self.run_plan(self.make_plan(at_least))
+            if best is None or self.is_better(state, best):
+                best = state
+            if not state.needs_new_plan:
+                break
+            if self.clock.now() + REPLAN_PAUSE_S >= self.stop_at:
+                break
+            gevent.sleep(REPLAN_PAUSE_S)
+        return QueryResult(self.make_answer(best), was_sent=self.calls > 0)
+
+    def is_better(self, state: QueryState, best: QueryState) -> bool:
+        """Tell whether the newer state covers at least as much."""
+        return state.get_coverage().fraction >= best.get_coverage().fraction
+
+    def make_plan(self, at_least: Snapshot) -> Plan:
+        """Return a plan at the newest snapshot that every shard can serve."""
+        collection = self.pinned.configuration.collections[self.request.collection]
+        shards = [
+            PlannedShard(shard.id, shard.range, shard.replicas)
+            for shard in collection.shards
+        ]
+        snapshot = self.runner.snapshots.choose(
+            self.request.collection,
+            ((shard.id, shard.replicas) for shard in shards),
+            at_least,
+        )
+        return make_plan(self.request.collection, snapshot or Snapshot(0), shards)
+
+    def run_plan(self, plan: Plan) -> QueryState:
+        """Run one plan until it is done, outdated or out of time."""
+        self.plans += 1
+        state = QueryState(
+            plan,
+            self.runner.chooser,
+            self.runner.make_hedges(self.pinned),
+            first_attempt_id=self.calls,
+        )
+        events: SimpleQueue = SimpleQueue()
+        greenlets: dict[int, gevent.Greenlet] = {}
+        self.send_all(plan, state.start(self.clock.now()), events, greenlets)
+        try:
+            while not state.is_done and not state.needs_new_plan:
+                if not self.step(plan, state, events, greenlets):
+                    break
+        finally:
+            gevent.killall(list(greenlets.values()), block=False)
+        return state
+
+    def step(self, plan, state: QueryState, events, greenlets) -> bool:
+        """Wait for one event or timer and act on it; False past the deadline."""
+        now = self.clock.now()
+        if now >= self.stop_at:
+            return False
+        timer = state.get_next_timer()
+        wake_at = self.stop_at if timer is None else min(self.stop_at, timer)
+        try:
+            attempt, outcome = events.get(timeout=max(0.0, wake_at - now))
+        except Empty:
+            more = state.on_timer(self.clock.now())
+        else:
+            greenlets.pop(attempt.id, None)
+            more = self.take_outcome(plan, state, attempt, outcome)
+        self.send_all(plan, more, events, greenlets)
+        for loser in state.get_losers():
+            greenlet = greenlets.pop(loser.id, None)
+            if greenlet is not None:
+                greenlet.kill(block=False)
+        return True
+
+    def take_outcome(
+        self,
+        plan: Plan,
+        state: QueryState,
+        attempt: Attempt,
+        outcome: TargetSearchAnswer | Failure,
+    ) -> list[Attempt]:
+        """Feed one outcome to the state and the snapshot tracker."""
+        now = self.clock.now()
+        self.slowest_s = max(self.slowest_s, now - attempt.sent_at)
+        if isinstance(outcome, Failure):
+            return state.on_failure(attempt.id, outcome, now)
+        for result in outcome.results:
+            self.runner.snapshots.observe(
+                plan.collection,
+                result.shard,
+                attempt.target,
+                HeldSnapshots(result.oldest, result.newest),
+            )
+        return state.on_answer(attempt.id, outcome, now)
+
+    def send_all(self, plan, attempts, events, greenlets) -> None:
+        """Start one greenlet for each attempt."""
+        for attempt in attempts:
+            self.calls += 1
+            greenlets[attempt.id] = gevent.spawn(self.send, plan, attempt, events)
+
+    def send(self, plan: Plan, attempt: Attempt, events: SimpleQueue) -> None:
+        """Carry one attempt out and report its outcome."""
+        remaining_ms = int((self.stop_at - self.clock.now()) * 1_000)
+        message = TargetSearch(
+            request_id=RequestId(f"{self.request_id}.{attempt.id}"),
+            collection=plan.collection,
+            snapshot=plan.snapshot,
+            deadline_ms=max(1, remaining_ms),
+            shards=self.get_shard_requests(plan, attempt),
+            terms=self.request.terms,
+            filters=self.request.filters,
+            order=self.request.order,
+            limit=self.request.limit,
+        )
+        outcome = self.runner.dispatcher.search(attempt.target, message, self.stop_at)
+        events.put((attempt, outcome))
+
+    def get_shard_requests(
+        self, plan: Plan, attempt: Attempt
+    ) -> tuple[ShardRequest, ...]:
+        """Return the shards of an attempt with their ranges."""
+        wanted = set(attempt.shards)
+        return tuple(
+            ShardRequest(shard.id, shard.range.start, shard.range.end)
+            for shard in plan.shards
+            if shard.id in wanted
+        )
+
+    def make_answer(self, state: QueryState) -> SearchAnswer:
+        """Merge what one plan brought into the caller's answer."""
+        results = state.get_results()
+        return SearchAnswer(
+            request_id=self.request_id,
+            collection=self.request.collection,
+            snapshot=state.snapshot,
+            config_version=self.pinned.version,
+            preset=self.pinned.configuration.preset.value,
+            total=count_total(results),
+            hits=merge_hits(results, self.request.order, self.request.limit),
+            coverage=state.get_coverage(),
+            explanation=self.explain(state) if self.request.explain else None,
+        )
+
+    def explain(self, state: QueryState) -> Explanation:
+        """Return how each shard of the plan was served."""
+        return Explanation(
+            shards=tuple(
+                ShardExplanation(
+                    shard=item.planned.id,
+                    target=item.served_by,
+                    attempts=len(item.tried),
+                    hedged=item.hedged,
+                    elapsed_ms=((item.served_at or 0) - self.started_at) * 1_000
+                    if item.served_at
+                    else 0.0,
+                    missing=None if item.result else item.missing.value,
+                )
+                for item in state.shards.values()
+            ),
+            plans=self.plans,
+            target_calls=self.calls,
+            slowest_target_ms=self.slowest_s * 1_000,
+            elapsed_ms=(self.clock.now() - self.started_at) * 1_000,
+        )
--- /dev/null
+++ b/sesameplank/standins/fleet.py
@@ -0,0 +1,150 @@
+"""Starts entry processes for tests and experiments, and ends them."""
+
+import contextlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator, Sequence
+from pathlib import Path
+
+import gevent
+from geventhttpclient import HTTPClient
+
+from ..conf import Vm
+from ..net import Address
+
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 30.0
+POLL_S = 0.05
+FIRST_BLOCK = 20
+LAST_BLOCK = 250
+LOCK_PORT = 6999
+
+
+class EntryProcess:
+    """One entry in a process of its own, with its log in a file."""
+
+    def __init__(
+        self, vm: Vm, platform_address: Address, log_path: Path, flags: Sequence[str]
+    ) -> None:
+        self.vm = vm
+        self.address = Address.parse(vm.address)
+        self.log_path = log_path
+        self.command = [
+            sys.executable,
+            "-m",
+            "sesameplank.commands.entry",
+            f"--entry_id={vm.id}",
+            f"--data_centre={vm.data_centre}",
+            f"--address={vm.address}",
+            f"--peer_address={vm.peer_address}",
+            f"--platform_address={platform_address}",
+            *flags,
+        ]
+        self.process: subprocess.Popen | None = None
+
+    def start(self) -> None:
+        """Start the process; it is ready only after `wait_until_ready`."""
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                self.command, stdout=log, stderr=log, stdin=subprocess.DEVNULL
+            )
+
+    def wait_until_ready(self, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Return when the entry says that it is ready, or raise TimeoutError."""
+        deadline = time.monotonic() + timeout_s
+        while time.monotonic() < deadline:
+            if get_status(self.address, "/readyz") == 200:
+                return
+            if self.process and self.process.poll() is not None:
+                break
+            gevent.sleep(POLL_S)
+        raise TimeoutError(f"{self.vm.id} is not ready:\n{self.log_path.read_text()}")
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        self.process.send_signal(number)
+
+    def wait(self, timeout_s: float = STOP_TIMEOUT_S) -> int:
+        """Return the exit code once the process has ended, or raise TimeoutError."""
+        deadline = time.monotonic() + timeout_s
+        while self.process.poll() is None:
+            if time.monotonic() > deadline:
+                raise TimeoutError(f"{self.vm.id} did not stop in {timeout_s} s")
+            gevent.sleep(POLL_S)
+        return self.process.returncode
+
+    def kill(self) -> None:
+        """End the process at once, if it still runs."""
+        if self.process and self.process.poll() is None:
+            self.process.kill()
+            self.process.wait()
+
+
+class Fleet:
+    """Several entry processes; a context manager that ends them all."""
+
+    def __init__(
+        self,
+        vms: Sequence[Vm],
+        platform_address: Address,
+        flags: Sequence[str] = (),
+    ) -> None:
+        self.resources = contextlib.ExitStack()
+        directory = Path(self.resources.enter_context(tempfile.TemporaryDirectory()))
+        self.entries = [
+            EntryProcess(vm, platform_address, directory / f"{vm.id}.log", flags)
+            for vm in vms
+        ]
+
+    def __enter__(self) -> "Fleet":
+        with contextlib.ExitStack() as stack:
+            for entry in self.entries:
+                stack.callback(entry.kill)
+                entry.start()
+            for entry in self.entries:
+                entry.wait_until_ready()
+            stack.pop_all()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for entry in self.entries:
+            entry.kill()
+        self.resources.close()
+
+    @property
+    def addresses(self) -> list[Address]:
+        """The callers' addresses of all entries."""
+        return [entry.address for entry in self.entries]
+
+
+def get_status(address: Address, path: str) -> int:
+    """Return the HTTP status of a GET, or 0 when there is no answer."""
+    client = HTTPClient(address.host, address.port, concurrency=1)
+    try:
+        response = client.get(path)
+        response.read()
+        return response.status_code
+    except Exception:  # Anything but an answer means not ready.
+        return 0
+    finally:
+        client.close()
+
+
+@contextlib.contextmanager
+def reserve_block() -> Iterator[str]:
+    """Reserve a block of loopback addresses, such as "127.20", from other runs."""
+    for number in range(FIRST_BLOCK, LAST_BLOCK):
+        block = f"127.{number}"
+        with socket.socket() as lock:
+            try:
+                lock.bind((f"{block}.255.1", LOCK_PORT))
+            except OSError:
+                continue
+            lock.listen(1)
+            yield block
+            return
+    raise RuntimeError("every loopback block is in use; end other runs first")
--- /dev/null
+++ b/sesameplank/standins/records.py
@@ -0,0 +1,31 @@
+"""Seeded records of orders and stock."""
+
+import random
+
+from ..core.messages import Record
+from ..ids import RecordKey
+
+ITEMS = ("float", "lantern", "frame", "jute", "polypropylene", "sack", "garland")
+COLOURS = ("red", "gold", "white", "green", "blue", "plain")
+PLACES = ("nadi", "lautoka", "ba", "khon_kaen", "korat", "ubon", "chaiyaphum")
+MAX_STOCK = 500
+
+
+def make_records(count: int, seed: int) -> list[Record]:
+    """Return `count` records that depend on the seed alone."""
+    rng = random.Random(seed)
+    return [make_record(index, rng) for index in range(count)]
+
+
+def make_record(index: int, rng: random.Random) -> Record:
+    """Return one record with an item, a colour, a place, stock and a price."""
+    return Record(
+        key=RecordKey(f"r{index:06d}"),
+        fields={
+            "item": rng.choice(ITEMS),
+            "colour": rng.choice(COLOURS),
+            "place": rng.choice(PLACES),
+            "stock": rng.randint(0, MAX_STOCK),
+            "price": rng.randint(10, 900),
+        },
+    )
--- /dev/null
+++ b/sesameplank/targets/health.py
@@ -0,0 +1,56 @@
+"""Polls the targets' health reports, which may lag or mislead."""
+
+import gevent
+from gevent.pool import Pool
+
+from ..core.clock import Clock
+from ..core.outcomes import Failure
+from ..core.snapshots import HeldSnapshots, SnapshotTracker
+from ..ids import TargetId
+from .dispatch import DirectDispatcher
+
+POLL_TIMEOUT_S = 0.5
+MAX_CONCURRENT_POLLS = 16
+
+
+class HealthPoller:
+    """Asks every target for its health at an interval in seconds."""
+
+    def __init__(
+        self,
+        dispatcher: DirectDispatcher,
+        snapshots: SnapshotTracker,
+        clock: Clock,
+        interval_s: float,
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.snapshots = snapshots
+        self.clock = clock
+        self.interval_s = interval_s
+        self.reports = {}
+
+    def run(self) -> None:
+        """Poll until killed."""
+        while True:
+            self.poll_all()
+            gevent.sleep(self.interval_s)
+
+    def poll_all(self) -> None:
+        """Ask each target once and wait for all."""
+        pool = Pool(MAX_CONCURRENT_POLLS)
+        pool.map(self.poll, list(self.dispatcher.pools))
+
+    def poll(self, target: TargetId) -> None:
+        """Ask one target and remember what it holds."""
+        deadline_at = self.clock.now() + POLL_TIMEOUT_S
+        report = self.dispatcher.get_health(target, deadline_at)
+        self.reports[target] = report
+        if isinstance(report, Failure):
+            return
+        for shard in report.shards:
+            self.snapshots.observe(
+                shard.collection,
+                shard.shard,
+                target,
+                HeldSnapshots(shard.oldest, shard.newest),
+            )
--- /dev/null
+++ b/tests/conf/test_validation.py
@@ -0,0 +1,56 @@
+"""Tests of the configuration document's validation."""
+
+import msgspec
+import testtools
+
+from sesameplank.conf import decode_configuration, list_faults
+from sesameplank.exceptions import ConfigurationError
+from sesameplank.standins.deployments import CHAIYAPHUM, VATUWAQA, make_configuration
+
+
+def make_document() -> dict:
+    """Return a valid document as plain values."""
+    encoded = msgspec.json.encode(make_configuration(VATUWAQA, "127.9"))
+    return msgspec.json.decode(encoded)
+
+
+def drop_first_shard(document: dict) -> None:
+    """Leave a gap at the start of a collection."""
+    del document["collections"]["payments"]["shards"][0]
+
+
+def name_unknown_target(document: dict) -> None:
+    """Name a replica that is not a target."""
+    document["collections"]["payments"]["shards"][0]["replicas"] = ["nobody"]
+
+
+def share_address(document: dict) -> None:
+    """Give two targets one address."""
+    targets = document["targets"]
+    targets["payments-00"]["address"] = targets["payments-01"]["address"]
+
+
+class ValidationTests(testtools.TestCase):
+    """Every process gives the same verdict on a document."""
+
+    def test_deployments_are_valid(self):
+        for deployment in (VATUWAQA, CHAIYAPHUM):
+            document = msgspec.json.encode(make_configuration(deployment, "127.9"))
+            self.assertEqual([], list_faults(document))
+            self.assertEqual(deployment.name, decode_configuration(document).deployment)
+
+    def test_faults_name_path_and_are_refused(self):
+        table = [
+            (drop_first_shard, "$.collections.payments.shards"),
+            (name_unknown_target, "$.collections.payments.shards[0].replicas"),
+            (share_address, "$.targets.payments-01.address"),
+            (lambda document: document.update(preset="busy"), "$.preset"),
+            (lambda document: document.update(extra=1), "$"),
+            (lambda document: document.pop("targets"), "$"),
+        ]
+        for spoil, path in table:
+            document = make_document()
+            spoil(document)
+            encoded = msgspec.json.encode(document)
+            self.assertIn(path, [fault.path for fault in list_faults(encoded)])
+            self.assertRaises(ConfigurationError, decode_configuration, encoded)
