--- /dev/null
+++ b/sesameplank/standins/proxy.py
@@ -0,0 +1,202 @@
+"""A TCP proxy that injects faults into the connections it carries."""
+
+import contextlib
+import random
+import socket
+import struct
+from enum import Enum
+
+import gevent
+import msgspec
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from ..net import Address, open_connection, set_no_delay
+
+CHUNK_BYTES = 65_536
+CONNECT_TIMEOUT_S = 5.0
+LINGER_RESET = struct.pack("ii", 1, 0)
+
+
+class Direction(Enum):
+    """Which way bytes go: a request towards the upstream, an answer back."""
+
+    REQUEST = "request"
+    ANSWER = "answer"
+
+
+class Faults(msgspec.Struct):
+    """What a proxy does to its connections from now on.
+
+    Delays are in seconds and hold for each chunk; stalls hold bytes back until
+    they are lifted; reset rates are probabilities for each chunk, drawn before
+    the chunk is passed on; `reset_at_byte` counts request bytes of a connection.
+    """
+
+    refuse: bool = False
+    delay_s: float = 0.0
+    jitter_s: float = 0.0
+    stalled: tuple[Direction, ...] = ()
+    request_reset_rate: float = 0.0
+    answer_reset_rate: float = 0.0
+    reset_at_byte: int | None = None
+
+
+class Relay:
+    """One connection through a proxy: two sockets and the greenlets between."""
+
+    def __init__(self, proxy: "FaultProxy", downstream, upstream) -> None:
+        self.proxy = proxy
+        self.downstream = downstream
+        self.upstream = upstream
+        self.request_bytes = 0
+
+    def run(self) -> None:
+        """Carry both directions until either side ends."""
+        pumps = [
+            gevent.spawn(self.pump, Direction.REQUEST, self.downstream, self.upstream),
+            gevent.spawn(self.pump, Direction.ANSWER, self.upstream, self.downstream),
+        ]
+        try:
+            gevent.joinall(pumps)
+        finally:
+            gevent.killall(pumps)
+            self.downstream.close()
+            self.upstream.close()
+
+    def pump(self, direction: Direction, source, sink) -> None:
+        """Pass chunks on in one direction, with the faults in force for each."""
+        try:
+            while chunk := source.recv(CHUNK_BYTES):
+                if not self.apply_faults(direction, chunk, sink):
+                    self.reset()
+                    return
+                sink.sendall(chunk)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.reset()
+
+    def apply_faults(self, direction: Direction, chunk: bytes, sink) -> bool:
+        """Wait as the faults ask; return False when the connection must break."""
+        faults = self.proxy.faults
+        rng = self.proxy.rng
+        if faults.delay_s or faults.jitter_s:
+            gevent.sleep(faults.delay_s + rng.uniform(0.0, faults.jitter_s))
+        self.proxy.wait_for_stall(direction)
+        if direction is Direction.ANSWER:
+            return rng.random() >= faults.answer_reset_rate
+        limit = faults.reset_at_byte
+        if limit is not None and self.request_bytes + len(chunk) > limit:
+            sink.sendall(chunk[: max(0, limit - self.request_bytes)])
+            return False
+        self.request_bytes += len(chunk)
+        return rng.random() >= faults.request_reset_rate
+
+    def reset(self) -> None:
+        """Break both connections with a TCP reset."""
+        for sock in (self.downstream, self.upstream):
+            with contextlib.suppress(OSError):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
+
+
+class FaultProxy:
+    """Listens on one address and forwards to another; a context manager."""
+
+    def __init__(self, listen: Address, upstream: Address, rng: random.Random) -> None:
+        self.listen = listen
+        self.upstream = upstream
+        self.rng = rng
+        self.faults = Faults()
+        self.changed = Event()
+        self.relays: set[Relay] = set()
+        self.accepted = 0
+        self.server = StreamServer(tuple(listen), self.handle)
+
+    def __enter__(self) -> "FaultProxy":
+        self.server.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.server.stop(timeout=0.1)
+        self.reset_all()
+
+    def set_faults(self, faults: Faults) -> None:
+        """Put other faults in force, for open connections as well."""
+        self.faults = faults
+        changed, self.changed = self.changed, Event()
+        changed.set()
+
+    def wait_for_stall(self, direction: Direction) -> None:
+        """Return once the direction is not stalled."""
+        while direction in self.faults.stalled:
+            self.changed.wait()
+
+    def reset_all(self) -> None:
+        """Break every open connection with a TCP reset."""
+        for relay in list(self.relays):
+            relay.reset()
+
+    def handle(self, sock, address) -> None:
+        """Carry one accepted connection."""
+        self.accepted += 1
+        if self.faults.refuse:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            sock.close()
+            return
+        set_no_delay(sock)
+        try:
+            upstream = open_connection(self.upstream, CONNECT_TIMEOUT_S)
+        except OSError:
+            sock.close()
+            return
+        upstream.settimeout(None)
+        relay = Relay(self, sock, upstream)
+        self.relays.add(relay)
+        try:
+            relay.run()
+        finally:
+            self.relays.discard(relay)
+
+
+class ProxyGroup:
+    """Proxies between numbered nodes, one for each ordered pair.
+
+    Node i reaches node j through the proxy of the pair (i, j), so that any cut
+    between groups, in one direction or both, can be made.
+    """
+
+    def __init__(self, proxies: dict[tuple[int, int], FaultProxy]) -> None:
+        self.proxies = proxies
+
+    def __enter__(self) -> "ProxyGroup":
+        with contextlib.ExitStack() as stack:
+            for proxy in self.proxies.values():
+                stack.enter_context(proxy)
+            self.resources = stack.pop_all()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.resources.close()
+
+    def partition(self, left: set[int], right: set[int]) -> None:
+        """Refuse and stall everything between two groups of nodes."""
+        for (source, sink), proxy in self.proxies.items():
+            if (source in left and sink in right) or (source in right and sink in left):
+                proxy.set_faults(
+                    Faults(refuse=True, stalled=(Direction.REQUEST, Direction.ANSWER))
+                )
+
+    def lose(self, source: int, sink: int) -> None:
+        """Lose what `source` sends to `sink`, in either kind of connection."""
+        self.proxies[source, sink].set_faults(Faults(stalled=(Direction.REQUEST,)))
+        self.proxies[sink, source].set_faults(Faults(stalled=(Direction.ANSWER,)))
+
+    def heal(self) -> None:
+        """Lift every fault; connections that were cut off are reset."""
+        for proxy in self.proxies.values():
+            if proxy.faults != Faults():
+                proxy.reset_all()
+                proxy.set_faults(Faults())
