Measure and check a deployment under open-loop load

Every figure must be made again with one command, and nothing measured latency, coverage or broken promises under load so far.

sesameplank-load starts stand-ins and entries as processes, sends seeded Poisson arrivals from three generator processes, counts latency from the due time, and checks every answer against the stand-ins' change log and ledger. A naive tier with the same interface can be measured beside the system.

--- a/sesameplank/exceptions.py
+++ b/sesameplank/exceptions.py
@@ -54,3 +54,7 @@
         self.kind = kind
         self.ran = ran
         self.retry_after_s = retry_after_s
+
+
+class LoadError(SesameplankError):
+    """A run of the load tool could not be carried out."""
--- /dev/null
+++ b/sesameplank/load/__init__.py
@@ -0,0 +1,1 @@
+"""The load and experiment tool: runs a scenario, measures it and checks it."""
--- /dev/null
+++ b/sesameplank/load/arrivals.py
@@ -0,0 +1,136 @@
+"""Seeded arrivals: open-loop Poisson times and what is asked at each."""
+
+import random
+from collections.abc import Iterator, Sequence
+
+import msgspec
+
+from ..conf.documents import CallerClass
+from ..core.messages import Filter, Order, SearchRequest
+from ..ids import CallerName, CollectionName, IdempotencyKey, RecordKey, RequestId
+from ..standins.deployments import Deployment
+from ..standins.records import COLOURS, ITEMS, PLACES
+from ..standins.world import RECORDS_PER_COLLECTION
+from .capacity import BOOKING_SHARE, SHARES, get_rate
+
+CLASS_SHARES = {
+    CallerClass.FIRST: 0.5,
+    CallerClass.SECOND: 0.3,
+    CallerClass.THIRD: 0.2,
+}
+EXPLAIN_EVERY = 10
+LIMIT = 10
+MAX_QUANTITY = 3
+
+
+class Phase(msgspec.Struct, frozen=True):
+    """A stretch of constant load, a share of the first service's capacity.
+
+    Times are seconds since the start of the run.
+    """
+
+    start_s: float
+    end_s: float
+    load: float
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """One request: when it is due and what it asks for.
+
+    `search` is None for a booking. Times are seconds since the start of the run.
+    """
+
+    index: int
+    at_s: float
+    request_id: RequestId
+    caller: CallerName
+    priority: CallerClass
+    collection: CollectionName
+    search: SearchRequest | None = None
+    record: RecordKey | None = None
+    quantity: int = 0
+
+    @property
+    def key(self) -> IdempotencyKey:
+        """The idempotency key of a booking."""
+        return IdempotencyKey(f"key-{self.request_id}")
+
+
+def make_arrivals(
+    deployment: Deployment,
+    phases: Sequence[Phase],
+    seed: int,
+    booking_share: float = BOOKING_SHARE,
+) -> list[Arrival]:
+    """Return every arrival of a run, which depends on the arguments alone."""
+    rng = random.Random(f"arrivals-{seed}")
+    maker = ArrivalMaker(deployment, rng, booking_share)
+    return [
+        maker.make(index, at_s)
+        for index, at_s in enumerate(make_times(deployment, phases, rng))
+    ]
+
+
+def make_times(
+    deployment: Deployment, phases: Sequence[Phase], rng: random.Random
+) -> Iterator[float]:
+    """Yield Poisson arrival times over phases of constant rate."""
+    for phase in phases:
+        rate = get_rate(deployment, phase.load)
+        if rate <= 0:
+            continue
+        at_s = phase.start_s + rng.expovariate(rate)
+        while at_s < phase.end_s:
+            yield at_s
+            at_s += rng.expovariate(rate)
+
+
+class ArrivalMaker:
+    """Draws what each arrival asks for."""
+
+    def __init__(
+        self, deployment: Deployment, rng: random.Random, booking_share: float
+    ) -> None:
+        self.rng = rng
+        self.booking_share = booking_share
+        self.callers = list(deployment.callers.items())
+        self.weights = [get_weight(deployment, name) for name in deployment.callers]
+        self.collections = [item.collection for item in deployment.services]
+
+    def make(self, index: int, at_s: float) -> Arrival:
+        """Return the arrival of an index at a time."""
+        caller, priority = self.rng.choices(self.callers, self.weights)[0]
+        head = (index, at_s, RequestId(f"load-{index}"), caller, priority)
+        if self.rng.random() < self.booking_share:
+            return self.make_booking(head)
+        (collection,) = self.rng.choices(self.collections, SHARES)
+        return Arrival(*head, collection, search=self.make_search(index, collection))
+
+    def make_booking(self, head: tuple) -> Arrival:
+        """Return a booking in the deployment's first service."""
+        record = RecordKey(f"r{self.rng.randrange(RECORDS_PER_COLLECTION):06d}")
+        quantity = self.rng.randint(1, MAX_QUANTITY)
+        return Arrival(*head, self.collections[0], record=record, quantity=quantity)
+
+    def make_search(self, index: int, collection: CollectionName) -> SearchRequest:
+        """Return a query by item, by colour and place, or both."""
+        kind = self.rng.randrange(3)
+        terms = (self.rng.choice(ITEMS),) if kind != 1 else ()
+        filters = (Filter("colour", self.rng.choice(COLOURS)),) if kind != 0 else ()
+        if kind == 1:
+            filters += (Filter("place", self.rng.choice(PLACES)),)
+        return SearchRequest(
+            collection=collection,
+            terms=terms,
+            filters=filters,
+            order=Order(self.rng.choice(("price", "stock", "key")), kind == 2),
+            limit=LIMIT,
+            explain=index % EXPLAIN_EVERY == 0,
+        )
+
+
+def get_weight(deployment: Deployment, name: CallerName) -> float:
+    """Return a caller's share of arrivals; callers of a class share evenly."""
+    priority = deployment.callers[name]
+    peers = sum(item is priority for item in deployment.callers.values())
+    return CLASS_SHARES[priority] / peers
--- /dev/null
+++ b/sesameplank/load/capacity.py
@@ -0,0 +1,42 @@
+"""What the stand-in services can carry, so that load is stated as a share of it.
+
+A search of one shard holds a slot of its target for a random time, lognormal
+around `SHARD_SERVICE_S` with `SERVICE_SIGMA`, whose mean is
+`SHARD_SERVICE_S * exp(SERVICE_SIGMA ** 2 / 2)`. A query needs one such run for
+each shard of its collection, however the runs are grouped into calls. So
+
+    capacity in queries/s = instances * slots / (shards * mean run in seconds)
+
+with `shards = instances * searchers / REPLICAS`. A service of 20 instances with
+2 slots and 2 searchers has 20 shards and carries 40 / (20 * 0.0085) = 235
+queries/s. Load 0.5 is half of the first service's capacity in queries to it;
+queries to the other services come on top, in the proportions of `SHARES`.
+Bookings come on top of that, at `BOOKING_SHARE` of all arrivals; a booking
+holds one slot for about a thirtieth of what a query does.
+"""
+
+import math
+
+from ..standins.deployments import REPLICAS, Deployment, Service
+from ..standins.targets import SERVICE_SIGMA, SHARD_SERVICE_S
+
+SHARES = (0.80, 0.10, 0.05, 0.05)
+BOOKING_SHARE = 0.03
+
+
+def count_shards(service: Service) -> int:
+    """Return the number of shards of the service's collection."""
+    return service.instances * service.searchers // REPLICAS
+
+
+def get_capacity(service: Service) -> float:
+    """Return the queries a second that keep every slot of a service busy."""
+    run_s = SHARD_SERVICE_S * math.exp(SERVICE_SIGMA**2 / 2)
+    slots = service.instances * service.slots
+    return slots / (count_shards(service) * run_s)
+
+
+def get_rate(deployment: Deployment, load: float) -> float:
+    """Return all arrivals a second at a share of the first service's capacity."""
+    first = get_capacity(deployment.services[0])
+    return load * first / SHARES[0] / (1 - BOOKING_SHARE)
--- /dev/null
+++ b/sesameplank/load/figures.py
@@ -0,0 +1,185 @@
+"""Figures of one run: latency, coverage, load and service."""
+
+from collections.abc import Iterable, Sequence
+
+import msgspec
+from hdrh.histogram import HdrHistogram
+
+from ..conf.documents import CallerClass
+from ..core.messages import Explanation
+from ..ids import CollectionName
+from ..standins.deployments import Deployment
+from .arrivals import Arrival
+from .capacity import count_shards
+from .checks import Violations
+from .observations import GroundTruth, Observation, Outcome
+
+MAX_LATENCY_US = 120_000_000
+SIGNIFICANT_DIGITS = 3
+US_PER_MS = 1_000
+
+
+class Percentiles(msgspec.Struct):
+    """Percentiles of a time in milliseconds."""
+
+    p50: float = 0.0
+    p95: float = 0.0
+    p99: float = 0.0
+    max: float = 0.0
+
+
+class Control(msgspec.Struct):
+    """What an entry spends on control, measured without load.
+
+    `bytes_per_s` counts the platform's and the health answers' bytes an entry
+    reads, and `cpu_share` its processor time as a share of one core.
+    """
+
+    bytes_per_s: float = 0.0
+    cpu_share: float = 0.0
+
+
+class ProcessorUse(msgspec.Struct):
+    """Processor time under load, as shares of one core, and a query's part."""
+
+    generators: float = 0.0
+    standins: float = 0.0
+    entries: float = 0.0
+    entry_ms_per_query: float = 0.0
+
+
+class Figures(msgspec.Struct):
+    """What one variant did in one run.
+
+    `crest_service` is the share of the queries due in the scenario's window of
+    interest that were answered whole within the deadline, and
+    `first_class_service` the same of the first priority class. `extra_load` is
+    shard runs at targets over the least that the answers needed, less one.
+    """
+
+    latency_ms: Percentiles
+    coverage: float
+    extra_load: float
+    crest_service: float
+    first_class_service: float
+    offered: int
+    answered_whole: int
+    refused_not_run: int
+    unknown: int
+    control: Control
+    violations: Violations
+    generator_late_ms: Percentiles
+    added_ms: Percentiles
+    processor: ProcessorUse
+    refusals: dict[str, int] = {}
+
+
+class Window(msgspec.Struct, frozen=True):
+    """A stretch of a run in seconds since its start."""
+
+    start_s: float
+    end_s: float
+
+    def contains(self, at_s: float) -> bool:
+        """Tell whether the moment lies in the window."""
+        return self.start_s <= at_s < self.end_s
+
+
+def get_percentiles(values_ms: Iterable[float]) -> Percentiles:
+    """Return the percentiles of times in milliseconds, by hdrhistogram."""
+    histogram = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_DIGITS)
+    for value in values_ms:
+        histogram.record_value(max(1, int(value * US_PER_MS)))
+    if not histogram.get_total_count():
+        return Percentiles()
+    return Percentiles(
+        *(
+            histogram.get_value_at_percentile(percentile) / US_PER_MS
+            for percentile in (50, 95, 99)
+        ),
+        histogram.get_max_value() / US_PER_MS,
+    )
+
+
+def make_figures(
+    deployment: Deployment,
+    arrivals: Sequence[Arrival],
+    observations: Sequence[Observation],
+    truth: GroundTruth,
+    measured: Window,
+    crest: Window,
+    deadline_ms: int,
+) -> Figures:
+    """Return the figures of the arrivals that were due in the measured window."""
+    seen = [
+        item for item in observations if measured.contains(arrivals[item.index].at_s)
+    ]
+    offered = [item for item in arrivals if measured.contains(item.at_s)]
+    queries = [item for item in seen if arrivals[item.index].search is not None]
+    answered = [item for item in queries if item.answer is not None]
+    whole = [item for item in answered if item.answer.coverage.is_whole]
+    in_crest = [item for item in offered if item.search and crest.contains(item.at_s)]
+    served = {item.index for item in whole if item.latency_ms <= deadline_ms}
+    first = [item for item in in_crest if item.priority is CallerClass.FIRST]
+    return Figures(
+        latency_ms=get_percentiles(item.latency_ms for item in answered),
+        coverage=get_mean(item.answer.coverage.fraction for item in answered),
+        extra_load=get_extra_load(deployment, arrivals, observations, truth),
+        crest_service=get_mean(item.index in served for item in in_crest),
+        first_class_service=get_mean(item.index in served for item in first),
+        offered=len(offered),
+        answered_whole=len(whole) + sum(item.booking is not None for item in seen),
+        refused_not_run=sum(item.outcome is Outcome.NOT_RUN for item in seen),
+        unknown=sum(item.outcome is Outcome.UNKNOWN for item in seen)
+        + len(offered)
+        - len(seen),
+        control=Control(),
+        violations=Violations(),
+        generator_late_ms=get_percentiles(item.late_ms for item in seen),
+        added_ms=get_percentiles(
+            max(0.0, get_added_ms(item.answer.explanation))
+            for item in whole
+            if item.answer.explanation is not None
+        ),
+        processor=ProcessorUse(),
+        refusals=count_kinds(seen),
+    )
+
+
+def get_mean(values: Iterable[float]) -> float:
+    """Return the mean, 0 of nothing."""
+    values = list(values)
+    return sum(values) / len(values) if values else 0.0
+
+
+def get_added_ms(explanation: Explanation) -> float:
+    """Return what the tier added to the slowest answer of a target."""
+    return explanation.elapsed_ms - explanation.slowest_target_ms
+
+
+def get_extra_load(
+    deployment: Deployment,
+    arrivals: Sequence[Arrival],
+    observations: Sequence[Observation],
+    truth: GroundTruth,
+) -> float:
+    """Return shard runs over the least needed by the answers given, less one."""
+    shards: dict[CollectionName, int] = {
+        item.collection: count_shards(item) for item in deployment.services
+    }
+    needed = sum(
+        item.answer.coverage.fraction * shards[arrivals[item.index].collection]
+        for item in observations
+        if item.answer is not None
+    )
+    runs = sum(run.shards for target in truth.targets for run in target.runs)
+    return runs / needed - 1 if needed else 0.0
+
+
+def count_kinds(observations: Iterable[Observation]) -> dict[str, int]:
+    """Return how often callers met each kind of refusal in the end."""
+    counts: dict[str, int] = {}
+    for item in observations:
+        if item.kind:
+            counts[item.kind] = counts.get(item.kind, 0) + 1
+    return counts
--- /dev/null
+++ b/sesameplank/load/replay.py
@@ -0,0 +1,97 @@
+"""Replays the change log: what a query must find in a stated snapshot."""
+
+import bisect
+from collections.abc import Sequence
+
+import msgspec
+
+from ..core.merge import sort_records
+from ..core.messages import Filter, Record, SearchRequest
+from ..core.ranges import KeyRange, get_position
+from ..ids import RecordKey, Snapshot
+from .observations import CollectionTruth
+
+
+class History:
+    """One record's values over time, oldest first."""
+
+    def __init__(self, key: RecordKey) -> None:
+        self.position = get_position(key)
+        self.since: list[Snapshot] = []
+        self.values: list[Record] = []
+
+    def add(self, snapshot: Snapshot, record: Record) -> None:
+        """Add a value; a later one of the same snapshot replaces it."""
+        index = bisect.bisect_right(self.since, snapshot)
+        self.since.insert(index, snapshot)
+        self.values.insert(index, record)
+
+    def get_at(self, snapshot: Snapshot) -> Record | None:
+        """Return the value in a snapshot, or None before the first."""
+        index = bisect.bisect_right(self.since, snapshot)
+        return self.values[index - 1] if index else None
+
+
+class Expected(msgspec.Struct, frozen=True):
+    """What a query must find in one snapshot, over the ranges it covers."""
+
+    total: int
+    hits: tuple[Record, ...]
+
+
+class Replay:
+    """All values of one collection's records, and what queries find in them."""
+
+    def __init__(self, truth: CollectionTruth) -> None:
+        self.histories: dict[RecordKey, History] = {}
+        for change in truth.changes:
+            key = change.record.key
+            if key not in self.histories:
+                self.histories[key] = History(key)
+            self.histories[key].add(change.snapshot, change.record)
+        self.candidates: dict[tuple, list[History]] = {}
+
+    def get_value(self, key: RecordKey, snapshot: Snapshot) -> Record | None:
+        """Return a record's value in a snapshot, or None when there is none."""
+        history = self.histories.get(key)
+        return history.get_at(snapshot) if history else None
+
+    def was_ever(self, record: Record) -> bool:
+        """Tell whether the record had this value in any snapshot."""
+        history = self.histories.get(record.key)
+        return history is not None and record in history.values
+
+    def get_expected(
+        self, request: SearchRequest, snapshot: Snapshot, covered: Sequence[KeyRange]
+    ) -> Expected:
+        """Return what the request must find in the covered ranges."""
+        found = [
+            record
+            for history in self.get_candidates(request)
+            if any(item.contains(history.position) for item in covered)
+            and (record := history.get_at(snapshot)) is not None
+            and is_match(record, request.terms, request.filters)
+        ]
+        hits = sort_records(found, request.order)[: request.limit]
+        return Expected(len(found), tuple(hits))
+
+    def get_candidates(self, request: SearchRequest) -> list[History]:
+        """Return the records that match the request in any snapshot."""
+        key = (request.terms, request.filters)
+        if key not in self.candidates:
+            self.candidates[key] = [
+                history
+                for history in self.histories.values()
+                if any(is_match(record, *key) for record in history.values)
+            ]
+        return self.candidates[key]
+
+
+def is_match(
+    record: Record, terms: tuple[str, ...], filters: tuple[Filter, ...]
+) -> bool:
+    """Tell whether a record holds all terms and has all filtered values."""
+    values = record.fields.values()
+    return all(term in values for term in terms) and all(
+        record.fields.get(item.field) == item.equals for item in filters
+    )
--- /dev/null
+++ b/sesameplank/load/worker.py
@@ -0,0 +1,165 @@
+"""One generator process: sends its part of the arrivals when they are due.
+
+Reads a WorkerPlan as JSON from the file named by --plan and writes a
+WorkerReport as MessagePack to the file named by --report.
+"""
+
+import collections
+import gc
+import random
+import time
+from pathlib import Path
+
+import gevent
+import msgspec
+
+from ..client import Client
+from ..commands.base import Command, run_command
+from ..conf.settings import Setting
+from ..exceptions import CallError
+from ..ids import CallerName, RequestId, Snapshot
+from ..net import Address
+from ..standins.deployments import DEPLOYMENTS
+from .arrivals import Arrival, Phase, make_arrivals
+from .observations import AttemptFailure, Observation, Outcome, WorkerReport
+
+FINISH_TIMEOUT_S = 15.0
+
+
+class WorkerPlan(msgspec.Struct, frozen=True):
+    """What a generator process has to do; `start_at` is monotonic, in seconds."""
+
+    deployment: str
+    seeds: tuple[str, ...]
+    phases: tuple[Phase, ...]
+    seed: int
+    booking_share: float
+    deadline_ms: int
+    start_at: float
+    worker: int
+    workers: int
+
+
+class ObservedClient(Client):
+    """A caller that sends request ids of its own and notes failed attempts."""
+
+    def __init__(self, *args, **kwargs) -> None:
+        super().__init__(*args, **kwargs)
+        self.request_id = RequestId("")
+        self.answered_by = ""
+        self.failures: list[AttemptFailure] = []
+
+    def begin(self, request_id: RequestId) -> None:
+        """Forget the last request and name the next."""
+        self.request_id = request_id
+        self.answered_by = ""
+        self.failures = []
+
+    def call(self, address, method, path, body, headers, budget_s) -> bytes:
+        """Send one request and note what became of it."""
+        headers = {**headers, "X-Request-Id": self.request_id}
+        try:
+            payload = super().call(address, method, path, body, headers, budget_s)
+        except CallError as error:
+            cause = type(error.__cause__).__name__ if error.__cause__ else ""
+            self.failures.append(
+                AttemptFailure(str(address), time.monotonic(), error.kind, cause)
+            )
+            raise
+        self.answered_by = str(address)
+        return payload
+
+
+class Generator:
+    """Sends arrivals in time and collects what their callers see."""
+
+    def __init__(self, plan: WorkerPlan) -> None:
+        self.plan = plan
+        self.rng = random.Random(f"{plan.seed}-{plan.worker}")
+        self.seeds = [Address.parse(item) for item in plan.seeds]
+        self.idle: dict[CallerName, list[ObservedClient]] = collections.defaultdict(
+            list
+        )
+        self.observations: list[Observation] = []
+
+    def run(self) -> WorkerReport:
+        """Send everything and return the report."""
+        arrivals = make_arrivals(
+            DEPLOYMENTS[self.plan.deployment],
+            self.plan.phases,
+            self.plan.seed,
+            self.plan.booking_share,
+        )
+        mine = arrivals[self.plan.worker :: self.plan.workers]
+        greenlets = []
+        for arrival in mine:
+            due_at = self.plan.start_at + arrival.at_s
+            gevent.sleep(max(0.0, due_at - time.monotonic()))
+            greenlets.append(gevent.spawn(self.send, arrival, due_at))
+        gevent.joinall(greenlets, timeout=FINISH_TIMEOUT_S)
+        return WorkerReport(self.observations, time.process_time())
+
+    def send(self, arrival: Arrival, due_at: float) -> None:
+        """Send one arrival on an idle caller and note what it saw."""
+        late_s = time.monotonic() - due_at
+        idle = self.idle[arrival.caller]
+        client = idle.pop() if idle else self.make_client(arrival.caller)
+        client.begin(arrival.request_id)
+        observation = Observation(arrival.index, late_s * 1_000, 0.0, Outcome.ANSWERED)
+        observation.at_least = client.newest_seen.get(arrival.collection, Snapshot(0))
+        try:
+            self.ask(client, arrival, observation)
+        except CallError as error:
+            observation.outcome = Outcome(error.ran)
+            observation.kind = error.kind
+        observation.latency_ms = (time.monotonic() - due_at) * 1_000
+        observation.answered_by = client.answered_by
+        observation.failures = tuple(client.failures)
+        self.observations.append(observation)
+        idle.append(client)
+
+    def ask(
+        self, client: ObservedClient, arrival: Arrival, observation: Observation
+    ) -> None:
+        """Send the search or booking, or raise CallError."""
+        if arrival.search is not None:
+            observation.answer = client.search(arrival.search, self.plan.deadline_ms)
+            return
+        observation.booking = client.book(
+            arrival.collection,
+            arrival.record,
+            arrival.quantity,
+            arrival.key,
+            self.plan.deadline_ms,
+        )
+
+    def make_client(self, caller: CallerName) -> ObservedClient:
+        """Return a new caller."""
+        return ObservedClient(caller, self.seeds, random.Random(self.rng.random()))
+
+
+class WorkerCommand(Command):
+    """Carry out one generator's plan."""
+
+    help = "Sends one part of a run's arrivals; started by sesameplank-load."
+    settings = (
+        Setting("plan", "", "File with the plan as JSON."),
+        Setting("report", "", "File for the report as MessagePack."),
+    )
+
+    def handle(self, arguments: list[str], values: dict) -> int:
+        """Run the generator."""
+        plan = msgspec.json.decode(Path(values["plan"]).read_bytes(), type=WorkerPlan)
+        gc.disable()  # A collection would delay arrivals; a run is short.
+        report = Generator(plan).run()
+        Path(values["report"]).write_bytes(msgspec.msgpack.encode(report))
+        return 0
+
+
+def main() -> None:
+    """Run the process."""
+    run_command(WorkerCommand())
+
+
+if __name__ == "__main__":
+    main()
--- a/sesameplank/standins/fleet.py
+++ b/sesameplank/standins/fleet.py
@@ -16,6 +16,7 @@
 from ..conf import Vm
 from ..net import Address
 
+ENTRY_MODULE = "sesameplank.commands.entry"
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 30.0
 POLL_S = 0.05
@@ -28,7 +29,12 @@
     """One entry in a process of its own, with its log in a file."""
 
     def __init__(
-        self, vm: Vm, platform_address: Address, log_path: Path, flags: Sequence[str]
+        self,
+        vm: Vm,
+        platform_address: Address,
+        log_path: Path,
+        flags: Sequence[str],
+        module: str = ENTRY_MODULE,
     ) -> None:
         self.vm = vm
         self.address = Address.parse(vm.address)
@@ -36,7 +42,7 @@
         self.command = [
             sys.executable,
             "-m",
-            "sesameplank.commands.entry",
+            module,
             f"--entry_id={vm.id}",
             f"--data_centre={vm.data_centre}",
             f"--address={vm.address}",
@@ -92,11 +98,14 @@
         vms: Sequence[Vm],
         platform_address: Address,
         flags: Sequence[str] = (),
+        module: str = ENTRY_MODULE,
     ) -> None:
         self.resources = contextlib.ExitStack()
         directory = Path(self.resources.enter_context(tempfile.TemporaryDirectory()))
         self.entries = [
-            EntryProcess(vm, platform_address, directory / f"{vm.id}.log", flags)
+            EntryProcess(
+                vm, platform_address, directory / f"{vm.id}.log", flags, module
+            )
             for vm in vms
         ]
 
