--- a/sesameplank/load/arrivals.py
+++ b/sesameplank/load/arrivals.py
@@ -7,7 +7,7 @@
 
 from ..conf.documents import CallerClass
 from ..core.messages import Filter, Order, SearchRequest
-from ..ids import CallerName, CollectionName, IdempotencyKey, RecordKey, RequestId
+from ..ids import CallerName, CollectionName, RecordKey, RequestId
 from ..standins.deployments import Deployment
 from ..standins.records import COLOURS, ITEMS, PLACES
 from ..standins.world import RECORDS_PER_COLLECTION
@@ -20,7 +20,6 @@
 }
 EXPLAIN_EVERY = 10
 LIMIT = 10
-MAX_QUANTITY = 3
 
 
 class Phase(msgspec.Struct, frozen=True):
@@ -34,10 +33,22 @@
     load: float
 
 
+class BookedStock(msgspec.Struct, frozen=True):
+    """What one booking asks for; no two bookings of a run ask for the same.
+
+    It tells the bookings of a run apart, whatever keys they were sent under.
+    """
+
+    collection: CollectionName
+    record: RecordKey
+    quantity: int
+
+
 class Arrival(msgspec.Struct, frozen=True):
     """One request: when it is due and what it asks for.
 
-    `search` is None for a booking. Times are seconds since the start of the run.
+    It holds either a search or the stock to book. Times are seconds since the
+    start of the run.
     """
 
     index: int
@@ -47,13 +58,7 @@
     priority: CallerClass
     collection: CollectionName
     search: SearchRequest | None = None
-    record: RecordKey | None = None
-    quantity: int = 0
-
-    @property
-    def key(self) -> IdempotencyKey:
-        """The idempotency key of a booking."""
-        return IdempotencyKey(f"key-{self.request_id}")
+    stock: BookedStock | None = None
 
 
 def make_arrivals(
@@ -95,6 +100,11 @@
         self.booking_share = booking_share
         self.callers = list(deployment.callers.items())
         self.weights = [get_weight(deployment, name) for name in deployment.callers]
+        self.records = [
+            RecordKey(f"r{index:06d}") for index in range(RECORDS_PER_COLLECTION)
+        ]
+        rng.shuffle(self.records)
+        self.bookings = 0
         self.collections = [item.collection for item in deployment.services]
 
     def make(self, index: int, at_s: float) -> Arrival:
@@ -108,9 +118,11 @@
 
     def make_booking(self, head: tuple) -> Arrival:
         """Return a booking in the deployment's first service."""
-        record = RecordKey(f"r{self.rng.randrange(RECORDS_PER_COLLECTION):06d}")
-        quantity = self.rng.randint(1, MAX_QUANTITY)
-        return Arrival(*head, self.collections[0], record=record, quantity=quantity)
+        turn, index = divmod(self.bookings, len(self.records))
+        self.bookings += 1
+        collection = self.collections[0]
+        stock = BookedStock(collection, self.records[index], 1 + turn)
+        return Arrival(*head, collection, stock=stock)
 
     def make_search(self, index: int, collection: CollectionName) -> SearchRequest:
         """Return a query by item, by colour and place, or both."""
--- a/sesameplank/load/checks.py
+++ b/sesameplank/load/checks.py
@@ -8,14 +8,14 @@
 
 import msgspec
 
-from ..core.messages import BookingResult
 from ..core.ranges import KEY_SPACE, KeyRange, get_position
-from ..ids import CollectionName, IdempotencyKey, RequestId
-from .arrivals import Arrival
-from .observations import GroundTruth, Observation, Outcome, Sighting
+from ..ids import CollectionName, RequestId
+from ..standins.control import Truth
+from ..standins.store import RunBooking
+from .arrivals import Arrival, BookedStock
+from .observations import Observation, Outcome, Sighting
 from .replay import Replay
 
-LEAVING_GRACE_S = 5.0
 CONFIG_SPREAD_S = 6.0
 NO_ANSWER = "no-answer"
 TIMEOUT_CAUSE = "Timeout"
@@ -51,7 +51,7 @@
 
     arrivals: Sequence[Arrival]
     observations: Sequence[Observation]
-    truth: GroundTruth
+    truth: Truth
     sightings: Sequence[Sighting] = ()
     killed_entries: frozenset[str] = frozenset()
 
@@ -63,18 +63,20 @@
     violations.false_not_run = count_false_not_run(evidence)
     violations.doubled_booking = count_doubled_bookings(evidence.truth)
     violations.lost_booking = count_lost_bookings(evidence)
-    violations.work_after_leaving = count_work_after_leaving(evidence.truth)
+    violations.work_after_leaving = sum(
+        item.work_after_leaving for item in evidence.truth.targets.values()
+    )
     violations.cut_off_in_flight = count_cut_off(evidence)
     violations.config_reverted = count_reverted(evidence.sightings)
     violations.connection_limit = sum(
-        item.over_limit for item in evidence.truth.targets
+        item.connections_over_limit for item in evidence.truth.targets.values()
     )
     return violations
 
 
 def check_answers(evidence: Evidence, violations: Violations) -> None:
     """Count mixed snapshots, false coverage and wrong answers."""
-    replays = {item.collection: Replay(item) for item in evidence.truth.collections}
+    replays = {name: Replay(item) for name, item in evidence.truth.collections.items()}
     for observation in evidence.observations:
         if observation.answer is None:
             continue
@@ -152,74 +154,61 @@
     searched = get_searched_ids(evidence.truth)
     booked = count_runs(evidence.truth)
     return sum(
-        arrival.request_id in searched if arrival.search else arrival.key in booked
+        arrival.request_id in searched if arrival.search else arrival.stock in booked
         for observation in evidence.observations
         if observation.outcome is Outcome.NOT_RUN
         for arrival in [evidence.arrivals[observation.index]]
     )
 
 
-def get_searched_ids(truth: GroundTruth) -> set[RequestId]:
+def get_searched_ids(truth: Truth) -> set[RequestId]:
     """Return the callers' ids of the searches that targets ran.
 
     A call to a target carries the caller's id, a full stop and a number.
     """
     return {
-        RequestId(run.request_id.partition(".")[0])
-        for target in truth.targets
-        for run in target.runs
+        RequestId(item.partition(".")[0])
+        for target in truth.targets.values()
+        for item in target.searched
     }
 
 
-def count_runs(truth: GroundTruth) -> Counter[IdempotencyKey]:
-    """Return how often each booking was run."""
+def get_stock(run: RunBooking) -> BookedStock:
+    """Return what a run booked."""
+    return BookedStock(run.collection, run.record, run.quantity)
+
+
+def count_runs(truth: Truth) -> Counter[BookedStock]:
+    """Return how often each booking was run, under whatever keys."""
     return Counter(
-        run.idempotency_key for item in truth.collections for run in item.ledger
+        get_stock(run) for item in truth.collections.values() for run in item.ledger
     )
 
 
-def count_doubled_bookings(truth: GroundTruth) -> int:
-    """Count runs of bookings beyond the first of each key."""
+def count_doubled_bookings(truth: Truth) -> int:
+    """Count runs of bookings beyond the first of each."""
     return sum(count - 1 for count in count_runs(truth).values())
 
 
 def count_lost_bookings(evidence: Evidence) -> int:
     """Count bookings whose caller was told a result that the ledger lacks."""
     ledger = {
-        (run.idempotency_key, run.result, run.record, run.quantity)
-        for item in evidence.truth.collections
+        (get_stock(run), run.idempotency_key, run.result)
+        for item in evidence.truth.collections.values()
         for run in item.ledger
     }
     return sum(
-        is_lost(evidence.arrivals[observation.index], observation, ledger)
+        (
+            evidence.arrivals[observation.index].stock,
+            observation.booking.idempotency_key,
+            observation.booking.result,
+        )
+        not in ledger
         for observation in evidence.observations
         if observation.booking is not None
     )
 
 
-def is_lost(
-    arrival: Arrival,
-    observation: Observation,
-    ledger: set[tuple[IdempotencyKey, BookingResult, str, int]],
-) -> bool:
-    """Tell whether the ledger lacks a booking as its caller knows it."""
-    told = observation.booking
-    return (
-        told.idempotency_key != arrival.key
-        or (arrival.key, told.result, arrival.record, arrival.quantity) not in ledger
-    )
-
-
-def count_work_after_leaving(truth: GroundTruth) -> int:
-    """Count search calls that a target began after it had been leaving a while."""
-    return sum(
-        run.begun_at > target.leaving_since + LEAVING_GRACE_S
-        for target in truth.targets
-        if target.leaving_since is not None
-        for run in target.runs
-    )
-
-
 def count_cut_off(evidence: Evidence) -> int:
     """Count requests whose connection broke without harm by the scenario."""
     return sum(
--- a/sesameplank/load/experiment.py
+++ b/sesameplank/load/experiment.py
@@ -12,14 +12,15 @@
 from geventhttpclient import HTTPClient
 
 from ..logs import log_event
-from ..standins.deployments import DEPLOYMENTS, make_configuration
+from ..standins.control import Truth
+from ..standins.deployments import DEPLOYMENTS
 from ..standins.fleet import ENTRY_MODULE, EntryProcess, Fleet, reserve_block
 from ..standins.world import World
 from .arrivals import Arrival, Phase, make_arrivals
 from .checks import Evidence, check_run
 from .figures import Control, Figures, ProcessorUse, Window, make_figures
-from .observations import GroundTruth, Observation, Sighting, WorkerReport
-from .processes import ChildProcess, Host, get_processor_s
+from .observations import Observation, Sighting, WorkerReport
+from .processes import ChildProcess, StandinOptions, Standins, get_processor_s
 from .scenarios import SCENARIOS, Scenario
 from .stage import Stage
 from .worker import WorkerPlan
@@ -60,7 +61,7 @@
 
     at: float
     entries: float
-    standins: float
+    standins: list[float]
 
 
 class Experiment:
@@ -82,29 +83,34 @@
         with contextlib.ExitStack() as stack:
             block = stack.enter_context(reserve_block())
             directory = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-            host = stack.enter_context(
-                Host(
-                    plan.deployment,
-                    block,
-                    plan.seed,
-                    plan.entries,
-                    directory / "host.log",
-                )
+            standins = stack.enter_context(
+                Standins(self.make_standin_options(block), directory)
             )
-            host.wait_until_ready()
             world = World(self.deployment, block, plan.seed, plan.entries)
             fleet = stack.enter_context(
                 Fleet(world.vms, world.platform_address, module=self.get_module())
             )
             stage = Stage(
                 self.deployment,
-                make_configuration(self.deployment, block),
-                host,
+                world.direct,
+                standins,
                 fleet,
                 random.Random(f"scenario-{plan.seed}"),
             )
             return self.measure(stage, directory)
 
+    def make_standin_options(self, block: str) -> StandinOptions:
+        """Return what the stand-ins are made of."""
+        return StandinOptions(
+            deployment=self.plan.deployment,
+            block=block,
+            seed=self.plan.seed,
+            entries=self.plan.entries,
+            proxied_targets=self.scenario.proxied_targets,
+            proxied_peers=self.scenario.proxied_peers,
+            noise=self.scenario.noise,
+        )
+
     def get_module(self) -> str:
         """Return the module of the variant's entry process."""
         return NAIVE_MODULE if self.plan.variant is Variant.NAIVE else ENTRY_MODULE
@@ -126,7 +132,7 @@
         finally:
             gevent.killall(watchers)
         observations = [item for report in reports for item in report.observations]
-        figures = self.make_figures(observations, stage.host.read_truth(), stage)
+        figures = self.make_figures(observations, stage.standins.read_truth(), stage)
         figures.control = control
         figures.processor = self.get_processor_use(reports, before, after)
         return figures
@@ -135,22 +141,17 @@
         """Return what an entry spends on control while no caller asks."""
         gevent.sleep(SETTLE_S)
         before = self.read_processors(stage)
-        bytes_before = stage.host.read_truth().control_bytes
         gevent.sleep(IDLE_S)
         after = self.read_processors(stage)
         elapsed = (after.at - before.at) * self.plan.entries
-        bytes_read = stage.host.read_truth().control_bytes - bytes_before
-        return Control(
-            bytes_per_s=bytes_read / elapsed,
-            cpu_share=(after.entries - before.entries) / elapsed,
-        )
+        return Control(cpu_share=(after.entries - before.entries) / elapsed)
 
     def read_processors(self, stage: Stage) -> ProcessorReading:
         """Read the processor seconds of entries and stand-ins."""
         return ProcessorReading(
             time.monotonic(),
             sum(get_entry_seconds(entry) for entry in stage.fleet.entries),
-            stage.host.processor_s,
+            stage.standins.processor_s,
         )
 
     def get_processor_use(
@@ -165,7 +166,10 @@
         queries = sum(item.search is not None for item in self.arrivals)
         return ProcessorUse(
             generators=max(report.processor_s for report in reports) / loaded_s,
-            standins=(after.standins - before.standins) / loaded_s,
+            standins=max(
+                (later - earlier) / loaded_s
+                for earlier, later in zip(before.standins, after.standins, strict=True)
+            ),
             entries=entries_s / self.plan.entries / loaded_s,
             entry_ms_per_query=entries_s / queries * 1_000,
         )
@@ -235,7 +239,7 @@
             )
 
     def make_figures(
-        self, observations: list[Observation], truth: GroundTruth, stage: Stage
+        self, observations: list[Observation], truth: Truth, stage: Stage
     ) -> Figures:
         """Return figures and violations of the gathered evidence."""
         window = self.scenario.get_window(self.plan.seconds)
--- a/sesameplank/load/figures.py
+++ b/sesameplank/load/figures.py
@@ -8,11 +8,12 @@
 from ..conf.documents import CallerClass
 from ..core.messages import Explanation
 from ..ids import CollectionName
+from ..standins.control import Truth
 from ..standins.deployments import Deployment
 from .arrivals import Arrival
 from .capacity import count_shards
 from .checks import Violations
-from .observations import GroundTruth, Observation, Outcome
+from .observations import Observation, Outcome
 
 MAX_LATENCY_US = 120_000_000
 SIGNIFICANT_DIGITS = 3
@@ -31,16 +32,19 @@
 class Control(msgspec.Struct):
     """What an entry spends on control, measured without load.
 
-    `bytes_per_s` counts the platform's and the health answers' bytes an entry
-    reads, and `cpu_share` its processor time as a share of one core.
+    `bytes_per_s` is None while the tier does not report it; `cpu_share` is the
+    processor time as a share of one core.
     """
 
-    bytes_per_s: float = 0.0
+    bytes_per_s: float | None = None
     cpu_share: float = 0.0
 
 
 class ProcessorUse(msgspec.Struct):
-    """Processor time under load, as shares of one core, and a query's part."""
+    """Processor time under load, as shares of one core, and a query's part.
+
+    Of generators and stand-ins it is the busiest process; of entries the mean.
+    """
 
     generators: float = 0.0
     standins: float = 0.0
@@ -105,7 +109,7 @@
     deployment: Deployment,
     arrivals: Sequence[Arrival],
     observations: Sequence[Observation],
-    truth: GroundTruth,
+    truth: Truth,
     measured: Window,
     crest: Window,
     deadline_ms: int,
@@ -161,7 +165,7 @@
     deployment: Deployment,
     arrivals: Sequence[Arrival],
     observations: Sequence[Observation],
-    truth: GroundTruth,
+    truth: Truth,
 ) -> float:
     """Return shard runs over the least needed by the answers given, less one."""
     shards: dict[CollectionName, int] = {
@@ -172,7 +176,7 @@
         for item in observations
         if item.answer is not None
     )
-    runs = sum(run.shards for target in truth.targets for run in target.runs)
+    runs = sum(target.shard_runs for target in truth.targets.values())
     return runs / needed - 1 if needed else 0.0
 
 
--- a/sesameplank/load/observations.py
+++ b/sesameplank/load/observations.py
@@ -1,12 +1,11 @@
-"""What callers, stand-ins and the coordinator saw in one run."""
+"""What callers and the coordinator saw in one run."""
 
 from enum import Enum
 
 import msgspec
 
-from ..core.messages import BookingAnswer, Record, SearchAnswer
-from ..ids import CollectionName, Snapshot, TargetId
-from ..standins.store import RunBooking
+from ..core.messages import BookingAnswer, SearchAnswer
+from ..ids import Snapshot
 
 
 class Outcome(Enum):
@@ -55,52 +54,6 @@
     processor_s: float
 
 
-class Run(msgspec.Struct, frozen=True, array_like=True):
-    """One search call that a target ran: when it began, and what it served OK.
-
-    `begun_at` is in seconds of the machine's monotonic clock.
-    """
-
-    request_id: str
-    begun_at: float
-    snapshot: Snapshot
-    shards: int
-
-
-class TargetTruth(msgspec.Struct):
-    """What one stand-in target knows of the calls it took."""
-
-    target: TargetId
-    runs: list[Run]
-    connections_limit: int
-    connections_peak: int = 0
-    over_limit: int = 0
-    leaving_since: float | None = None
-
-
-class Change(msgspec.Struct, frozen=True, array_like=True):
-    """A record's value from a snapshot on."""
-
-    snapshot: Snapshot
-    record: Record
-
-
-class CollectionTruth(msgspec.Struct):
-    """The change log and the booking ledger of one collection."""
-
-    collection: CollectionName
-    changes: list[Change]
-    ledger: list[RunBooking]
-
-
-class GroundTruth(msgspec.Struct):
-    """All that the stand-ins know of a run; traffic in bytes."""
-
-    collections: list[CollectionTruth] = []
-    targets: list[TargetTruth] = []
-    control_bytes: int = 0
-
-
 class Sighting(msgspec.Struct, frozen=True):
     """A configuration version that an entry showed.
 
--- a/sesameplank/load/processes.py
+++ b/sesameplank/load/processes.py
@@ -1,4 +1,4 @@
-"""The processes of a run besides the entries: stand-in host and generators."""
+"""The processes of a run besides the entries: stand-ins and generators."""
 
 import contextlib
 import os
@@ -13,13 +13,12 @@
 from geventhttpclient import HTTPClient
 
 from ..exceptions import LoadError
-from ..ids import TargetId
-from ..net import Address
+from ..standins import control
 from ..standins.fleet import get_status
-from ..standins.world import CONTROL_PORT
-from .observations import GroundTruth, TargetTruth
-from .orders import StandinOrder
+from ..standins.world import get_control_address
 
+STANDIN_MODULE = "sesameplank.commands.standin"
+GROUPS = 5
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 10.0
 CONTROL_TIMEOUT_S = 60.0
@@ -61,57 +60,128 @@
         return LoadError(f"{what}; its log says:\n{self.log_path.read_text()[-2000:]}")
 
 
-class Host(ChildProcess):
-    """The process of the stand-ins, and the orders to it."""
+class StandinOptions(msgspec.Struct, frozen=True):
+    """What the stand-ins of a run are made of."""
 
-    def __init__(
-        self, deployment: str, block: str, seed: int, entries: int, log_path: Path
-    ) -> None:
-        flags = [
-            f"--deployment={deployment}",
-            f"--block={block}",
-            f"--seed={seed}",
-            f"--entries={entries}",
+    deployment: str
+    block: str
+    seed: int
+    entries: int
+    proxied_targets: bool = False
+    proxied_peers: bool = False
+    noise: bool = False
+
+
+class Standins:
+    """All stand-ins, in several processes; a context manager.
+
+    The platform and the first group of targets share a process.
+    """
+
+    def __init__(self, options: StandinOptions, directory: Path) -> None:
+        self.options = options
+        self.resources = contextlib.ExitStack()
+        started_at = time.monotonic()
+        self.groups = [
+            ChildProcess(
+                STANDIN_MODULE,
+                make_standin_flags(options, group, started_at),
+                directory / f"standins-{group}.log",
+            )
+            for group in range(GROUPS)
         ]
-        super().__init__("sesameplank.load.host", flags, log_path)
-        self.address = Address(f"{block}.0.2", CONTROL_PORT)
 
-    def wait_until_ready(self) -> None:
-        """Return when the stand-ins listen, or raise LoadError."""
+    def __enter__(self) -> "Standins":
+        with contextlib.ExitStack() as stack:
+            for group in self.groups:
+                stack.enter_context(group)
+            for number in range(GROUPS):
+                self.wait_until_ready(number)
+            self.resources = stack.pop_all()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.resources.close()
+
+    @property
+    def processor_s(self) -> list[float]:
+        """The processor seconds of each process so far."""
+        return [group.processor_s for group in self.groups]
+
+    def wait_until_ready(self, number: int) -> None:
+        """Return when a group listens, or raise LoadError."""
+        group = self.groups[number]
+        address = get_control_address(self.options.block, number)
         deadline = time.monotonic() + START_TIMEOUT_S
-        while get_status(self.address, "/truth") != 200:
-            if self.process.poll() is not None or time.monotonic() > deadline:
-                raise self.fail("the stand-ins did not start")
+        while get_status(address, "/truth") != 200:
+            if group.process.poll() is not None or time.monotonic() > deadline:
+                raise group.fail("the stand-ins did not start")
             gevent.sleep(POLL_S)
 
-    def order(self, order: StandinOrder) -> None:
-        """Give one order and wait until it is carried out."""
-        self.call("POST", "/orders", msgspec.json.encode(order))
-
-    def read_truth(self) -> GroundTruth:
-        """Return all that the stand-ins know."""
-        return msgspec.msgpack.decode(self.call("GET", "/truth"), type=GroundTruth)
-
-    def read_targets(self) -> dict[TargetId, TargetTruth]:
-        """Return what each target knows."""
-        return {item.target: item for item in self.read_truth().targets}
-
-    def call(self, method: str, path: str, body: bytes = b"") -> bytes:
-        """Call the control interface, or raise LoadError."""
-        client = HTTPClient(
-            self.address.host,
-            self.address.port,
-            concurrency=1,
-            network_timeout=CONTROL_TIMEOUT_S,
-        )
+    def steer(self, command: control.Command) -> None:
+        """Let every group carry a command out."""
+        for number in range(GROUPS):
+            self.call(number, "POST", "/control", msgspec.json.encode(command))
+
+    def read_truth(self) -> control.Truth:
+        """Return what really happened in all groups."""
+        truths = [
+            msgspec.json.decode(self.call(number, "GET", "/truth"), type=control.Truth)
+            for number in range(GROUPS)
+        ]
+        return merge_truths(truths)
+
+    def call(self, number: int, method: str, path: str, body: bytes = b"") -> bytes:
+        """Call the control interface of a group, or raise LoadError."""
+        address = get_control_address(self.options.block, number)
+        client = HTTPClient(*address, concurrency=1, network_timeout=CONTROL_TIMEOUT_S)
         with contextlib.closing(client):
             response = client.request(method, path, body)
             payload = bytes(response.read())
         if response.status_code != 200:
-            raise self.fail(f"the stand-ins refused {method} {path}")
+            raise self.groups[number].fail(f"stand-ins refused {method} {path}")
         return payload
 
 
+def make_standin_flags(
+    options: StandinOptions, group: int, started_at: float
+) -> list[str]:
+    """Return the flags of one group's process."""
+    flags = [
+        f"--{name}={value}" for name, value in msgspec.structs.asdict(options).items()
+    ]
+    return [
+        *flags,
+        f"--group={group}",
+        f"--groups={GROUPS}",
+        f"--started_at={started_at}",
+    ]
+
+
+def merge_truths(truths: list[control.Truth]) -> control.Truth:
+    """Return the truth of all groups; each record belongs to one of them."""
+    names = truths[0].collections
+    return control.Truth(
+        collections={
+            name: control.CollectionTruth(
+                tuple(
+                    item for truth in truths for item in truth.collections[name].changes
+                ),
+                tuple(
+                    item for truth in truths for item in truth.collections[name].ledger
+                ),
+            )
+            for name in names
+        },
+        targets={
+            target: item for truth in truths for target, item in truth.targets.items()
+        },
+        platform_calls=truths[0].platform_calls,
+        platform_peak_calls_per_s=truths[0].platform_peak_calls_per_s,
+        published_versions=truths[0].published_versions,
+    )
+
+
 def get_processor_s(pid: int) -> float:
     """Return the processor seconds of a running process, 0 when it has ended."""
     try:
--- a/sesameplank/load/replay.py
+++ b/sesameplank/load/replay.py
@@ -9,7 +9,7 @@
 from ..core.messages import Filter, Record, SearchRequest
 from ..core.ranges import KeyRange, get_position
 from ..ids import RecordKey, Snapshot
-from .observations import CollectionTruth
+from ..standins.control import CollectionTruth
 
 
 class History:
--- a/sesameplank/load/results.py
+++ b/sesameplank/load/results.py
@@ -51,6 +51,8 @@
         }
     if path[0] == "violations":
         return sum(values)
+    if None in values:
+        return None
     middle = statistics.median(values)
     return round(middle) if isinstance(values[0], int) else middle
 
--- a/sesameplank/load/scenarios.py
+++ b/sesameplank/load/scenarios.py
@@ -3,10 +3,10 @@
 from abc import ABC, abstractmethod
 
 from ..ids import TargetId
+from ..standins.control import SlowTargets, StartTargets, StopTargets
 from .arrivals import Phase
 from .capacity import BOOKING_SHARE
 from .figures import Window
-from .orders import KillTargets, RestoreTargets, SlowTargets
 from .stage import Stage
 
 ORDINARY_LOAD = 0.5
@@ -24,6 +24,9 @@
 
     name = ""
     booking_share = BOOKING_SHARE
+    proxied_targets = False
+    proxied_peers = False
+    noise = True
     window = (0.0, 1.0)
     loads: tuple[tuple[float, float], ...] = ((1.0, ORDINARY_LOAD),)
 
@@ -63,7 +66,7 @@
     def run(self, stage: Stage) -> None:
         """Slow some targets of every large service down."""
         stage.wait_until(0.25)
-        stage.order(SlowTargets(choose_one_a_pair(stage, SLOWED_SHARE), SLOW_FACTOR))
+        stage.steer(SlowTargets(choose_one_a_pair(stage, SLOWED_SHARE), SLOW_FACTOR))
 
 
 class Crest(Scenario):
@@ -87,9 +90,9 @@
         """Kill one replica of some shards, and restore it later."""
         lost = choose_one_a_pair(stage, LOST_SHARE)
         stage.wait_until(0.25)
-        stage.order(KillTargets(lost))
+        stage.steer(StopTargets(lost))
         stage.wait_until(0.75)
-        stage.order(RestoreTargets(lost))
+        stage.steer(StartTargets(lost))
 
 
 def choose_one_a_pair(stage: Stage, share: float) -> tuple[TargetId, ...]:
--- a/sesameplank/load/stage.py
+++ b/sesameplank/load/stage.py
@@ -7,10 +7,10 @@
 
 from ..conf import Configuration
 from ..logs import log_event
+from ..standins import control
 from ..standins.deployments import Deployment
 from ..standins.fleet import Fleet
-from .orders import StandinOrder
-from .processes import Host
+from .processes import Standins
 
 
 class Stage:
@@ -24,13 +24,13 @@
         self,
         deployment: Deployment,
         configuration: Configuration,
-        host: Host,
+        standins: Standins,
         fleet: Fleet,
         rng: random.Random,
     ) -> None:
         self.deployment = deployment
         self.configuration = configuration
-        self.host = host
+        self.standins = standins
         self.fleet = fleet
         self.rng = rng
         self.start_at = 0.0
@@ -47,7 +47,7 @@
         due_at = self.start_at + share * self.seconds
         gevent.sleep(max(0.0, due_at - time.monotonic()))
 
-    def order(self, order: StandinOrder) -> None:
-        """Give an order to the stand-ins."""
-        log_event("standin_order", order=type(order).__name__)
-        self.host.order(order)
+    def steer(self, command: control.Command) -> None:
+        """Send a command to the stand-ins."""
+        log_event("standins_steered", command=type(command).__name__)
+        self.standins.steer(command)
--- a/sesameplank/load/worker.py
+++ b/sesameplank/load/worker.py
@@ -127,10 +127,9 @@
             return
         observation.booking = client.book(
             arrival.collection,
-            arrival.record,
-            arrival.quantity,
-            arrival.key,
-            self.plan.deadline_ms,
+            arrival.stock.record,
+            arrival.stock.quantity,
+            deadline_ms=self.plan.deadline_ms,
         )
 
     def make_client(self, caller: CallerName) -> ObservedClient:
--- a/tests/load/test_checks.py
+++ b/tests/load/test_checks.py
@@ -15,36 +15,34 @@
 from sesameplank.load.checks import Evidence, Violations, check_run
 from sesameplank.load.observations import (
     AttemptFailure,
-    Change,
-    CollectionTruth,
-    GroundTruth,
     Observation,
     Outcome,
-    Run,
     Sighting,
-    TargetTruth,
 )
 from sesameplank.load.replay import Replay
+from sesameplank.standins.control import CollectionTruth, Truth
 from sesameplank.standins.deployments import VATUWAQA
 from sesameplank.standins.records import make_records
-from sesameplank.standins.store import RunBooking
+from sesameplank.standins.store import Change, RunBooking
+from sesameplank.standins.targets import TargetTruth
 
 SNAPSHOT = 5
 WHOLE = (KeyRange(0, KEY_SPACE),)
+FIRST = VATUWAQA.services[0].collection
 ADDRESS = "127.20.1.1:8080"
 
 
-def make_truth() -> GroundTruth:
+def make_truth() -> Truth:
     """Return records that all change once, before snapshot 5 and after it."""
-    collections = []
+    collections = {}
     for service in VATUWAQA.services:
         changes = []
         for record in make_records(60, seed=4):
             for snapshot in (1, SNAPSHOT, SNAPSHOT + 1):
                 stock = {**record.fields, "stock": 1_000 + snapshot}
                 changes.append(Change(snapshot, Record(record.key, stock)))
-        collections.append(CollectionTruth(service.collection, changes, []))
-    return GroundTruth(collections, [TargetTruth("t1", [], 25, leaving_since=10.0)])
+        collections[service.collection] = CollectionTruth(tuple(changes), ())
+    return Truth(collections, {"t1": TargetTruth()}, 0, 0, (1,))
 
 
 class Case:
@@ -54,7 +52,7 @@
         self.truth = make_truth()
         self.arrivals = make_arrivals(VATUWAQA, [Phase(0, 0.3, 0.5)], 1, 0.5)
         self.replays = {
-            item.collection: Replay(item) for item in self.truth.collections
+            name: Replay(item) for name, item in self.truth.collections.items()
         }
         self.observations = [self.answer(arrival) for arrival in self.arrivals]
         self.sightings = [Sighting("a", 1.0, 1.1, 3), Sighting("b", 20.0, 20.1, 3)]
@@ -65,7 +63,7 @@
         if arrival.search is None:
             self.run(arrival)
             observation.booking = BookingAnswer(
-                arrival.request_id, arrival.key, BookingResult.ACCEPTED, 6, 3
+                arrival.request_id, f"key-{arrival.index}", BookingResult.ACCEPTED, 6, 3
             )
             return observation
         expected = self.replays[arrival.collection].get_expected(
@@ -83,19 +81,28 @@
         )
         return observation
 
-    def run(self, arrival) -> None:
+    def run(self, arrival, key: str = "") -> None:
         """Write a booking to the ledger."""
-        ledger = self.truth.collections[0].ledger
-        ledger.append(
-            RunBooking(
-                arrival.key,
-                arrival.collection,
-                arrival.record,
-                arrival.quantity,
-                BookingResult.ACCEPTED,
-                6,
-            )
+        stock = arrival.stock
+        run = RunBooking(
+            key or f"key-{arrival.index}",
+            stock.collection,
+            stock.record,
+            stock.quantity,
+            BookingResult.ACCEPTED,
+            6,
         )
+        self.set_ledger((*self.ledger, run))
+
+    @property
+    def ledger(self) -> tuple[RunBooking, ...]:
+        """The ledger of the first service."""
+        return self.truth.collections[FIRST].ledger
+
+    def set_ledger(self, ledger: tuple[RunBooking, ...]) -> None:
+        """Replace the ledger of the first service."""
+        changed = msgspec.structs.replace(self.truth.collections[FIRST], ledger=ledger)
+        self.truth.collections[FIRST] = changed
 
     @property
     def query(self) -> Observation:
@@ -180,8 +187,8 @@
 def refuse_query_that_ran(case: Case) -> None:
     """Say "not run" of a query of which a target ran a part."""
     case.query.outcome = Outcome.NOT_RUN
-    run = Run(f"{case.arrivals[case.query.index].request_id}.0", 1.0, SNAPSHOT, 1)
-    case.truth.targets[0].runs.append(run)
+    request_id = case.arrivals[case.query.index].request_id
+    case.truth.targets["t1"].searched.append(f"{request_id}.0")
     case.query.answer = None
 
 
@@ -200,8 +207,7 @@
 def lose_booking(case: Case) -> None:
     """Drop a booking from the ledger that its caller was told of."""
     key = case.booking.booking.idempotency_key
-    ledger = case.truth.collections[0].ledger
-    ledger[:] = [run for run in ledger if run.idempotency_key != key]
+    case.set_ledger(tuple(run for run in case.ledger if run.idempotency_key != key))
 
 
 def tell_wrong_result(case: Case) -> None:
@@ -211,9 +217,14 @@
     )
 
 
+def run_booking_again_under_another_key(case: Case) -> None:
+    """Run one booking again, as a caller does that took a new key too early."""
+    case.run(case.arrivals[case.booking.index], "another-key")
+
+
 def run_work_after_leaving(case: Case) -> None:
-    """Run a call 6 s after the target began to leave."""
-    case.truth.targets[0].runs.append(Run("other.0", 16.0, SNAPSHOT, 1))
+    """Run a call at a target that has been leaving for long."""
+    case.truth.targets["t1"].work_after_leaving = 1
 
 
 def cut_a_request_off(case: Case) -> None:
@@ -235,7 +246,7 @@
 
 def pass_connection_limit(case: Case) -> None:
     """Open one connection too many at a target."""
-    case.truth.targets[0].over_limit = 1
+    case.truth.targets["t1"].connections_over_limit = 1
 
 
 MUTANTS = [
@@ -251,6 +262,7 @@
     ("false_not_run", refuse_query_that_ran),
     ("false_not_run", refuse_booking_that_ran),
     ("doubled_booking", run_booking_twice),
+    ("doubled_booking", run_booking_again_under_another_key),
     ("lost_booking", lose_booking),
     ("lost_booking", tell_wrong_result),
     ("work_after_leaving", run_work_after_leaving),
