Let stand-ins fail as real targets do, steered and with ground truth

Targets limit and meter connections, cost time to open, start cold, drain, shed, cancel, slow down for moments and report late. Stores of several processes agree by seed and clock. Commands by HTTP split and move shards, stop targets, freeze or stop the platform, and cut entries off; /truth tells what really happened.

Entries must connect to peers from their own host so that a proxy knows which two nodes a connection joins.

--- a/sesameplank/core/messages.py
+++ b/sesameplank/core/messages.py
@@ -182,6 +182,12 @@
     draining: bool = False
 
 
+class CancelRequest(Message, frozen=True):
+    """Asks a target to drop a search that it has not finished."""
+
+    request_id: RequestId
+
+
 class TargetBooking(Message, frozen=True):
     """A booking as it is sent to the target that owns the record's shard."""
 
--- a/sesameplank/net.py
+++ b/sesameplank/net.py
@@ -45,9 +45,15 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
-def open_connection(address: Address, timeout_s: float) -> gevent.socket.socket:
-    """Open a TCP connection without send delay, or raise OSError."""
-    sock = gevent.socket.create_connection(address, timeout=timeout_s)
+def open_connection(
+    address: Address, timeout_s: float, source_host: str | None = None
+) -> gevent.socket.socket:
+    """Open a TCP connection without send delay, or raise OSError.
+
+    `source_host` is the IP number to connect from; by default the machine's.
+    """
+    source = (source_host, 0) if source_host else None
+    sock = gevent.socket.create_connection(address, timeout_s, source)
     set_no_delay(sock)
     return sock
 
--- a/sesameplank/standins/proxy.py
+++ b/sesameplank/standins/proxy.py
@@ -1,9 +1,11 @@
 """A TCP proxy that injects faults into the connections it carries."""
 
 import contextlib
+import itertools
 import random
 import socket
 import struct
+from collections.abc import Collection
 from enum import Enum
 
 import gevent
@@ -45,8 +47,9 @@
 class Relay:
     """One connection through a proxy: two sockets and the greenlets between."""
 
-    def __init__(self, proxy: "FaultProxy", downstream, upstream) -> None:
+    def __init__(self, proxy: "FaultProxy", source: str, downstream, upstream) -> None:
         self.proxy = proxy
+        self.source = source
         self.downstream = downstream
         self.upstream = upstream
         self.request_bytes = 0
@@ -78,11 +81,11 @@
 
     def apply_faults(self, direction: Direction, chunk: bytes, sink) -> bool:
         """Wait as the faults ask; return False when the connection must break."""
-        faults = self.proxy.faults
+        faults = self.proxy.get_faults(self.source)
         rng = self.proxy.rng
         if faults.delay_s or faults.jitter_s:
             gevent.sleep(faults.delay_s + rng.uniform(0.0, faults.jitter_s))
-        self.proxy.wait_for_stall(direction)
+        self.proxy.wait_for_stall(self.source, direction)
         if direction is Direction.ANSWER:
             return rng.random() >= faults.answer_reset_rate
         limit = faults.reset_at_byte
@@ -103,13 +106,17 @@
 
 
 class FaultProxy:
-    """Listens on one address and forwards to another; a context manager."""
+    """Listens on one address and forwards to another; a context manager.
+
+    Faults hold for every connection, or for those from one source host.
+    """
 
     def __init__(self, listen: Address, upstream: Address, rng: random.Random) -> None:
         self.listen = listen
         self.upstream = upstream
         self.rng = rng
         self.faults = Faults()
+        self.faults_by_source: dict[str, Faults] = {}
         self.changed = Event()
         self.relays: set[Relay] = set()
         self.accepted = 0
@@ -123,15 +130,35 @@
         self.server.stop(timeout=0.1)
         self.reset_all()
 
-    def set_faults(self, faults: Faults) -> None:
+    def get_faults(self, source: str) -> Faults:
+        """Return the faults in force for connections from a host."""
+        return self.faults_by_source.get(source, self.faults)
+
+    def set_faults(self, faults: Faults, source: str | None = None) -> None:
         """Put other faults in force, for open connections as well."""
-        self.faults = faults
+        if source is None:
+            self.faults = faults
+        else:
+            self.faults_by_source[source] = faults
+        self.wake()
+
+    def clear_faults(self) -> None:
+        """Lift every fault; connections that suffered one are reset."""
+        for relay in list(self.relays):
+            if self.get_faults(relay.source) != Faults():
+                relay.reset()
+        self.faults = Faults()
+        self.faults_by_source.clear()
+        self.wake()
+
+    def wake(self) -> None:
+        """Let stalled connections look at the faults again."""
         changed, self.changed = self.changed, Event()
         changed.set()
 
-    def wait_for_stall(self, direction: Direction) -> None:
+    def wait_for_stall(self, source: str, direction: Direction) -> None:
         """Return once the direction is not stalled."""
-        while direction in self.faults.stalled:
+        while direction in self.get_faults(source).stalled:
             self.changed.wait()
 
     def reset_all(self) -> None:
@@ -142,7 +169,8 @@
     def handle(self, sock, address) -> None:
         """Carry one accepted connection."""
         self.accepted += 1
-        if self.faults.refuse:
+        source = address[0]
+        if self.get_faults(source).refuse:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
             sock.close()
             return
@@ -153,7 +181,7 @@
             sock.close()
             return
         upstream.settimeout(None)
-        relay = Relay(self, sock, upstream)
+        relay = Relay(self, source, sock, upstream)
         self.relays.add(relay)
         try:
             relay.run()
@@ -162,14 +190,15 @@
 
 
 class ProxyGroup:
-    """Proxies between numbered nodes, one for each ordered pair.
+    """One proxy before each node; cuts are made by node and source host.
 
-    Node i reaches node j through the proxy of the pair (i, j), so that any cut
-    between groups, in one direction or both, can be made.
+    `proxies` maps a node's own host to the proxy before it. Nodes connect from
+    their own host, so that a proxy knows which node a connection comes from.
     """
 
-    def __init__(self, proxies: dict[tuple[int, int], FaultProxy]) -> None:
+    def __init__(self, proxies: dict[str, FaultProxy]) -> None:
         self.proxies = proxies
+        self.resources = contextlib.ExitStack()
 
     def __enter__(self) -> "ProxyGroup":
         with contextlib.ExitStack() as stack:
@@ -181,22 +210,19 @@
     def __exit__(self, *exc_info: object) -> None:
         self.resources.close()
 
-    def partition(self, left: set[int], right: set[int]) -> None:
-        """Refuse and stall everything between two groups of nodes."""
-        for (source, sink), proxy in self.proxies.items():
-            if (source in left and sink in right) or (source in right and sink in left):
-                proxy.set_faults(
-                    Faults(refuse=True, stalled=(Direction.REQUEST, Direction.ANSWER))
-                )
+    def partition(self, left: Collection[str], right: Collection[str]) -> None:
+        """Stall and refuse everything between two groups of hosts."""
+        cut = Faults(refuse=True, stalled=(Direction.REQUEST, Direction.ANSWER))
+        for source, sink in itertools.product(left, right):
+            self.proxies[sink].set_faults(cut, source)
+            self.proxies[source].set_faults(cut, sink)
 
-    def lose(self, source: int, sink: int) -> None:
-        """Lose what `source` sends to `sink`, in either kind of connection."""
-        self.proxies[source, sink].set_faults(Faults(stalled=(Direction.REQUEST,)))
-        self.proxies[sink, source].set_faults(Faults(stalled=(Direction.ANSWER,)))
+    def lose(self, source: str, sink: str) -> None:
+        """Lose what one host sends to another, whichever of them connected."""
+        self.proxies[sink].set_faults(Faults(stalled=(Direction.REQUEST,)), source)
+        self.proxies[source].set_faults(Faults(stalled=(Direction.ANSWER,)), sink)
 
     def heal(self) -> None:
-        """Lift every fault; connections that were cut off are reset."""
+        """Lift every fault; connections that suffered one are reset."""
         for proxy in self.proxies.values():
-            if proxy.faults != Faults():
-                proxy.reset_all()
-                proxy.set_faults(Faults())
+            proxy.clear_faults()
--- a/sesameplank/standins/store.py
+++ b/sesameplank/standins/store.py
@@ -1,10 +1,13 @@
 """The records behind the stand-in targets: every snapshot, and a booking ledger.
 
 Snapshots are ticks of a shared clock, so that targets agree on them without a
-word: snapshot N holds every change made before tick N. The store keeps all of
-them, as the ground truth that answers are checked against.
+word: snapshot N holds every change made before tick N. Trade depends on the seed
+and the tick alone and is written ahead of time, so that stores in several
+processes hold the same records. The store keeps every snapshot, as the ground
+truth that answers are checked against.
 """
 
+import bisect
 import random
 from collections import defaultdict
 from collections.abc import Iterable
@@ -17,6 +20,9 @@
 from ..ids import CollectionName, IdempotencyKey, RecordKey, Snapshot
 
 TICK_S = 0.25
+CHANGES_PER_TICK = 5
+TICKS_AHEAD = 40
+MAX_STOCK = 500
 
 
 class RunBooking(msgspec.Struct, frozen=True):
@@ -44,14 +50,26 @@
                 return record
         return self.versions[0][1]
 
-    @property
-    def newest(self) -> Record:
-        """The record with all changes so far."""
-        return self.versions[-1][1]
+    def change(self, snapshot: Snapshot, record: Record) -> None:
+        """Make the record's value from a snapshot on, until a later change."""
+        bisect.insort_right(
+            self.versions, (snapshot, record), key=lambda version: version[0]
+        )
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One change of a record, as the ground truth reports it."""
+
+    snapshot: Snapshot
+    record: Record
 
 
 class Store:
-    """All records of one collection, every snapshot of them, and the ledger."""
+    """All records of one collection, every snapshot of them, and the ledger.
+
+    `started_at` is when snapshot 1 begins, in seconds of the clock; stores of
+    the same seed and start hold the same records but for bookings.
+    """
 
     def __init__(
         self,
@@ -59,50 +77,65 @@
         records: Iterable[Record],
         clock: Clock,
         started_at: float,
-        rng: random.Random,
+        seed: int,
     ) -> None:
         self.collection = collection
         self.clock = clock
         self.started_at = started_at
-        self.rng = rng
+        self.seed = seed
         self.records = {record.key: StoredRecord(record) for record in records}
+        self.keys = sorted(self.records)
         self.by_range: dict[KeyRange, list[StoredRecord]] = {}
         self.ledger: list[RunBooking] = []
         self.runs: dict[IdempotencyKey, int] = defaultdict(int)
+        self.traded_until = Snapshot(1)
 
     def get_snapshot(self, lag_s: float = 0.0) -> Snapshot:
         """Return the newest snapshot that a replica with this lag holds."""
         age = self.clock.now() - self.started_at - lag_s
-        return Snapshot(max(1, int(age / TICK_S) + 1))
-
-    def change(self, key: RecordKey, **fields: str | int) -> Snapshot:
-        """Change fields of a record; return the first snapshot that shows it."""
-        stored = self.records[key]
-        snapshot = Snapshot(self.get_snapshot() + 1)
-        record = Record(key, {**stored.newest.fields, **fields})
-        stored.versions.append((snapshot, record))
+        snapshot = Snapshot(max(1, int(age / TICK_S) + 1))
+        if snapshot + TICKS_AHEAD // 2 > self.traded_until:
+            self.trade(Snapshot(snapshot + TICKS_AHEAD))
         return snapshot
 
-    def change_some_stock(self, count: int) -> None:
-        """Change the stock of a few random records, as trade does."""
-        for key in self.rng.sample(sorted(self.records), count):
-            self.change(key, stock=self.rng.randint(0, 500))
+    def trade(self, until: Snapshot) -> None:
+        """Write the changes of trade for every snapshot up to the one given."""
+        for snapshot in range(self.traded_until + 1, until + 1):
+            rng = random.Random(f"{self.seed}-{snapshot}")
+            for key in rng.sample(self.keys, min(CHANGES_PER_TICK, len(self.keys))):
+                self.change(key, Snapshot(snapshot), rng.randint(0, MAX_STOCK))
+        self.traded_until = max(self.traded_until, until)
+
+    def change(self, key: RecordKey, snapshot: Snapshot, stock: int) -> None:
+        """Set a record's stock from a snapshot on."""
+        stored = self.records[key]
+        fields = {**stored.get_at(snapshot).fields, "stock": stock}
+        stored.change(snapshot, Record(key, fields))
 
     def book(self, key: IdempotencyKey, record: RecordKey, quantity: int) -> RunBooking:
         """Run a booking once more and write it to the ledger; never deduplicates."""
+        snapshot = Snapshot(self.get_snapshot() + 1)
         stored = self.records.get(record)
-        held = stored.newest.fields["stock"] if stored else 0
+        held = stored.get_at(snapshot).fields["stock"] if stored else 0
         if held >= quantity:
             result = BookingResult.ACCEPTED
-            snapshot = self.change(record, stock=held - quantity)
+            self.change(record, snapshot, held - quantity)
         else:
             result = BookingResult.DECLINED
-            snapshot = Snapshot(self.get_snapshot() + 1)
         run = RunBooking(key, self.collection, record, quantity, result, snapshot)
         self.ledger.append(run)
         self.runs[key] += 1
         return run
 
+    def get_changes(self, ranges: Iterable[KeyRange]) -> tuple[Change, ...]:
+        """Return the first value and every change of the records in the ranges."""
+        return tuple(
+            Change(snapshot, record)
+            for key_range in ranges
+            for stored in self.get_range(key_range)
+            for snapshot, record in stored.versions
+        )
+
     def get_range(self, key_range: KeyRange) -> list[StoredRecord]:
         """Return the records of a range, remembered for the next call."""
         found = self.by_range.get(key_range)
--- a/sesameplank/standins/targets.py
+++ b/sesameplank/standins/targets.py
@@ -1,14 +1,19 @@
 """Stand-in targets: real search over records, slots, and a booking ledger."""
 
 import random
+from enum import Enum
 
 import gevent
 import msgspec
+from gevent.event import Event
 from gevent.lock import BoundedSemaphore
 
 from ..conf import Collection
+from ..core.clock import Clock
 from ..core.merge import sort_records
 from ..core.messages import (
+    CancelRequest,
+    ShardRequest,
     ShardResult,
     ShardStatus,
     TargetBooking,
@@ -19,8 +24,8 @@
     TargetSearchAnswer,
     TargetShardHealth,
 )
-from ..core.ranges import KeyRange, get_position
-from ..ids import Snapshot, TargetId
+from ..core.ranges import KeyRange, get_position, merge_ranges
+from ..ids import RequestId, ShardId, Snapshot, TargetId
 from .store import Store
 
 KEPT_SNAPSHOTS = 20
@@ -28,6 +33,40 @@
 SHARD_SERVICE_S = 0.008
 BOOKING_SERVICE_S = 0.006
 SERVICE_SIGMA = 0.35
+MAX_QUEUE = 200
+HEALTH_LAG_S = 1.0
+COLD_START_S = 5.0
+COLD_FACTOR = 4.0
+LEAVING_GRACE_S = 5.0
+
+
+class TargetMode(Enum):
+    """What a stand-in target says of itself."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+
+
+class Noise(msgspec.Struct, frozen=True):
+    """Moments in which a neighbour slows a target down; times in seconds."""
+
+    mean_gap_s: float = 20.0
+    length_s: float = 0.3
+    factor: float = 5.0
+
+
+class TargetTruth(msgspec.Struct):
+    """What really happened at a target."""
+
+    calls: int = 0
+    shard_runs: int = 0
+    bookings_run: int = 0
+    shed: int = 0
+    cancelled: int = 0
+    peak_connections: int = 0
+    connections_over_limit: int = 0
+    work_after_leaving: int = 0
+    last_work_after_leaving_s: float = 0.0
 
 
 class TargetStandin:
@@ -40,20 +79,56 @@
         collection: Collection,
         slots: int,
         rng: random.Random,
+        clock: Clock,
+        noise: Noise | None = None,
     ) -> None:
         self.target_id = target_id
         self.store = store
         self.rng = rng
+        self.clock = clock
+        self.noise = noise
+        self.next_noise_at = clock.now() + self.draw_noise_gap()
+        self.noisy_until = 0.0
         self.lag_s = rng.uniform(0.0, MAX_LAG_S)
         self.slots = BoundedSemaphore(slots)
+        self.slot_count = slots
+        self.waiting = 0
+        self.running = 0
         self.slow_factor = 1.0
-        self.draining = False
-        self.search_runs = 0
+        self.warm_at = clock.now()
+        self.mode = TargetMode.SERVING
+        self.leaving_since: float | None = None
+        self.cancels: dict[RequestId, Event] = {}
+        self.truth = TargetTruth()
+        self.health: TargetHealth | None = None
+        self.health_at = 0.0
+        self.shards: dict[ShardId, KeyRange] = {}
+        self.set_shards(collection)
+
+    def set_shards(self, collection: Collection) -> None:
+        """Own the shards that a collection assigns to this target."""
         self.shards = {
             shard.id: shard.range
             for shard in collection.shards
-            if target_id in shard.replicas
+            if self.target_id in shard.replicas
         }
+        self.owned = merge_ranges(self.shards.values())
+
+    def start_cold(self) -> None:
+        """Serve slowly for a while, as after a restart."""
+        self.warm_at = self.clock.now() + COLD_START_S
+        self.mode = TargetMode.SERVING
+        self.leaving_since = None
+
+    def drain(self) -> None:
+        """Say in every answer that this target is leaving."""
+        self.mode = TargetMode.DRAINING
+        self.note_leaving()
+
+    def note_leaving(self) -> None:
+        """Count new work from now on, after a few seconds of grace."""
+        if self.leaving_since is None:
+            self.leaving_since = self.clock.now()
 
     def __call__(self, environ, start_response):
         """Answer one HTTP request."""
@@ -61,6 +136,7 @@
             "/search": self.handle_search,
             "/book": self.handle_book,
             "/health": self.handle_health,
+            "/cancel": self.handle_cancel,
         }
         handler = handlers.get(environ["PATH_INFO"])
         if handler is None:
@@ -76,43 +152,103 @@
         start_response("200 OK", headers)
         return [body]
 
+    def note_call(self) -> None:
+        """Count a call of new work, and whether it came too late."""
+        self.truth.calls += 1
+        if self.leaving_since is None:
+            return
+        age = self.clock.now() - self.leaving_since
+        self.truth.last_work_after_leaving_s = age
+        self.truth.work_after_leaving += age > LEAVING_GRACE_S
+
+    def draw_noise_gap(self) -> float:
+        """Return the seconds until a neighbour is noisy again."""
+        if self.noise is None:
+            return float("inf")
+        return self.rng.expovariate(1.0 / self.noise.mean_gap_s)
+
+    def get_factor(self) -> float:
+        """Return how much slower than usual this target is now."""
+        now = self.clock.now()
+        if now >= self.next_noise_at:
+            self.noisy_until = now + self.noise.length_s
+            self.next_noise_at = self.noisy_until + self.draw_noise_gap()
+        factor = self.slow_factor
+        if now < self.noisy_until:
+            factor *= self.noise.factor
+        if now < self.warm_at:
+            factor *= 1 + (COLD_FACTOR - 1) * (self.warm_at - now) / COLD_START_S
+        return factor
+
     def get_held(self) -> tuple[Snapshot, Snapshot]:
         """Return the oldest and the newest snapshot that this replica holds."""
         newest = self.store.get_snapshot(self.lag_s)
         return Snapshot(max(1, newest - KEPT_SNAPSHOTS)), newest
 
-    def serve(self, mean_s: float) -> None:
-        """Hold a slot for a random service time."""
-        with self.slots:
-            factor = self.rng.lognormvariate(0.0, SERVICE_SIGMA) * self.slow_factor
-            gevent.sleep(mean_s * factor)
+    def serve(self, request_id: RequestId, mean_s: float, deadline_ms: int) -> bool:
+        """Hold a slot for a random service time; False when nothing was run.
 
-    def owns(self, key_range: KeyRange) -> bool:
-        """Tell whether one of the shards held here covers the range."""
-        return any(held.covers(key_range) for held in self.shards.values())
+        A request is shed when the queue is full, when its deadline passes
+        before it gets a slot, or when it is cancelled while it waits.
+        """
+        if self.waiting >= MAX_QUEUE:
+            self.truth.shed += 1
+            return False
+        cancel = self.cancels.setdefault(request_id, Event())
+        self.waiting += 1
+        try:
+            admitted = self.slots.acquire(timeout=deadline_ms / 1_000)
+        finally:
+            self.waiting -= 1
+        if not admitted:
+            self.cancels.pop(request_id, None)
+            self.truth.shed += 1
+            return False
+        self.running += 1
+        try:
+            if cancel.is_set():
+                self.truth.cancelled += 1
+                return False
+            factor = self.rng.lognormvariate(0.0, SERVICE_SIGMA) * self.get_factor()
+            cancel.wait(mean_s * factor)
+            return True
+        finally:
+            self.running -= 1
+            self.slots.release()
+            self.cancels.pop(request_id, None)
 
     def handle_search(self, payload: bytes) -> TargetSearchAnswer:
         """Search the shards asked for at the pinned snapshot."""
         request = msgspec.json.decode(payload, type=TargetSearch)
-        self.serve(SHARD_SERVICE_S * len(request.shards))
-        self.search_runs += 1
+        self.note_call()
+        mean_s = SHARD_SERVICE_S * len(request.shards)
+        if self.serve(request.request_id, mean_s, request.deadline_ms):
+            results = tuple(self.search_shard(request, item) for item in request.shards)
+        else:
+            results = tuple(
+                ShardResult(item.shard, ShardStatus.SHED, *self.get_held())
+                for item in request.shards
+            )
         return TargetSearchAnswer(
-            request.request_id,
-            request.snapshot,
-            tuple(self.search_shard(request, item) for item in request.shards),
-            self.draining,
+            request.request_id, request.snapshot, results, self.is_draining
         )
 
-    def search_shard(self, request: TargetSearch, shard) -> ShardResult:
+    @property
+    def is_draining(self) -> bool:
+        """Tell whether this target says that it is leaving."""
+        return self.mode is TargetMode.DRAINING
+
+    def search_shard(self, request: TargetSearch, shard: ShardRequest) -> ShardResult:
         """Search one range, or say why not."""
         oldest, newest = self.get_held()
         key_range = KeyRange(shard.start, shard.end)
-        if not self.owns(key_range):
+        if not any(held.covers(key_range) for held in self.owned):
             return ShardResult(shard.shard, ShardStatus.NOT_OWNED, oldest, newest)
         if not oldest <= request.snapshot <= newest:
             return ShardResult(
                 shard.shard, ShardStatus.SNAPSHOT_MISSING, oldest, newest
             )
+        self.truth.shard_runs += 1
         found = self.store.scan(
             key_range, request.snapshot, request.terms, request.filters
         )
@@ -124,29 +260,72 @@
     def handle_book(self, payload: bytes) -> TargetBookingAnswer:
         """Run a booking if the record lies in a range held here."""
         request = msgspec.json.decode(payload, type=TargetBooking)
+        self.note_call()
         position = get_position(request.record)
-        if not any(held.contains(position) for held in self.shards.values()):
-            return TargetBookingAnswer(
-                request.request_id, TargetBookingStatus.NOT_OWNED
-            )
-        self.serve(BOOKING_SERVICE_S)
+        if not any(held.contains(position) for held in self.owned):
+            status = TargetBookingStatus.NOT_OWNED
+            return TargetBookingAnswer(request.request_id, status)
+        if not self.serve(request.request_id, BOOKING_SERVICE_S, request.deadline_ms):
+            return TargetBookingAnswer(request.request_id, TargetBookingStatus.SHED)
         run = self.store.book(request.idempotency_key, request.record, request.quantity)
+        self.truth.bookings_run += 1
         return TargetBookingAnswer(
             request.request_id,
             TargetBookingStatus.RAN,
             run.result,
             run.snapshot,
-            self.draining,
+            self.is_draining,
         )
 
+    def handle_cancel(self, payload: bytes) -> CancelRequest:
+        """Stop a search that waits or runs here; bookings run to their end."""
+        request = msgspec.json.decode(payload, type=CancelRequest)
+        cancel = self.cancels.get(request.request_id)
+        if cancel is not None:
+            cancel.set()
+        return request
+
     def handle_health(self, payload: bytes) -> TargetHealth:
-        """Report state, load and the snapshots held."""
+        """Report state, load and the snapshots held, as they were a while ago."""
+        now = self.clock.now()
+        if self.health is None or now - self.health_at > HEALTH_LAG_S:
+            self.health = self.make_health()
+            self.health_at = now
+        return self.health
+
+    def make_health(self) -> TargetHealth:
+        """Return a report of this moment."""
         oldest, newest = self.get_held()
         return TargetHealth(
-            state="draining" if self.draining else "serving",
-            load=0.0,
+            state=self.mode.value,
+            load=(self.running + self.waiting) / self.slot_count,
             shards=tuple(
                 TargetShardHealth(self.store.collection, shard, oldest, newest)
                 for shard in self.shards
             ),
         )
+
+
+class ConnectionMeter:
+    """Counts a target's open connections and refuses those over its limit."""
+
+    def __init__(self, standin: TargetStandin, limit: int, open_s: float) -> None:
+        self.standin = standin
+        self.limit = limit
+        self.open_s = open_s
+        self.open = 0
+
+    def admit(self) -> bool:
+        """Count a new connection in; False when it is over the limit."""
+        self.open += 1
+        truth = self.standin.truth
+        truth.peak_connections = max(truth.peak_connections, self.open)
+        if self.open > self.limit:
+            truth.connections_over_limit += 1
+            return False
+        gevent.sleep(self.open_s)
+        return True
+
+    def leave(self) -> None:
+        """Count a connection out."""
+        self.open -= 1
--- a/sesameplank/standins/world.py
+++ b/sesameplank/standins/world.py
@@ -1,4 +1,9 @@
-"""A whole deployment of stand-ins in one process, on addresses of one block."""
+"""A whole deployment of stand-ins, on loopback addresses of one block.
+
+A world may be spread over several processes: each holds the targets of one
+group, and the first holds the platform as well. Both replicas of a shard, and
+so its bookings, are always in one group.
+"""
 
 import contextlib
 import random
@@ -6,49 +11,73 @@
 import gevent
 import msgspec
 
-from ..conf import Configuration, Vm
+from ..conf import Configuration, Shard, Target, Vm
 from ..core.clock import SystemClock
-from ..ids import CollectionName, DataCentre, EntryId, TargetId
+from ..ids import CollectionName, DataCentre, EntryId, ShardId, TargetId
 from ..net import Address, make_server
-from .deployments import Deployment, make_configuration
+from . import control
+from .deployments import REPLICAS, Deployment, Service, make_configuration
 from .platform import PlatformStandin
+from .proxy import FaultProxy, ProxyGroup
 from .records import make_records
-from .store import TICK_S, Store
-from .targets import TargetStandin
+from .servers import MeteredServer
+from .steering import Steering
+from .store import Store
+from .targets import ConnectionMeter, Noise, TargetStandin
 
 PLATFORM_PORT = 7000
 CONTROL_PORT = 7001
 ENTRY_PORT = 8080
 PEER_PORT = 8081
+PROXIED_PEER_PORT = 8082
+PROXIED_TARGET_PORT = 7200
 RECORDS_PER_COLLECTION = 2_000
-CHANGES_PER_TICK = 5
+DROP_AFTER_MOVE_S = 2.0
+
+
+class WorldOptions(msgspec.Struct, frozen=True):
+    """What a world is made of.
+
+    `started_at` is when snapshot 1 begins, in seconds of the machine's
+    monotonic clock; None is now. Groups of one world need the same one.
+    """
+
+    entries: int = 3
+    group: int = 0
+    groups: int = 1
+    started_at: float | None = None
+    proxied_targets: bool = False
+    proxied_peers: bool = False
+    noise: Noise | None = None
 
 
 class World:
     """Platform and targets of one deployment; a context manager."""
 
     def __init__(
-        self, deployment: Deployment, block: str, seed: int, entries: int
+        self,
+        deployment: Deployment,
+        block: str,
+        seed: int,
+        entries: int = 3,
+        options: WorldOptions | None = None,
     ) -> None:
         self.deployment = deployment
         self.block = block
-        self.rng = random.Random(seed)
+        self.options = options or WorldOptions(entries=entries)
+        self.seed = seed
+        self.rng = random.Random(f"{seed}-{self.options.group}")
         self.clock = SystemClock()
         self.platform = PlatformStandin()
-        self.configuration: Configuration = make_configuration(deployment, block)
-        started_at = self.clock.now()
-        self.stores: dict[CollectionName, Store] = {
-            service.collection: Store(
-                service.collection,
-                make_records(RECORDS_PER_COLLECTION, seed + number),
-                self.clock,
-                started_at,
-                random.Random(seed + number),
-            )
-            for number, service in enumerate(deployment.services)
-        }
+        self.direct: Configuration = make_configuration(deployment, block)
+        self.configuration = self.make_published(self.direct)
+        self.stores = self.make_stores()
         self.targets: dict[TargetId, TargetStandin] = {}
-        self.vms = tuple(self.make_vm(number) for number in range(entries))
+        self.servers: dict[TargetId, MeteredServer] = {}
+        self.target_proxies: dict[TargetId, FaultProxy] = {}
+        self.vms = tuple(self.make_vm(item) for item in range(self.options.entries))
+        self.published_vms = self.vms
+        self.peer_proxies = ProxyGroup({})
         self.resources = contextlib.ExitStack()
 
     @property
@@ -56,8 +85,41 @@
         """Where the platform listens."""
         return Address(f"{self.block}.0.1", PLATFORM_PORT)
 
+    @property
+    def control_address(self) -> Address:
+        """Where this group takes commands and reports its ground truth."""
+        return get_control_address(self.block, self.options.group)
+
+    def make_stores(self) -> dict[CollectionName, Store]:
+        """Return the records of each collection."""
+        started_at = self.options.started_at
+        return {
+            service.collection: Store(
+                service.collection,
+                make_records(RECORDS_PER_COLLECTION, self.seed + number),
+                self.clock,
+                self.clock.now() if started_at is None else started_at,
+                self.seed + number,
+            )
+            for number, service in enumerate(self.deployment.services)
+        }
+
+    def make_published(self, direct: Configuration) -> Configuration:
+        """Return the configuration that entries see: proxies before targets."""
+        if not self.options.proxied_targets:
+            return direct
+        return msgspec.structs.replace(
+            direct,
+            targets={
+                target_id: msgspec.structs.replace(
+                    target, address=str(get_proxied(target, PROXIED_TARGET_PORT))
+                )
+                for target_id, target in direct.targets.items()
+            },
+        )
+
     def make_vm(self, number: int) -> Vm:
-        """Return the list's line for one entry VM."""
+        """Return one entry VM as the process on it knows itself."""
         host = f"{self.block}.1.{1 + number}"
         centres = self.deployment.data_centres
         return Vm(
@@ -67,43 +129,226 @@
             DataCentre(centres[number % len(centres)]),
         )
 
+    def get_host(self, entry: EntryId) -> str:
+        """Return the IP number of an entry VM."""
+        vm = next(vm for vm in self.vms if vm.id == entry)
+        return Address.parse(vm.address).host
+
     def __enter__(self) -> "World":
         with contextlib.ExitStack() as stack:
-            self.serve(stack, self.platform_address, self.platform)
-            for name, collection in self.configuration.collections.items():
-                for target_id, target in self.configuration.targets.items():
-                    if not any(
-                        target_id in item.replicas for item in collection.shards
-                    ):
-                        continue
-                    standin = TargetStandin(
-                        target_id,
-                        self.stores[name],
-                        collection,
-                        target.slots,
-                        random.Random(self.rng.random()),
-                    )
-                    self.targets[target_id] = standin
-                    self.serve(stack, Address.parse(target.address), standin)
-            self.platform.publish_config(msgspec.json.encode(self.configuration))
-            self.platform.publish_vms(self.vms)
-            ticker = gevent.spawn(self.run_ticks)
-            stack.callback(ticker.kill)
+            self.resources = stack
+            self.start_targets()
+            self.serve(self.control_address, ControlApp(self))
+            if self.options.group == 0:
+                self.start_platform()
             self.resources = stack.pop_all()
         return self
 
     def __exit__(self, *exc_info: object) -> None:
         self.resources.close()
 
-    def serve(self, stack: contextlib.ExitStack, address: Address, app) -> None:
-        """Serve an application until the stack closes."""
+    def serve(self, address: Address, app) -> None:
+        """Serve an application until the world closes."""
         server = make_server(address, app)
         server.start()
-        stack.callback(server.stop, timeout=0.1)
-
-    def run_ticks(self) -> None:
-        """Change some stock in every collection at each tick."""
-        while True:
-            gevent.sleep(TICK_S)
-            for store in self.stores.values():
-                store.change_some_stock(CHANGES_PER_TICK)
+        self.resources.callback(server.stop, timeout=0.1)
+
+    def start_platform(self) -> None:
+        """Start the platform and what stands before the entries' peer ports."""
+        self.serve(self.platform_address, self.platform)
+        if self.options.proxied_peers:
+            self.peer_proxies = self.resources.enter_context(self.make_peer_proxies())
+            self.published_vms = tuple(
+                msgspec.structs.replace(
+                    vm,
+                    peer_address=str(
+                        self.peer_proxies.proxies[self.get_host(vm.id)].listen
+                    ),
+                )
+                for vm in self.vms
+            )
+        self.publish(self.direct)
+        self.platform.publish_vms(self.published_vms)
+
+    def make_peer_proxies(self) -> ProxyGroup:
+        """Return a proxy before each entry's peer port."""
+        proxies = {}
+        for vm in self.vms:
+            upstream = Address.parse(vm.peer_address)
+            listen = Address(upstream.host, PROXIED_PEER_PORT)
+            proxies[upstream.host] = FaultProxy(listen, upstream, self.rng)
+        return ProxyGroup(proxies)
+
+    def start_targets(self) -> None:
+        """Start every target of this group."""
+        for service in self.deployment.services:
+            for index, target_id in enumerate(self.get_target_ids(service)):
+                if index // REPLICAS % self.options.groups == self.options.group:
+                    self.add_target(service, target_id)
+
+    def get_target_ids(self, service: Service) -> list[TargetId]:
+        """Return a service's targets in the order of their pairs."""
+        prefix = f"{service.collection}-"
+        return [item for item in self.direct.targets if item.startswith(prefix)]
+
+    def add_target(self, service: Service, target_id: TargetId) -> None:
+        """Make one target and start it, with its proxy if it has one."""
+        target = self.direct.targets[target_id]
+        self.targets[target_id] = TargetStandin(
+            target_id,
+            self.stores[service.collection],
+            self.direct.collections[service.collection],
+            target.slots,
+            random.Random(self.rng.random()),
+            self.clock,
+            self.options.noise,
+        )
+        self.start_server(target_id)
+        self.resources.callback(self.stop_server, target_id)
+        if self.options.proxied_targets:
+            proxy = FaultProxy(
+                get_proxied(target, PROXIED_TARGET_PORT),
+                Address.parse(target.address),
+                self.rng,
+            )
+            self.target_proxies[target_id] = self.resources.enter_context(proxy)
+
+    def start_server(self, target_id: TargetId) -> None:
+        """Accept connections to a target."""
+        target = self.direct.targets[target_id]
+        service = self.get_service(target_id)
+        meter = ConnectionMeter(
+            self.targets[target_id], target.connections, service.open_ms / 1_000
+        )
+        address = Address.parse(target.address)
+        server = MeteredServer(address, self.targets[target_id], meter)
+        server.start()
+        self.servers[target_id] = server
+
+    def get_service(self, target_id: TargetId) -> Service:
+        """Return the service that a target belongs to."""
+        return next(
+            service
+            for service in self.deployment.services
+            if target_id.startswith(f"{service.collection}-")
+        )
+
+    def stop_server(self, target_id: TargetId) -> None:
+        """Break a target's connections and accept no more."""
+        server = self.servers.pop(target_id, None)
+        if server is not None:
+            server.stop(timeout=0)
+
+    def publish(self, direct: Configuration) -> None:
+        """Publish a configuration with the targets' real addresses."""
+        self.direct = direct
+        self.configuration = self.make_published(direct)
+        if self.options.group == 0:
+            self.platform.publish_config(msgspec.json.encode(self.configuration))
+
+    def publish_shards(
+        self, collection: CollectionName, shards: tuple[Shard, ...]
+    ) -> None:
+        """Publish another shard map of a collection."""
+        changed = msgspec.structs.replace(
+            self.direct.collections[collection], shards=shards
+        )
+        self.publish(
+            msgspec.structs.replace(
+                self.direct,
+                collections={**self.direct.collections, collection: changed},
+            )
+        )
+
+    def split_shard(self, collection: CollectionName, shard_id: ShardId) -> None:
+        """Cut a shard into two halves on the same replicas."""
+        shards = []
+        for shard in self.direct.collections[collection].shards:
+            if shard.id != shard_id:
+                shards.append(shard)
+                continue
+            middle = (shard.start + shard.end) // 2
+            shards += [
+                Shard(ShardId(f"{shard.id}a"), shard.start, middle, shard.replicas),
+                Shard(ShardId(f"{shard.id}b"), middle, shard.end, shard.replicas),
+            ]
+        self.publish_shards(collection, tuple(shards))
+        self.update_owners(collection)
+
+    def move_shard(
+        self,
+        collection: CollectionName,
+        shard_id: ShardId,
+        replicas: tuple[TargetId, ...],
+    ) -> None:
+        """Give a shard to other targets of this group, then take it from the old."""
+        shards = tuple(
+            msgspec.structs.replace(shard, replicas=replicas)
+            if shard.id == shard_id
+            else shard
+            for shard in self.direct.collections[collection].shards
+        )
+        moved = self.direct.collections[collection]
+        for target_id in replicas:
+            if target_id in self.targets:
+                self.targets[target_id].set_shards(
+                    msgspec.structs.replace(moved, shards=shards)
+                )
+        self.publish_shards(collection, shards)
+        gevent.spawn_later(DROP_AFTER_MOVE_S, self.update_owners, collection)
+
+    def update_owners(self, collection: CollectionName) -> None:
+        """Let every target own just what the published shard map says."""
+        for target in self.targets.values():
+            if target.store.collection == collection:
+                target.set_shards(self.direct.collections[collection])
+
+    def get_truth(self) -> control.Truth:
+        """Return what really happened in this process."""
+        collections = {}
+        for name, store in self.stores.items():
+            ranges = {
+                item
+                for target in self.targets.values()
+                if target.store is store
+                for item in target.owned
+            }
+            collections[name] = control.CollectionTruth(
+                store.get_changes(sorted(ranges)), tuple(store.ledger)
+            )
+        return control.Truth(
+            collections,
+            {target_id: item.truth for target_id, item in self.targets.items()},
+            self.platform.calls,
+            self.platform.peak_calls_per_s,
+            tuple(self.platform.published_versions),
+        )
+
+
+class ControlApp:
+    """Takes commands by POST /control and reports by GET /truth."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.steering = Steering(world)
+
+    def __call__(self, environ, start_response):
+        """Answer one HTTP request."""
+        if environ["PATH_INFO"] == "/truth":
+            body = msgspec.json.encode(self.world.get_truth())
+        else:
+            payload = environ["wsgi.input"].read(int(environ["CONTENT_LENGTH"]))
+            self.steering.apply(msgspec.json.decode(payload, type=control.Command))
+            body = b"{}"
+        start_response("200 OK", [("Content-Length", str(len(body)))])
+        return [body]
+
+
+def get_control_address(block: str, group: int) -> Address:
+    """Return where a group of a world's stand-ins takes commands."""
+    return Address(f"{block}.0.{10 + group}", CONTROL_PORT)
+
+
+def get_proxied(target: Target, port: int) -> Address:
+    """Return the address of the proxy before a target."""
+    return Address(Address.parse(target.address).host, port)
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -49,7 +49,7 @@
         key = next(
             key
             for key, item in store.records.items()
-            if item.newest.fields["stock"] > 10
+            if item.get_at(store.get_snapshot()).fields["stock"] > 10
         )
         booked = self.client.book("order-desk", key, 1, "k1", DEADLINE_MS)
         answer = self.client.search(SearchRequest("order-desk"), DEADLINE_MS)
--- a/tests/standins/test_proxy.py
+++ b/tests/standins/test_proxy.py
@@ -76,3 +76,10 @@
         self.assertFalse(asking.ready())
         self.proxy.set_faults(Faults())
         self.assertEqual(b"hello", asking.get(timeout=TIMEOUT_S))
+
+    def test_faults_of_one_source_leave_others_alone(self):
+        self.proxy.set_faults(Faults(refuse=True), source="127.0.0.77")
+        cut = open_connection(self.proxy.listen, TIMEOUT_S, "127.0.0.77")
+        self.addCleanup(cut.close)
+        self.assertRaises(ConnectionResetError, cut.recv, 1)
+        self.assertEqual(b"hello", self.ask())
--- /dev/null
+++ b/tests/standins/test_world.py
@@ -0,0 +1,167 @@
+"""Tests of the stand-in targets and their ground truth."""
+
+import contextlib
+
+import msgspec
+import testtools
+from geventhttpclient import HTTPClient
+
+from sesameplank.conf import PublishedConfiguration, PublishedVms, decode_configuration
+from sesameplank.core.messages import ShardRequest, TargetSearch, TargetSearchAnswer
+from sesameplank.net import Address, open_connection
+from sesameplank.standins import control
+from sesameplank.standins.deployments import VATUWAQA
+from sesameplank.standins.fleet import reserve_block
+from sesameplank.standins.proxy import Faults
+from sesameplank.standins.world import World, WorldOptions
+
+TIMEOUT_S = 30.0
+COLLECTION = "order-desk"
+SHARD = "order-desk-s00"
+
+
+class WorldTests(testtools.TestCase):
+    """Targets answer for what they own and count what really happens."""
+
+    def setUp(self):
+        super().setUp()
+        block = self.enterContext(reserve_block())
+        options = WorldOptions(entries=2, proxied_targets=True, proxied_peers=True)
+        self.world = self.enterContext(World(VATUWAQA, block, 3, options=options))
+
+    def send(self, address, method, path, message=None) -> bytes:
+        """Return the body of an answer."""
+        body = msgspec.json.encode(message) if message is not None else b""
+        client = HTTPClient(address.host, address.port, network_timeout=TIMEOUT_S)
+        with contextlib.closing(client):
+            return bytes(client.request(method, path, body).read())
+
+    def steer(self, command) -> None:
+        """Send a command over HTTP."""
+        self.send(self.world.control_address, "POST", "/control", command)
+
+    def get_configuration(self):
+        """Return the configuration as it is published."""
+        body = self.send(self.world.platform_address, "GET", "/config?after=0")
+        published = msgspec.json.decode(body, type=PublishedConfiguration)
+        return decode_configuration(published.document)
+
+    def search(self, target: str, shards) -> list[str]:
+        """Return the status of each shard of a search call."""
+        address = Address.parse(self.get_configuration().targets[target].address)
+        store = self.world.stores[COLLECTION]
+        message = TargetSearch(
+            "r1",
+            COLLECTION,
+            max(1, store.get_snapshot() - 2),
+            60_000,
+            tuple(ShardRequest(item.id, item.start, item.end) for item in shards),
+        )
+        body = self.send(address, "POST", "/search", message)
+        answer = msgspec.json.decode(body, type=TargetSearchAnswer)
+        return [result.status.value for result in answer.results]
+
+    def test_target_serves_what_it_owns(self):
+        shards = self.world.direct.collections[COLLECTION].shards
+        self.assertEqual(
+            ["ok", "not_owned"], self.search("order-desk-00", [shards[0], shards[2]])
+        )
+
+    def test_halves_of_a_split_shard_are_served(self):
+        self.steer(control.SplitShard(COLLECTION, SHARD))
+        shards = self.get_configuration().collections[COLLECTION].shards
+        halves = [item for item in shards if item.id.startswith(SHARD)]
+        self.assertEqual(["ok", "ok"], self.search("order-desk-00", halves))
+
+    def test_moved_shard_is_served_by_its_new_targets(self):
+        new = ("order-desk-02", "order-desk-03")
+        self.steer(control.MoveShard(COLLECTION, SHARD, new))
+        shard = self.get_configuration().collections[COLLECTION].shards[0]
+        self.assertEqual(new, shard.replicas)
+        self.assertEqual(["ok"], self.search("order-desk-02", [shard]))
+        self.world.update_owners(COLLECTION)
+        self.assertEqual(["not_owned"], self.search("order-desk-00", [shard]))
+
+    def test_connections_over_the_limit_are_refused_and_counted(self):
+        target = self.world.direct.targets["order-desk-00"]
+        address = Address.parse(target.address)
+        socks = [
+            open_connection(address, TIMEOUT_S) for _ in range(target.connections + 1)
+        ]
+        self.assertEqual(b"", socks[-1].recv(1))
+        for sock in socks:
+            sock.close()
+        truth = self.get_truth().targets["order-desk-00"]
+        self.assertEqual(1, truth.connections_over_limit)
+
+    def get_truth(self) -> control.Truth:
+        """Return the ground truth as it is reported."""
+        body = self.send(self.world.control_address, "GET", "/truth")
+        return msgspec.json.decode(body, type=control.Truth)
+
+    def test_stopped_target_refuses_until_it_starts(self):
+        self.steer(control.StopTargets(("order-desk-00",)))
+        address = Address.parse(self.world.direct.targets["order-desk-00"].address)
+        self.assertRaises(ConnectionRefusedError, open_connection, address, TIMEOUT_S)
+        self.steer(control.StartTargets(("order-desk-00",)))
+        shard = self.world.direct.collections[COLLECTION].shards[0]
+        self.assertEqual(["ok"], self.search("order-desk-00", [shard]))
+
+    def test_faults_stand_before_targets(self):
+        self.steer(control.SetTargetFaults(Faults(refuse=True), ("order-desk-00",)))
+        shard = self.world.direct.collections[COLLECTION].shards[0]
+        address = Address.parse(
+            self.get_configuration().targets["order-desk-00"].address
+        )
+        sock = open_connection(address, TIMEOUT_S)
+        self.addCleanup(sock.close)
+        self.assertRaises(ConnectionResetError, sock.recv, 1)
+        self.assertEqual(["ok"], self.search("order-desk-01", [shard]))
+
+    def test_frozen_platform_answers_the_old_version(self):
+        self.steer(control.SetPlatform(frozen_version=1))
+        self.steer(control.SplitShard(COLLECTION, SHARD))
+        self.assertEqual(
+            20, len(self.get_configuration().collections[COLLECTION].shards)
+        )
+        self.steer(control.SetPlatform())
+        self.assertEqual(
+            21, len(self.get_configuration().collections[COLLECTION].shards)
+        )
+
+    def test_vm_list_names_the_proxies_before_peers(self):
+        self.steer(control.SetVms(leaving=("entry-01",)))
+        body = self.send(self.world.platform_address, "GET", "/vms?after=0")
+        vms = msgspec.json.decode(body, type=PublishedVms).vms
+        self.assertEqual(["live", "leaving"], [vm.state.value for vm in vms])
+        self.assertEqual(["8082", "8082"], [vm.peer_address[-4:] for vm in vms])
+
+    def test_bookings_stand_in_the_truth(self):
+        store = self.world.stores[COLLECTION]
+        run = store.book("k1", "r000001", 10_000)
+        truth = self.get_truth().collections[COLLECTION]
+        self.assertEqual((run,), truth.ledger)
+        self.assertEqual("declined", run.result.value)
+
+
+class GroupTests(testtools.TestCase):
+    """Stores of one seed and start agree without a word."""
+
+    def test_groups_hold_the_same_records(self):
+        block = self.enterContext(reserve_block())
+        worlds = [
+            World(
+                VATUWAQA,
+                block,
+                3,
+                options=WorldOptions(group=group, groups=2, started_at=1.0),
+            )
+            for group in range(2)
+        ]
+        stores = [world.stores[COLLECTION] for world in worlds]
+        for store in stores:
+            store.trade(500)
+        self.assertEqual(
+            [item.get_at(400) for item in stores[0].records.values()],
+            [item.get_at(400) for item in stores[1].records.values()],
+        )
