Link the entries by typed messages over websockets

Bookings have to reach the entry that issued their writer id, and membership and configuration need a way between entries. One multiplexed websocket a pair carries CBOR envelopes with the sender's id, incarnation and send clock, in batches, from bounded queues. A call says NOT_RUN only if no byte of it was handed to a connection or the peer itself says so.

--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -3,6 +3,7 @@
 import contextlib
 import random
 import secrets
+import time
 
 import gevent
 import msgspec
@@ -21,9 +22,10 @@
 from .core.outcomes import Ran
 from .core.snapshots import SnapshotTracker
 from .core.versions import AcceptedConfiguration, ConfigurationStore
-from .ids import DataCentre, EntryId
+from .ids import DataCentre, EntryId, Incarnation
 from .logs import log_event
 from .net import Address, make_server
+from .peers import PeerLinks
 from .platform import PlatformReader
 from .platform.watch import ConfigurationWatch, VmWatch
 from .queries import QueryRunner
@@ -31,6 +33,14 @@
 from .targets.health import HealthPoller
 
 CONNECTION_SHARE = 8
+INCARNATION_RANDOM_BITS = 10
+
+
+def make_incarnation() -> Incarnation:
+    """Return a number that no other process of this VM has, and that rises."""
+    started_ms = int(time.time() * 1_000)
+    noise = secrets.randbits(INCARNATION_RANDOM_BITS)
+    return Incarnation(started_ms << INCARNATION_RANDOM_BITS | noise)
 
 
 class EntrySettings(msgspec.Struct, frozen=True):
@@ -53,6 +63,14 @@
         self.settings = settings
         self.clock = SystemClock()
         self.rng = random.Random(settings.seed or secrets.randbits(64))
+        self.incarnation = make_incarnation()
+        self.links = PeerLinks(
+            settings.entry_id,
+            self.incarnation,
+            settings.peer_address,
+            self.clock,
+            self.rng,
+        )
         self.store = ConfigurationStore(self.clock)
         self.snapshots = SnapshotTracker()
         self.vms: PublishedVms | None = None
@@ -76,6 +94,7 @@
     def __enter__(self) -> "Entry":
         with contextlib.ExitStack() as stack:
             stack.enter_context(self.dispatcher)
+            stack.enter_context(self.links)
             server = make_server(self.settings.address, self.make_app())
             server.start()
             stack.callback(server.stop)
@@ -123,6 +142,8 @@
     def apply_vms(self, vms: PublishedVms) -> None:
         """Take a newer VM list in."""
         self.vms = vms
+        for vm in vms.vms:
+            self.links.addresses[vm.id] = Address.parse(vm.peer_address)
 
     def search(self, call: CallerRequest, request: SearchRequest) -> SearchAnswer:
         """Answer a caller's query, or raise Refusal."""
@@ -177,7 +198,16 @@
             "entry": self.settings.entry_id,
             "config_version": self.store.version,
             "refused": self.store.refused,
+            "incarnation": self.incarnation,
             "vms": self.vms,
+            "peers": {
+                "connected": sorted(
+                    filter(self.links.is_connected, self.links.channels)
+                ),
+                "sent": self.links.counters.sent,
+                "received": self.links.counters.received,
+                "dropped": self.links.counters.dropped,
+            },
             "targets": {
                 target_id: {
                     "in_flight": pool.in_flight,
--- a/sesameplank/exceptions.py
+++ b/sesameplank/exceptions.py
@@ -17,6 +17,10 @@
     """The platform's service could not be read."""
 
 
+class PeerProtocolError(SesameplankError):
+    """A frame from another entry cannot be read."""
+
+
 class BadRequestError(SesameplankError):
     """A caller's request breaks a rule of the callers' interface."""
 
--- /dev/null
+++ b/sesameplank/peers/channel.py
@@ -0,0 +1,192 @@
+"""The link to one peer: a bounded queue over one websocket at a time."""
+
+from collections import deque
+from collections.abc import Callable
+
+import gevent
+import msgspec
+from gevent.event import AsyncResult, Event
+from websockets.exceptions import WebSocketException
+from websockets.sync.connection import Connection
+
+from ..core.outcomes import Failure, FailureReason, Ran
+from ..ids import EntryId
+from .messages import PeerMessage
+from .traffic import TrafficCounters
+
+MAX_QUEUED_MESSAGES = 2_000
+MAX_QUEUED_BYTES = 8 * 1024 * 1024
+MAX_FRAME_BYTES = 4 * 1024 * 1024
+BATCH_BYTES = 64 * 1024
+SEND_TIMEOUT_S = 5.0
+
+FrameHandler = Callable[["Channel", bytes], None]
+
+
+class PendingCall:
+    """A call that waits for its reply; `sent` is set before any byte leaves."""
+
+    def __init__(self, reply_type: type[PeerMessage]) -> None:
+        self.reply_type = reply_type
+        self.result: AsyncResult = AsyncResult()
+        self.sent = False
+        self.cancelled = False
+        self.connection: Connection | None = None
+
+    @property
+    def ran(self) -> Ran:
+        """What a failure now would say about the peer having run it."""
+        return Ran.UNKNOWN if self.sent else Ran.NOT_RUN
+
+    def fail(self, reason: FailureReason, detail: str) -> None:
+        """End the call with a failure."""
+        self.result.set(Failure(reason, self.ran, detail))
+
+
+class QueuedMessage(msgspec.Struct):
+    """An encoded message that waits to be sent."""
+
+    name: str
+    payload: bytes
+    call: PendingCall | None = None
+
+
+class Channel:
+    """Sends to one peer in order and reads what it sends.
+
+    Both sides may open a websocket at the same moment. Each sends on the one
+    that the lower id opened, and the other closes when it has been idle.
+    """
+
+    def __init__(
+        self,
+        own_id: EntryId,
+        peer: EntryId,
+        counters: TrafficCounters,
+        on_frame: FrameHandler,
+    ) -> None:
+        self.own_id = own_id
+        self.peer = peer
+        self.counters = counters
+        self.on_frame = on_frame
+        self.queue: deque[QueuedMessage] = deque()
+        self.queued_bytes = 0
+        self.calls: dict[int, PendingCall] = {}
+        self.connections: dict[Connection, bool] = {}
+        self.current: Connection | None = None
+        self.wake = Event()
+        self.used_at = 0.0
+
+    def enqueue(self, message: QueuedMessage) -> bool:
+        """Queue a message; False if the queue is full."""
+        size = len(message.payload)
+        if size > MAX_FRAME_BYTES or len(self.queue) >= MAX_QUEUED_MESSAGES:
+            return False
+        if self.queued_bytes + size > MAX_QUEUED_BYTES:
+            return False
+        self.queue.append(message)
+        self.queued_bytes += size
+        self.wake.set()
+        return True
+
+    def run(self, connection: Connection, dialled: bool) -> None:
+        """Use a connection until it closes."""
+        self.connections[connection] = dialled
+        self.choose_current()
+        writer = gevent.spawn(self.write, connection)
+        try:
+            while True:
+                self.on_frame(self, connection.recv())
+        except (WebSocketException, OSError):
+            pass  # A closed connection ends the loop; its calls fail below.
+        finally:
+            writer.kill(block=False)
+            self.detach(connection)
+
+    def choose_current(self) -> None:
+        """Send on the connection that the lower id opened, if there is one."""
+        prefers_dialled = self.own_id < self.peer
+        ranked = sorted(
+            self.connections,
+            key=lambda item: self.connections[item] == prefers_dialled,
+        )
+        self.current = ranked[-1] if ranked else None
+        self.wake.set()
+
+    def detach(self, connection: Connection) -> None:
+        """Forget a connection and fail the calls that were sent on it."""
+        self.connections.pop(connection, None)
+        self.choose_current()
+        lost = [
+            (number, call)
+            for number, call in self.calls.items()
+            if call.connection is connection
+        ]
+        for number, call in lost:
+            del self.calls[number]
+            call.fail(FailureReason.RESET, "the link closed")
+        connection.close_socket()
+        if self.current is None:
+            self.fail_queued(FailureReason.RESET, "the link closed")
+
+    def fail_queued(self, reason: FailureReason, detail: str) -> None:
+        """Drop everything that still waits to be sent."""
+        queued, self.queue = self.queue, deque()
+        self.queued_bytes = 0
+        for message in queued:
+            if message.call:
+                message.call.fail(reason, detail)
+            else:
+                self.counters.count_dropped(reason.value)
+
+    def write(self, connection: Connection) -> None:
+        """Send queued messages while this connection is the current one."""
+        while connection in self.connections:
+            if self.current is not connection or not self.queue:
+                self.wake.clear()
+                self.wake.wait()
+                continue
+            frame = self.take_batch(connection)
+            if frame and not self.send_frame(connection, frame):
+                return
+
+    def take_batch(self, connection: Connection) -> bytes:
+        """Return queued messages joined to one frame, and mark them as sent."""
+        parts: list[bytes] = []
+        size = 0
+        while self.queue:
+            length = len(self.queue[0].payload)
+            if parts and size + length > BATCH_BYTES:
+                break
+            message = self.queue.popleft()
+            self.queued_bytes -= length
+            if message.call and message.call.cancelled:
+                continue
+            if message.call:
+                message.call.sent = True
+                message.call.connection = connection
+            self.counters.count_sent(message.name, length)
+            parts.append(message.payload)
+            size += length
+        return b"".join(parts)
+
+    def send_frame(self, connection: Connection, frame: bytes) -> bool:
+        """Send one frame; close the connection if the peer does not take it."""
+        try:
+            with gevent.Timeout(SEND_TIMEOUT_S):
+                connection.send(frame)
+        except (gevent.Timeout, WebSocketException, OSError):
+            connection.close_socket()
+            return False
+        return True
+
+    def close_spare(self) -> None:
+        """Close the connections dialled here that are not the current one."""
+        for connection, dialled in list(self.connections.items()):
+            if dialled and connection is not self.current:
+                connection.close_socket()
+
+    def close(self) -> None:
+        """Close every connection at once."""
+        for connection in list(self.connections):
+            connection.close_socket()
--- /dev/null
+++ b/sesameplank/peers/frames.py
@@ -0,0 +1,84 @@
+"""The encoding of messages between entries: CBOR items, several to a frame."""
+
+import io
+from collections.abc import Iterator
+from enum import IntEnum
+
+import cbor2
+import msgspec
+
+from ..exceptions import PeerProtocolError
+from ..ids import EntryId, Incarnation
+from .messages import PeerMessage
+
+CBOR_TYPES = (bytes,)
+
+
+class EnvelopeKind(IntEnum):
+    """What an envelope is for."""
+
+    ONE_WAY = 0
+    CALL = 1
+    REPLY = 2
+    FAILURE = 3
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    """One message with its sender, send clock and call.
+
+    `sent_ms` is the sender's monotonic clock in milliseconds; `budget_ms` is
+    the time that a call leaves, counted from the sending.
+    """
+
+    kind: EnvelopeKind
+    sender: EntryId
+    incarnation: Incarnation
+    sent_ms: int
+    name: str
+    body: list
+    call_id: int = 0
+    budget_ms: int = 0
+
+
+def pack_message(message: msgspec.Struct) -> list:
+    """Return the fields of a message as CBOR can carry them."""
+    return msgspec.to_builtins(message, builtin_types=CBOR_TYPES)
+
+
+def unpack_message(body: list, kind: type[PeerMessage]) -> PeerMessage:
+    """Return the typed message, or raise PeerProtocolError."""
+    try:
+        return msgspec.convert(body, kind, builtin_types=CBOR_TYPES)
+    except msgspec.ValidationError as error:
+        raise PeerProtocolError(
+            f"a {kind.__name__} from a peer is malformed: {error}; "
+            "run the same release on every entry"
+        ) from error
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Return the CBOR item of an envelope."""
+    return cbor2.dumps(msgspec.to_builtins(envelope, builtin_types=CBOR_TYPES))
+
+
+def decode_frame(frame: bytes) -> Iterator[tuple[Envelope, int]]:
+    """Yield the envelopes of a frame, each with its size in bytes.
+
+    Raises PeerProtocolError on anything else.
+    """
+    stream = io.BytesIO(frame)
+    decoder = cbor2.CBORDecoder(stream)
+    start = 0
+    while start < len(frame):
+        try:
+            envelope = msgspec.convert(
+                decoder.decode(), Envelope, builtin_types=CBOR_TYPES
+            )
+        except (cbor2.CBORDecodeError, msgspec.ValidationError) as error:
+            raise PeerProtocolError(
+                f"a frame from a peer is malformed: {error}; "
+                "run the same release on every entry"
+            ) from error
+        end = stream.tell()
+        yield envelope, end - start
+        start = end
--- /dev/null
+++ b/sesameplank/peers/links.py
@@ -0,0 +1,413 @@
+"""Calls and one-way messages between entries, one link a pair."""
+
+import contextlib
+import itertools
+import logging
+import random
+from collections.abc import Callable
+
+import gevent
+import gevent.socket
+import msgspec
+from gevent.pool import Pool
+from gevent.server import StreamServer
+from websockets.exceptions import WebSocketException
+from websockets.sync.client import connect
+from websockets.sync.connection import Connection
+from websockets.sync.server import serve
+
+from ..core.clock import Clock
+from ..core.delays import DelayEstimate
+from ..core.outcomes import Failure, FailureReason, Ran
+from ..exceptions import PeerProtocolError
+from ..ids import EntryId, Incarnation
+from ..logs import log_event
+from ..net import Address, set_no_delay
+from .channel import MAX_FRAME_BYTES, Channel, PendingCall, QueuedMessage
+from .frames import (
+    Envelope,
+    EnvelopeKind,
+    decode_frame,
+    encode_envelope,
+    pack_message,
+    unpack_message,
+)
+from .messages import PeerMessage
+from .traffic import TrafficCounters
+
+DIAL_TIMEOUT_S = 1.0
+PING_INTERVAL_S = 5.0
+PING_TIMEOUT_S = 10.0
+CLOSE_TIMEOUT_S = 1.0
+RETRY_MIN_S = 0.05
+RETRY_MAX_S = 1.0
+IDLE_CLOSE_S = 30.0
+MAX_RUNNING_HANDLERS = 512
+SENDER_HEADER = "X-Entry-Id"
+LISTEN_BACKLOG = 512
+
+
+class PeerContext(msgspec.Struct, frozen=True):
+    """Who sent a message, how old it is, and when its caller gives up.
+
+    `deadline_at` is in seconds of this process's clock, infinite for one-way
+    messages; `age_s` is estimated from the link's smallest delay.
+    """
+
+    sender: EntryId
+    incarnation: Incarnation
+    age_s: float
+    deadline_at: float
+
+
+Handler = Callable[[PeerMessage, PeerContext], PeerMessage | Failure | None]
+HeardListener = Callable[[EntryId, Incarnation, float], None]
+
+
+class PeerLinks:
+    """The links of this process; a context manager that listens and closes.
+
+    `addresses` maps each known peer to its peer address; whoever learns of
+    entries keeps it current.
+    """
+
+    def __init__(
+        self,
+        entry_id: EntryId,
+        incarnation: Incarnation,
+        address: Address,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.entry_id = entry_id
+        self.incarnation = incarnation
+        self.address = address
+        self.clock = clock
+        self.rng = rng
+        self.addresses: dict[EntryId, Address] = {}
+        self.counters = TrafficCounters()
+        self.heard_listeners: list[HeardListener] = []
+        self.handlers: dict[str, tuple[type[PeerMessage], Handler]] = {}
+        self.channels: dict[EntryId, Channel] = {}
+        self.dials: dict[EntryId, gevent.Greenlet] = {}
+        self.retry_at: dict[EntryId, float] = {}
+        self.failures: dict[EntryId, int] = {}
+        self.delays: dict[tuple[EntryId, Incarnation], DelayEstimate] = {}
+        self.call_ids = itertools.count(1)
+        self.running = Pool(MAX_RUNNING_HANDLERS)
+        self.resources = contextlib.ExitStack()
+
+    def __enter__(self) -> "PeerLinks":
+        logging.getLogger("websockets").setLevel(logging.CRITICAL)
+        with contextlib.ExitStack() as stack:
+            server = self.make_server()
+            server.start()
+            stack.callback(server.stop, timeout=0)
+            reaper = gevent.spawn(self.close_idle)
+            stack.callback(reaper.kill)
+            stack.callback(self.close_channels)
+            self.resources = stack.pop_all()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.resources.close()
+
+    def close_channels(self) -> None:
+        """End dials and close every link."""
+        gevent.killall(list(self.dials.values()))
+        for channel in self.channels.values():
+            channel.close()
+
+    def register(self, kind: type[PeerMessage], handler: Handler) -> None:
+        """Handle messages of a type; a call's handler returns reply or Failure."""
+        self.handlers[kind.__name__] = (kind, handler)
+
+    def call(
+        self, peer: EntryId, message: PeerMessage, deadline_at: float
+    ) -> PeerMessage | Failure:
+        """Return the peer's reply, or a Failure.
+
+        The failure says NOT_RUN only if the message surely was not sent, or if
+        the peer itself says so.
+        """
+        remaining_s = deadline_at - self.clock.now()
+        if remaining_s <= 0:
+            return Failure(FailureReason.TIMEOUT, Ran.NOT_RUN)
+        pending = PendingCall(message.reply_type)
+        call_id = next(self.call_ids)
+        channel = self.get_channel(peer)
+        payload = self.encode(EnvelopeKind.CALL, message, call_id, remaining_s)
+        queued = QueuedMessage(type(message).__name__, payload, pending)
+        channel.calls[call_id] = pending
+        try:
+            if not channel.enqueue(queued):
+                return Failure(FailureReason.QUEUE_FULL, Ran.NOT_RUN)
+            self.ensure_connected(channel)
+            return pending.result.get(timeout=remaining_s)
+        except gevent.Timeout:
+            return Failure(FailureReason.TIMEOUT, pending.ran)
+        finally:
+            pending.cancelled = True
+            channel.calls.pop(call_id, None)
+
+    def send(self, peer: EntryId, message: PeerMessage) -> bool:
+        """Queue a one-way message; False if it was dropped at once."""
+        channel = self.get_channel(peer)
+        payload = self.encode(EnvelopeKind.ONE_WAY, message)
+        if not channel.enqueue(QueuedMessage(type(message).__name__, payload)):
+            self.counters.count_dropped(FailureReason.QUEUE_FULL.value)
+            return False
+        self.ensure_connected(channel)
+        return True
+
+    def encode(
+        self,
+        kind: EnvelopeKind,
+        message: msgspec.Struct,
+        call_id: int = 0,
+        budget_s: float = 0.0,
+    ) -> bytes:
+        """Return the encoded message with this process's id and send clock."""
+        return encode_envelope(
+            Envelope(
+                kind=kind,
+                sender=self.entry_id,
+                incarnation=self.incarnation,
+                sent_ms=int(self.clock.now() * 1_000),
+                name=type(message).__name__,
+                body=pack_message(message),
+                call_id=call_id,
+                budget_ms=int(budget_s * 1_000),
+            )
+        )
+
+    def get_channel(self, peer: EntryId) -> Channel:
+        """Return the channel to a peer, connected or not."""
+        channel = self.channels.get(peer)
+        if channel is None:
+            channel = Channel(self.entry_id, peer, self.counters, self.read_frame)
+            self.channels[peer] = channel
+        channel.used_at = self.clock.now()
+        return channel
+
+    def is_connected(self, peer: EntryId) -> bool:
+        """Tell whether a link to the peer is open."""
+        channel = self.channels.get(peer)
+        return channel is not None and channel.current is not None
+
+    def ensure_connected(self, channel: Channel) -> None:
+        """Open a connection in the background unless there is one."""
+        peer = channel.peer
+        if channel.current is not None or peer in self.dials:
+            return
+        if self.clock.now() < self.retry_at.get(peer, 0.0):
+            channel.fail_queued(FailureReason.CONNECT, "waits to reconnect")
+            return
+        self.dials[peer] = gevent.spawn(self.dial, channel)
+
+    def dial(self, channel: Channel) -> None:
+        """Connect to a peer and serve the link until it closes."""
+        peer = channel.peer
+        try:
+            connection = self.open(peer)
+        except (OSError, WebSocketException, LookupError) as error:
+            self.note_dial_failure(peer)
+            self.dials.pop(peer, None)
+            if channel.current is None:
+                channel.fail_queued(FailureReason.CONNECT, repr(error))
+            return
+        except BaseException:
+            self.dials.pop(peer, None)
+            raise
+        self.failures.pop(peer, None)
+        self.retry_at.pop(peer, None)
+        self.dials.pop(peer, None)
+        channel.run(connection, dialled=True)
+
+    def open(self, peer: EntryId) -> Connection:
+        """Return an open websocket to the peer, or raise OSError and the like."""
+        address = self.addresses[peer]
+        sock = gevent.socket.create_connection(
+            tuple(address), DIAL_TIMEOUT_S, source_address=(self.address.host, 0)
+        )
+        set_no_delay(sock)
+        try:
+            return connect(
+                f"ws://{address}/peers/{peer}",
+                sock=sock,
+                compression=None,
+                proxy=None,
+                additional_headers={SENDER_HEADER: self.entry_id},
+                open_timeout=DIAL_TIMEOUT_S,
+                ping_interval=PING_INTERVAL_S,
+                ping_timeout=PING_TIMEOUT_S,
+                close_timeout=CLOSE_TIMEOUT_S,
+                max_size=MAX_FRAME_BYTES + 1,
+            )
+        except BaseException:
+            sock.close()
+            raise
+
+    def note_dial_failure(self, peer: EntryId) -> None:
+        """Put the next dial off by a growing time with jitter."""
+        count = self.failures[peer] = self.failures.get(peer, 0) + 1
+        longest_s = min(RETRY_MAX_S, RETRY_MIN_S * 2**count)
+        self.retry_at[peer] = self.clock.now() + self.rng.uniform(
+            RETRY_MIN_S, longest_s
+        )
+
+    def read_frame(self, channel: Channel, frame: bytes) -> None:
+        """Take in every message of a frame; close the link on a bad one."""
+        try:
+            for envelope, size in decode_frame(frame):
+                self.take_envelope(channel, envelope, size)
+        except PeerProtocolError as error:
+            log_event("peer_frame_refused", peer=channel.peer, reason=str(error))
+            self.counters.count_dropped("malformed")
+            channel.close()
+
+    def take_envelope(self, channel: Channel, envelope: Envelope, size: int) -> None:
+        """Count one message, estimate its age and hand it on."""
+        self.counters.count_received(envelope.name, size)
+        now = self.clock.now()
+        channel.used_at = now
+        age_s = self.get_delay(envelope).observe(envelope.sent_ms / 1_000, now)
+        for listener in self.heard_listeners:
+            listener(envelope.sender, envelope.incarnation, age_s)
+        if envelope.kind in (EnvelopeKind.REPLY, EnvelopeKind.FAILURE):
+            self.take_reply(channel, envelope)
+            return
+        if len(self.running) >= MAX_RUNNING_HANDLERS:
+            self.counters.count_dropped("handlers_full")
+            refusal = Failure(FailureReason.QUEUE_FULL, Ran.NOT_RUN, "peer is busy")
+            self.reply(channel, envelope, refusal)
+            return
+        self.running.spawn(self.handle, channel, envelope, age_s)
+
+    def get_delay(self, envelope: Envelope) -> DelayEstimate:
+        """Return the estimate for the sender, made anew for a new incarnation."""
+        key = (envelope.sender, envelope.incarnation)
+        if key not in self.delays:
+            for old in [item for item in self.delays if item[0] == envelope.sender]:
+                del self.delays[old]
+            self.delays[key] = DelayEstimate()
+        return self.delays[key]
+
+    def take_reply(self, channel: Channel, envelope: Envelope) -> None:
+        """Give a reply to the call that waits for it; drop a late one."""
+        pending = channel.calls.pop(envelope.call_id, None)
+        if pending is None:
+            self.counters.count_dropped("late_reply")
+            return
+        if envelope.kind is EnvelopeKind.FAILURE:
+            pending.result.set(msgspec.convert(envelope.body[0], Failure))
+            return
+        try:
+            pending.result.set(unpack_message(envelope.body, pending.reply_type))
+        except PeerProtocolError as error:
+            pending.fail(FailureReason.BAD_ANSWER, str(error))
+
+    def handle(self, channel: Channel, envelope: Envelope, age_s: float) -> None:
+        """Run the handler of a message and send its reply."""
+        outcome = self.run_handler(envelope, age_s)
+        self.reply(channel, envelope, outcome)
+
+    def run_handler(
+        self, envelope: Envelope, age_s: float
+    ) -> PeerMessage | Failure | None:
+        """Return what the handler of a message gives, or why it was not run."""
+        deadline_at = float("inf")
+        if envelope.kind is EnvelopeKind.CALL:
+            remaining_s = envelope.budget_ms / 1_000 - age_s
+            if remaining_s <= 0:
+                self.counters.count_dropped("overdue")
+                return Failure(FailureReason.TIMEOUT, Ran.NOT_RUN, "arrived too late")
+            deadline_at = self.clock.now() + remaining_s
+        if envelope.name not in self.handlers:
+            return Failure(FailureReason.REFUSED, Ran.NOT_RUN, "unknown message type")
+        kind, handler = self.handlers[envelope.name]
+        context = PeerContext(envelope.sender, envelope.incarnation, age_s, deadline_at)
+        try:
+            message = unpack_message(envelope.body, kind)
+        except PeerProtocolError as error:
+            return Failure(FailureReason.REFUSED, Ran.NOT_RUN, str(error))
+        try:
+            return handler(message, context)
+        except Exception as error:  # A fault of ours must still be answered.
+            log_event("peer_handler_failed", name=envelope.name, error=repr(error))
+            return Failure(FailureReason.BAD_ANSWER, Ran.UNKNOWN, repr(error))
+
+    def reply(
+        self,
+        channel: Channel,
+        envelope: Envelope,
+        outcome: PeerMessage | Failure | None,
+    ) -> None:
+        """Queue the reply to a call; the caller times out if it is lost."""
+        if envelope.kind is not EnvelopeKind.CALL or outcome is None:
+            return
+        if isinstance(outcome, Failure):
+            payload = encode_envelope(
+                Envelope(
+                    EnvelopeKind.FAILURE,
+                    self.entry_id,
+                    self.incarnation,
+                    int(self.clock.now() * 1_000),
+                    envelope.name,
+                    [msgspec.to_builtins(outcome)],
+                    envelope.call_id,
+                )
+            )
+        else:
+            payload = self.encode(EnvelopeKind.REPLY, outcome, envelope.call_id)
+        name = f"{envelope.name}.reply"
+        if channel.current is None or not channel.enqueue(QueuedMessage(name, payload)):
+            self.counters.count_dropped("reply")
+
+    def make_server(self) -> StreamServer:
+        """Return the server that takes links from peers, not yet started."""
+        stream = StreamServer(
+            tuple(self.address),
+            lambda sock, address: server.handler(sock, address),
+            backlog=LISTEN_BACKLOG,
+        )
+        stream.init_socket()
+        server = serve(
+            self.serve_connection,
+            sock=stream.socket,
+            compression=None,
+            process_request=self.check_request,
+            open_timeout=DIAL_TIMEOUT_S,
+            ping_interval=PING_INTERVAL_S,
+            ping_timeout=PING_TIMEOUT_S,
+            close_timeout=CLOSE_TIMEOUT_S,
+            max_size=MAX_FRAME_BYTES + 1,
+        )
+        return stream
+
+    def check_request(self, connection, request):
+        """Refuse a peer that takes this process for another entry."""
+        if request.path == f"/peers/{self.entry_id}" and request.headers.get(
+            SENDER_HEADER
+        ):
+            return None
+        return connection.respond(404, f"this is the entry {self.entry_id}\n")
+
+    def serve_connection(self, connection: Connection) -> None:
+        """Serve a link that a peer opened."""
+        sender = EntryId(connection.request.headers[SENDER_HEADER])
+        self.get_channel(sender).run(connection, dialled=False)
+
+    def close_idle(self) -> None:
+        """Close links that carried nothing for a while, and second links."""
+        while True:
+            gevent.sleep(IDLE_CLOSE_S / 3)
+            now = self.clock.now()
+            for peer, channel in list(self.channels.items()):
+                idle = now - channel.used_at > IDLE_CLOSE_S
+                if idle and not channel.calls and not channel.queue:
+                    channel.close()
+                    if not channel.connections:
+                        del self.channels[peer]
+                else:
+                    channel.close_spare()
--- /dev/null
+++ b/sesameplank/peers/traffic.py
@@ -0,0 +1,37 @@
+"""Counts what travels between entries, by message type."""
+
+import msgspec
+
+
+class Traffic(msgspec.Struct):
+    """Messages and bytes of one type in one direction."""
+
+    messages: int = 0
+    bytes: int = 0
+
+
+class TrafficCounters:
+    """Counters of one process, shown in its state dump."""
+
+    def __init__(self) -> None:
+        self.sent: dict[str, Traffic] = {}
+        self.received: dict[str, Traffic] = {}
+        self.dropped: dict[str, int] = {}
+
+    def count_sent(self, name: str, size: int) -> None:
+        """Count a message that was handed to a connection."""
+        self.count(self.sent, name, size)
+
+    def count_received(self, name: str, size: int) -> None:
+        """Count a message that arrived."""
+        self.count(self.received, name, size)
+
+    def count_dropped(self, reason: str) -> None:
+        """Count a message that was neither sent nor handled."""
+        self.dropped[reason] = self.dropped.get(reason, 0) + 1
+
+    def count(self, table: dict[str, Traffic], name: str, size: int) -> None:
+        """Add one message to a table."""
+        entry = table.setdefault(name, Traffic())
+        entry.messages += 1
+        entry.bytes += size
--- /dev/null
+++ b/tests/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the links between entries."""
--- /dev/null
+++ b/tests/peers/test_links.py
@@ -0,0 +1,178 @@
+"""Tests of calls and one-way messages over real links in one process."""
+
+import random
+from typing import ClassVar
+
+import gevent
+import testtools
+from gevent.event import Event
+from gevent.queue import Queue
+
+from sesameplank.core.clock import SystemClock
+from sesameplank.core.outcomes import Failure, FailureReason, Ran
+from sesameplank.net import Address
+from sesameplank.peers import PeerLinks, PeerMessage
+from sesameplank.peers import links as links_module
+from sesameplank.peers.channel import MAX_FRAME_BYTES
+from sesameplank.standins.fleet import reserve_block
+
+WAIT_S = 30.0
+
+
+class EchoReply(PeerMessage, frozen=True):
+    """What came, and from whom."""
+
+    payload: bytes
+    sender: str
+
+
+class Echo(PeerMessage, frozen=True):
+    """Ask for the payload back."""
+
+    reply_type: ClassVar = EchoReply
+    payload: bytes
+
+
+class Note(PeerMessage, frozen=True):
+    """A one-way message."""
+
+    number: int
+
+
+class LinksTests(testtools.TestCase):
+    """A failure says NOT_RUN only if the message surely was not run."""
+
+    def setUp(self):
+        super().setUp()
+        self.block = self.enterContext(reserve_block())
+        self.clock = SystemClock()
+        self.links = {}
+        for number, entry_id in enumerate(("a", "b")):
+            address = Address(f"{self.block}.1.{1 + number}", 8081)
+            self.links[entry_id] = self.enterContext(
+                PeerLinks(entry_id, 7 + number, address, self.clock, random.Random(1))
+            )
+        self.connect()
+        self.links["b"].register(
+            Echo, lambda message, context: EchoReply(message.payload, context.sender)
+        )
+
+    def connect(self):
+        addresses = {name: item.address for name, item in self.links.items()}
+        for item in self.links.values():
+            item.addresses.update(addresses)
+
+    def call(self, message, sender="a", receiver="b", wait_s=WAIT_S):
+        return self.links[sender].call(receiver, message, self.clock.now() + wait_s)
+
+    def test_call_returns_the_typed_reply(self):
+        self.assertEqual(EchoReply(b"\x00x", "a"), self.call(Echo(b"\x00x")))
+
+    def test_many_calls_share_one_link(self):
+        outcomes = [
+            gevent.spawn(self.call, Echo(str(number).encode())) for number in range(200)
+        ]
+        gevent.joinall(outcomes, raise_error=True)
+        self.assertEqual(
+            [str(number).encode() for number in range(200)],
+            [item.value.payload for item in outcomes],
+        )
+        self.assertEqual(1, len(self.links["b"].channels["a"].connections))
+
+    def test_one_way_messages_arrive_in_order(self):
+        received = Queue()
+        self.links["b"].register(
+            Note, lambda message, context: received.put(message.number)
+        )
+        for number in range(50):
+            self.links["a"].send("b", Note(number))
+        numbers = [received.get(timeout=WAIT_S) for _ in range(50)]
+        self.assertEqual(list(range(50)), numbers)
+
+    def test_both_sides_may_open_at_once(self):
+        self.links["a"].register(Echo, lambda message, context: EchoReply(b"", "b"))
+        both = [
+            gevent.spawn(self.call, Echo(b"1"), "a", "b"),
+            gevent.spawn(self.call, Echo(b"2"), "b", "a"),
+        ]
+        gevent.joinall(both, raise_error=True)
+        self.assertTrue(all(item.value for item in both))
+
+    def test_unreachable_peer_is_not_run(self):
+        self.links["a"].addresses["c"] = Address(f"{self.block}.1.9", 8081)
+        failure = self.call(Echo(b""), receiver="c")
+        self.assertEqual(
+            (FailureReason.CONNECT, Ran.NOT_RUN), (failure.reason, failure.ran)
+        )
+
+    def test_unknown_message_type_is_not_run(self):
+        failure = self.call(Echo(b""), "b", "a")
+        self.assertEqual(
+            (FailureReason.REFUSED, Ran.NOT_RUN), (failure.reason, failure.ran)
+        )
+
+    def test_process_under_another_id_does_not_take_the_message(self):
+        self.links["a"].addresses["c"] = self.links["b"].address
+        failure = self.call(Echo(b""), receiver="c")
+        self.assertEqual(Ran.NOT_RUN, failure.ran)
+        self.assertNotIn("Echo", self.links["b"].counters.received)
+
+    def test_failing_handler_is_unknown(self):
+        def fail(message, context):
+            raise ValueError("broken")
+
+        self.links["b"].register(Echo, fail)
+        self.assertEqual(Ran.UNKNOWN, self.call(Echo(b"")).ran)
+
+    def test_handler_passes_a_failure_on(self):
+        refusal = Failure(FailureReason.REFUSED, Ran.NOT_RUN, "leaving")
+        self.links["b"].register(Echo, lambda message, context: refusal)
+        self.assertEqual(refusal, self.call(Echo(b"")))
+
+    def test_link_lost_while_a_call_runs_is_unknown(self):
+        started = Event()
+
+        def hang(message, context):
+            started.set()
+            gevent.sleep(WAIT_S)
+
+        self.links["b"].register(Echo, hang)
+        outcome = gevent.spawn(self.call, Echo(b""))
+        self.assertTrue(started.wait(WAIT_S))
+        self.links["b"].channels["a"].close()
+        failure = outcome.get(timeout=WAIT_S)
+        self.assertEqual(
+            (FailureReason.RESET, Ran.UNKNOWN), (failure.reason, failure.ran)
+        )
+
+    def test_call_after_a_lost_link_opens_another(self):
+        self.call(Echo(b"1"))
+        self.links["b"].channels["a"].close()
+        while self.links["a"].is_connected("b"):
+            gevent.sleep(0.01)
+        self.assertEqual(b"2", self.call(Echo(b"2")).payload)
+
+    def test_overdue_call_is_not_handled(self):
+        ran = []
+        self.links["b"].register(Echo, lambda message, context: ran.append(1))
+        self.call(Echo(b""), wait_s=0.5)
+        self.patch(
+            links_module.DelayEstimate, "observe", lambda estimate, sent, now: 99.0
+        )
+        failure = self.call(Echo(b""))
+        self.assertEqual(
+            (FailureReason.TIMEOUT, Ran.NOT_RUN), (failure.reason, failure.ran)
+        )
+        self.assertEqual(1, len(ran))
+
+    def test_oversized_message_is_not_sent(self):
+        failure = self.call(Echo(bytes(MAX_FRAME_BYTES)))
+        self.assertEqual(
+            (FailureReason.QUEUE_FULL, Ran.NOT_RUN), (failure.reason, failure.ran)
+        )
+
+    def test_traffic_is_counted_by_type(self):
+        self.call(Echo(bytes(1000)))
+        counted = self.links["b"].counters.received["Echo"]
+        self.assertEqual(1, counted.messages)
+        self.assertTrue(1000 < counted.bytes < 1100)
