--- /dev/null
+++ b/sesameplank/client/connections.py
@@ -0,0 +1,101 @@
+"""HTTP connections of the client library, one request on each at a time."""
+
+import gevent
+import msgspec
+from geventhttpclient import HTTPClient
+
+from ..exceptions import CallError
+from ..ids import CallerName
+from ..net import Address
+
+ANSWER_MARGIN_S = 0.5
+
+
+class Connections:
+    """Sends requests of one caller; keeps one idle connection to each entry.
+
+    A connection whose answer was not read whole is closed and never reused.
+    """
+
+    def __init__(self, caller: CallerName) -> None:
+        self.caller = caller
+        self.idle: dict[Address, HTTPClient] = {}
+
+    def close(self) -> None:
+        """Close every idle connection."""
+        for connection in self.idle.values():
+            connection.close()
+        self.idle.clear()
+
+    def post(
+        self,
+        address: Address,
+        path: str,
+        request: object,
+        kind: type,
+        budget_s: float,
+        headers: dict[str, str] | None = None,
+    ):
+        """Send one typed request and return the typed answer, or raise CallError."""
+        all_headers = {
+            "Content-Type": "application/json",
+            "X-Caller": self.caller,
+            **(headers or {}),
+        }
+        body = msgspec.json.encode(request)
+        payload = self.call(address, "POST", path, body, all_headers, budget_s)
+        return msgspec.json.decode(payload, type=kind)
+
+    def get(self, address: Address, path: str, kind: type, budget_s: float):
+        """Return the typed answer to a GET, or raise CallError."""
+        headers = {"X-Caller": self.caller}
+        payload = self.call(address, "GET", path, b"", headers, budget_s)
+        return msgspec.json.decode(payload, type=kind)
+
+    def call(
+        self,
+        address: Address,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str],
+        budget_s: float,
+    ) -> bytes:
+        """Send one request and return the body of a 200, or raise CallError."""
+        connection = self.idle.pop(address, None) or HTTPClient(
+            address.host, address.port, concurrency=1, network_timeout=None
+        )
+        reusable = False
+        try:
+            with gevent.Timeout(budget_s + ANSWER_MARGIN_S):
+                response = connection.request(method, path, body, headers)
+                payload = bytes(response.read())
+                reusable = len(payload) == int(response["content-length"])
+        except (gevent.Timeout, Exception) as error:
+            raise CallError(
+                f"the entry {address} gave no answer: {error!r}",
+                kind="no-answer",
+                ran="not_run"
+                if isinstance(error, ConnectionRefusedError)
+                else "unknown",
+            ) from error
+        finally:
+            if reusable:
+                self.idle[address] = connection
+            else:
+                connection.close()
+        if response.status_code != 200:
+            raise make_call_error(payload)
+        return payload
+
+
+def make_call_error(payload: bytes) -> CallError:
+    """Return the error that a problem document stands for."""
+    problem = msgspec.json.decode(payload)
+    retry_after_ms = problem.get("retry_after_ms")
+    return CallError(
+        f"{problem['detail']}; {problem['remedy']}",
+        kind=problem["type"].rpartition(":")[2],
+        ran=problem["ran"],
+        retry_after_s=None if retry_after_ms is None else retry_after_ms / 1_000,
+    )
