Connect to targets apart from sending, so that 'not run' is exact

Cause: a connect that timed out was reported as unknown, an idle connection that the target had closed was found out only after the request had gone, and a foreign answer left its connection in use. The HTTP client opened, sent and read in one call, so none of this could be told apart. Change: the pool opens its sockets itself and leaves the reading of answers to geventhttpclient's reader; nothing below the pool can send again. A raw server that closes, resets, cuts or holds its answer read each request once, on fresh and on reused connections.

--- a/sesameplank/targets/dispatch.py
+++ b/sesameplank/targets/dispatch.py
@@ -88,23 +88,28 @@
         pool = self.pools.get(target)
         if pool is None:
             return UNKNOWN_TARGET
-        payload = pool.call("GET", "/health", b"", deadline_at)
-        if isinstance(payload, Failure):
-            return payload
-        return decode_answer(payload, TargetHealth)
+        return pool.call(
+            "GET",
+            "/health",
+            b"",
+            deadline_at,
+            lambda payload: decode_answer(payload, TargetHealth),
+        )
 
     def call(self, target, path, message, answer_type, deadline_at):
         """Send one message and return the decoded answer to it, or a Failure."""
         pool = self.pools.get(target)
         if pool is None:
             return UNKNOWN_TARGET
-        payload = pool.call("POST", path, msgspec.json.encode(message), deadline_at)
-        if isinstance(payload, Failure):
-            return payload
-        answer = decode_answer(payload, answer_type)
-        if answer and answer.request_id != message.request_id:
-            return Failure(FailureReason.FOREIGN, Ran.UNKNOWN, answer.request_id)
-        return answer
+
+        def decode(payload: bytes):
+            answer = decode_answer(payload, answer_type)
+            if answer and answer.request_id != message.request_id:
+                return Failure(FailureReason.FOREIGN, Ran.UNKNOWN, answer.request_id)
+            return answer
+
+        body = msgspec.json.encode(message)
+        return pool.call("POST", path, body, deadline_at, decode)
 
 
 def decode_answer(payload: bytes, answer_type):
--- a/sesameplank/targets/pool.py
+++ b/sesameplank/targets/pool.py
@@ -1,19 +1,21 @@
 """Connections to one target; a connection never outlives an unread answer."""
 
-import errno
 from collections import deque
+from collections.abc import Callable
 from http import HTTPStatus
 
 import gevent
 from gevent.lock import BoundedSemaphore
-from geventhttpclient import HTTPClient
 
 from ..core.clock import Clock
 from ..core.outcomes import Failure, FailureReason, Ran
+from ..exceptions import TruncatedAnswerError
 from ..net import Address
+from .connection import TargetConnection
 
-JSON_HEADERS = {"Content-Type": "application/json"}
-NOT_SENT_ERRNOS = {errno.ECONNREFUSED, errno.ENETUNREACH, errno.EHOSTUNREACH}
+Decode = Callable[[bytes], object]
+CLOSED = Failure(FailureReason.CONNECT, Ran.NOT_RUN, "the pool is closed")
+OUT_OF_TIME = Failure(FailureReason.TIMEOUT, Ran.NOT_RUN, "before sending")
 
 
 class TargetPool:
@@ -30,7 +32,7 @@
         self.size = size
         self.clock = clock
         self.connect_timeout_s = connect_timeout_s
-        self.idle: deque[HTTPClient] = deque()
+        self.idle: deque[TargetConnection] = deque()
         self.permits = BoundedSemaphore(size)
         self.in_flight = 0
         self.waiting = 0
@@ -49,12 +51,19 @@
             self.idle.pop().close()
 
     def call(
-        self, method: str, path: str, body: bytes, deadline_at: float
-    ) -> bytes | Failure:
-        """Return the body of a 200 answer, or a Failure that says what is known.
-
-        `deadline_at` is in seconds of the pool's clock. A request is never sent
-        twice by this method.
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        deadline_at: float,
+        decode: Decode = bytes,
+    ) -> object:
+        """Return the decoded body of a 200 answer, or a Failure.
+
+        `deadline_at` is in seconds of the pool's clock. No request is sent
+        twice; a Failure is NOT_RUN exactly when no byte of it left this
+        process. `decode` returns the answer, or a Failure, after which the
+        connection is not used again.
         """
         self.waiting += 1
         try:
@@ -65,7 +74,10 @@
             return Failure(FailureReason.QUEUE_FULL, Ran.NOT_RUN)
         self.in_flight += 1
         try:
-            return self.call_on_connection(method, path, body, deadline_at)
+            connection = self.get_connection(deadline_at)
+            if isinstance(connection, Failure):
+                return connection
+            return self.exchange(connection, method, path, body, deadline_at, decode)
         finally:
             self.in_flight -= 1
             self.permits.release()
@@ -74,57 +86,63 @@
         """Return the seconds left until the deadline, at least 0."""
         return max(0.0, deadline_at - self.clock.now())
 
-    def call_on_connection(
-        self, method: str, path: str, body: bytes, deadline_at: float
-    ) -> bytes | Failure:
-        """Send one request on one connection and keep it only if all is read."""
-        remaining = self.get_remaining(deadline_at)
-        if remaining <= 0:
-            return Failure(FailureReason.TIMEOUT, Ran.NOT_RUN)
-        connection = self.idle.pop() if self.idle else self.make_connection()
+    def get_connection(self, deadline_at: float) -> TargetConnection | Failure:
+        """Return an idle connection that is still good, or open one."""
+        while self.idle:
+            connection = self.idle.pop()
+            if connection.is_fresh():
+                return connection
+            connection.close()
+        if self.closed:
+            return CLOSED
+        timeout_s = min(self.connect_timeout_s, self.get_remaining(deadline_at))
+        if timeout_s <= 0:
+            return OUT_OF_TIME
+        try:
+            return TargetConnection(self.address, timeout_s)
+        except OSError as error:
+            return Failure(FailureReason.CONNECT, Ran.NOT_RUN, str(error))
+
+    def exchange(
+        self,
+        connection: TargetConnection,
+        method: str,
+        path: str,
+        body: bytes,
+        deadline_at: float,
+        decode: Decode,
+    ) -> object:
+        """Send one request and read its answer; keep the connection if all is well."""
         reusable = False
+        remaining = self.get_remaining(deadline_at)
         try:
+            if remaining <= 0:
+                reusable = True
+                return OUT_OF_TIME
             with gevent.Timeout(remaining):
-                response = connection.request(method, path, body, JSON_HEADERS)
-                payload = bytes(response.read())
-            reusable = is_whole(response, payload)
+                connection.send(method, path, body)
+                status, payload, keep = connection.read()
+            if status != HTTPStatus.OK:
+                reusable = keep
+                return Failure(FailureReason.REFUSED, Ran.UNKNOWN, f"status {status}")
+            answer = decode(payload)
+            reusable = keep and not isinstance(answer, Failure)
+            return answer
         except gevent.Timeout:
-            return Failure(FailureReason.TIMEOUT, Ran.UNKNOWN)
+            return Failure(FailureReason.TIMEOUT, get_ran(connection))
+        except TruncatedAnswerError as error:
+            return Failure(FailureReason.TRUNCATED, Ran.UNKNOWN, str(error))
         except OSError as error:
-            return explain_os_error(error)
+            return Failure(FailureReason.RESET, get_ran(connection), str(error))
         except Exception as error:  # The HTTP library raises kinds of its own.
-            return Failure(FailureReason.BAD_ANSWER, Ran.UNKNOWN, repr(error))
+            return Failure(FailureReason.BAD_ANSWER, get_ran(connection), repr(error))
         finally:
             if reusable and not self.closed:
                 self.idle.append(connection)
             else:
                 connection.close()
-        if not reusable:
-            return Failure(FailureReason.TRUNCATED, Ran.UNKNOWN)
-        if response.status_code != HTTPStatus.OK:
-            detail = f"status {response.status_code}"
-            return Failure(FailureReason.REFUSED, Ran.UNKNOWN, detail)
-        return payload
-
-    def make_connection(self) -> HTTPClient:
-        """Return a client of one connection, which opens on its first request."""
-        return HTTPClient(
-            self.address.host,
-            self.address.port,
-            concurrency=1,
-            connection_timeout=self.connect_timeout_s,
-            network_timeout=None,
-        )
-
-
-def is_whole(response, payload: bytes) -> bool:
-    """Tell whether the answer has its stated length."""
-    length = response.get("content-length")
-    return length is not None and int(length) == len(payload)
-
-
-def explain_os_error(error: OSError) -> Failure:
-    """Return the failure that a socket error stands for."""
-    if error.errno in NOT_SENT_ERRNOS:
-        return Failure(FailureReason.CONNECT, Ran.NOT_RUN, str(error))
-    return Failure(FailureReason.RESET, Ran.UNKNOWN, str(error))
+
+
+def get_ran(connection: TargetConnection) -> Ran:
+    """Return what is known of a request that brought no answer."""
+    return Ran.UNKNOWN if connection.sent else Ran.NOT_RUN
--- /dev/null
+++ b/tests/targets/test_pool.py
@@ -0,0 +1,227 @@
+"""Tests of connections to targets, against a raw socket server."""
+
+import contextlib
+import socket
+import struct
+from enum import Enum
+
+import gevent
+import testtools
+from gevent.event import Event
+from gevent.server import StreamServer
+
+from sesameplank.core.clock import SystemClock
+from sesameplank.core.outcomes import Failure, FailureReason, Ran
+from sesameplank.net import Address
+from sesameplank.targets import TargetPool
+
+LONG_S = 60.0
+SHORT_S = 0.2
+ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+CLOSING = b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok"
+
+
+class Act(Enum):
+    """What the server does with a request that it has read."""
+
+    ANSWER = "answer"
+    ANSWER_CLOSING = "answer_closing"
+    CLOSE = "close"
+    RESET = "reset"
+    CUT_HEAD = "cut_head"
+    CUT_BODY = "cut_body"
+    NEVER = "never"
+    REFUSE = "refuse"
+    TWICE = "twice"
+
+
+PIECES = {
+    Act.ANSWER: ANSWER,
+    Act.ANSWER_CLOSING: CLOSING,
+    Act.CUT_HEAD: ANSWER[:20],
+    Act.CUT_BODY: ANSWER[:-1],
+    Act.REFUSE: b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+    Act.TWICE: ANSWER + ANSWER,
+}
+
+
+class ScriptedServer:
+    """Counts the requests that it reads and treats each as scripted."""
+
+    def __init__(self, acts):
+        self.acts = list(acts)
+        self.requests = 0
+        self.connections = 0
+        self.ended = Event()
+        self.server = StreamServer(("127.0.0.1", 0), self.handle)
+
+    def __enter__(self):
+        self.server.start()
+        return self
+
+    def __exit__(self, *exc_info):
+        self.server.stop(timeout=0.1)
+
+    @property
+    def address(self):
+        return Address("127.0.0.1", self.server.server_port)
+
+    def handle(self, sock, address):
+        self.connections += 1
+        with contextlib.suppress(OSError):
+            while self.read_request(sock):
+                act = self.acts[self.requests]
+                self.requests += 1
+                sock.sendall(PIECES.get(act, b""))
+                if act is Act.NEVER:
+                    continue
+                if act is Act.RESET:
+                    linger = struct.pack("ii", 1, 0)
+                    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                if act not in (Act.ANSWER, Act.TWICE, Act.REFUSE):
+                    break
+        sock.close()
+        self.ended.set()
+
+    def read_request(self, sock):
+        """Return the head and body of one request, empty at the end."""
+        data = b""
+        while b"\r\n\r\n" not in data:
+            chunk = sock.recv(65_536)
+            if not chunk:
+                return b""
+            data += chunk
+        return data
+
+
+class PoolTests(testtools.TestCase):
+    """A request leaves at most once, and NOT_RUN means that it did not leave."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = SystemClock()
+
+    def open_pool(self, address, size=1):
+        return self.enterContext(TargetPool(address, size, self.clock))
+
+    def call(self, pool, budget_s=LONG_S, decode=bytes):
+        deadline_at = self.clock.now() + budget_s
+        return pool.call("POST", "/book", b"{}", deadline_at, decode)
+
+    def test_broken_exchange_is_unknown_and_never_sent_again(self):
+        table = [
+            (Act.CLOSE, None, LONG_S),
+            (Act.RESET, None, LONG_S),
+            (Act.CUT_HEAD, None, LONG_S),
+            (Act.CUT_BODY, None, LONG_S),
+            (Act.NEVER, FailureReason.TIMEOUT, SHORT_S),
+            (Act.REFUSE, FailureReason.REFUSED, LONG_S),
+        ]
+        for act, reason, budget_s in table:
+            for earlier in (0, 1):
+                acts = [Act.ANSWER] * earlier + [act, Act.ANSWER]
+                server = self.enterContext(ScriptedServer(acts))
+                pool = self.open_pool(server.address)
+                for _ in range(earlier):
+                    self.assertEqual(b"ok", self.call(pool))
+                outcome = self.call(pool, budget_s)
+                self.assertIs(Ran.UNKNOWN, outcome.ran, f"{act} {outcome}")
+                if reason:
+                    self.assertIs(reason, outcome.reason)
+                self.assertEqual(earlier + 1, server.requests, act)
+                self.assertEqual(b"ok", self.call(pool))
+
+    def test_refused_connection_is_not_run(self):
+        with ScriptedServer([]) as server:
+            address = server.address
+        outcome = self.call(self.open_pool(address))
+        self.assertEqual(
+            (FailureReason.CONNECT, Ran.NOT_RUN), (outcome.reason, outcome.ran)
+        )
+
+    def test_connection_that_never_opens_is_not_run(self):
+        full = socket.socket()
+        self.addCleanup(full.close)
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        waiting = [socket.socket() for _ in range(4)]
+        for sock in waiting:
+            self.addCleanup(sock.close)
+            sock.setblocking(False)
+            sock.connect_ex(full.getsockname())
+        pool = self.open_pool(Address(*full.getsockname()))
+        outcome = self.call(pool, SHORT_S)
+        self.assertIs(Ran.NOT_RUN, outcome.ran)
+
+    def test_passed_deadline_is_not_run(self):
+        server = self.enterContext(ScriptedServer([Act.ANSWER]))
+        pool = self.open_pool(server.address)
+        self.assertEqual(b"ok", self.call(pool))
+        outcome = self.call(pool, 0.0)
+        self.assertIs(Ran.NOT_RUN, outcome.ran)
+        self.assertEqual(1, server.requests)
+
+    def test_connection_that_target_closed_while_idle_is_not_used(self):
+        server = self.enterContext(ScriptedServer([Act.ANSWER, Act.ANSWER]))
+        pool = self.open_pool(server.address)
+        self.assertEqual(b"ok", self.call(pool))
+        pool.idle[0].sock.shutdown(socket.SHUT_WR)
+        server.ended.wait(LONG_S)
+        self.assertEqual(b"ok", self.call(pool))
+        self.assertEqual(2, server.connections)
+
+    def test_connection_that_the_answer_closes_is_not_kept(self):
+        server = self.enterContext(ScriptedServer([Act.ANSWER_CLOSING]))
+        pool = self.open_pool(server.address)
+        self.assertEqual(b"ok", self.call(pool))
+        self.assertEqual(0, len(pool.idle))
+
+    def test_surplus_answer_is_never_taken_for_the_next(self):
+        server = self.enterContext(ScriptedServer([Act.TWICE, Act.CLOSE]))
+        pool = self.open_pool(server.address)
+        self.call(pool)
+        self.assertIs(Ran.UNKNOWN, self.call(pool).ran)
+        self.assertEqual(2, server.requests)
+
+    def test_late_answer_closes_its_connection(self):
+        server = self.enterContext(ScriptedServer([Act.NEVER, Act.ANSWER]))
+        pool = self.open_pool(server.address)
+        self.assertIs(FailureReason.TIMEOUT, self.call(pool, SHORT_S).reason)
+        self.assertEqual(0, len(pool.idle))
+
+    def test_killed_call_closes_its_connection_and_frees_its_permit(self):
+        server = self.enterContext(ScriptedServer([Act.NEVER, Act.ANSWER]))
+        pool = self.open_pool(server.address)
+        call = gevent.spawn(self.call, pool)
+        while server.requests < 1:
+            gevent.sleep(0.01)
+        call.kill()
+        self.assertTrue(server.ended.wait(LONG_S))
+        self.assertEqual(b"ok", self.call(pool))
+        self.assertEqual(2, server.connections)
+
+    def test_answer_that_cannot_be_decoded_closes_its_connection(self):
+        server = self.enterContext(ScriptedServer([Act.ANSWER]))
+        pool = self.open_pool(server.address)
+        foreign = Failure(FailureReason.FOREIGN, Ran.UNKNOWN)
+        self.assertEqual(foreign, self.call(pool, decode=lambda payload: foreign))
+        self.assertEqual(0, len(pool.idle))
+
+    def test_full_pool_is_not_run(self):
+        server = self.enterContext(ScriptedServer([Act.NEVER]))
+        pool = self.open_pool(server.address)
+        call = gevent.spawn(self.call, pool)
+        self.addCleanup(call.kill)
+        while server.requests < 1:
+            gevent.sleep(0.01)
+        outcome = self.call(pool, SHORT_S)
+        self.assertEqual(
+            (FailureReason.QUEUE_FULL, Ran.NOT_RUN), (outcome.reason, outcome.ran)
+        )
+
+    def test_closed_pool_opens_no_connection(self):
+        server = self.enterContext(ScriptedServer([]))
+        pool = self.open_pool(server.address)
+        pool.close()
+        self.assertIs(Ran.NOT_RUN, self.call(pool).ran)
+        self.assertEqual(0, server.connections)
