Bound connections, headers, bodies and time towards callers

Cause: headers could hold 6.5 MB a connection, a slow sender kept its connection for ever, a short body was answered as a fault of the entry with 'unknown', chunked bodies were not read, and every refusal closed a pipelined connection.

--- a/sesameplank/callers/app.py
+++ b/sesameplank/callers/app.py
@@ -1,7 +1,6 @@
 """The WSGI application that callers talk to."""
 
 import itertools
-import math
 from collections.abc import Callable, Iterable
 
 import msgspec
@@ -13,10 +12,9 @@
 from ..ids import CallerName, EntryId, IdempotencyKey, RequestId
 from ..logs import log_event
 from .bodies import read_body
-from .problems import STATUSES, ProblemKind, Refusal
+from .problems import PROBLEM_JSON, STATUSES, ProblemKind, Refusal
 
 JSON = "application/json"
-PROBLEM_JSON = "application/problem+json"
 MAX_REQUEST_ID_LENGTH = 100
 MAX_KEY_LENGTH = 200
 
@@ -62,32 +60,21 @@
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Answer one HTTP request."""
-        request_id = self.get_request_id(environ)
+        arrived_at = self.clock.now()
+        given = environ.get("HTTP_X_REQUEST_ID", "")
+        usable = is_token(given, MAX_REQUEST_ID_LENGTH)
+        request_id = RequestId(given) if usable else self.make_request_id()
+        headers = []
         try:
-            status, content_type, body = self.route(environ, request_id)
-            headers = []
+            if given and not usable:
+                raise make_request_id_refusal(given)
+            status, content_type, body = self.route(environ, request_id, arrived_at)
         except Refusal as refusal:
-            status = STATUSES[refusal.kind]
-            content_type = PROBLEM_JSON
-            body = msgspec.json.encode(refusal.make_problem(request_id))
-            headers = get_retry_header(refusal)
-            if environ.get("wsgi.input") is not None and refusal.kind in (
-                ProblemKind.TOO_LARGE,
-                ProblemKind.BAD_REQUEST,
-            ):
-                headers.append(("Connection", "close"))
+            status, content_type, body = make_refused(refusal, request_id)
+            headers = get_refusal_headers(refusal)
         except Exception as error:  # A fault of ours must still be answered.
             log_event("internal_error", request_id=request_id, error=repr(error))
-            refusal = Refusal(
-                ProblemKind.INTERNAL,
-                "the entry failed on this request",
-                "report the request id to the operators",
-                ran=Ran.UNKNOWN,
-            )
-            status = STATUSES[refusal.kind]
-            content_type = PROBLEM_JSON
-            body = msgspec.json.encode(refusal.make_problem(request_id))
-            headers = []
+            status, content_type, body = make_refused(make_internal(), request_id)
         headers += [
             ("Content-Type", content_type),
             ("Content-Length", str(len(body))),
@@ -96,25 +83,24 @@
         start_response(status, headers)
         return [body]
 
-    def get_request_id(self, environ: dict) -> RequestId:
-        """Return the caller's request id, or a new one."""
-        given = environ.get("HTTP_X_REQUEST_ID", "")
-        if given and len(given) <= MAX_REQUEST_ID_LENGTH and given.isprintable():
-            return RequestId(given)
+    def make_request_id(self) -> RequestId:
+        """Return a request id that is unique to this process."""
         return RequestId(f"{self.entry_id}-{next(self.counter)}")
 
-    def route(self, environ: dict, request_id: RequestId) -> tuple[str, str, bytes]:
+    def route(
+        self, environ: dict, request_id: RequestId, arrived_at: float
+    ) -> tuple[str, str, bytes]:
         """Return status, content type and body, or raise Refusal."""
         path = environ["PATH_INFO"]
         method = environ["REQUEST_METHOD"]
         if method == "POST" and path == "/v1/search":
             request = read_body(environ, SearchRequest)
-            call = self.make_call(environ, request_id, request.deadline_ms)
+            call = self.make_call(environ, request_id, request.deadline_ms, arrived_at)
             return make_ok(self.search(call, request))
         if method == "POST" and path == "/v1/bookings":
             key = get_idempotency_key(environ)
             booking = read_body(environ, BookingRequest)
-            call = self.make_call(environ, request_id, booking.deadline_ms)
+            call = self.make_call(environ, request_id, booking.deadline_ms, arrived_at)
             return make_ok(self.book(call, key, booking))
         if method == "GET" and path in self.pages:
             return make_ok(self.pages[path](environ))
@@ -125,9 +111,16 @@
         )
 
     def make_call(
-        self, environ: dict, request_id: RequestId, deadline_ms: int | None
+        self,
+        environ: dict,
+        request_id: RequestId,
+        deadline_ms: int | None,
+        arrived_at: float,
     ) -> CallerRequest:
-        """Pin the configuration, name the caller and fix the deadline."""
+        """Pin the configuration, name the caller and fix the deadline.
+
+        The deadline counts from the arrival of the headers.
+        """
         pinned = self.store.current
         if pinned is None:
             raise Refusal(
@@ -147,28 +140,69 @@
         budget_ms = min(
             deadline_ms or policy.default_deadline_ms, policy.max_deadline_ms
         )
-        deadline_at = self.clock.now() + budget_ms / 1_000
+        deadline_at = arrived_at + budget_ms / 1_000
+        if self.clock.now() >= deadline_at:
+            raise Refusal(
+                ProblemKind.DEADLINE_EXPIRED,
+                f"the deadline of {budget_ms} ms passed before the body had arrived",
+                "send the whole request at once, or allow a longer deadline_ms",
+            )
         return CallerRequest(request_id, caller, pinned, deadline_at)
 
 
+def is_token(text: str, max_length: int) -> bool:
+    """Tell whether a header's value is printable ASCII of 1 to `max_length`."""
+    return 0 < len(text) <= max_length and text.isascii() and text.isprintable()
+
+
+def make_request_id_refusal(given: str) -> Refusal:
+    """Return the refusal of an unusable X-Request-Id header."""
+    return Refusal(
+        ProblemKind.BAD_REQUEST,
+        f"the X-Request-Id header has {len(given)} characters or unprintable ones; "
+        f"1 to {MAX_REQUEST_ID_LENGTH} printable ASCII characters are allowed",
+        "send a shorter plain id, or none",
+    )
+
+
 def get_idempotency_key(environ: dict) -> IdempotencyKey:
     """Return the Idempotency-Key header, or raise Refusal."""
     key = environ.get("HTTP_IDEMPOTENCY_KEY", "")
-    if not key or len(key) > MAX_KEY_LENGTH or not key.isprintable():
+    if not is_token(key, MAX_KEY_LENGTH):
         raise Refusal(
             ProblemKind.BAD_REQUEST,
-            f"the Idempotency-Key header has {len(key)} usable characters, "
-            f"not 1 to {MAX_KEY_LENGTH}",
+            f"the Idempotency-Key header is not 1 to {MAX_KEY_LENGTH} printable "
+            "ASCII characters",
             "send a key that is unique to the booking and the same on its retries",
         )
     return IdempotencyKey(key)
 
 
-def get_retry_header(refusal: Refusal) -> list[tuple[str, str]]:
-    """Return a Retry-After header in whole seconds where it helps."""
-    if refusal.retry_after_ms is None:
-        return []
-    return [("Retry-After", str(max(1, math.ceil(refusal.retry_after_ms / 1_000))))]
+def get_refusal_headers(refusal: Refusal) -> list[tuple[str, str]]:
+    """Return the headers that tell a caller when and where to come back."""
+    headers = []
+    if refusal.retry_after_s is not None:
+        headers.append(("Retry-After", str(refusal.retry_after_s)))
+    if refusal.ends_connection:
+        headers.append(("Connection", "close"))
+    return headers
+
+
+def make_internal() -> Refusal:
+    """Return the refusal of a request on which this process failed."""
+    return Refusal(
+        ProblemKind.INTERNAL,
+        "the entry failed on this request",
+        "report the request id to the operators",
+        ran=Ran.UNKNOWN,
+        ends_connection=True,
+    )
+
+
+def make_refused(refusal: Refusal, request_id: RequestId) -> tuple[str, str, bytes]:
+    """Return status, content type and body of a refusal."""
+    body = msgspec.json.encode(refusal.make_problem(request_id))
+    return STATUSES[refusal.kind], PROBLEM_JSON, body
 
 
 def make_ok(answer: object) -> tuple[str, str, bytes]:
--- a/sesameplank/callers/bodies.py
+++ b/sesameplank/callers/bodies.py
@@ -14,7 +14,7 @@
     payload = read_payload(environ)
     try:
         return msgspec.json.decode(payload, type=kind)
-    except msgspec.DecodeError as error:
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
         raise Refusal(
             ProblemKind.BAD_REQUEST,
             f"the body is refused: {error}",
@@ -24,25 +24,51 @@
 
 def read_payload(environ: dict) -> bytes:
     """Return the raw body, or raise Refusal when it is too large or too slow."""
+    chunked = environ.get("HTTP_TRANSFER_ENCODING", "").lower() == "chunked"
+    length = MAX_BODY_BYTES + 1 if chunked else get_length(environ)
+    payload = None
+    try:
+        with gevent.Timeout(BODY_TIMEOUT_S, False):
+            payload = environ["wsgi.input"].read(length)
+    except OSError as error:
+        raise Refusal(
+            ProblemKind.BAD_REQUEST,
+            f"the body ended early or its chunks are malformed: {error}",
+            "send as many bytes as Content-Length states, or whole chunks",
+            ends_connection=True,
+        ) from error
+    if payload is None:
+        raise Refusal(
+            ProblemKind.REQUEST_TIMEOUT,
+            f"the body did not arrive whole within {BODY_TIMEOUT_S:.0f} s",
+            "send the whole body at once",
+            ends_connection=True,
+        )
+    if len(payload) > MAX_BODY_BYTES:
+        raise make_too_large(f"over {MAX_BODY_BYTES}")
+    return payload
+
+
+def get_length(environ: dict) -> int:
+    """Return the stated length of the body in bytes, or raise Refusal."""
     length = environ.get("CONTENT_LENGTH") or ""
-    if not length.isdigit():
+    if not (length.isascii() and length.isdigit()):
         raise Refusal(
             ProblemKind.BAD_REQUEST,
             "the Content-Length header is missing or not a number",
             "send the body's length in bytes",
+            ends_connection=True,
         )
     if int(length) > MAX_BODY_BYTES:
-        raise Refusal(
-            ProblemKind.TOO_LARGE,
-            f"the body has {length} bytes, over the limit of {MAX_BODY_BYTES}",
-            "send a smaller request",
-        )
-    with gevent.Timeout(BODY_TIMEOUT_S, False):
-        payload = environ["wsgi.input"].read(int(length))
-        if len(payload) == int(length):
-            return payload
-    raise Refusal(
-        ProblemKind.BAD_REQUEST,
-        f"the body did not arrive whole within {BODY_TIMEOUT_S:.0f} s",
-        "send the whole body at once",
+        raise make_too_large(length)
+    return int(length)
+
+
+def make_too_large(length: str) -> Refusal:
+    """Return the refusal of a body over the limit."""
+    return Refusal(
+        ProblemKind.TOO_LARGE,
+        f"the body has {length} bytes; the limit is {MAX_BODY_BYTES}",
+        "send a smaller request",
+        ends_connection=True,
     )
--- a/sesameplank/callers/problems.py
+++ b/sesameplank/callers/problems.py
@@ -1,11 +1,14 @@
 """Problem details (RFC 9457) with a typed kind and whether the request ran."""
 
+import math
 from enum import Enum
 
 import msgspec
 
 from ..core.outcomes import Ran
 
+PROBLEM_JSON = "application/problem+json"
+
 
 class ProblemKind(Enum):
     """The kinds of refusal; the value ends the problem's type URI."""
@@ -15,6 +18,9 @@
     UNKNOWN_COLLECTION = "unknown-collection"
     NOT_FOUND = "not-found"
     TOO_LARGE = "too-large"
+    HEADERS_TOO_LARGE = "headers-too-large"
+    REQUEST_TIMEOUT = "request-timeout"
+    DEADLINE_EXPIRED = "deadline-expired"
     NOT_READY = "not-ready"
     OVERLOADED = "overloaded"
     LEAVING = "leaving"
@@ -32,6 +38,9 @@
     ProblemKind.UNKNOWN_COLLECTION: "404 Not Found",
     ProblemKind.NOT_FOUND: "404 Not Found",
     ProblemKind.TOO_LARGE: "413 Content Too Large",
+    ProblemKind.HEADERS_TOO_LARGE: "431 Request Header Fields Too Large",
+    ProblemKind.REQUEST_TIMEOUT: "408 Request Timeout",
+    ProblemKind.DEADLINE_EXPIRED: "504 Gateway Timeout",
     ProblemKind.NOT_READY: "503 Service Unavailable",
     ProblemKind.OVERLOADED: "503 Service Unavailable",
     ProblemKind.LEAVING: "503 Service Unavailable",
@@ -60,7 +69,8 @@
 class Refusal(Exception):  # noqa: N818 - it is an answer to a caller, not a fault.
     """Raised to answer a caller with a problem.
 
-    `ran` is NOT_RUN only when no target can have run the request.
+    `ran` is NOT_RUN only when no target can have run the request. With
+    `ends_connection` the rest of the connection's bytes cannot be trusted.
     """
 
     def __init__(
@@ -71,6 +81,7 @@
         *,
         ran: Ran = Ran.NOT_RUN,
         retry_after_ms: int | None = None,
+        ends_connection: bool = False,
     ) -> None:
         super().__init__(detail)
         self.kind = kind
@@ -78,6 +89,14 @@
         self.remedy = remedy
         self.ran = ran
         self.retry_after_ms = retry_after_ms
+        self.ends_connection = ends_connection
+
+    @property
+    def retry_after_s(self) -> int | None:
+        """The time to come back in whole seconds, at least 1, or None."""
+        if self.retry_after_ms is None:
+            return None
+        return max(1, math.ceil(self.retry_after_ms / 1_000))
 
     def make_problem(self, request_id: str) -> Problem:
         """Return the problem document of the refusal."""
--- a/sesameplank/commands/entry.py
+++ b/sesameplank/commands/entry.py
@@ -23,6 +23,7 @@
         Setting("platform_address", "127.0.0.1:7000", "IP:PORT of the platform."),
         Setting("health_interval_s", 1.0, "Seconds between polls of a target."),
         Setting("address_ttl_s", 5.0, "Seconds for which callers keep addresses."),
+        Setting("max_caller_connections", 1_000, "Connections of callers at a time."),
         Setting("seed", 0, "Seed of random choices; 0 draws one."),
     )
 
@@ -37,6 +38,7 @@
             health_interval_s=values["health_interval_s"],
             address_ttl_s=values["address_ttl_s"],
             seed=values["seed"],
+            max_caller_connections=values["max_caller_connections"],
         )
         with Entry(settings) as entry:
             for number in (signal.SIGTERM, signal.SIGINT):
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -12,6 +12,7 @@
 from .callers import CallersApp
 from .callers.app import CallerRequest
 from .callers.problems import ProblemKind, Refusal
+from .callers.server import CallersServer
 from .conf import PublishedVms, VmState
 from .core.addresses import AddressAnswer, choose_addresses
 from .core.choice import RandomReplicaChooser
@@ -23,7 +24,7 @@
 from .core.versions import AcceptedConfiguration, ConfigurationStore
 from .ids import DataCentre, EntryId
 from .logs import log_event
-from .net import Address, make_server
+from .net import Address
 from .platform import PlatformReader
 from .platform.watch import ConfigurationWatch, VmWatch
 from .queries import QueryRunner
@@ -44,6 +45,7 @@
     health_interval_s: float
     address_ttl_s: float
     seed: int
+    max_caller_connections: int = 1_000
 
 
 class Entry:
@@ -76,7 +78,11 @@
     def __enter__(self) -> "Entry":
         with contextlib.ExitStack() as stack:
             stack.enter_context(self.dispatcher)
-            server = make_server(self.settings.address, self.make_app())
+            server = CallersServer(
+                self.settings.address,
+                self.make_app(),
+                self.settings.max_caller_connections,
+            )
             server.start()
             stack.callback(server.stop)
             stack.callback(lambda: gevent.killall(self.greenlets))
