Choose by cost, hedge within a budget, eject lastingly bad targets

Cause: first attempts went to a random replica, nothing was hedged, and a slow or dead target kept its share of the work. Change: latency by number of shards, a scoreboard of calls in flight and slowness, choice by expected cost, hedges at a quantile within a budget of the whole process, ejection with a floor, probes and a ramp.

--- a/sesameplank/conf/documents.py
+++ b/sesameplank/conf/documents.py
@@ -23,6 +23,8 @@
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=100)]
 Fraction = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+Quantile = Annotated[float, msgspec.Meta(gt=0.0, lt=1.0)]
+ExtraLoad = Annotated[float, msgspec.Meta(ge=0.0, le=0.5)]
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 
 
@@ -110,9 +112,10 @@
 
     default_deadline_ms: Positive = 1_000
     max_deadline_ms: Positive = 10_000
-    hedge_quantile: Fraction = 0.95
-    hedge_budget: Fraction = 0.04
-    retry_budget: Fraction = 0.1
+    hedge_quantile: Quantile = 0.99
+    hedge_budget: ExtraLoad = 0.04
+    retry_budget: ExtraLoad = 0.1
+    max_ejected: Fraction = 0.3
 
 
 class Configuration(Document, frozen=True):
--- a/sesameplank/core/choice.py
+++ b/sesameplank/core/choice.py
@@ -5,6 +5,9 @@
 from collections.abc import Sequence
 
 from ..ids import TargetId
+from .clock import Clock
+from .ejection import Ejector
+from .scoreboard import Scoreboard
 
 
 class ReplicaChooser(ABC):
@@ -20,6 +23,10 @@
         target, so that shards for one target can travel together.
         """
 
+    def is_usable(self, target: TargetId) -> bool:
+        """Tell whether a second copy of a read should be sent to the target."""
+        return True
+
 
 class FirstReplicaChooser(ReplicaChooser):
     """Always takes the first replica, as the naive version does."""
@@ -43,3 +50,61 @@
         """Return a candidate that the query already calls, else a random one."""
         joined = [target for target in candidates if target in already_chosen]
         return self.rng.choice(joined or list(candidates))
+
+
+class LeastCostChooser(ReplicaChooser):
+    """Takes the replica whose next call is expected to end first.
+
+    The expectation comes from this process's own calls in flight and their
+    latency. Ejected targets are taken only when every candidate is ejected, and
+    a target that ramps up is weighed in only as often as its weight says. A
+    call that the query already makes to a candidate is joined, since shards of
+    one target travel together and each further call costs processor time.
+    """
+
+    def __init__(
+        self,
+        scoreboard: Scoreboard,
+        ejector: Ejector,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.scoreboard = scoreboard
+        self.ejector = ejector
+        self.clock = clock
+        self.rng = rng
+
+    def choose_replica(
+        self, candidates: Sequence[TargetId], already_chosen: dict[TargetId, int]
+    ) -> TargetId:
+        """Return the joined or cheapest candidate, ties at random."""
+        if len(candidates) == 1:
+            return candidates[0]
+        for target in candidates:
+            if target in already_chosen and not self.ejector.contains(target):
+                return target
+        now = self.clock.now()
+        costs = [
+            (self.scoreboard.get(item).get_cost(now), self.rng.random(), item)
+            for item in self.get_usable(candidates, now)
+        ]
+        return min(costs)[-1]
+
+    def is_usable(self, target: TargetId) -> bool:
+        """Tell whether the target serves; hedges to an ejected one are wasted."""
+        return not self.ejector.contains(target)
+
+    def get_usable(
+        self, candidates: Sequence[TargetId], now: float
+    ) -> Sequence[TargetId]:
+        """Return the candidates that serve and are due for work, else all."""
+        serving = [item for item in candidates if not self.ejector.contains(item)]
+        if len(serving) < 2:
+            return serving or candidates
+        warm = [
+            item
+            for item in serving
+            if (weight := self.scoreboard.get(item).get_weight(now)) >= 1.0
+            or self.rng.random() < weight
+        ]
+        return warm or serving
--- /dev/null
+++ b/sesameplank/core/counters.py
@@ -0,0 +1,73 @@
+"""Counts of what the policies decided, by reason."""
+
+from collections import defaultdict
+from enum import Enum
+
+import msgspec
+
+from .coverage import MissingReason
+
+
+class HedgeResult(Enum):
+    """What became of a hedge that was due."""
+
+    SENT = "sent"
+    WON = "won"
+    BUDGET = "refused_by_budget"
+
+
+class RetryResult(Enum):
+    """What became of a retry, by what it answers to."""
+
+    UNREACHABLE = "after_unreachable"
+    DEADLINE = "after_timeout"
+    OVERLOADED = "after_shed"
+    NOT_OWNED = "after_not_owned"
+    SNAPSHOT_GONE = "after_snapshot_gone"
+    RETRY_BUDGET = "after_budget_pause"
+    BUDGET = "refused_by_budget"
+
+
+class EjectionReason(Enum):
+    """Why a target was ejected, or kept in spite of its record."""
+
+    SLOW = "slow"
+    FAILING = "failing"
+    KEPT_BY_FLOOR = "kept_by_floor"
+    KEPT_LAST_REPLICA = "kept_last_replica"
+
+
+class ProbeResult(Enum):
+    """What a probe of an ejected target showed."""
+
+    GOOD = "good"
+    SLOW = "slow"
+    FAILED = "failed"
+
+
+class RefusalReason(Enum):
+    """Why a request was refused before it was planned."""
+
+    LIMIT = "concurrency_limit"
+    SHARE = "share_of_its_class"
+    DEADLINE = "deadline_too_short"
+
+
+def make_counts() -> defaultdict:
+    """Return counts that start at 0."""
+    return defaultdict(int)
+
+
+class PolicyCounters(msgspec.Struct):
+    """Counts since the process started; budgets and floors count as well."""
+
+    hedges: dict[HedgeResult, int] = msgspec.field(default_factory=make_counts)
+    retries: dict[RetryResult, int] = msgspec.field(default_factory=make_counts)
+    ejections: dict[EjectionReason, int] = msgspec.field(default_factory=make_counts)
+    probes: dict[ProbeResult, int] = msgspec.field(default_factory=make_counts)
+    returns: int = 0
+    admitted: int = 0
+    refusals: dict[RefusalReason, int] = msgspec.field(default_factory=make_counts)
+    missing: dict[MissingReason, int] = msgspec.field(default_factory=make_counts)
+    first_shards: int = 0
+    extra_shards: int = 0
--- a/sesameplank/core/coverage.py
+++ b/sesameplank/core/coverage.py
@@ -15,6 +15,7 @@
     OVERLOADED = "overloaded"
     NOT_OWNED = "not_owned"
     SNAPSHOT_GONE = "snapshot_gone"
+    RETRY_BUDGET = "retry_budget"
 
 
 class MissingRange(msgspec.Struct, frozen=True):
--- a/sesameplank/core/hedging.py
+++ b/sesameplank/core/hedging.py
@@ -3,9 +3,16 @@
 from abc import ABC, abstractmethod
 from typing import TYPE_CHECKING
 
+from .budgets import TokenBudget
+from .counters import HedgeResult, PolicyCounters, RetryResult
+from .coverage import MissingReason
+from .latency import LatencyBook
+
 if TYPE_CHECKING:
     from .query import Attempt
 
+MIN_HEDGE_DELAY_S = 0.002
+
 
 class HedgePolicy(ABC):
     """Decides on hedges and retries; the extension point for other policies."""
@@ -15,13 +22,21 @@
         """Return when the attempt should be hedged, in seconds, or None."""
 
     @abstractmethod
-    def take_hedge(self) -> bool:
-        """Take one hedge of one shard from the budget, or return False."""
+    def take_hedge(self, shards: int) -> bool:
+        """Take hedges of so many shards from the budget, or return False."""
 
     @abstractmethod
-    def take_retry(self) -> bool:
+    def take_retry(self, reason: MissingReason) -> bool:
         """Take one retry of one shard from the budget, or return False."""
 
+    def note_first(self, shards: int) -> None:
+        """Count shards that were asked for the first time; they earn budget."""
+        return
+
+    def note_hedge_won(self) -> None:
+        """Count a hedge whose answer came before the first attempt's."""
+        return
+
 
 class NoHedges(HedgePolicy):
     """Never hedges; retries without limit."""
@@ -30,10 +45,69 @@
         """Return None: no attempt is hedged."""
         return None
 
-    def take_hedge(self) -> bool:
+    def take_hedge(self, shards: int) -> bool:
         """Return False: there is no budget."""
         return False
 
-    def take_retry(self) -> bool:
+    def take_retry(self, reason: MissingReason) -> bool:
         """Return True: every retry is allowed."""
         return True
+
+
+class AdaptiveHedges(HedgePolicy):
+    """Hedges at a quantile of recent calls of the same size, within budgets.
+
+    The quantile is taken over all targets of the collection, so a slow target
+    does not raise its own bar. The budgets are shared by the whole process.
+    """
+
+    def __init__(
+        self,
+        quantile: float,
+        latencies: LatencyBook,
+        hedge_budget: TokenBudget,
+        retry_budget: TokenBudget,
+        counters: PolicyCounters,
+    ) -> None:
+        self.quantile = quantile
+        self.latencies = latencies
+        self.hedge_budget = hedge_budget
+        self.retry_budget = retry_budget
+        self.counters = counters
+
+    def get_hedge_time(self, attempt: "Attempt") -> float | None:
+        """Return the send time plus the quantile, or None if little is known."""
+        delay_s = self.latencies.get_quantile(
+            attempt.collection, len(attempt.shards), self.quantile
+        )
+        if delay_s is None or self.hedge_budget.fraction <= 0.0:
+            return None
+        return attempt.sent_at + max(MIN_HEDGE_DELAY_S, delay_s)
+
+    def take_hedge(self, shards: int) -> bool:
+        """Take hedges of so many shards from the process's budget."""
+        if not self.hedge_budget.take(shards):
+            self.counters.hedges[HedgeResult.BUDGET] += 1
+            return False
+        self.counters.hedges[HedgeResult.SENT] += 1
+        self.counters.extra_shards += shards
+        return True
+
+    def take_retry(self, reason: MissingReason) -> bool:
+        """Take one retry of one shard from the process's budget."""
+        if not self.retry_budget.take():
+            self.counters.retries[RetryResult.BUDGET] += 1
+            return False
+        self.counters.retries[RetryResult[reason.name]] += 1
+        self.counters.extra_shards += 1
+        return True
+
+    def note_first(self, shards: int) -> None:
+        """Let both budgets earn their fraction of the first requests."""
+        self.counters.first_shards += shards
+        self.hedge_budget.earn(shards)
+        self.retry_budget.earn(shards)
+
+    def note_hedge_won(self) -> None:
+        """Count a hedge that was worth its load."""
+        self.counters.hedges[HedgeResult.WON] += 1
--- /dev/null
+++ b/sesameplank/core/policies.py
@@ -0,0 +1,180 @@
+"""The policies of one process, and what they have learned together."""
+
+import random
+from collections.abc import Sequence
+
+from ..conf import Configuration
+from ..ids import AttemptId, TargetId
+from .budgets import TokenBudget
+from .choice import LeastCostChooser, ReplicaChooser
+from .clock import Clock
+from .counters import PolicyCounters
+from .coverage import MissingRange
+from .ejection import Ejector, ReplicaSet
+from .hedging import AdaptiveHedges, HedgePolicy
+from .latency import LatencyBook
+from .messages import ShardStatus, TargetSearchAnswer
+from .observer import CallObserver
+from .outcomes import Failure, FailureReason
+from .plan import Plan
+from .query import Attempt, AttemptKind
+from .scoreboard import Scoreboard
+from .versions import AcceptedConfiguration
+
+HEDGE_BURST = 20.0
+RETRY_BURST = 100.0
+PROBE_ATTEMPT = AttemptId(-1)
+
+
+class LoadPolicies(CallObserver):
+    """Owns latencies, scoreboard, ejection and budgets of one process."""
+
+    def __init__(self, clock: Clock, rng: random.Random) -> None:
+        self.clock = clock
+        self.rng = rng
+        self.counters = PolicyCounters()
+        self.latencies = LatencyBook()
+        self.scoreboard = Scoreboard(self.latencies)
+        self.ejector = Ejector(self.scoreboard, self.counters, 0.0)
+        self.hedge_budget = TokenBudget(0.0, HEDGE_BURST)
+        self.retry_budget = TokenBudget(0.0, RETRY_BURST)
+        self.chooser: ReplicaChooser = LeastCostChooser(
+            self.scoreboard, self.ejector, clock, rng
+        )
+        self.known_targets: set[TargetId] = set()
+
+    def apply(self, accepted: AcceptedConfiguration) -> None:
+        """Put the preset in force and take in targets that came or left.
+
+        Records and budgets already earned are kept, so that a change of preset
+        loses nothing.
+        """
+        configuration = accepted.configuration
+        policy = configuration.policy
+        self.hedge_budget.set_fraction(policy.hedge_budget)
+        self.retry_budget.set_fraction(policy.retry_budget)
+        self.ejector.max_fraction = policy.max_ejected
+        self.ejector.update_replicas(list_replica_sets(configuration))
+        self.update_targets(set(configuration.targets))
+
+    def update_targets(self, targets: set[TargetId]) -> None:
+        """Ramp up targets that are new beside known ones; forget removed ones."""
+        now = self.clock.now()
+        if self.known_targets:
+            for target in targets - self.known_targets:
+                self.scoreboard.get(target).start_ramp(now)
+        for target in self.known_targets - targets:
+            self.scoreboard.forget(target)
+        self.known_targets = targets
+
+    def make_hedges(self, pinned: AcceptedConfiguration) -> HedgePolicy:
+        """Return the hedge policy of a query, by its pinned preset."""
+        return AdaptiveHedges(
+            pinned.configuration.policy.hedge_quantile,
+            self.latencies,
+            self.hedge_budget,
+            self.retry_budget,
+            self.counters,
+        )
+
+    def note_sent(self, attempt: Attempt) -> None:
+        """Count the call as in flight."""
+        self.scoreboard.note_sent(attempt.target)
+
+    def note_answer(
+        self, attempt: Attempt, answer: TargetSearchAnswer, now: float
+    ) -> None:
+        """Learn from an answer; a quick refusal says nothing of the latency."""
+        self.scoreboard.note_ended(attempt.target)
+        if any(result.status is ShardStatus.SHED for result in answer.results):
+            self.scoreboard.note_shed(attempt.target, now)
+            return
+        if any(result.status is not ShardStatus.OK for result in answer.results):
+            return
+        slowness = self.scoreboard.note_answer(
+            attempt.target,
+            attempt.collection,
+            len(attempt.shards),
+            now - attempt.sent_at,
+            now,
+        )
+        if slowness is not None:
+            self.ejector.note_latency(attempt.target, slowness, now)
+
+    def note_failure(self, attempt: Attempt, failure: Failure, now: float) -> None:
+        """Learn from a failure."""
+        self.scoreboard.note_ended(attempt.target)
+        if failure.reason is FailureReason.TIMEOUT:
+            self.learn_lower_bound(attempt, now)
+        self.ejector.note_failure(attempt.target, failure, now)
+
+    def note_cancelled(self, attempt: Attempt, now: float) -> None:
+        """Learn that the call took longer than it was given; not a failure."""
+        self.scoreboard.note_ended(attempt.target)
+        self.learn_lower_bound(attempt, now)
+
+    def learn_lower_bound(self, attempt: Attempt, now: float) -> None:
+        """Learn from a call that had not been answered yet."""
+        slowness = self.scoreboard.note_cancelled(
+            attempt.target,
+            attempt.collection,
+            len(attempt.shards),
+            now - attempt.sent_at,
+            now,
+        )
+        if slowness is not None:
+            self.ejector.note_latency(attempt.target, slowness, now)
+
+    def take_probes(self, plan: Plan, now: float) -> list[Attempt]:
+        """Return due probes of ejected targets."""
+        if not self.ejector.ejected:
+            return []
+        probes = []
+        for shard in plan.shards:
+            for target in shard.replicas:
+                if not self.ejector.take_probe(target, now):
+                    continue
+                self.counters.extra_shards += 1
+                probes.append(
+                    Attempt(
+                        PROBE_ATTEMPT,
+                        AttemptKind.PROBE,
+                        plan.collection,
+                        target,
+                        (shard.id,),
+                        now,
+                    )
+                )
+        return probes
+
+    def note_probe(
+        self, attempt: Attempt, outcome: TargetSearchAnswer | Failure, now: float
+    ) -> None:
+        """Judge an ejected target by its probe."""
+        slowness = None
+        if is_served(outcome):
+            slowness = self.latencies.get_slowness(
+                attempt.collection, len(attempt.shards), now - attempt.sent_at
+            )
+        self.ejector.note_probe(attempt.target, slowness, now)
+
+    def note_missing(self, missing: Sequence[MissingRange]) -> None:
+        """Count the shards that an answer lacks."""
+        for item in missing:
+            self.counters.missing[item.reason] += 1
+
+
+def is_served(outcome: TargetSearchAnswer | Failure) -> bool:
+    """Tell whether a target served all that was asked of it."""
+    return not isinstance(outcome, Failure) and all(
+        result.status is ShardStatus.OK for result in outcome.results
+    )
+
+
+def list_replica_sets(configuration: Configuration) -> list[ReplicaSet]:
+    """Return the replicas of every shard of every collection."""
+    return [
+        ReplicaSet(name, shard.replicas)
+        for name, collection in configuration.collections.items()
+        for shard in collection.shards
+    ]
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -14,11 +14,10 @@
 from .callers.problems import ProblemKind, Refusal
 from .conf import PublishedVms, VmState
 from .core.addresses import AddressAnswer, choose_addresses
-from .core.choice import RandomReplicaChooser
 from .core.clock import SystemClock
-from .core.hedging import NoHedges
 from .core.messages import SearchAnswer, SearchRequest
 from .core.outcomes import Ran
+from .core.policies import LoadPolicies
 from .core.snapshots import SnapshotTracker
 from .core.versions import AcceptedConfiguration, ConfigurationStore
 from .ids import DataCentre, EntryId
@@ -60,12 +59,14 @@
         self.poller = HealthPoller(
             self.dispatcher, self.snapshots, self.clock, settings.health_interval_s
         )
+        self.policies = LoadPolicies(self.clock, self.rng)
         self.queries = QueryRunner(
             self.dispatcher,
             self.snapshots,
-            RandomReplicaChooser(self.rng),
-            lambda pinned: NoHedges(),
+            self.policies.chooser,
+            self.policies.make_hedges,
             self.clock,
+            self.policies,
         )
         self.bookings = BookingRunner(self.dispatcher, self.clock)
         self.store.listeners.append(self.apply_configuration)
@@ -119,6 +120,7 @@
     def apply_configuration(self, accepted: AcceptedConfiguration) -> None:
         """Put a newly accepted configuration in force."""
         self.dispatcher.update_targets(accepted.configuration)
+        self.policies.apply(accepted)
 
     def apply_vms(self, vms: PublishedVms) -> None:
         """Take a newer VM list in."""
--- a/sesameplank/queries.py
+++ b/sesameplank/queries.py
@@ -19,9 +19,10 @@
     TargetSearch,
     TargetSearchAnswer,
 )
+from .core.observer import CallObserver
 from .core.outcomes import Failure
 from .core.plan import Plan, PlannedShard, make_plan
-from .core.query import Attempt, QueryState
+from .core.query import Attempt, AttemptKind, QueryState
 from .core.snapshots import HeldSnapshots, SnapshotTracker
 from .core.versions import AcceptedConfiguration
 from .ids import RequestId, Snapshot
@@ -29,6 +30,7 @@
 
 RETURN_MARGIN_S = 0.002
 REPLAN_PAUSE_S = 0.01
+PROBE_TIMEOUT_S = 1.0
 
 
 class QueryResult(msgspec.Struct, frozen=True):
@@ -48,12 +50,14 @@
         chooser: ReplicaChooser,
         make_hedges: Callable[[AcceptedConfiguration], HedgePolicy],
         clock: Clock,
+        observer: CallObserver | None = None,
     ) -> None:
         self.dispatcher = dispatcher
         self.snapshots = snapshots
         self.chooser = chooser
         self.make_hedges = make_hedges
         self.clock = clock
+        self.observer = observer or CallObserver()
 
     def run(
         self,
@@ -82,6 +86,7 @@
         deadline_at: float,
     ) -> None:
         self.runner = runner
+        self.observer = runner.observer
         self.clock = runner.clock
         self.request_id = request_id
         self.request = request
@@ -105,7 +110,10 @@
             if self.clock.now() + REPLAN_PAUSE_S >= self.stop_at:
                 break
             gevent.sleep(REPLAN_PAUSE_S)
-        return QueryResult(self.make_answer(best), was_sent=self.calls > 0)
+        answer = self.make_answer(best)
+        if answer.coverage.missing:
+            self.observer.note_missing(answer.coverage.missing)
+        return QueryResult(answer, was_sent=self.calls > 0)
 
     def is_better(self, state: QueryState, best: QueryState) -> bool:
         """Tell whether the newer state covers at least as much."""
@@ -137,6 +145,8 @@
         events: SimpleQueue = SimpleQueue()
         greenlets: dict[int, gevent.Greenlet] = {}
         self.send_all(plan, state.start(self.clock.now()), events, greenlets)
+        for probe in self.observer.take_probes(plan, self.clock.now()):
+            gevent.spawn(self.send_probe, plan, probe)
         try:
             while not state.is_done and not state.needs_new_plan:
                 if not self.step(plan, state, events, greenlets):
@@ -160,7 +170,7 @@
             greenlets.pop(attempt.id, None)
             more = self.take_outcome(plan, state, attempt, outcome)
         self.send_all(plan, more, events, greenlets)
-        for loser in state.get_losers():
+        for loser in state.pop_losers():
             greenlet = greenlets.pop(loser.id, None)
             if greenlet is not None:
                 greenlet.kill(block=False)
@@ -194,10 +204,38 @@
             greenlets[attempt.id] = gevent.spawn(self.send, plan, attempt, events)
 
     def send(self, plan: Plan, attempt: Attempt, events: SimpleQueue) -> None:
-        """Carry one attempt out and report its outcome."""
-        remaining_ms = int((self.stop_at - self.clock.now()) * 1_000)
+        """Carry one attempt out and report its outcome.
+
+        A greenlet that is killed on the way was cancelled by its query.
+        """
+        observer = self.observer
+        observer.note_sent(attempt)
+        outcome = None
+        try:
+            outcome = self.call(plan, attempt, self.stop_at)
+        finally:
+            now = self.clock.now()
+            if outcome is None:
+                observer.note_cancelled(attempt, now)
+            elif isinstance(outcome, Failure):
+                observer.note_failure(attempt, outcome, now)
+            else:
+                observer.note_answer(attempt, outcome, now)
+        events.put((attempt, outcome))
+
+    def send_probe(self, plan: Plan, probe: Attempt) -> None:
+        """Send a probe that outlives its query, and judge the target by it."""
+        deadline_at = self.clock.now() + PROBE_TIMEOUT_S
+        outcome = self.call(plan, probe, deadline_at)
+        self.observer.note_probe(probe, outcome, self.clock.now())
+
+    def call(
+        self, plan: Plan, attempt: Attempt, deadline_at: float
+    ) -> TargetSearchAnswer | Failure:
+        """Call one target for the shards of an attempt."""
+        remaining_ms = int((deadline_at - self.clock.now()) * 1_000)
         message = TargetSearch(
-            request_id=RequestId(f"{self.request_id}.{attempt.id}"),
+            request_id=self.make_call_id(attempt),
             collection=plan.collection,
             snapshot=plan.snapshot,
             deadline_ms=max(1, remaining_ms),
@@ -207,8 +245,13 @@
             order=self.request.order,
             limit=self.request.limit,
         )
-        outcome = self.runner.dispatcher.search(attempt.target, message, self.stop_at)
-        events.put((attempt, outcome))
+        return self.runner.dispatcher.search(attempt.target, message, deadline_at)
+
+    def make_call_id(self, attempt: Attempt) -> RequestId:
+        """Return an id that tells the calls of a query apart."""
+        if attempt.kind is AttemptKind.PROBE:
+            return RequestId(f"{self.request_id}.probe.{attempt.target}")
+        return RequestId(f"{self.request_id}.{attempt.id}")
 
     def get_shard_requests(
         self, plan: Plan, attempt: Attempt
@@ -243,7 +286,7 @@
                 ShardExplanation(
                     shard=item.planned.id,
                     target=item.served_by,
-                    attempts=len(item.tried),
+                    attempts=item.attempts,
                     hedged=item.hedged,
                     elapsed_ms=((item.served_at or 0) - self.started_at) * 1_000
                     if item.served_at
--- /dev/null
+++ b/tests/core/test_latency.py
@@ -0,0 +1,60 @@
+"""Tests of latency quantiles and slowness."""
+
+import testtools
+
+from sesameplank.core.latency import DecayingAverage, LatencyBook, RecentQuantiles
+
+
+def fill(book: LatencyBook, size: int, value_s: float, count: int = 20) -> None:
+    """Record equal calls."""
+    for _ in range(count):
+        book.observe("orders", size, value_s)
+
+
+class RecentQuantilesTests(testtools.TestCase):
+    """Quantiles come from recent samples only."""
+
+    def test_too_few_samples_give_none(self):
+        quantiles = RecentQuantiles(min_samples=3)
+        quantiles.add(1.0)
+        self.assertIsNone(quantiles.get_quantile(0.5))
+
+    def test_quantiles_of_a_full_window(self):
+        quantiles = RecentQuantiles(window=100, min_samples=1)
+        for value in [1_000.0] * 100 + list(range(109)):
+            quantiles.add(value)
+        for fraction, expected in [(0.0, 9), (0.5, 59), (0.99, 108)]:
+            self.assertEqual(expected, quantiles.get_quantile(fraction))
+
+
+class LatencyBookTests(testtools.TestCase):
+    """Calls are compared with calls of the same number of shards."""
+
+    def test_quantile_by_size(self):
+        book = LatencyBook()
+        fill(book, 1, 0.01)
+        fill(book, 2, 0.03)
+        self.assertEqual(0.03, book.get_quantile("orders", 2, 0.5))
+
+    def test_rare_size_borrows_from_the_time_for_each_shard(self):
+        book = LatencyBook()
+        fill(book, 2, 0.02)
+        self.assertAlmostEqual(0.05, book.get_quantile("orders", 5, 0.5))
+
+    def test_unknown_collection_gives_none(self):
+        self.assertIsNone(LatencyBook().get_slowness("orders", 1, 0.5))
+
+    def test_slowness_is_a_multiple_of_the_median(self):
+        book = LatencyBook()
+        fill(book, 2, 0.02)
+        self.assertAlmostEqual(10.0, book.get_slowness("orders", 2, 0.2))
+
+
+class DecayingAverageTests(testtools.TestCase):
+    """An average without new values drifts back to 1."""
+
+    def test_half_is_forgotten_after_the_half_life(self):
+        average = DecayingAverage(weight=0.5, half_life_s=2.0)
+        average.add(9.0, now=10.0)
+        for now, expected in [(10.0, 5.0), (12.0, 3.0), (14.0, 2.0)]:
+            self.assertAlmostEqual(expected, average.get(now))
