Admit queries by deadline and priority class

Cause: every query was planned and sent, also those that could not end in time. Change: a gate for each collection, with limits that follow the median latency of short windows; the first class is bound by its deadline, the classes below by a multiple of the latency without overload, with a small floor. Refusals come before planning and say when to come back.

--- a/sesameplank/conf/documents.py
+++ b/sesameplank/conf/documents.py
@@ -25,6 +25,7 @@
 Fraction = Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 Quantile = Annotated[float, msgspec.Meta(gt=0.0, lt=1.0)]
 ExtraLoad = Annotated[float, msgspec.Meta(ge=0.0, le=0.5)]
+LatencyFactor = Annotated[float, msgspec.Meta(ge=1.0, le=100.0)]
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 
 
@@ -108,7 +109,15 @@
 
 
 class Policy(Document, frozen=True):
-    """What a preset sets; times in milliseconds, budgets as fractions."""
+    """What a preset sets; times in milliseconds.
+
+    Budgets are fractions of the shard requests sent. `max_ejected` is the share
+    of a collection's targets that may be ejected at once. `first_class_latency`
+    is a fraction of the default deadline and `lower_class_latency` a multiple of
+    the latency without overload; both bound the median latency of a collection.
+    `lower_class_floor` is the share of completed queries that each lower class
+    may add even when it is over its limit.
+    """
 
     default_deadline_ms: Positive = 1_000
     max_deadline_ms: Positive = 10_000
@@ -116,6 +125,10 @@
     hedge_budget: ExtraLoad = 0.04
     retry_budget: ExtraLoad = 0.1
     max_ejected: Fraction = 0.3
+    first_class_latency: Fraction = 0.4
+    lower_class_latency: LatencyFactor = 3.0
+    third_class_share: Fraction = 0.6
+    lower_class_floor: ExtraLoad = 0.02
 
 
 class Configuration(Document, frozen=True):
--- /dev/null
+++ b/sesameplank/core/admission.py
@@ -0,0 +1,198 @@
+"""Admission of queries by deadline and priority class, before any planning."""
+
+import random
+from collections import deque
+
+import msgspec
+
+from ..conf import CallerClass, Policy
+from ..ids import CollectionName
+from .clock import Clock
+from .concurrency import BaseLatency, ConcurrencyLimit, LatencyWindow, get_median
+from .counters import PolicyCounters, RefusalReason
+from .coverage import Coverage, MissingReason
+
+MIN_RETRY_AFTER_MS = 100
+MAX_RETRY_AFTER_MS = 5_000
+RETRY_JITTER = 0.5
+FLOOR_BURST = 1.0
+RECENT_S = 1.0
+RECENT_LATENCIES = 16
+
+
+class Rejection(msgspec.Struct, frozen=True):
+    """A query that is not run: why, and when to come back."""
+
+    reason: RefusalReason
+    retry_after_ms: int
+
+    def __bool__(self) -> bool:
+        """Be false, so that a rejection is never taken for a permit."""
+        return False
+
+
+class Permit:
+    """The right to run one query; a context manager that gives it back.
+
+    `counts` says whether the time the query took measures the load; it does
+    not when shards were missing for another reason than time.
+    """
+
+    def __init__(self, gate: "CollectionGate", admitted_at: float) -> None:
+        self.gate = gate
+        self.admitted_at = admitted_at
+        self.counts = True
+
+    def __enter__(self) -> "Permit":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.gate.release(self)
+
+
+class CollectionGate:
+    """Admits the queries of one collection in this process.
+
+    The first class is limited by its deadline alone. The classes below share a
+    limit that keeps latency near what it is without overload, so that they
+    make way before the first class feels it; a floor lets a few of them
+    through even then.
+    """
+
+    def __init__(self, clock: Clock, counters: PolicyCounters) -> None:
+        self.clock = clock
+        self.counters = counters
+        self.in_flight = 0
+        self.window = LatencyWindow()
+        self.base = BaseLatency()
+        self.first_limit = ConcurrencyLimit()
+        self.lower_limit = ConcurrencyLimit()
+        self.floors = {CallerClass.SECOND: 0.0, CallerClass.THIRD: 0.0}
+        self.policy = Policy()
+        self.recent: deque[float] = deque(maxlen=RECENT_LATENCIES)
+        self.released_at = 0.0
+
+    def admit(
+        self, priority: CallerClass, deadline_at: float, policy: Policy
+    ) -> Permit | RefusalReason:
+        """Return a permit, or why there is none."""
+        self.policy = policy
+        now = self.clock.now()
+        reason = self.find_refusal(priority, deadline_at, now)
+        if reason is not None:
+            self.counters.refusals[reason] += 1
+            return reason
+        self.in_flight += 1
+        self.window.peak = max(self.window.peak, self.in_flight)
+        self.counters.admitted += 1
+        return Permit(self, now)
+
+    def find_refusal(
+        self, priority: CallerClass, deadline_at: float, now: float
+    ) -> RefusalReason | None:
+        """Return why a query has to be refused, or None."""
+        if self.in_flight == 0:
+            return None
+        if now + self.get_expected_s(now) > deadline_at:
+            return RefusalReason.DEADLINE
+        if priority is CallerClass.FIRST:
+            if self.in_flight >= self.first_limit.limit:
+                return RefusalReason.LIMIT
+            return None
+        if self.in_flight < self.get_allowance(priority):
+            return None
+        if self.in_flight < self.first_limit.limit and self.floors[priority] >= 1.0:
+            self.floors[priority] -= 1.0
+            return None
+        return RefusalReason.SHARE
+
+    def get_allowance(self, priority: CallerClass) -> float:
+        """Return up to how many queries in flight a lower class is admitted."""
+        limit = min(self.lower_limit.limit, self.first_limit.limit)
+        if priority is CallerClass.THIRD:
+            return limit * self.policy.third_class_share
+        return limit
+
+    def get_expected_s(self, now: float) -> float:
+        """Return how long a query takes now; 0 when nothing recent tells."""
+        if not self.recent or now - self.released_at > RECENT_S:
+            return 0.0
+        return sorted(self.recent)[len(self.recent) // 2]
+
+    def release(self, permit: Permit) -> None:
+        """Take a permit back and learn from the time that the query took."""
+        now = self.clock.now()
+        self.in_flight -= 1
+        for priority, tokens in self.floors.items():
+            self.floors[priority] = min(
+                FLOOR_BURST, tokens + self.policy.lower_class_floor
+            )
+        if not permit.counts:
+            return
+        self.released_at = now
+        self.recent.append(now - permit.admitted_at)
+        self.window.samples.append(now - permit.admitted_at)
+        if self.window.is_over(now):
+            self.adjust(now)
+
+    def adjust(self, now: float) -> None:
+        """Let both limits follow the latency of the window that ends."""
+        median_s = get_median(self.window)
+        self.base.update(median_s)
+        deadline_s = self.policy.default_deadline_ms / 1_000
+        first_target_s = deadline_s * self.policy.first_class_latency
+        lower_target_s = min(
+            first_target_s, self.base.seconds * self.policy.lower_class_latency
+        )
+        self.first_limit.adjust(median_s, first_target_s, self.window.peak)
+        self.lower_limit.adjust(median_s, lower_target_s, self.window.peak)
+        self.window.restart(now, self.in_flight)
+
+
+def is_load_sample(coverage: Coverage) -> bool:
+    """Tell whether the time a query took measures the load of its collection.
+
+    It does when the answer is whole or was cut off by its deadline.
+    """
+    return not coverage.missing or any(
+        item.reason is MissingReason.DEADLINE for item in coverage.missing
+    )
+
+
+class AdmissionController:
+    """One gate for each collection, since each has targets of its own."""
+
+    def __init__(
+        self, clock: Clock, rng: random.Random, counters: PolicyCounters
+    ) -> None:
+        self.clock = clock
+        self.rng = rng
+        self.counters = counters
+        self.gates: dict[CollectionName, CollectionGate] = {}
+
+    def admit(
+        self,
+        collection: CollectionName,
+        priority: CallerClass,
+        deadline_at: float,
+        policy: Policy,
+    ) -> Permit | Rejection:
+        """Return a permit to run a query, or a rejection. Costs microseconds.
+
+        `deadline_at` is in seconds of the controller's clock.
+        """
+        gate = self.gates.get(collection)
+        if gate is None:
+            gate = self.gates[collection] = CollectionGate(self.clock, self.counters)
+        admitted = gate.admit(priority, deadline_at, policy)
+        if isinstance(admitted, Permit):
+            return admitted
+        return Rejection(admitted, self.get_retry_after_ms(gate))
+
+    def get_retry_after_ms(self, gate: CollectionGate) -> int:
+        """Return when to come back: some queries' time later, spread by chance."""
+        expected_ms = 2_000 * gate.get_expected_s(self.clock.now())
+        spread = 1.0 + self.rng.random() * RETRY_JITTER
+        return int(
+            min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, expected_ms) * spread)
+        )
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -14,6 +14,7 @@
 from .callers.problems import ProblemKind, Refusal
 from .conf import PublishedVms, VmState
 from .core.addresses import AddressAnswer, choose_addresses
+from .core.admission import AdmissionController, Permit, is_load_sample
 from .core.clock import SystemClock
 from .core.messages import SearchAnswer, SearchRequest
 from .core.outcomes import Ran
@@ -68,6 +69,9 @@
             self.clock,
             self.policies,
         )
+        self.admission = AdmissionController(
+            self.clock, self.rng, self.policies.counters
+        )
         self.bookings = BookingRunner(self.dispatcher, self.clock)
         self.store.listeners.append(self.apply_configuration)
         self.stopping = Event()
@@ -134,9 +138,11 @@
                 f"the collection {request.collection!r} is not in the configuration",
                 "use a published collection's name",
             )
-        result = self.queries.run(
-            call.request_id, request, call.pinned, call.deadline_at
-        )
+        with self.admit(call, request) as permit:
+            result = self.queries.run(
+                call.request_id, request, call.pinned, call.deadline_at
+            )
+            permit.counts = is_load_sample(result.answer.coverage)
         coverage = result.answer.coverage.fraction
         if coverage < request.min_coverage:
             raise Refusal(
@@ -148,6 +154,25 @@
             )
         return result.answer
 
+    def admit(self, call: CallerRequest, request: SearchRequest) -> Permit:
+        """Return a permit to run a query, or raise Refusal before any work."""
+        configuration = call.pinned.configuration
+        admitted = self.admission.admit(
+            request.collection,
+            configuration.callers[call.caller].priority,
+            call.deadline_at,
+            configuration.policy,
+        )
+        if isinstance(admitted, Permit):
+            return admitted
+        raise Refusal(
+            ProblemKind.OVERLOADED,
+            f"the collection {request.collection!r} is overloaded "
+            f"({admitted.reason.value})",
+            "ask again after the stated time",
+            retry_after_ms=admitted.retry_after_ms,
+        )
+
     def get_addresses(self, environ: dict) -> AddressAnswer:
         """Tell a caller which entries to use, and for how long."""
         live = [
