--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -16,11 +16,11 @@
 from .callers.server import CallersServer
 from .conf import PublishedVms, VmState
 from .core.addresses import AddressAnswer, choose_addresses
-from .core.choice import RandomReplicaChooser
+from .core.admission import AdmissionController, Permit, is_load_sample
 from .core.clock import SystemClock
-from .core.hedging import NoHedges
 from .core.messages import SearchAnswer, SearchRequest
 from .core.outcomes import Ran
+from .core.policies import LoadPolicies
 from .core.snapshots import SnapshotTracker
 from .core.versions import AcceptedConfiguration, ConfigurationStore
 from .ids import DataCentre, EntryId, Incarnation
@@ -80,12 +80,17 @@
         self.poller = HealthPoller(
             self.dispatcher, self.snapshots, self.clock, settings.health_interval_s
         )
+        self.policies = LoadPolicies(self.clock, self.rng)
         self.queries = QueryRunner(
             self.dispatcher,
             self.snapshots,
-            RandomReplicaChooser(self.rng),
-            lambda pinned: NoHedges(),
+            self.policies.chooser,
+            self.policies.make_hedges,
             self.clock,
+            self.policies,
+        )
+        self.admission = AdmissionController(
+            self.clock, self.rng, self.policies.counters
         )
         self.bookings = BookingRunner(self.dispatcher, self.clock)
         self.store.listeners.append(self.apply_configuration)
@@ -144,6 +149,7 @@
     def apply_configuration(self, accepted: AcceptedConfiguration) -> None:
         """Put a newly accepted configuration in force."""
         self.dispatcher.update_targets(accepted.configuration)
+        self.policies.apply(accepted)
 
     def apply_vms(self, vms: PublishedVms) -> None:
         """Take a newer VM list in."""
@@ -159,9 +165,11 @@
                 f"the collection {request.collection!r} is not in the configuration",
                 "use a published collection's name",
             )
-        result = self.queries.run(
-            call.request_id, request, call.pinned, call.deadline_at
-        )
+        with self.admit(call, request) as permit:
+            result = self.queries.run(
+                call.request_id, request, call.pinned, call.deadline_at
+            )
+            permit.counts = is_load_sample(result.answer.coverage)
         coverage = result.answer.coverage.fraction
         if coverage < request.min_coverage:
             raise Refusal(
@@ -173,6 +181,25 @@
             )
         return result.answer
 
+    def admit(self, call: CallerRequest, request: SearchRequest) -> Permit:
+        """Return a permit to run a query, or raise Refusal before any work."""
+        configuration = call.pinned.configuration
+        admitted = self.admission.admit(
+            request.collection,
+            configuration.callers[call.caller].priority,
+            call.deadline_at,
+            configuration.policy,
+        )
+        if isinstance(admitted, Permit):
+            return admitted
+        raise Refusal(
+            ProblemKind.OVERLOADED,
+            f"the collection {request.collection!r} is overloaded "
+            f"({admitted.reason.value})",
+            "ask again after the stated time",
+            retry_after_ms=admitted.retry_after_ms,
+        )
+
     def get_addresses(self, environ: dict) -> AddressAnswer:
         """Tell a caller which entries to use, and for how long."""
         live = [
