--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -3,6 +3,7 @@
 import contextlib
 import random
 import secrets
+import time
 
 import gevent
 import msgspec
@@ -12,18 +13,20 @@
 from .callers import CallersApp
 from .callers.app import CallerRequest
 from .callers.problems import ProblemKind, Refusal
+from .callers.server import CallersServer
 from .conf import PublishedVms, VmState
 from .core.addresses import AddressAnswer, choose_addresses
-from .core.choice import RandomReplicaChooser
+from .core.admission import AdmissionController, Permit, is_load_sample
 from .core.clock import SystemClock
-from .core.hedging import NoHedges
 from .core.messages import SearchAnswer, SearchRequest
 from .core.outcomes import Ran
+from .core.policies import LoadPolicies
 from .core.snapshots import SnapshotTracker
 from .core.versions import AcceptedConfiguration, ConfigurationStore
-from .ids import DataCentre, EntryId
+from .ids import DataCentre, EntryId, Incarnation
 from .logs import log_event
-from .net import Address, make_server
+from .net import Address
+from .peers import PeerLinks
 from .platform import PlatformReader
 from .platform.watch import ConfigurationWatch, VmWatch
 from .queries import QueryRunner
@@ -31,6 +34,14 @@
 from .targets.health import HealthPoller
 
 CONNECTION_SHARE = 8
+INCARNATION_RANDOM_BITS = 10
+
+
+def make_incarnation() -> Incarnation:
+    """Return a number that no other process of this VM has, and that rises."""
+    started_ms = int(time.time() * 1_000)
+    noise = secrets.randbits(INCARNATION_RANDOM_BITS)
+    return Incarnation(started_ms << INCARNATION_RANDOM_BITS | noise)
 
 
 class EntrySettings(msgspec.Struct, frozen=True):
@@ -44,6 +55,7 @@
     health_interval_s: float
     address_ttl_s: float
     seed: int
+    max_caller_connections: int = 1_000
 
 
 class Entry:
@@ -53,6 +65,14 @@
         self.settings = settings
         self.clock = SystemClock()
         self.rng = random.Random(settings.seed or secrets.randbits(64))
+        self.incarnation = make_incarnation()
+        self.links = PeerLinks(
+            settings.entry_id,
+            self.incarnation,
+            settings.peer_address,
+            self.clock,
+            self.rng,
+        )
         self.store = ConfigurationStore(self.clock)
         self.snapshots = SnapshotTracker()
         self.vms: PublishedVms | None = None
@@ -60,12 +80,17 @@
         self.poller = HealthPoller(
             self.dispatcher, self.snapshots, self.clock, settings.health_interval_s
         )
+        self.policies = LoadPolicies(self.clock, self.rng)
         self.queries = QueryRunner(
             self.dispatcher,
             self.snapshots,
-            RandomReplicaChooser(self.rng),
-            lambda pinned: NoHedges(),
+            self.policies.chooser,
+            self.policies.make_hedges,
             self.clock,
+            self.policies,
+        )
+        self.admission = AdmissionController(
+            self.clock, self.rng, self.policies.counters
         )
         self.bookings = BookingRunner(self.dispatcher, self.clock)
         self.store.listeners.append(self.apply_configuration)
@@ -76,7 +101,12 @@
     def __enter__(self) -> "Entry":
         with contextlib.ExitStack() as stack:
             stack.enter_context(self.dispatcher)
-            server = make_server(self.settings.address, self.make_app())
+            stack.enter_context(self.links)
+            server = CallersServer(
+                self.settings.address,
+                self.make_app(),
+                self.settings.max_caller_connections,
+            )
             server.start()
             stack.callback(server.stop)
             stack.callback(lambda: gevent.killall(self.greenlets))
@@ -119,10 +149,13 @@
     def apply_configuration(self, accepted: AcceptedConfiguration) -> None:
         """Put a newly accepted configuration in force."""
         self.dispatcher.update_targets(accepted.configuration)
+        self.policies.apply(accepted)
 
     def apply_vms(self, vms: PublishedVms) -> None:
         """Take a newer VM list in."""
         self.vms = vms
+        for vm in vms.vms:
+            self.links.addresses[vm.id] = Address.parse(vm.peer_address)
 
     def search(self, call: CallerRequest, request: SearchRequest) -> SearchAnswer:
         """Answer a caller's query, or raise Refusal."""
@@ -132,9 +165,11 @@
                 f"the collection {request.collection!r} is not in the configuration",
                 "use a published collection's name",
             )
-        result = self.queries.run(
-            call.request_id, request, call.pinned, call.deadline_at
-        )
+        with self.admit(call, request) as permit:
+            result = self.queries.run(
+                call.request_id, request, call.pinned, call.deadline_at
+            )
+            permit.counts = is_load_sample(result.answer.coverage)
         coverage = result.answer.coverage.fraction
         if coverage < request.min_coverage:
             raise Refusal(
@@ -146,6 +181,25 @@
             )
         return result.answer
 
+    def admit(self, call: CallerRequest, request: SearchRequest) -> Permit:
+        """Return a permit to run a query, or raise Refusal before any work."""
+        configuration = call.pinned.configuration
+        admitted = self.admission.admit(
+            request.collection,
+            configuration.callers[call.caller].priority,
+            call.deadline_at,
+            configuration.policy,
+        )
+        if isinstance(admitted, Permit):
+            return admitted
+        raise Refusal(
+            ProblemKind.OVERLOADED,
+            f"the collection {request.collection!r} is overloaded "
+            f"({admitted.reason.value})",
+            "ask again after the stated time",
+            retry_after_ms=admitted.retry_after_ms,
+        )
+
     def get_addresses(self, environ: dict) -> AddressAnswer:
         """Tell a caller which entries to use, and for how long."""
         live = [
@@ -177,7 +231,16 @@
             "entry": self.settings.entry_id,
             "config_version": self.store.version,
             "refused": self.store.refused,
+            "incarnation": self.incarnation,
             "vms": self.vms,
+            "peers": {
+                "connected": sorted(
+                    filter(self.links.is_connected, self.links.channels)
+                ),
+                "sent": self.links.counters.sent,
+                "received": self.links.counters.received,
+                "dropped": self.links.counters.dropped,
+            },
             "targets": {
                 target_id: {
                     "in_flight": pool.in_flight,
