Run each booking at most once, at the entry that issued its key

Cause: a booking that was retried through any entry ran again; nothing was remembered, and plain keys cannot be proved fresh by an entry that has restarted. Change: entries issue writer ids (POST /v1/writers) with which keys begin. Only the issuing incarnation runs a key, remembers all keys of a writer until it forgets them together, and lets a retry join or learn the outcome. Bounded memory refuses as 'not run'. GET and DELETE /v1/bookings/KEY tell the truth of a key, and close it. A booking that outlives its deadline is followed to its end. Requests that waited in a stopped process's buffers are overdue by the kernel's own receive time. The client library sends again under the same key and takes a new one only when the earlier one cannot run. test_booking_is_read_back used the plain key k1, which is now refused; it checks the ledger under the key of the answer instead, as strictly. Passing on to the issuer waits for links between entries.

--- /dev/null
+++ b/sesameplank/bookings/refusals.py
@@ -0,0 +1,137 @@
+"""What callers are told of bookings that brought no answer."""
+
+from ..callers.problems import ProblemKind, Refusal
+from ..core.bookings import Verdict
+from ..core.outcomes import Failure, Ran
+from ..core.writers import BookingKey
+
+TAKE_WRITER = (
+    "take a writer id with POST /v1/writers and send a key that begins with it"
+)
+ASK_AGAIN_MS = 200
+
+
+def make_writer_required() -> Refusal:
+    """Return the refusal of a key that begins with no writer id."""
+    return Refusal(
+        ProblemKind.WRITER_REQUIRED,
+        "the Idempotency-Key does not begin with a writer id, so that no entry "
+        "can tell whether it has run before",
+        f"{TAKE_WRITER}, such as WRITER~order-17",
+    )
+
+
+def make_unknown(failure: Failure) -> Refusal:
+    """Return the refusal of a booking that may or may not have run."""
+    return Refusal(
+        ProblemKind.OUTCOME_UNKNOWN,
+        f"the booking was sent and no answer came ({failure.reason.value})",
+        "look for it in a search before booking again; its key will not run again",
+        ran=Ran.UNKNOWN,
+    )
+
+
+def make_pending() -> Refusal:
+    """Return the refusal of a booking whose answer may still come."""
+    return Refusal(
+        ProblemKind.OUTCOME_UNKNOWN,
+        "the booking still runs at its deadline",
+        "ask again under the same key, which never runs twice",
+        ran=Ran.UNKNOWN,
+        retry_after_ms=ASK_AGAIN_MS,
+    )
+
+
+def make_failed() -> Refusal:
+    """Return the refusal of a booking on which this process failed."""
+    return Refusal(
+        ProblemKind.INTERNAL,
+        "the entry failed on this booking",
+        "look for it in a search before booking again; its key will not run again",
+        ran=Ran.UNKNOWN,
+    )
+
+
+def make_issuer_gone(key: BookingKey, detail: str) -> Refusal:
+    """Return the refusal of a key whose issuer cannot tell about it."""
+    return Refusal(
+        ProblemKind.ISSUER_GONE,
+        f"the entry {key.writer.entry} that issued the key {detail}; "
+        "whether an earlier request with the key ran is unknown",
+        f"if the key was never sent before, {TAKE_WRITER}; otherwise look for the "
+        "booking in a search",
+        ran=Ran.UNKNOWN,
+    )
+
+
+def make_issuer_unreachable(key: BookingKey, failure: Failure) -> Refusal:
+    """Return the refusal of a key whose issuer did not reply in time."""
+    refusal = make_issuer_gone(key, f"cannot be reached ({failure.reason.value})")
+    refusal.retry_after_ms = ASK_AGAIN_MS
+    return refusal
+
+
+def make_reply_lost(key: BookingKey, failure: Failure) -> Refusal:
+    """Return the refusal of a booking whose issuer may have run it just now."""
+    return Refusal(
+        ProblemKind.OUTCOME_UNKNOWN,
+        f"the entry {key.writer.entry} that issued the key was sent the booking and "
+        f"did not reply ({failure.reason.value})",
+        "ask again under the same key, which never runs twice",
+        ran=Ran.UNKNOWN,
+        retry_after_ms=ASK_AGAIN_MS,
+    )
+
+
+def make_refusal(verdict: Verdict, key: BookingKey, wait_s: float) -> Refusal:
+    """Return the refusal that a verdict other than RUN, JOIN, ANSWERED asks for.
+
+    `wait_s` is when there may be room again.
+    """
+    writer = key.writer
+    if verdict is Verdict.UNKNOWN:
+        return Refusal(
+            ProblemKind.OUTCOME_UNKNOWN,
+            "the booking was sent and no answer came",
+            "look for it in a search before booking again; its key will not run again",
+            ran=Ran.UNKNOWN,
+        )
+    if verdict is Verdict.OTHER_ISSUER:
+        return make_issuer_gone(key, "has restarted since")
+    if verdict is Verdict.WRITER_FORGOTTEN:
+        return make_issuer_gone(key, "has forgotten the writer id, which is too old")
+    if verdict is Verdict.CONFLICT:
+        return Refusal(
+            ProblemKind.KEY_CONFLICT,
+            f"the key {key.name!r} was used for another booking of this writer",
+            "send the same body with the same key, or take a new key",
+        )
+    if verdict is Verdict.KEY_CLOSED:
+        return Refusal(
+            ProblemKind.KEY_CLOSED,
+            f"the key {key.name!r} was closed before it ran",
+            "send the booking under a new key",
+        )
+    if verdict is Verdict.WRITER_CLOSED:
+        return Refusal(
+            ProblemKind.WRITER_CLOSED,
+            f"the writer id {writer} takes no new keys any more; this key has not run",
+            TAKE_WRITER,
+        )
+    if verdict is Verdict.NEVER_ISSUED:
+        return Refusal(
+            ProblemKind.WRITER_REQUIRED,
+            f"the writer id {writer} was never issued",
+            TAKE_WRITER,
+        )
+    return make_full(wait_s)
+
+
+def make_full(wait_s: float) -> Refusal:
+    """Return the refusal of a new key or writer for which there is no room."""
+    return Refusal(
+        ProblemKind.OVERLOADED,
+        "the entry remembers as many bookings as it may",
+        "take a writer id at another entry, or come back at the stated time",
+        retry_after_ms=max(1, int(wait_s * 1_000)),
+    )
--- /dev/null
+++ b/sesameplank/bookings/runner.py
@@ -0,0 +1,131 @@
+"""Runs one booking: at most one attempt that may have run, on an owning target."""
+
+import gevent
+
+from ..callers.app import CallerRequest
+from ..callers.problems import ProblemKind, Refusal
+from ..conf import Shard
+from ..core.bookings import RanBooking
+from ..core.clock import Clock
+from ..core.messages import (
+    BookingRequest,
+    TargetBooking,
+    TargetBookingAnswer,
+    TargetBookingStatus,
+)
+from ..core.outcomes import Failure, Ran
+from ..core.ranges import get_position
+from ..core.versions import AcceptedConfiguration, ConfigurationStore
+from ..ids import IdempotencyKey, TargetId
+from ..targets import Dispatcher
+from .refusals import make_unknown
+
+RETURN_MARGIN_S = 0.005
+LATE_ANSWER_S = 5.0
+MOVE_PAUSE_S = 0.02
+RETRY_AFTER_MS = 500
+
+
+class BookingRunner:
+    """Sends a booking to the targets of its shard, one after the other.
+
+    It goes on to the next target only when it has certainly not run: the
+    target said so, or no byte left this process.
+    """
+
+    def __init__(
+        self, dispatcher: Dispatcher, store: ConfigurationStore, clock: Clock
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.store = store
+        self.clock = clock
+
+    def run(
+        self, call: CallerRequest, key: IdempotencyKey, request: BookingRequest
+    ) -> RanBooking:
+        """Return the booking's outcome, or raise Refusal that says whether it ran.
+
+        A shard whose every target says that it does not own the record is
+        moving: the booking then waits for a newer configuration.
+        """
+        stop_at = call.deadline_at - RETURN_MARGIN_S
+        pinned = call.pinned
+        while True:
+            shard = get_shard(pinned, request)
+            outcome = self.try_shard(call, pinned, shard, key, request)
+            if isinstance(outcome, RanBooking):
+                return outcome
+            newer = self.wait_for_newer(pinned, stop_at) if outcome else None
+            if newer is None:
+                raise Refusal(
+                    ProblemKind.TARGET_UNAVAILABLE,
+                    f"no target of shard {shard.id} took the booking",
+                    "send the same booking again after the stated time",
+                    retry_after_ms=RETRY_AFTER_MS,
+                )
+            pinned = newer
+
+    def try_shard(
+        self,
+        call: CallerRequest,
+        pinned: AcceptedConfiguration,
+        shard: Shard,
+        key: IdempotencyKey,
+        request: BookingRequest,
+    ) -> RanBooking | bool:
+        """Return the outcome, or whether some target says that the shard moved."""
+        has_moved = False
+        for target in shard.replicas:
+            answer = self.send(call, key, request, target)
+            if isinstance(answer, Failure):
+                if answer.ran is not Ran.NOT_RUN:
+                    raise make_unknown(answer)
+                continue
+            if answer.status is TargetBookingStatus.RAN:
+                return RanBooking(answer.result, answer.snapshot, pinned.version)
+            has_moved |= answer.status is TargetBookingStatus.NOT_OWNED
+        return has_moved
+
+    def send(
+        self,
+        call: CallerRequest,
+        key: IdempotencyKey,
+        request: BookingRequest,
+        target: TargetId,
+    ) -> TargetBookingAnswer | Failure:
+        """Send the booking to one target, and wait for its answer beyond the deadline.
+
+        A late answer still tells what became of the key.
+        """
+        stop_at = call.deadline_at - RETURN_MARGIN_S
+        message = TargetBooking(
+            request_id=call.request_id,
+            idempotency_key=key,
+            collection=request.collection,
+            record=request.record,
+            quantity=request.quantity,
+            deadline_ms=max(1, int((stop_at - self.clock.now()) * 1_000)),
+        )
+        return self.dispatcher.book(target, message, stop_at, stop_at + LATE_ANSWER_S)
+
+    def wait_for_newer(
+        self, pinned: AcceptedConfiguration, stop_at: float
+    ) -> AcceptedConfiguration | None:
+        """Return a configuration newer than the pinned one, or None in time."""
+        while self.store.version <= pinned.version:
+            if self.clock.now() + MOVE_PAUSE_S >= stop_at:
+                return None
+            gevent.sleep(MOVE_PAUSE_S)
+        return self.store.current
+
+
+def get_shard(pinned: AcceptedConfiguration, request: BookingRequest) -> Shard:
+    """Return the shard that holds the record, or raise Refusal."""
+    collection = pinned.configuration.collections.get(request.collection)
+    if collection is None:
+        raise Refusal(
+            ProblemKind.UNKNOWN_COLLECTION,
+            f"the collection {request.collection!r} is not in the configuration",
+            "use a published collection's name",
+        )
+    return collection.get_shard(get_position(request.record))
--- a/sesameplank/callers/app.py
+++ b/sesameplank/callers/app.py
@@ -1,12 +1,20 @@
 """The WSGI application that callers talk to."""
 
 import itertools
+from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
 
 import msgspec
 
 from ..core.clock import Clock
-from ..core.messages import BookingAnswer, BookingRequest, SearchAnswer, SearchRequest
+from ..core.messages import (
+    BookingAnswer,
+    BookingRequest,
+    BookingStatus,
+    SearchAnswer,
+    SearchRequest,
+    WriterAnswer,
+)
 from ..core.outcomes import Ran
 from ..core.versions import AcceptedConfiguration, ConfigurationStore
 from ..ids import CallerName, EntryId, IdempotencyKey, RequestId
@@ -17,6 +25,8 @@
 JSON = "application/json"
 MAX_REQUEST_ID_LENGTH = 100
 MAX_KEY_LENGTH = 200
+BOOKINGS_PATH = "/v1/bookings"
+RECEIVE_AGE = "sesameplank.receive_age_s"
 
 
 class CallerRequest(msgspec.Struct, frozen=True):
@@ -29,14 +39,35 @@
 
 
 Searcher = Callable[[CallerRequest, SearchRequest], SearchAnswer]
-Booker = Callable[[CallerRequest, IdempotencyKey, BookingRequest], BookingAnswer]
 Page = Callable[[dict], object]
 
 
+class BookingDesk(ABC):
+    """Handles bookings; each method returns a typed answer or raises Refusal."""
+
+    @abstractmethod
+    def issue_writer(self) -> WriterAnswer:
+        """Return a new writer id."""
+
+    @abstractmethod
+    def book(
+        self, call: CallerRequest, text: IdempotencyKey, request: BookingRequest
+    ) -> BookingAnswer:
+        """Return the result of a booking."""
+
+    @abstractmethod
+    def look_up(self, call: CallerRequest, text: IdempotencyKey) -> BookingStatus:
+        """Return what is known of a key."""
+
+    @abstractmethod
+    def close(self, call: CallerRequest, text: IdempotencyKey) -> BookingStatus:
+        """Close a key that has not run, so that it never will."""
+
+
 class CallersApp:
     """Routes HTTP requests; handlers are passed in.
 
-    `search` and `book` return a typed answer or raise Refusal. `pages` maps
+    `search` and the desk return a typed answer or raise Refusal. `pages` maps
     the paths of GET requests to callables that return a typed answer, or bytes
     with their content type.
     """
@@ -47,20 +78,20 @@
         store: ConfigurationStore,
         clock: Clock,
         search: Searcher,
-        book: Booker,
+        bookings: BookingDesk,
         pages: dict[str, Page],
     ) -> None:
         self.entry_id = entry_id
         self.store = store
         self.clock = clock
         self.search = search
-        self.book = book
+        self.bookings = bookings
         self.pages = pages
         self.counter = itertools.count(1)
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
         """Answer one HTTP request."""
-        arrived_at = self.clock.now()
+        arrived_at = self.clock.now() - environ.get(RECEIVE_AGE, 0.0)
         given = environ.get("HTTP_X_REQUEST_ID", "")
         usable = is_token(given, MAX_REQUEST_ID_LENGTH)
         request_id = RequestId(given) if usable else self.make_request_id()
@@ -97,18 +128,32 @@
             request = read_body(environ, SearchRequest)
             call = self.make_call(environ, request_id, request.deadline_ms, arrived_at)
             return make_ok(self.search(call, request))
-        if method == "POST" and path == "/v1/bookings":
+        if path.startswith((BOOKINGS_PATH, "/v1/writers")):
+            return make_ok(self.route_booking(environ, request_id, arrived_at))
+        if method == "GET" and path in self.pages:
+            return make_ok(self.pages[path](environ))
+        raise make_not_found(method, path)
+
+    def route_booking(
+        self, environ: dict, request_id: RequestId, arrived_at: float
+    ) -> BookingAnswer | BookingStatus | WriterAnswer:
+        """Return the answer of the booking desk, or raise Refusal."""
+        path = environ["PATH_INFO"]
+        method = environ["REQUEST_METHOD"]
+        if method == "POST" and path == BOOKINGS_PATH:
             key = get_idempotency_key(environ)
             booking = read_body(environ, BookingRequest)
             call = self.make_call(environ, request_id, booking.deadline_ms, arrived_at)
-            return make_ok(self.book(call, key, booking))
-        if method == "GET" and path in self.pages:
-            return make_ok(self.pages[path](environ))
-        raise Refusal(
-            ProblemKind.NOT_FOUND,
-            f"{method} {path} is not part of the interface",
-            "use a path of the reference, such as POST /v1/search",
-        )
+            return self.bookings.book(call, key, booking)
+        if method == "POST" and path == "/v1/writers":
+            self.make_call(environ, request_id, None, arrived_at)
+            return self.bookings.issue_writer()
+        if method in ("GET", "DELETE") and path.startswith(f"{BOOKINGS_PATH}/"):
+            key = IdempotencyKey(path.removeprefix(f"{BOOKINGS_PATH}/"))
+            call = self.make_call(environ, request_id, None, arrived_at)
+            desk = self.bookings
+            return (desk.look_up if method == "GET" else desk.close)(call, key)
+        raise make_not_found(method, path)
 
     def make_call(
         self,
@@ -119,7 +164,8 @@
     ) -> CallerRequest:
         """Pin the configuration, name the caller and fix the deadline.
 
-        The deadline counts from the arrival of the headers.
+        The deadline counts from the arrival of the headers, also when they
+        waited in the buffers of a process that was stopped.
         """
         pinned = self.store.current
         if pinned is None:
@@ -144,7 +190,8 @@
         if self.clock.now() >= deadline_at:
             raise Refusal(
                 ProblemKind.DEADLINE_EXPIRED,
-                f"the deadline of {budget_ms} ms passed before the body had arrived",
+                f"the deadline of {budget_ms} ms passed before the request was read "
+                "whole",
                 "send the whole request at once, or allow a longer deadline_ms",
             )
         return CallerRequest(request_id, caller, pinned, deadline_at)
@@ -155,6 +202,15 @@
     return 0 < len(text) <= max_length and text.isascii() and text.isprintable()
 
 
+def make_not_found(method: str, path: str) -> Refusal:
+    """Return the refusal of a path that does not exist."""
+    return Refusal(
+        ProblemKind.NOT_FOUND,
+        f"{method} {path} is not part of the interface",
+        "use a path of the reference, such as POST /v1/search",
+    )
+
+
 def make_request_id_refusal(given: str) -> Refusal:
     """Return the refusal of an unusable X-Request-Id header."""
     return Refusal(
--- a/sesameplank/callers/problems.py
+++ b/sesameplank/callers/problems.py
@@ -29,6 +29,10 @@
     OUTCOME_UNKNOWN = "outcome-unknown"
     TARGET_UNAVAILABLE = "target-unavailable"
     KEY_CONFLICT = "key-conflict"
+    KEY_CLOSED = "key-closed"
+    WRITER_REQUIRED = "writer-required"
+    WRITER_CLOSED = "writer-closed"
+    ISSUER_GONE = "issuer-gone"
     INTERNAL = "internal"
 
 
@@ -49,6 +53,10 @@
     ProblemKind.OUTCOME_UNKNOWN: "504 Gateway Timeout",
     ProblemKind.TARGET_UNAVAILABLE: "503 Service Unavailable",
     ProblemKind.KEY_CONFLICT: "409 Conflict",
+    ProblemKind.KEY_CLOSED: "409 Conflict",
+    ProblemKind.WRITER_REQUIRED: "400 Bad Request",
+    ProblemKind.WRITER_CLOSED: "409 Conflict",
+    ProblemKind.ISSUER_GONE: "504 Gateway Timeout",
     ProblemKind.INTERNAL: "500 Internal Server Error",
 }
 
@@ -91,6 +99,17 @@
         self.retry_after_ms = retry_after_ms
         self.ends_connection = ends_connection
 
+    @classmethod
+    def from_problem(cls, problem: Problem) -> "Refusal":
+        """Return the refusal that another entry described."""
+        return cls(
+            ProblemKind(problem.type.rpartition(":")[2]),
+            problem.detail,
+            problem.remedy,
+            ran=problem.ran,
+            retry_after_ms=problem.retry_after_ms,
+        )
+
     @property
     def retry_after_s(self) -> int | None:
         """The time to come back in whole seconds, at least 1, or None."""
--- a/sesameplank/callers/server.py
+++ b/sesameplank/callers/server.py
@@ -9,7 +9,8 @@
 
 from ..ids import RequestId
 from ..logs import log_event
-from ..net import Address, QuietHandler, WsgiApp
+from ..net import Address, QuietHandler, WsgiApp, get_receive_age_s
+from .app import RECEIVE_AGE
 from .problems import PROBLEM_JSON, STATUSES, ProblemKind, Refusal
 
 MAX_HEAD_BYTES = 16_384
@@ -98,6 +99,7 @@
             given.rfile, given.content_length, given.socket, given.chunked_input
         )
         environ["wsgi.input_terminated"] = True
+        environ[RECEIVE_AGE] = get_receive_age_s(self.socket)
         return environ
 
     def handle_one_response(self) -> None:
--- a/sesameplank/client/client.py
+++ b/sesameplank/client/client.py
@@ -3,7 +3,13 @@
 import random
 from collections.abc import Sequence
 
-from ..core.messages import BookingAnswer, BookingRequest, SearchAnswer, SearchRequest
+from ..core.messages import (
+    BookingAnswer,
+    BookingRequest,
+    BookingStatus,
+    SearchAnswer,
+    SearchRequest,
+)
 from ..ids import CallerName, CollectionName, IdempotencyKey, RecordKey
 from ..net import Address
 from .addresses import AddressKeeper
@@ -59,6 +65,26 @@
         idempotency_key: IdempotencyKey | None = None,
         deadline_ms: int = DEFAULT_DEADLINE_MS,
     ) -> BookingAnswer:
-        """Return the booking's result, or raise CallError that says if it ran."""
+        """Return the booking's result, or raise CallError that says if it ran.
+
+        Sends again under the same key until the deadline. Give a key of
+        `make_key` to be able to send or ask again after it.
+        """
         request = BookingRequest(collection, record, quantity, deadline_ms)
         return self.bookings.book(request, idempotency_key, deadline_ms)
+
+    def make_key(self, deadline_ms: int = DEFAULT_DEADLINE_MS) -> IdempotencyKey:
+        """Return a new idempotency key for one booking, or raise CallError."""
+        return self.bookings.make_key(deadline_ms)
+
+    def look_up_booking(
+        self, key: IdempotencyKey, deadline_ms: int = DEFAULT_DEADLINE_MS
+    ) -> BookingStatus:
+        """Return what became of a key as far as it is known, or raise CallError."""
+        return self.bookings.ask(key, deadline_ms, close=False)
+
+    def close_booking(
+        self, key: IdempotencyKey, deadline_ms: int = DEFAULT_DEADLINE_MS
+    ) -> BookingStatus:
+        """Close a key that has not run, so that it never will; return its truth."""
+        return self.bookings.ask(key, deadline_ms, close=True)
--- a/sesameplank/client/connections.py
+++ b/sesameplank/client/connections.py
@@ -35,6 +35,7 @@
         kind: type,
         budget_s: float,
         headers: dict[str, str] | None = None,
+        margin_s: float = ANSWER_MARGIN_S,
     ):
         """Send one typed request and return the typed answer, or raise CallError."""
         all_headers = {
@@ -43,13 +44,22 @@
             **(headers or {}),
         }
         body = msgspec.json.encode(request)
-        payload = self.call(address, "POST", path, body, all_headers, budget_s)
+        payload = self.call(
+            address, "POST", path, body, all_headers, budget_s, margin_s
+        )
         return msgspec.json.decode(payload, type=kind)
 
-    def get(self, address: Address, path: str, kind: type, budget_s: float):
-        """Return the typed answer to a GET, or raise CallError."""
+    def get(
+        self,
+        address: Address,
+        path: str,
+        kind: type,
+        budget_s: float,
+        method: str = "GET",
+    ):
+        """Return the typed answer to a request without body, or raise CallError."""
         headers = {"X-Caller": self.caller}
-        payload = self.call(address, "GET", path, b"", headers, budget_s)
+        payload = self.call(address, method, path, b"", headers, budget_s)
         return msgspec.json.decode(payload, type=kind)
 
     def call(
@@ -60,14 +70,18 @@
         body: bytes,
         headers: dict[str, str],
         budget_s: float,
+        margin_s: float = ANSWER_MARGIN_S,
     ) -> bytes:
-        """Send one request and return the body of a 200, or raise CallError."""
+        """Send one request and return the body of a 200, or raise CallError.
+
+        The answer is awaited for `margin_s` beyond the budget.
+        """
         connection = self.idle.pop(address, None) or HTTPClient(
             address.host, address.port, concurrency=1, network_timeout=None
         )
         reusable = False
         try:
-            with gevent.Timeout(budget_s + ANSWER_MARGIN_S):
+            with gevent.Timeout(budget_s + margin_s):
                 response = connection.request(method, path, body, headers)
                 payload = bytes(response.read())
                 reusable = len(payload) == int(response["content-length"])
--- a/sesameplank/core/messages.py
+++ b/sesameplank/core/messages.py
@@ -20,6 +20,7 @@
     TargetId,
 )
 from .coverage import Coverage
+from .outcomes import Ran
 
 MAX_LIMIT = 1_000
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
@@ -131,6 +132,41 @@
     config_version: ConfigVersion
 
 
+class WriterAnswer(Message, frozen=True):
+    """A writer id, with which the keys of bookings begin.
+
+    New keys are taken for `open_ms` from the issue, and each key's outcome is
+    remembered until `keep_ms` from the issue.
+    """
+
+    writer: str
+    open_ms: int
+    keep_ms: int
+
+
+class BookingState(Enum):
+    """What is known of an idempotency key."""
+
+    NEW = "new"
+    RUNNING = "running"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+    CLOSED = "closed"
+
+
+class BookingStatus(Message, frozen=True):
+    """The truth about a key as far as it is known.
+
+    `ran` is NOT_RUN only if the key has not run and never will.
+    """
+
+    idempotency_key: IdempotencyKey
+    state: BookingState
+    ran: Ran
+    detail: str
+    booking: BookingAnswer | None = None
+
+
 class ShardStatus(Enum):
     """What a target says of one shard of a search call."""
 
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -8,13 +8,14 @@
 import msgspec
 from gevent.event import Event
 
-from .bookings import BookingRunner
+from .bookings import BookingRunner, BookingService, NoForwarder
 from .callers import CallersApp
 from .callers.app import CallerRequest
 from .callers.problems import ProblemKind, Refusal
 from .callers.server import CallersServer
 from .conf import PublishedVms, VmState
 from .core.addresses import AddressAnswer, choose_addresses
+from .core.bookings import BookingLimits, BookingMemory
 from .core.choice import RandomReplicaChooser
 from .core.clock import SystemClock
 from .core.hedging import NoHedges
@@ -22,7 +23,7 @@
 from .core.outcomes import Ran
 from .core.snapshots import SnapshotTracker
 from .core.versions import AcceptedConfiguration, ConfigurationStore
-from .ids import DataCentre, EntryId
+from .ids import DataCentre, EntryId, Incarnation
 from .logs import log_event
 from .net import Address
 from .platform import PlatformReader
@@ -32,6 +33,7 @@
 from .targets.health import HealthPoller
 
 CONNECTION_SHARE = 8
+INCARNATION_BITS = 64
 
 
 class EntrySettings(msgspec.Struct, frozen=True):
@@ -69,7 +71,16 @@
             lambda pinned: NoHedges(),
             self.clock,
         )
-        self.bookings = BookingRunner(self.dispatcher, self.clock)
+        self.bookings = BookingService(
+            BookingMemory(
+                settings.entry_id,
+                Incarnation(secrets.randbits(INCARNATION_BITS)),
+                BookingLimits(),
+            ),
+            BookingRunner(self.dispatcher, self.store, self.clock),
+            NoForwarder(),
+            self.clock,
+        )
         self.store.listeners.append(self.apply_configuration)
         self.stopping = Event()
         self.resources = contextlib.ExitStack()
@@ -113,7 +124,7 @@
             self.store,
             self.clock,
             self.search,
-            self.bookings.run,
+            self.bookings,
             {
                 "/v1/addresses": self.get_addresses,
                 "/healthz": self.get_health,
--- a/sesameplank/exceptions.py
+++ b/sesameplank/exceptions.py
@@ -44,13 +44,21 @@
     """The client library's call was refused or its outcome is unknown.
 
     `kind` is the problem's kind, `ran` is "not_run" or "unknown", and
-    `retry_after_s` is the time to come back in seconds, or None.
+    `retry_after_s` is the time to come back in seconds, or None. A booking's
+    `idempotency_key` is what to ask about, or to send again.
     """
 
     def __init__(
-        self, message: str, *, kind: str, ran: str, retry_after_s: float | None = None
+        self,
+        message: str,
+        *,
+        kind: str,
+        ran: str,
+        retry_after_s: float | None = None,
+        idempotency_key: str | None = None,
     ) -> None:
         super().__init__(message)
         self.kind = kind
         self.ran = ran
         self.retry_after_s = retry_after_s
+        self.idempotency_key = idempotency_key
--- a/sesameplank/net.py
+++ b/sesameplank/net.py
@@ -1,11 +1,15 @@
 """Sockets and servers as every process of the project sets them up."""
 
 import socket
+import struct
 from collections.abc import Callable, Iterable
 
 import gevent.pywsgi
 import gevent.socket
 
+TCP_INFO_BYTES = 104
+LAST_DATA_RECEIVED_OFFSET = 52
+
 WsgiApp = Callable[[dict, Callable], Iterable[bytes]]
 
 
@@ -45,6 +49,16 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def get_receive_age_s(sock: socket.socket) -> float:
+    """Return the seconds since the kernel last received data on the socket.
+
+    A request that waited in the buffers of a stopped process is known by it.
+    """
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    (age_ms,) = struct.unpack_from("=I", info, LAST_DATA_RECEIVED_OFFSET)
+    return age_ms / 1_000
+
+
 def open_connection(address: Address, timeout_s: float) -> gevent.socket.socket:
     """Open a TCP connection without send delay, or raise OSError."""
     sock = gevent.socket.create_connection(address, timeout=timeout_s)
--- a/sesameplank/targets/dispatch.py
+++ b/sesameplank/targets/dispatch.py
@@ -32,9 +32,16 @@
 
     @abstractmethod
     def book(
-        self, target: TargetId, message: TargetBooking, deadline_at: float
+        self,
+        target: TargetId,
+        message: TargetBooking,
+        deadline_at: float,
+        answer_by: float,
     ) -> TargetBookingAnswer | Failure:
-        """Return the target's answer to a booking, or a Failure."""
+        """Return the target's answer to a booking, or a Failure.
+
+        Nothing is sent after the deadline; the answer is awaited longer.
+        """
 
 
 class DirectDispatcher(Dispatcher):
@@ -76,10 +83,16 @@
         return self.call(target, "/search", message, TargetSearchAnswer, deadline_at)
 
     def book(
-        self, target: TargetId, message: TargetBooking, deadline_at: float
+        self,
+        target: TargetId,
+        message: TargetBooking,
+        deadline_at: float,
+        answer_by: float,
     ) -> TargetBookingAnswer | Failure:
         """Return the target's answer to a booking, or a Failure."""
-        return self.call(target, "/book", message, TargetBookingAnswer, deadline_at)
+        return self.call(
+            target, "/book", message, TargetBookingAnswer, deadline_at, answer_by
+        )
 
     def get_health(
         self, target: TargetId, deadline_at: float
@@ -96,7 +109,7 @@
             lambda payload: decode_answer(payload, TargetHealth),
         )
 
-    def call(self, target, path, message, answer_type, deadline_at):
+    def call(self, target, path, message, answer_type, deadline_at, answer_by=None):
         """Send one message and return the decoded answer to it, or a Failure."""
         pool = self.pools.get(target)
         if pool is None:
@@ -109,7 +122,7 @@
             return answer
 
         body = msgspec.json.encode(message)
-        return pool.call("POST", path, body, deadline_at, decode)
+        return pool.call("POST", path, body, deadline_at, decode, answer_by)
 
 
 def decode_answer(payload: bytes, answer_type):
--- a/sesameplank/targets/pool.py
+++ b/sesameplank/targets/pool.py
@@ -57,10 +57,13 @@
         body: bytes,
         deadline_at: float,
         decode: Decode = bytes,
+        answer_by: float | None = None,
     ) -> object:
         """Return the decoded body of a 200 answer, or a Failure.
 
-        `deadline_at` is in seconds of the pool's clock. No request is sent
+        Times are in seconds of the pool's clock: nothing is sent after
+        `deadline_at`, and the answer is awaited until `answer_by`, which is the
+        same if not given. No request is sent
         twice; a Failure is NOT_RUN exactly when no byte of it left this
         process. `decode` returns the answer, or a Failure, after which the
         connection is not used again.
@@ -77,7 +80,11 @@
             connection = self.get_connection(deadline_at)
             if isinstance(connection, Failure):
                 return connection
-            return self.exchange(connection, method, path, body, deadline_at, decode)
+            if self.get_remaining(deadline_at) <= 0:
+                self.put_back(connection)
+                return OUT_OF_TIME
+            end_at = deadline_at if answer_by is None else answer_by
+            return self.exchange(connection, method, path, body, end_at, decode)
         finally:
             self.in_flight -= 1
             self.permits.release()
@@ -109,17 +116,13 @@
         method: str,
         path: str,
         body: bytes,
-        deadline_at: float,
+        end_at: float,
         decode: Decode,
     ) -> object:
         """Send one request and read its answer; keep the connection if all is well."""
         reusable = False
-        remaining = self.get_remaining(deadline_at)
         try:
-            if remaining <= 0:
-                reusable = True
-                return OUT_OF_TIME
-            with gevent.Timeout(remaining):
+            with gevent.Timeout(self.get_remaining(end_at)):
                 connection.send(method, path, body)
                 status, payload, keep = connection.read()
             if status != HTTPStatus.OK:
@@ -137,11 +140,18 @@
         except Exception as error:  # The HTTP library raises kinds of its own.
             return Failure(FailureReason.BAD_ANSWER, get_ran(connection), repr(error))
         finally:
-            if reusable and not self.closed:
-                self.idle.append(connection)
+            if reusable:
+                self.put_back(connection)
             else:
                 connection.close()
 
+    def put_back(self, connection: TargetConnection) -> None:
+        """Keep a connection whose last answer was read whole."""
+        if self.closed:
+            connection.close()
+        else:
+            self.idle.append(connection)
+
 
 def get_ran(connection: TargetConnection) -> Ran:
     """Return what is known of a request that brought no answer."""
--- a/tests/integration/test_whole_path.py
+++ b/tests/integration/test_whole_path.py
@@ -51,10 +51,10 @@
             for key, item in store.records.items()
             if item.newest.fields["stock"] > 10
         )
-        booked = self.client.book("order-desk", key, 1, "k1", DEADLINE_MS)
+        booked = self.client.book("order-desk", key, 1, deadline_ms=DEADLINE_MS)
         answer = self.client.search(SearchRequest("order-desk"), DEADLINE_MS)
         self.assertTrue(answer.snapshot >= booked.snapshot)
-        self.assertEqual(1, store.runs["k1"])
+        self.assertEqual({booked.idempotency_key: 1}, dict(store.runs))
 
     def test_unknown_caller_is_refused_as_not_run(self):
         with Client("nobody", self.fleet.addresses) as client:
