--- a/sesameplank/bookings/service.py
+++ b/sesameplank/bookings/service.py
@@ -1,7 +1,5 @@
 """Bookings of one entry: own keys run here, others go to their issuer."""
 
-from collections.abc import Callable
-
 import gevent
 import msgspec
 import xxhash
@@ -22,6 +20,7 @@
 from ..core.writers import BookingKey, parse_key
 from ..ids import CallerName, IdempotencyKey, RequestId
 from ..logs import log_event
+from ..peers import PeerContext
 from .forwarding import (
     ForwardedBooking,
     ForwardedQuestion,
@@ -40,8 +39,8 @@
 from .runner import BookingRunner
 
 FORWARD_PAUSE_S = 0.05
-
-MakeCall = Callable[[RequestId, CallerName, float], CallerRequest]
+REPLY_MARGIN_S = 0.01
+NOT_READY_MS = 1_000
 
 
 class Ended(msgspec.Struct, frozen=True):
@@ -218,14 +217,12 @@
         return reply
 
     def take_forwarded(
-        self,
-        message: ForwardedBooking | ForwardedQuestion,
-        deadline_at: float,
-        make_call: MakeCall,
+        self, message: ForwardedBooking | ForwardedQuestion, context: PeerContext
     ) -> ForwardedReply:
         """Reply to another entry; never passes on what was passed on."""
-        key = read_key(message.key)
+        deadline_at = context.deadline_at - REPLY_MARGIN_S
         try:
+            key = read_key(message.key)
             if key.writer.entry != self.memory.entry:
                 raise make_refusal(Verdict.OTHER_ISSUER, key, 0.0)
             if isinstance(message, ForwardedQuestion):
@@ -233,11 +230,23 @@
                     message.request_id, message.key, deadline_at, close=message.close
                 )
                 return ForwardedReply(status=status)
-            call = make_call(message.request_id, message.caller, deadline_at)
+            call = self.make_call(message, deadline_at)
             return ForwardedReply(answer=self.book_here(call, key, message.request))
         except Refusal as refusal:
             return ForwardedReply(problem=refusal.make_problem(message.request_id))
 
+    def make_call(self, message: ForwardedBooking, deadline_at: float) -> CallerRequest:
+        """Pin this entry's configuration for a booking that was passed on."""
+        pinned = self.runner.store.current
+        if pinned is None:
+            raise Refusal(
+                ProblemKind.NOT_READY,
+                "the issuer of the key has no configuration yet",
+                "send the same booking again after the stated time",
+                retry_after_ms=NOT_READY_MS,
+            )
+        return CallerRequest(message.request_id, message.caller, pinned, deadline_at)
+
 
 def read_key(text: IdempotencyKey) -> BookingKey:
     """Return the parts of a key, or raise Refusal."""
--- a/sesameplank/client/client.py
+++ b/sesameplank/client/client.py
@@ -33,10 +33,11 @@
         caller: CallerName,
         seeds: Sequence[Address],
         rng: random.Random | None = None,
+        connections: Connections | None = None,
     ) -> None:
         self.caller = caller
         self.seen = SeenSnapshots()
-        self.connections = Connections(caller)
+        self.connections = connections or Connections(caller)
         self.keeper = AddressKeeper(self.connections, seeds, rng or random.Random())
         self.searches = Searches(self.connections, self.keeper, self.seen)
         self.bookings = Bookings(self.connections, self.keeper, self.seen)
--- a/sesameplank/exceptions.py
+++ b/sesameplank/exceptions.py
@@ -17,6 +17,10 @@
     """The platform's service could not be read."""
 
 
+class PeerProtocolError(SesameplankError):
+    """A frame from another entry cannot be read."""
+
+
 class BadRequestError(SesameplankError):
     """A caller's request breaks a rule of the callers' interface."""
 
@@ -62,3 +66,7 @@
         self.ran = ran
         self.retry_after_s = retry_after_s
         self.idempotency_key = idempotency_key
+
+
+class LoadError(SesameplankError):
+    """A run of the load tool could not be carried out."""
--- a/sesameplank/net.py
+++ b/sesameplank/net.py
@@ -59,9 +59,15 @@
     return age_ms / 1_000
 
 
-def open_connection(address: Address, timeout_s: float) -> gevent.socket.socket:
-    """Open a TCP connection without send delay, or raise OSError."""
-    sock = gevent.socket.create_connection(address, timeout=timeout_s)
+def open_connection(
+    address: Address, timeout_s: float, source_host: str | None = None
+) -> gevent.socket.socket:
+    """Open a TCP connection without send delay, or raise OSError.
+
+    `source_host` is the IP number to connect from; by default the machine's.
+    """
+    source = (source_host, 0) if source_host else None
+    sock = gevent.socket.create_connection(address, timeout_s, source)
     set_no_delay(sock)
     return sock
 
