--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -9,7 +9,13 @@
 import msgspec
 from gevent.event import Event
 
-from .bookings import BookingRunner
+from .bookings import (
+    BookingRunner,
+    BookingService,
+    ForwardedBooking,
+    ForwardedQuestion,
+    PeerForwarder,
+)
 from .callers import CallersApp
 from .callers.app import CallerRequest
 from .callers.problems import ProblemKind, Refusal
@@ -17,6 +23,7 @@
 from .conf import PublishedVms, VmState
 from .core.addresses import AddressAnswer, choose_addresses
 from .core.admission import AdmissionController, Permit, is_load_sample
+from .core.bookings import BookingLimits, BookingMemory
 from .core.clock import SystemClock
 from .core.messages import SearchAnswer, SearchRequest
 from .core.outcomes import Ran
@@ -35,6 +42,7 @@
 
 CONNECTION_SHARE = 8
 INCARNATION_RANDOM_BITS = 10
+WRITER_INCARNATION_BITS = 64  # Random, since a wall clock may step back.
 
 
 def make_incarnation() -> Incarnation:
@@ -92,7 +100,18 @@
         self.admission = AdmissionController(
             self.clock, self.rng, self.policies.counters
         )
-        self.bookings = BookingRunner(self.dispatcher, self.clock)
+        self.bookings = BookingService(
+            BookingMemory(
+                settings.entry_id,
+                Incarnation(secrets.randbits(WRITER_INCARNATION_BITS)),
+                BookingLimits(),
+            ),
+            BookingRunner(self.dispatcher, self.store, self.clock),
+            PeerForwarder(self.links),
+            self.clock,
+        )
+        self.links.register(ForwardedBooking, self.bookings.take_forwarded)
+        self.links.register(ForwardedQuestion, self.bookings.take_forwarded)
         self.store.listeners.append(self.apply_configuration)
         self.stopping = Event()
         self.resources = contextlib.ExitStack()
@@ -137,7 +156,7 @@
             self.store,
             self.clock,
             self.search,
-            self.bookings.run,
+            self.bookings,
             {
                 "/v1/addresses": self.get_addresses,
                 "/healthz": self.get_health,
--- a/sesameplank/load/worker.py
+++ b/sesameplank/load/worker.py
@@ -14,10 +14,11 @@
 import msgspec
 
 from ..client import Client
+from ..client.connections import Connections
 from ..commands.base import Command, run_command
 from ..conf.settings import Setting
 from ..exceptions import CallError
-from ..ids import CallerName, RequestId, Snapshot
+from ..ids import CallerName, RequestId
 from ..net import Address
 from ..standins.deployments import DEPLOYMENTS
 from .arrivals import Arrival, Phase, make_arrivals
@@ -40,11 +41,11 @@
     workers: int
 
 
-class ObservedClient(Client):
-    """A caller that sends request ids of its own and notes failed attempts."""
+class ObservedConnections(Connections):
+    """Send request ids of the generator's own and note failed attempts."""
 
-    def __init__(self, *args, **kwargs) -> None:
-        super().__init__(*args, **kwargs)
+    def __init__(self, caller: CallerName) -> None:
+        super().__init__(caller)
         self.request_id = RequestId("")
         self.answered_by = ""
         self.failures: list[AttemptFailure] = []
@@ -55,11 +56,11 @@
         self.answered_by = ""
         self.failures = []
 
-    def call(self, address, method, path, body, headers, budget_s) -> bytes:
+    def call(self, address, method, path, body, headers, *budget) -> bytes:
         """Send one request and note what became of it."""
         headers = {**headers, "X-Request-Id": self.request_id}
         try:
-            payload = super().call(address, method, path, body, headers, budget_s)
+            payload = super().call(address, method, path, body, headers, *budget)
         except CallError as error:
             cause = type(error.__cause__).__name__ if error.__cause__ else ""
             self.failures.append(
@@ -70,6 +71,15 @@
         return payload
 
 
+class ObservedClient(Client):
+    """A caller whose connections are observed."""
+
+    def __init__(
+        self, caller: CallerName, seeds: list[Address], rng: random.Random
+    ) -> None:
+        super().__init__(caller, seeds, rng, ObservedConnections(caller))
+
+
 class Generator:
     """Sends arrivals in time and collects what their callers see."""
 
@@ -104,17 +114,17 @@
         late_s = time.monotonic() - due_at
         idle = self.idle[arrival.caller]
         client = idle.pop() if idle else self.make_client(arrival.caller)
-        client.begin(arrival.request_id)
+        client.connections.begin(arrival.request_id)
         observation = Observation(arrival.index, late_s * 1_000, 0.0, Outcome.ANSWERED)
-        observation.at_least = client.newest_seen.get(arrival.collection, Snapshot(0))
+        observation.at_least = client.seen.get(arrival.collection)
         try:
             self.ask(client, arrival, observation)
         except CallError as error:
             observation.outcome = Outcome(error.ran)
             observation.kind = error.kind
         observation.latency_ms = (time.monotonic() - due_at) * 1_000
-        observation.answered_by = client.answered_by
-        observation.failures = tuple(client.failures)
+        observation.answered_by = client.connections.answered_by
+        observation.failures = tuple(client.connections.failures)
         self.observations.append(observation)
         idle.append(client)
 
