--- /dev/null
+++ b/sesameplank/core/overlay.py
@@ -0,0 +1,37 @@
+"""The bounded-degree graph over which entries watch and tell each other.
+
+Each ring orders all entries by a hash; an entry's neighbours are those next to
+it on each ring. A union of a few random rings is an expander with high
+probability, so news crosses it in a number of hops logarithmic in its size.
+"""
+
+from collections.abc import Iterable
+
+from ..ids import EntryId
+from .hashing import hash_text
+
+RINGS = 3
+
+
+def choose_neighbours(
+    own: EntryId, entries: Iterable[EntryId], rings: int = RINGS
+) -> list[EntryId]:
+    """Return the neighbours of `own`, at most two for each ring, sorted."""
+    members = {*entries, own}
+    neighbours: set[EntryId] = set()
+    for ring in range(rings):
+        neighbours.update(choose_on_ring(own, members, ring))
+    neighbours.discard(own)
+    return sorted(neighbours)
+
+
+def choose_on_ring(
+    own: EntryId, members: Iterable[EntryId], ring: int
+) -> tuple[EntryId, EntryId]:
+    """Return the members before and after `own` on one ring."""
+    ordered = sorted(
+        members,
+        key=lambda entry: (hash_text(ring, entry), entry),
+    )
+    place = ordered.index(own)
+    return ordered[place - 1], ordered[(place + 1) % len(ordered)]
