--- a/sesameplank/core/membership.py
+++ b/sesameplank/core/membership.py
@@ -62,6 +62,7 @@
         self.digest = 0
         self.published: frozenset[EntryId] = frozenset()
         self.heard_at: dict[EntryId, float] = {}
+        self.watched_from: dict[EntryId, float] = {}
         self.changed_at: dict[EntryId, float] = {}
         self.asked_at: dict[EntryId, float] = {}
         self.sent_table_at: dict[EntryId, float] = {}
@@ -119,7 +120,6 @@
         for entry, vm in listed.items():
             if entry not in self.members:
                 self.put(make_unheard(vm), now)
-                self.heard_at[entry] = now
         self.refresh_neighbours(now)
         return self.greet(self.neighbours)
 
@@ -131,6 +131,7 @@
         for table in (
             self.members,
             self.heard_at,
+            self.watched_from,
             self.changed_at,
             self.asked_at,
             self.sent_table_at,
@@ -157,7 +158,7 @@
         self.neighbours = choose_neighbours(self.own_id, self.get_present())
         added = [entry for entry in self.neighbours if entry not in before]
         for entry in added:
-            self.heard_at[entry] = now
+            self.watched_from[entry] = now
         return added
 
     def on_heard(self, peer: EntryId, now: float) -> list[Outgoing]:
@@ -194,7 +195,7 @@
         """Ask others about silent neighbours, and suspect them in the end."""
         messages = []
         for entry in list(self.neighbours):
-            silence_s = now - self.heard_at.get(entry, now)
+            silence_s = now - self.get_silent_from(entry)
             member = self.members[entry]
             if member.health is not Health.ALIVE:
                 continue
@@ -206,6 +207,11 @@
                 messages += self.ask_others(entry)
         return messages
 
+    def get_silent_from(self, entry: EntryId) -> float:
+        """Return since when a neighbour's silence counts."""
+        heard_at = self.heard_at.get(entry, float("-inf"))
+        return max(heard_at, self.watched_from[entry])
+
     def ask_others(self, entry: EntryId) -> list[Outgoing]:
         """Ask a few other entries whether they hear one."""
         others = [
@@ -262,7 +268,7 @@
                 return False
         self.put(record, now)
         if record.health is Health.ALIVE:
-            self.heard_at[record.id] = now
+            self.watched_from[record.id] = now
         return True
 
     def was_heard(self, entry: EntryId, now: float) -> bool:
@@ -374,8 +380,8 @@
         """Forget what silence meant, and ask the neighbours for their views."""
         self.fresh = False
         self.asked_at.clear()
-        for entry in self.heard_at:
-            self.heard_at[entry] = now
+        for entry in self.members:
+            self.watched_from[entry] = now
         for entry in self.changed_at:
             self.changed_at[entry] = now
         return [self.make_table(entry, now) for entry in self.neighbours]
