--- a/sesameplank/core/membership.py
+++ b/sesameplank/core/membership.py
@@ -62,6 +62,7 @@
         self.digest = 0
         self.published: frozenset[EntryId] = frozenset()
         self.heard_at: dict[EntryId, float] = {}
+        self.vouched_at: dict[EntryId, float] = {}
         self.watched_from: dict[EntryId, float] = {}
         self.changed_at: dict[EntryId, float] = {}
         self.asked_at: dict[EntryId, float] = {}
@@ -131,6 +132,7 @@
         for table in (
             self.members,
             self.heard_at,
+            self.vouched_at,
             self.watched_from,
             self.changed_at,
             self.asked_at,
@@ -168,7 +170,7 @@
         if peer in self.neighbours:
             self.fresh = True
         askers = self.askers.pop(peer, ())
-        return [Outgoing(asker, ProbeAnswer(peer)) for asker in askers]
+        return [Outgoing(asker, ProbeAnswer(peer, 0)) for asker in askers]
 
     def on_tick(self, now: float) -> list[Outgoing]:
         """Send what is due, and draw conclusions from silence."""
@@ -210,7 +212,8 @@
     def get_silent_from(self, entry: EntryId) -> float:
         """Return since when a neighbour's silence counts."""
         heard_at = self.heard_at.get(entry, float("-inf"))
-        return max(heard_at, self.watched_from[entry])
+        vouched_at = self.vouched_at.get(entry, float("-inf"))
+        return max(heard_at, vouched_at, self.watched_from[entry])
 
     def ask_others(self, entry: EntryId) -> list[Outgoing]:
         """Ask a few other entries whether they hear one."""
@@ -309,7 +312,7 @@
         if isinstance(message, ProbeRequest):
             return self.on_probe(sender, message, now)
         if isinstance(message, ProbeAnswer):
-            self.heard_at[message.entry] = now
+            self.vouched_at[message.entry] = now - message.silence_ms / 1_000
             self.asked_at.pop(message.entry, None)
         return []
 
@@ -365,8 +368,11 @@
     ) -> list[Outgoing]:
         """Say whether the entry was heard of late, and try to reach it."""
         silence_s = now - self.heard_at.get(message.entry, float("-inf"))
-        if message.entry == self.own_id or silence_s < HEARTBEAT_S:
-            return [Outgoing(sender, ProbeAnswer(message.entry))]
+        if message.entry == self.own_id:
+            silence_s = 0.0
+        if silence_s < HEARTBEAT_S:
+            answer = ProbeAnswer(message.entry, int(silence_s * 1_000))
+            return [Outgoing(sender, answer)]
         self.askers.setdefault(message.entry, set()).add(sender)
         return self.greet([message.entry])
 
--- a/sesameplank/core/peer_messages.py
+++ b/sesameplank/core/peer_messages.py
@@ -105,9 +105,10 @@
 
 
 class ProbeAnswer(PeerMessage, frozen=True):
-    """Say that an entry was heard."""
+    """Say that the sender itself heard an entry, and how long ago."""
 
     entry: EntryId
+    silence_ms: int
 
 
 class VersionAnswer(PeerMessage, frozen=True):
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -15,7 +15,13 @@
     Membership,
     make_unheard,
 )
-from sesameplank.core.peer_messages import Health, MemberUpdates, Phase
+from sesameplank.core.peer_messages import (
+    Health,
+    MemberUpdates,
+    Phase,
+    ProbeAnswer,
+    ProbeRequest,
+)
 
 AGREE_S = 5.0
 TICK_S = 0.25
@@ -212,6 +218,18 @@
         process.on_message("e07", MemberUpdates((dead,)), network.now)
         self.assertIn(entry, process.get_present())
 
+    def test_hearsay_does_not_keep_a_dead_entry(self):
+        network = Network(8, 1)
+        network.run(3.0)
+        network.kill("e03")
+        process = network.processes["e00"]
+        answer = ProbeAnswer("e03", 0)
+        process.on_message("e01", answer, network.now + 5.0)
+        messages = process.on_message("e02", ProbeRequest("e03"), network.now + 5.0)
+        self.assertFalse(
+            any(isinstance(item.message, ProbeAnswer) for item in messages)
+        )
+
     def test_leaving_entry_is_not_given_to_callers(self):
         network = Network(8, 1)
         network.run(3.0)
