--- a/sesameplank/standins/proxy.py
+++ b/sesameplank/standins/proxy.py
@@ -44,6 +44,13 @@
     reset_at_byte: int | None = None
 
 
+def reset_socket(sock) -> None:
+    """Close a socket with a TCP reset; whoever waits on it wakes up."""
+    with contextlib.suppress(OSError):
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    sock.close()
+
+
 class Relay:
     """One connection through a proxy: two sockets and the greenlets between."""
 
@@ -98,11 +105,7 @@
     def reset(self) -> None:
         """Break both connections with a TCP reset."""
         for sock in (self.downstream, self.upstream):
-            with contextlib.suppress(OSError):
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
-            sock.close()
+            reset_socket(sock)
 
 
 class FaultProxy:
--- a/sesameplank/standins/servers.py
+++ b/sesameplank/standins/servers.py
@@ -1,5 +1,8 @@
 """Servers of the stand-ins, which know how many connections they hold."""
 
+import contextlib
+import socket
+
 import gevent.pywsgi
 
 from ..net import Address, QuietHandler
@@ -20,13 +23,22 @@
             handler_class=QuietHandler,
         )
         self.meter = meter
+        self.sockets: set = set()
+
+    def break_connections(self) -> None:
+        """End every open connection, as the kernel does for a killed process."""
+        for sock in list(self.sockets):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
 
     def handle(self, sock, address) -> None:
         """Serve one connection, or close it when it is one too many."""
+        self.sockets.add(sock)
         try:
             if self.meter.admit():
                 super().handle(sock, address)
             else:
                 sock.close()
         finally:
+            self.sockets.discard(sock)
             self.meter.leave()
--- a/sesameplank/standins/world.py
+++ b/sesameplank/standins/world.py
@@ -238,6 +238,7 @@
         server = self.servers.pop(target_id, None)
         if server is not None:
             server.stop(timeout=0)
+            server.break_connections()
 
     def publish(self, direct: Configuration) -> None:
         """Publish a configuration with the targets' real addresses."""
--- a/tests/standins/test_world.py
+++ b/tests/standins/test_world.py
@@ -20,6 +20,14 @@
 SHARD = "order-desk-s00"
 
 
+def read_to_end(sock) -> bytes:
+    """Return what comes until the connection ends, or raise a timeout."""
+    received = b""
+    while chunk := sock.recv(1_000):
+        received += chunk
+    return received
+
+
 class WorldTests(testtools.TestCase):
     """Targets answer for what they own and count what really happens."""
 
@@ -107,6 +115,16 @@
         shard = self.world.direct.collections[COLLECTION].shards[0]
         self.assertEqual(["ok"], self.search("order-desk-00", [shard]))
 
+    def test_stopped_target_ends_its_connections(self):
+        address = Address.parse(self.world.direct.targets["order-desk-00"].address)
+        sock = open_connection(address, TIMEOUT_S)
+        self.addCleanup(sock.close)
+        sock.sendall(b"GET /health HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertTrue(sock.recv(1_000).startswith(b"HTTP/1.1 200"))
+        self.steer(control.StopTargets(("order-desk-00",)))
+        read_to_end(sock)
+        self.assertRaises(ConnectionRefusedError, open_connection, address, TIMEOUT_S)
+
     def test_faults_stand_before_targets(self):
         self.steer(control.SetTargetFaults(Faults(refuse=True), ("order-desk-00",)))
         shard = self.world.direct.collections[COLLECTION].shards[0]
