--- a/sesameplank/load/worker.py
+++ b/sesameplank/load/worker.py
@@ -14,7 +14,6 @@
 import msgspec
 
 from ..client import Client
-from ..client.connections import Connections
 from ..commands.base import Command, run_command
 from ..conf.settings import Setting
 from ..exceptions import CallError
@@ -41,14 +40,16 @@
     workers: int
 
 
-class ObservedConnections(Connections):
-    """Send request ids of the generator's own and note failed attempts."""
+class ObservedClient(Client):
+    """A caller that sends request ids of its own and notes failed attempts."""
 
-    def __init__(self, caller: CallerName) -> None:
-        super().__init__(caller)
+    def __init__(self, *args, **kwargs) -> None:
+        super().__init__(*args, **kwargs)
         self.request_id = RequestId("")
         self.answered_by = ""
         self.failures: list[AttemptFailure] = []
+        self.forward = self.connections.call
+        self.connections.call = self.call
 
     def begin(self, request_id: RequestId) -> None:
         """Forget the last request and name the next."""
@@ -56,11 +57,11 @@
         self.answered_by = ""
         self.failures = []
 
-    def call(self, address, method, path, body, headers, *budget) -> bytes:
+    def call(self, address, method, path, body, headers, *args) -> bytes:
         """Send one request and note what became of it."""
         headers = {**headers, "X-Request-Id": self.request_id}
         try:
-            payload = super().call(address, method, path, body, headers, *budget)
+            payload = self.forward(address, method, path, body, headers, *args)
         except CallError as error:
             cause = type(error.__cause__).__name__ if error.__cause__ else ""
             self.failures.append(
@@ -71,15 +72,6 @@
         return payload
 
 
-class ObservedClient(Client):
-    """A caller whose connections are observed."""
-
-    def __init__(
-        self, caller: CallerName, seeds: list[Address], rng: random.Random
-    ) -> None:
-        super().__init__(caller, seeds, rng, ObservedConnections(caller))
-
-
 class Generator:
     """Sends arrivals in time and collects what their callers see."""
 
@@ -114,7 +106,7 @@
         late_s = time.monotonic() - due_at
         idle = self.idle[arrival.caller]
         client = idle.pop() if idle else self.make_client(arrival.caller)
-        client.connections.begin(arrival.request_id)
+        client.begin(arrival.request_id)
         observation = Observation(arrival.index, late_s * 1_000, 0.0, Outcome.ANSWERED)
         observation.at_least = client.seen.get(arrival.collection)
         try:
@@ -123,8 +115,8 @@
             observation.outcome = Outcome(error.ran)
             observation.kind = error.kind
         observation.latency_ms = (time.monotonic() - due_at) * 1_000
-        observation.answered_by = client.connections.answered_by
-        observation.failures = tuple(client.connections.failures)
+        observation.answered_by = client.answered_by
+        observation.failures = tuple(client.failures)
         self.observations.append(observation)
         idle.append(client)
 
--- a/sesameplank/standins/targets.py
+++ b/sesameplank/standins/targets.py
@@ -67,6 +67,7 @@
     connections_over_limit: int = 0
     work_after_leaving: int = 0
     last_work_after_leaving_s: float = 0.0
+    searched: list[RequestId] = []
 
 
 class TargetStandin:
@@ -223,6 +224,7 @@
         self.note_call()
         mean_s = SHARD_SERVICE_S * len(request.shards)
         if self.serve(request.request_id, mean_s, request.deadline_ms):
+            self.truth.searched.append(request.request_id)
             results = tuple(self.search_shard(request, item) for item in request.shards)
         else:
             results = tuple(
