--- a/sesameplank/core/versions.py
+++ b/sesameplank/core/versions.py
@@ -1,21 +1,28 @@
-"""The configuration in force, whose version never falls."""
+"""The configuration and the VM list in force, whose versions never fall."""
 
 from collections.abc import Callable
 from enum import Enum
 
 import msgspec
 
-from ..conf import Configuration, PublishedConfiguration, decode_configuration
+from ..conf import (
+    Configuration,
+    PublishedConfiguration,
+    PublishedVms,
+    decode_configuration,
+)
 from ..exceptions import ConfigurationError
 from ..ids import ConfigVersion
 from .clock import Clock
 
 
 class OfferResult(Enum):
-    """What became of an offered configuration."""
+    """What became of an offered document."""
 
     ACCEPTED = "accepted"
     KNOWN = "known"
+    OLDER = "older"
+    CONFLICT = "conflict"
     REFUSED = "refused"
 
 
@@ -33,18 +40,26 @@
 
     version: ConfigVersion
     reason: str
+    published: PublishedConfiguration
 
 
 Listener = Callable[[AcceptedConfiguration], None]
+VmListener = Callable[[PublishedVms], None]
 
 
 class ConfigurationStore:
-    """Keeps the newest valid configuration that this process has seen."""
+    """Keeps the newest valid configuration that this process has seen.
+
+    A refused version does not hinder a later valid one, even if its number is
+    higher: a service that lies once must not block every change after it.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.current: AcceptedConfiguration | None = None
         self.refused: RefusedConfiguration | None = None
+        self.confirmed_at: float | None = None
+        self.ignored: dict[OfferResult, int] = {}
         self.listeners: list[Listener] = []
 
     @property
@@ -53,23 +68,82 @@
         return self.current.version if self.current else ConfigVersion(0)
 
     @property
-    def seen_version(self) -> ConfigVersion:
-        """The highest version seen, valid or refused."""
-        refused = self.refused.version if self.refused else ConfigVersion(0)
-        return max(self.version, refused)
+    def refused_version(self) -> ConfigVersion:
+        """The highest refused version that passes the one in force, or 0."""
+        return self.refused.version if self.refused else ConfigVersion(0)
 
     def offer(self, published: PublishedConfiguration) -> OfferResult:
         """Take a published configuration in if it is newer and valid."""
-        if published.version <= self.seen_version:
-            return OfferResult.KNOWN
+        result = self.compare(published)
+        if result is not OfferResult.ACCEPTED:
+            self.ignored[result] = self.ignored.get(result, 0) + 1
+            return result
         try:
             configuration = decode_configuration(published.document)
         except ConfigurationError as error:
-            self.refused = RefusedConfiguration(published.version, str(error))
+            self.refuse(published, str(error))
             return OfferResult.REFUSED
         self.current = AcceptedConfiguration(
             published.version, configuration, published, self.clock.now()
         )
+        if self.refused_version <= self.version:
+            self.refused = None
         for listener in self.listeners:
             listener(self.current)
         return OfferResult.ACCEPTED
+
+    def compare(self, published: PublishedConfiguration) -> OfferResult:
+        """Return ACCEPTED if the document is new to this process, or why not."""
+        if published.version < self.version:
+            return OfferResult.OLDER
+        if published.version == self.version:
+            same = bytes(published.document) == bytes(self.current.published.document)
+            return OfferResult.KNOWN if same else OfferResult.CONFLICT
+        if published.version == self.refused_version:
+            return OfferResult.KNOWN
+        return OfferResult.ACCEPTED
+
+    def refuse(self, published: PublishedConfiguration, reason: str) -> None:
+        """Keep the highest refused version and the reason."""
+        if published.version > self.refused_version:
+            self.refused = RefusedConfiguration(published.version, reason, published)
+
+    def confirm(self, age_s: float = 0.0) -> None:
+        """Note that the service confirmed the version in force some time ago."""
+        confirmed_at = self.clock.now() - age_s
+        if self.confirmed_at is None or confirmed_at > self.confirmed_at:
+            self.confirmed_at = confirmed_at
+
+    @property
+    def age_s(self) -> float | None:
+        """The seconds since the service last confirmed it to any entry known."""
+        if self.confirmed_at is None:
+            return None
+        return max(0.0, self.clock.now() - self.confirmed_at)
+
+
+class VmStore:
+    """Keeps the newest VM list that this process has seen."""
+
+    def __init__(self) -> None:
+        self.current: PublishedVms | None = None
+        self.listeners: list[VmListener] = []
+
+    @property
+    def version(self) -> int:
+        """The version of the list, 0 before the first."""
+        return self.current.version if self.current else 0
+
+    def offer(self, published: PublishedVms) -> OfferResult:
+        """Take a list in if it is newer and names a VM."""
+        if published.version < self.version:
+            return OfferResult.OLDER
+        if published.version == self.version:
+            same = published == self.current
+            return OfferResult.KNOWN if same else OfferResult.CONFLICT
+        if not published.vms:
+            return OfferResult.REFUSED
+        self.current = published
+        for listener in self.listeners:
+            listener(published)
+        return OfferResult.ACCEPTED
--- /dev/null
+++ b/sesameplank/peers/documents.py
@@ -0,0 +1,198 @@
+"""Hands the platform's documents from entry to entry."""
+
+import random
+from collections.abc import Callable, Iterable
+
+import gevent
+import msgspec
+from gevent.event import Event
+
+from ..conf import PublishedConfiguration, PublishedVms
+from ..core.clock import Clock
+from ..core.outcomes import Failure
+from ..core.peer_messages import (
+    Announcement,
+    Document,
+    DocumentKind,
+    DocumentRequest,
+    VersionAnswer,
+    VersionQuestion,
+    Versions,
+)
+from ..core.versions import ConfigurationStore, OfferResult, VmStore
+from ..ids import EntryId
+from ..logs import log_event
+from .links import PeerContext, PeerLinks
+
+FETCH_TIMEOUT_S = 2.0
+QUESTION_TIMEOUT_S = 1.0
+CATCH_UP_TIMEOUT_S = 2.0
+MAX_ASKED = 16
+
+
+class DocumentRelay:
+    """Announces versions to neighbours and fetches the ones that it lacks.
+
+    A version that rises is announced to every neighbour at once; heartbeats
+    repeat it. The value travels only to an entry that asks for it.
+    """
+
+    def __init__(
+        self,
+        links: PeerLinks,
+        store: ConfigurationStore,
+        vms: VmStore,
+        get_neighbours: Callable[[], Iterable[EntryId]],
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        self.links = links
+        self.store = store
+        self.vms = vms
+        self.get_neighbours = get_neighbours
+        self.clock = clock
+        self.rng = rng
+        self.offers: dict[DocumentKind, dict[EntryId, int]] = {
+            kind: {} for kind in DocumentKind
+        }
+        self.wake = Event()
+        self.announced = Versions()
+        links.register(Announcement, self.on_announcement)
+        links.register(DocumentRequest, self.on_request)
+        links.register(VersionQuestion, self.on_question)
+
+    def get_versions(self) -> Versions:
+        """Return the versions that this process has."""
+        age_s = self.store.age_s
+        return Versions(
+            self.store.version,
+            self.store.refused_version,
+            self.vms.version,
+            -1 if age_s is None else int(age_s * 1_000),
+        )
+
+    def get_version(self, kind: DocumentKind) -> int:
+        """Return the version that this process has of one document."""
+        versions = self.get_versions()
+        return {
+            DocumentKind.CONFIG: versions.config,
+            DocumentKind.REFUSED: versions.refused,
+            DocumentKind.VMS: versions.vms,
+        }[kind]
+
+    def run(self) -> None:
+        """Fetch what peers offer and announce what rises, until killed."""
+        while True:
+            self.wake.wait(timeout=0.5)
+            self.wake.clear()
+            for kind in DocumentKind:
+                self.fetch_newest(kind)
+            self.announce()
+
+    def announce(self) -> None:
+        """Tell the neighbours if a version rose since the last time."""
+        versions = msgspec.structs.replace(self.get_versions(), config_age_ms=-1)
+        if versions == self.announced:
+            return
+        self.announced = versions
+        message = Announcement(self.get_versions())
+        for neighbour in self.get_neighbours():
+            self.links.send(neighbour, message)
+
+    def notify(self) -> None:
+        """Let the loop look for versions that rose."""
+        self.wake.set()
+
+    def on_announcement(self, message: Announcement, context: PeerContext) -> None:
+        """Take the versions of a neighbour in."""
+        self.on_versions(context.sender, message.versions)
+
+    def on_versions(self, sender: EntryId, versions: Versions) -> None:
+        """Note which newer documents a peer has, and what the service confirmed."""
+        if versions.config == self.store.version and versions.config_age_ms >= 0:
+            self.store.confirm(versions.config_age_ms / 1_000)
+        offered = {
+            DocumentKind.CONFIG: versions.config,
+            DocumentKind.VMS: versions.vms,
+        }
+        if versions.refused > max(versions.config, self.store.version):
+            offered[DocumentKind.REFUSED] = versions.refused
+        for kind, version in offered.items():
+            if version > self.get_version(kind):
+                self.offers[kind][sender] = version
+                self.wake.set()
+
+    def fetch_newest(self, kind: DocumentKind) -> None:
+        """Fetch one document from the peers that offer it, the newest first."""
+        offers = self.offers[kind]
+        while offers:
+            peer = max(offers, key=offers.get)
+            version = offers.pop(peer)
+            if version > self.get_version(kind):
+                self.fetch(kind, peer)
+
+    def fetch(self, kind: DocumentKind, peer: EntryId) -> None:
+        """Fetch one document from one peer and offer it to its store."""
+        request = DocumentRequest(kind, self.get_version(kind))
+        deadline_at = self.clock.now() + FETCH_TIMEOUT_S
+        outcome = self.links.call(peer, request, deadline_at)
+        if isinstance(outcome, Failure):
+            log_event("fetch_failed", kind=kind.value, peer=peer, reason=outcome.reason)
+            return
+        if not outcome.payload:
+            return
+        result = self.offer(kind, outcome.payload)
+        log_event("fetched", kind=kind.value, peer=peer, result=result.value)
+
+    def offer(self, kind: DocumentKind, payload: bytes) -> OfferResult:
+        """Offer a fetched document to its store."""
+        try:
+            if kind is DocumentKind.VMS:
+                return self.vms.offer(msgspec.json.decode(payload, type=PublishedVms))
+            published = msgspec.json.decode(payload, type=PublishedConfiguration)
+            return self.store.offer(published)
+        except msgspec.DecodeError:
+            return OfferResult.REFUSED
+
+    def on_request(self, message: DocumentRequest, context: PeerContext) -> Document:
+        """Return a document that a peer lacks."""
+        if self.get_version(message.kind) <= message.after:
+            return Document(b"")
+        documents = {
+            DocumentKind.CONFIG: self.store.current and self.store.current.published,
+            DocumentKind.REFUSED: self.store.refused and self.store.refused.published,
+            DocumentKind.VMS: self.vms.current,
+        }
+        return Document(msgspec.json.encode(documents[message.kind]))
+
+    def on_question(
+        self, message: VersionQuestion, context: PeerContext
+    ) -> VersionAnswer:
+        """Return the versions of this process."""
+        return VersionAnswer(self.get_versions())
+
+    def catch_up(self, peers: Iterable[EntryId]) -> int:
+        """Ask peers for their versions and fetch the newest; return the answers.
+
+        Up to `MAX_ASKED` peers are asked, and it takes bounded time: whoever
+        does not answer is not waited for.
+        """
+        others = sorted(set(peers) - {self.links.entry_id})
+        asked = self.rng.sample(others, min(MAX_ASKED, len(others)))
+        questions = [gevent.spawn(self.ask, peer) for peer in asked]
+        gevent.joinall(questions)
+        answers = [item.value for item in questions if item.value]
+        until = self.clock.now() + CATCH_UP_TIMEOUT_S
+        newest = max((answer.config for answer in answers), default=0)
+        while self.store.version < newest and self.clock.now() < until:
+            gevent.sleep(0.02)
+        return len(answers)
+
+    def ask(self, peer: EntryId) -> Versions | None:
+        """Return one peer's versions after taking them in, or None."""
+        deadline_at = self.clock.now() + QUESTION_TIMEOUT_S
+        outcome = self.links.call(peer, VersionQuestion(), deadline_at)
+        if isinstance(outcome, Failure):
+            return None
+        self.on_versions(peer, outcome.versions)
+        return outcome.versions
--- /dev/null
+++ b/sesameplank/peers/membership.py
@@ -0,0 +1,105 @@
+"""Runs the membership core over the links."""
+
+from collections.abc import Callable, Iterable
+
+import gevent
+import msgspec
+
+from ..conf import PublishedVms
+from ..core.clock import Clock
+from ..core.membership import Membership, Outgoing
+from ..core.peer_messages import (
+    Heartbeat,
+    MemberTable,
+    MemberUpdates,
+    PeerMessage,
+    Phase,
+    ProbeAnswer,
+    ProbeRequest,
+    Versions,
+)
+from ..ids import EntryId, Incarnation
+from ..net import Address
+from .links import PeerContext, PeerLinks
+
+TICK_S = 0.1
+MAX_EVIDENCE_AGE_S = 1.0
+MESSAGE_TYPES = (Heartbeat, MemberUpdates, MemberTable, ProbeRequest, ProbeAnswer)
+
+VersionListener = Callable[[EntryId, Versions], None]
+
+
+class MembershipService:
+    """Feeds the core with messages and time, and sends what it returns."""
+
+    def __init__(
+        self,
+        membership: Membership,
+        links: PeerLinks,
+        clock: Clock,
+        get_versions: Callable[[], Versions],
+        on_versions: VersionListener,
+    ) -> None:
+        self.membership = membership
+        self.links = links
+        self.clock = clock
+        self.get_versions = get_versions
+        self.on_versions = on_versions
+        self.published: dict[EntryId, str] = {}
+        self.known_at = float("-inf")
+        links.heard_listeners.append(self.on_heard)
+        for kind in MESSAGE_TYPES:
+            links.register(kind, self.on_message)
+
+    def run(self) -> None:
+        """Send heartbeats and draw conclusions until killed."""
+        while True:
+            self.send(self.membership.on_tick(self.clock.now()))
+            gevent.sleep(TICK_S)
+
+    def on_heard(self, sender: EntryId, incarnation: Incarnation, age_s: float) -> None:
+        """Count a message as evidence unless it waited in a buffer."""
+        if age_s <= MAX_EVIDENCE_AGE_S:
+            self.send(self.membership.on_heard(sender, self.clock.now()))
+
+    def on_message(self, message: PeerMessage, context: PeerContext) -> None:
+        """Hand a message to the core."""
+        if isinstance(message, Heartbeat):
+            self.on_versions(context.sender, message.versions)
+        self.send(
+            self.membership.on_message(context.sender, message, self.clock.now())
+        )
+
+    def on_published(self, vms: PublishedVms) -> None:
+        """Hand the platform's list to the core."""
+        self.published = {vm.id: vm.peer_address for vm in vms.vms}
+        self.send(self.membership.on_published(vms, self.clock.now()))
+
+    def on_pause(self) -> None:
+        """Tell the core that this process was stopped for a while."""
+        self.send(self.membership.on_pause(self.clock.now()))
+
+    def leave(self, phase: Phase) -> None:
+        """Announce that this process is leaving or has left."""
+        self.send(self.membership.leave(phase, self.clock.now()))
+
+    def send(self, messages: Iterable[Outgoing]) -> None:
+        """Send what the core returned; heartbeats also carry versions."""
+        self.refresh_addresses()
+        for outgoing in messages:
+            message = outgoing.message
+            if isinstance(message, Heartbeat):
+                message = msgspec.structs.replace(
+                    message, versions=self.get_versions()
+                )
+            if outgoing.peer in self.links.addresses:
+                self.links.send(outgoing.peer, message)
+
+    def refresh_addresses(self) -> None:
+        """Tell the links where entries listen; the published address is first."""
+        if self.known_at == self.membership.last_change_at:
+            return
+        self.known_at = self.membership.last_change_at
+        for entry, member in self.membership.members.items():
+            address = self.published.get(entry, member.peer_address)
+            self.links.addresses[entry] = Address.parse(address)
--- /dev/null
+++ b/tests/core/test_homes.py
@@ -0,0 +1,73 @@
+"""Tests of duties chosen by hashing."""
+
+import random
+
+import testtools
+
+from sesameplank.conf import PublishedVms, Vm
+from sesameplank.core.homes import choose_homes, get_share
+from sesameplank.core.readers import choose_readers, draw_start_delay
+
+
+def make_vms(count: int, data_centres: int) -> PublishedVms:
+    """Return a list of VMs spread over data centres."""
+    return PublishedVms(
+        1,
+        tuple(
+            Vm(f"e{number}", f"a:{number}", f"p:{number}", f"dc{number % data_centres}")
+            for number in range(count)
+        ),
+    )
+
+
+class HomesTests(testtools.TestCase):
+    """A change of the list moves as few duties as it must."""
+
+    def test_removed_entry_moves_only_its_own_duties(self):
+        entries = [f"e{number}" for number in range(8)]
+        for target in range(100):
+            before = choose_homes(f"t{target}", entries, 2)
+            after = choose_homes(f"t{target}", entries[:-1], 2)
+            kept = [entry for entry in before if entry != "e7"]
+            self.assertEqual(kept, after[: len(kept)])
+
+    def test_shares_by_limit_homes_and_headroom(self):
+        table = [(25, 8, 4, 2), (25, 2, 2, 6), (110, 8, 4, 9), (25, 1_400, 4, 0)]
+        for limit, homes, headroom, share in table:
+            self.assertEqual(share, get_share(limit, homes, headroom))
+
+    def test_sum_stays_within_the_limit_with_outdated_homes(self):
+        for seed in range(200):
+            rng = random.Random(seed)
+            limit = rng.randint(1, 120)
+            homes, headroom = rng.randint(1, 10), rng.randint(0, 4)
+            share = get_share(limit, homes, headroom)
+            holders = homes + rng.randint(0, headroom)
+            self.assertTrue(holders * share <= limit)
+
+
+class ReadersTests(testtools.TestCase):
+    """The readers' number depends on the data centres, not on the fleet."""
+
+    def test_one_reader_a_data_centre_at_every_size(self):
+        for count in (3, 8, 32, 1_400):
+            vms = make_vms(count, 3)
+            readers = choose_readers(vms, [vm.id for vm in vms.vms])
+            self.assertEqual(3, len(readers))
+
+    def test_absent_reader_is_replaced_in_its_data_centre(self):
+        vms = make_vms(8, 3)
+        present = {vm.id for vm in vms.vms}
+        for reader in choose_readers(vms, present):
+            readers = choose_readers(vms, present - {reader})
+            self.assertEqual(3, len(readers))
+            self.assertNotIn(reader, readers)
+
+    def test_few_go_before_the_rest_when_all_start_together(self):
+        for count, most in ((8, 8), (128, 20), (1_400, 20)):
+            rng = random.Random(count)
+            delays = sorted(draw_start_delay(1.0, rng) for _ in range(count))
+            spread_s = 0.2
+            early = [item for item in delays if item < delays[0] + spread_s]
+            self.assertTrue(len(early) <= most, f"{count}: {len(early)}")
+            self.assertTrue(delays[-1] <= 1.0)
--- /dev/null
+++ b/tests/core/test_versions.py
@@ -0,0 +1,86 @@
+"""Tests of the documents in force."""
+
+import msgspec
+import testtools
+
+from sesameplank.conf import PublishedConfiguration, PublishedVms, Vm
+from sesameplank.core.clock import ManualClock
+from sesameplank.core.versions import ConfigurationStore, OfferResult, VmStore
+from sesameplank.standins.deployments import VATUWAQA, make_configuration
+
+VALID = msgspec.json.encode(make_configuration(VATUWAQA, "127.20"))
+OTHER = VALID.replace(b'"ordinary"', b'"peak"')
+
+
+def publish(version: int, document: bytes = VALID) -> PublishedConfiguration:
+    """Return a document as the platform answers it."""
+    return PublishedConfiguration(version, msgspec.Raw(document))
+
+
+class ConfigurationStoreTests(testtools.TestCase):
+    """The version in force never falls, whatever is offered."""
+
+    def test_offers_in_turn(self):
+        table = [
+            (publish(5), OfferResult.ACCEPTED, 5),
+            (publish(5), OfferResult.KNOWN, 5),
+            (publish(4), OfferResult.OLDER, 5),
+            (publish(5, OTHER), OfferResult.CONFLICT, 5),
+            (publish(6, b"{}"), OfferResult.REFUSED, 5),
+            (publish(6, b"{}"), OfferResult.KNOWN, 5),
+            (publish(7, OTHER), OfferResult.ACCEPTED, 7),
+        ]
+        store = ConfigurationStore(ManualClock())
+        for published, result, version in table:
+            self.assertEqual(result, store.offer(published))
+            self.assertEqual(version, store.version)
+
+    def test_refused_higher_version_does_not_block_later_ones(self):
+        store = ConfigurationStore(ManualClock())
+        store.offer(publish(5))
+        store.offer(publish(10**9, b"[]"))
+        self.assertEqual(OfferResult.ACCEPTED, store.offer(publish(6, OTHER)))
+        self.assertEqual((6, 10**9), (store.version, store.refused_version))
+
+    def test_refusal_is_dropped_when_a_later_version_is_in_force(self):
+        store = ConfigurationStore(ManualClock())
+        store.offer(publish(5))
+        store.offer(publish(6, b"[]"))
+        self.assertIn("refused", store.refused.reason)
+        store.offer(publish(7))
+        self.assertIsNone(store.refused)
+
+    def test_refusal_has_the_same_reason_everywhere(self):
+        reasons = set()
+        for _ in range(3):
+            store = ConfigurationStore(ManualClock())
+            store.offer(publish(6, VALID.replace(b'"start":0', b'"start":1', 1)))
+            reasons.add(store.refused.reason)
+        self.assertEqual(1, len(reasons))
+
+    def test_age_counts_from_the_newest_confirmation(self):
+        clock = ManualClock(100.0)
+        store = ConfigurationStore(clock)
+        self.assertIsNone(store.age_s)
+        store.confirm(3.0)
+        store.confirm(10.0)
+        clock.advance(2.0)
+        self.assertEqual(5.0, store.age_s)
+
+
+class VmStoreTests(testtools.TestCase):
+    """The VM list's version never falls, and an empty list is a fault."""
+
+    def test_offers_in_turn(self):
+        vms = (Vm("a", "127.0.0.1:1", "127.0.0.1:2", "dc"),)
+        table = [
+            (PublishedVms(3, vms), OfferResult.ACCEPTED),
+            (PublishedVms(2, vms), OfferResult.OLDER),
+            (PublishedVms(3, vms), OfferResult.KNOWN),
+            (PublishedVms(3, vms * 2), OfferResult.CONFLICT),
+            (PublishedVms(4, ()), OfferResult.REFUSED),
+        ]
+        store = VmStore()
+        for published, result in table:
+            self.assertEqual(result, store.offer(published))
+            self.assertEqual(3, store.version)
