Bring membership and configuration into force over the links

One entry of each data centre reads the platform, chosen by rendezvous hashing; versions are announced to neighbours and the value fetched by who lacks it. A starting entry asks its peers before it serves, one that was stopped refuses what waited in its buffers and asks again, and one that stops announces it, serves until cached addresses ran out and finishes what is in flight. First reads of processes that start together are spread by a truncated exponential.

--- a/sesameplank/commands/entry.py
+++ b/sesameplank/commands/entry.py
@@ -23,6 +23,8 @@
         Setting("platform_address", "127.0.0.1:7000", "IP:PORT of the platform."),
         Setting("health_interval_s", 1.0, "Seconds between polls of a target."),
         Setting("address_ttl_s", 5.0, "Seconds for which callers keep addresses."),
+        Setting("start_spread_s", 1.0, "Seconds over which a starting fleet reads."),
+        Setting("drain_timeout_s", 10.0, "Seconds to finish requests on a stop."),
         Setting("max_caller_connections", 1_000, "Connections of callers at a time."),
         Setting("seed", 0, "Seed of random choices; 0 draws one."),
     )
@@ -38,6 +40,8 @@
             health_interval_s=values["health_interval_s"],
             address_ttl_s=values["address_ttl_s"],
             seed=values["seed"],
+            start_spread_s=values["start_spread_s"],
+            drain_timeout_s=values["drain_timeout_s"],
             max_caller_connections=values["max_caller_connections"],
         )
         with Entry(settings) as entry:
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -20,7 +20,7 @@
 from .callers.app import CallerRequest
 from .callers.problems import ProblemKind, Refusal
 from .callers.server import CallersServer
-from .conf import PublishedVms, VmState
+from .coordination import Coordination, CoordinationSettings
 from .core.addresses import AddressAnswer, choose_addresses
 from .core.admission import AdmissionController, Permit, is_load_sample
 from .core.bookings import BookingLimits, BookingMemory
@@ -34,9 +34,8 @@
 from .logs import log_event
 from .net import Address
 from .peers import PeerLinks
-from .platform import PlatformReader
-from .platform.watch import ConfigurationWatch, VmWatch
 from .queries import QueryRunner
+from .serving import GatedBookings, ServingGate, ServingState, make_refusal
 from .targets import DirectDispatcher
 from .targets.health import HealthPoller
 
@@ -63,6 +62,8 @@
     health_interval_s: float
     address_ttl_s: float
     seed: int
+    start_spread_s: float = 1.0
+    drain_timeout_s: float = 10.0
     max_caller_connections: int = 1_000
 
 
@@ -83,7 +84,8 @@
         )
         self.store = ConfigurationStore(self.clock)
         self.snapshots = SnapshotTracker()
-        self.vms: PublishedVms | None = None
+        self.gate = ServingGate()
+        self.coordination = self.make_coordination()
         self.dispatcher = DirectDispatcher(self.clock, CONNECTION_SHARE)
         self.poller = HealthPoller(
             self.dispatcher, self.snapshots, self.clock, settings.health_interval_s
@@ -110,7 +112,10 @@
             PeerForwarder(self.links),
             self.clock,
         )
-        self.links.register(ForwardedBooking, self.bookings.take_forwarded)
+        self.gated_bookings = GatedBookings(self.bookings, self.gate)
+        self.links.register(
+            ForwardedBooking, self.gated_bookings.take_forwarded_booking
+        )
         self.links.register(ForwardedQuestion, self.bookings.take_forwarded)
         self.store.listeners.append(self.apply_configuration)
         self.stopping = Event()
@@ -129,7 +134,7 @@
             server.start()
             stack.callback(server.stop)
             stack.callback(lambda: gevent.killall(self.greenlets))
-            self.start_watches()
+            self.start_loops()
             self.resources = stack.pop_all()
         log_event("entry_started", entry=self.settings.entry_id)
         return self
@@ -138,16 +143,31 @@
         self.resources.close()
         log_event("entry_stopped", entry=self.settings.entry_id)
 
-    def start_watches(self) -> None:
+    def start_loops(self) -> None:
         """Start the loops that keep configuration, VMs and health current."""
-        config_reader = PlatformReader(self.settings.platform_address)
-        vm_reader = PlatformReader(self.settings.platform_address)
-        loops = (
-            ConfigurationWatch(config_reader, self.store, self.rng),
-            VmWatch(vm_reader, self.apply_vms, self.rng),
-            self.poller,
+        self.greenlets += self.coordination.start()
+        self.greenlets.append(gevent.spawn(self.poller.run))
+
+    def make_coordination(self) -> Coordination:
+        """Return what makes this entry act with the others."""
+        settings = self.settings
+        return Coordination(
+            CoordinationSettings(
+                settings.entry_id,
+                settings.data_centre,
+                settings.address,
+                settings.peer_address,
+                settings.platform_address,
+                settings.address_ttl_s,
+                settings.start_spread_s,
+                settings.drain_timeout_s,
+            ),
+            self.links,
+            self.store,
+            self.gate,
+            self.clock,
+            self.rng,
         )
-        self.greenlets += [gevent.spawn(loop.run) for loop in loops]
 
     def make_app(self) -> CallersApp:
         """Return the callers' interface of this entry."""
@@ -156,7 +176,7 @@
             self.store,
             self.clock,
             self.search,
-            self.bookings,
+            self.gated_bookings,
             {
                 "/v1/addresses": self.get_addresses,
                 "/healthz": self.get_health,
@@ -170,14 +190,14 @@
         self.dispatcher.update_targets(accepted.configuration)
         self.policies.apply(accepted)
 
-    def apply_vms(self, vms: PublishedVms) -> None:
-        """Take a newer VM list in."""
-        self.vms = vms
-        for vm in vms.vms:
-            self.links.addresses[vm.id] = Address.parse(vm.peer_address)
-
     def search(self, call: CallerRequest, request: SearchRequest) -> SearchAnswer:
         """Answer a caller's query, or raise Refusal."""
+        self.coordination.check_pause()
+        with self.gate.admit():
+            return self.run_search(call, request)
+
+    def run_search(self, call: CallerRequest, request: SearchRequest) -> SearchAnswer:
+        """Answer an admitted query, or raise Refusal."""
         if request.collection not in call.pinned.configuration.collections:
             raise Refusal(
                 ProblemKind.UNKNOWN_COLLECTION,
@@ -221,11 +241,7 @@
 
     def get_addresses(self, environ: dict) -> AddressAnswer:
         """Tell a caller which entries to use, and for how long."""
-        live = [
-            vm.address
-            for vm in (self.vms.vms if self.vms else ())
-            if vm.state is VmState.LIVE
-        ]
+        live = self.coordination.get_addresses()
         addresses = choose_addresses(live or [str(self.settings.address)], self.rng)
         return AddressAnswer(addresses, int(self.settings.address_ttl_s * 1_000))
 
@@ -235,31 +251,28 @@
 
     def get_readiness(self, environ: dict) -> dict:
         """Say that the entry can serve, or raise Refusal."""
-        if self.store.current is None or self.vms is None:
-            raise Refusal(
-                ProblemKind.NOT_READY,
-                "the entry waits for its first configuration and VM list",
-                "check that the platform can be reached",
-                retry_after_ms=1_000,
-            )
+        if self.gate.state is not ServingState.OPEN:
+            raise make_refusal(self.gate.state)
         return {"status": "ready"}
 
     def get_state(self, environ: dict) -> dict:
         """Return the state dump."""
+        refused = self.store.refused
         return {
             "entry": self.settings.entry_id,
             "config_version": self.store.version,
-            "refused": self.store.refused,
-            "incarnation": self.incarnation,
-            "vms": self.vms,
-            "peers": {
-                "connected": sorted(
-                    filter(self.links.is_connected, self.links.channels)
-                ),
-                "sent": self.links.counters.sent,
-                "received": self.links.counters.received,
-                "dropped": self.links.counters.dropped,
+            "config_age_s": self.store.age_s,
+            "config_ignored": {
+                result.value: count for result, count in self.store.ignored.items()
+            },
+            "refused": refused
+            and {
+                "version": refused.version,
+                "reason": refused.reason,
             },
+            "incarnation": self.incarnation,
+            "vms": self.coordination.vms.current,
+            "fleet": self.coordination.get_state(),
             "targets": {
                 target_id: {
                     "in_flight": pool.in_flight,
@@ -275,5 +288,7 @@
         self.stopping.set()
 
     def wait(self) -> None:
-        """Return when a planned stop was requested."""
+        """Return when a planned stop was requested and carried out."""
         self.stopping.wait()
+        self.bookings.takes_writers = False
+        self.coordination.leave()
--- a/sesameplank/peers/membership.py
+++ b/sesameplank/peers/membership.py
@@ -66,9 +66,7 @@
         """Hand a message to the core."""
         if isinstance(message, Heartbeat):
             self.on_versions(context.sender, message.versions)
-        self.send(
-            self.membership.on_message(context.sender, message, self.clock.now())
-        )
+        self.send(self.membership.on_message(context.sender, message, self.clock.now()))
 
     def on_published(self, vms: PublishedVms) -> None:
         """Hand the platform's list to the core."""
@@ -89,9 +87,7 @@
         for outgoing in messages:
             message = outgoing.message
             if isinstance(message, Heartbeat):
-                message = msgspec.structs.replace(
-                    message, versions=self.get_versions()
-                )
+                message = msgspec.structs.replace(message, versions=self.get_versions())
             if outgoing.peer in self.links.addresses:
                 self.links.send(outgoing.peer, message)
 
--- a/sesameplank/platform/watch.py
+++ b/sesameplank/platform/watch.py
@@ -140,9 +140,8 @@
     def take(self, published) -> OfferResult:
         """Offer an answer of the service, and note what it shows."""
         result = self.offer(published)
-        if result in (OfferResult.ACCEPTED, OfferResult.KNOWN):
-            if published.version == self.version:
-                self.confirm()
+        if published.version == self.version and result is not OfferResult.CONFLICT:
+            self.confirm()
         if result is not OfferResult.KNOWN:
             log_event(
                 f"{self.name}_offered", version=published.version, result=result.value
