Use the published peer address from the moment the list names it

An entry that heard of a peer before it had the VM list dialled the address the peer gives itself and kept to it, past whatever the platform publishes; in the partition test such links crossed the cut. A changed address now takes effect with the list and closes links dialled to the old one.

--- a/sesameplank/coordination.py
+++ b/sesameplank/coordination.py
@@ -227,7 +227,16 @@
         """Return the part of the state dump that is about the fleet."""
         counters = self.links.counters
         return {
-            "members": self.membership.members,
+            "members": {
+                member.id: {
+                    "incarnation": member.incarnation,
+                    "epoch": member.epoch,
+                    "phase": member.phase.name.lower(),
+                    "health": member.health.name.lower(),
+                    "is_published": member.id in self.membership.published,
+                }
+                for member in self.membership.members.values()
+            },
             "neighbours": self.membership.neighbours,
             "is_reader": self.role.check(),
             "connected": sorted(filter(self.links.is_connected, self.links.channels)),
--- a/sesameplank/peers/channel.py
+++ b/sesameplank/peers/channel.py
@@ -186,6 +186,12 @@
             if dialled and connection is not self.current:
                 connection.close_socket()
 
+    def close_dialled(self) -> None:
+        """Close every connection that was dialled here."""
+        for connection, dialled in list(self.connections.items()):
+            if dialled:
+                connection.close_socket()
+
     def close(self) -> None:
         """Close every connection at once."""
         for connection in list(self.connections):
--- a/sesameplank/peers/links.py
+++ b/sesameplank/peers/links.py
@@ -195,6 +195,13 @@
         channel = self.channels.get(peer)
         return channel is not None and channel.current is not None
 
+    def set_address(self, peer: EntryId, address: Address) -> None:
+        """Note where a peer listens; links dialled to another address close."""
+        known = self.addresses.get(peer)
+        self.addresses[peer] = address
+        if known not in (None, address) and peer in self.channels:
+            self.channels[peer].close_dialled()
+
     def ensure_connected(self, channel: Channel) -> None:
         """Open a connection in the background unless there is one."""
         peer = channel.peer
--- a/sesameplank/peers/membership.py
+++ b/sesameplank/peers/membership.py
@@ -71,6 +71,7 @@
     def on_published(self, vms: PublishedVms) -> None:
         """Hand the platform's list to the core."""
         self.published = {vm.id: vm.peer_address for vm in vms.vms}
+        self.known_at = float("-inf")
         self.send(self.membership.on_published(vms, self.clock.now()))
 
     def on_pause(self) -> None:
@@ -98,4 +99,4 @@
         self.known_at = self.membership.last_change_at
         for entry, member in self.membership.members.items():
             address = self.published.get(entry, member.peer_address)
-            self.links.addresses[entry] = Address.parse(address)
+            self.links.set_address(entry, Address.parse(address))
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -152,6 +152,14 @@
             gevent.sleep(0.01)
         self.assertEqual(b"2", self.call(Echo(b"2")).payload)
 
+    def test_link_to_an_outdated_address_closes(self):
+        self.call(Echo(b"1"))
+        moved = Address(f"{self.block}.1.8", 8081)
+        self.links["a"].set_address("b", moved)
+        while self.links["a"].is_connected("b"):
+            gevent.sleep(0.01)
+        self.assertEqual(Ran.NOT_RUN, self.call(Echo(b"2")).ran)
+
     def test_overdue_call_is_not_handled(self):
         ran = []
         self.links["b"].register(Echo, lambda message, context: ran.append(1))
