Test bookings through processes behind fault proxies; settle lost answers

Cause: after a lost answer the client library could only say 'unknown', also when its entry had refused the booking; a stopped entry held the taking of a writer id for the whole deadline. Change: a key that only the library can send is closed at the end, which gives 'not run' for certain or the answer that came late. Writer ids are asked for with a bounded share of the deadline. The tests break connections before, during and after the request, lose and hold answers, kill, restart and stop entries, cut the links between them, move shards, and send a key to all entries at once: the ledger shows one run each.

--- a/sesameplank/client/bookings.py
+++ b/sesameplank/client/bookings.py
@@ -6,7 +6,14 @@
 import gevent
 import msgspec
 
-from ..core.messages import BookingAnswer, BookingRequest, BookingStatus, WriterAnswer
+from ..core.messages import (
+    BookingAnswer,
+    BookingRequest,
+    BookingState,
+    BookingStatus,
+    WriterAnswer,
+)
+from ..core.outcomes import Ran
 from ..core.writers import SEPARATOR
 from ..exceptions import CallError
 from ..ids import IdempotencyKey
@@ -19,6 +26,9 @@
 FIRST_PAUSE_S = 0.01
 MAX_PAUSE_S = 0.2
 OPEN_SHARE = 0.8
+WRITER_TIMEOUT_S = 1.0
+SETTLE_MS = 300
+SETTLE_PAUSE_S = 0.02
 
 
 class Bookings:
@@ -55,9 +65,10 @@
             asked_at = time.monotonic()
             if asked_at >= give_up_at:
                 break
+            budget_s = min(WRITER_TIMEOUT_S, (give_up_at - asked_at) / 2)
             try:
                 answer = self.connections.post(
-                    address, "/v1/writers", {}, WriterAnswer, give_up_at - asked_at
+                    address, "/v1/writers", {}, WriterAnswer, budget_s, margin_s=0.0
                 )
             except CallError as failure:
                 error = failure
@@ -103,7 +114,7 @@
                 if time.monotonic() + wait_s >= give_up_at:
                     step = NextStep.GIVE_UP
                 if step is NextStep.GIVE_UP:
-                    raise attempts.explain(error, key) from error
+                    return self.settle(request, key, attempts, error)
             turn += 1
             if step is NextStep.NEW_KEY:
                 self.drop_writer()
@@ -113,6 +124,41 @@
             gevent.sleep(wait_s)
             pause_s = min(2 * pause_s, MAX_PAUSE_S)
 
+    def settle(
+        self,
+        request: BookingRequest,
+        key: IdempotencyKey,
+        attempts: BookingAttempts,
+        error: CallError,
+    ) -> BookingAnswer:
+        """Raise the final error, or return the answer that came late.
+
+        A key that nobody else can send again is closed first, so that a
+        request still on its way cannot run after "not run" was said.
+        """
+        if attempts.may_renew and attempts.may_have_run:
+            status = self.close_and_wait(key)
+            if status is not None and status.booking is not None:
+                self.seen.note(request.collection, status.booking.snapshot)
+                return status.booking
+            if status is not None and status.ran is Ran.NOT_RUN:
+                attempts.may_have_run = False
+        raise attempts.explain(error, key) from error
+
+    def close_and_wait(self, key: IdempotencyKey) -> BookingStatus | None:
+        """Close a key and wait a little for the end of its run, if it runs."""
+        give_up_at = time.monotonic() + SETTLE_MS / 1_000
+        status = None
+        while time.monotonic() < give_up_at:
+            try:
+                status = self.ask(key, SETTLE_MS, close=True)
+            except CallError:
+                return status
+            if status.state is not BookingState.RUNNING:
+                break
+            gevent.sleep(SETTLE_PAUSE_S)
+        return status
+
     def choose(self, key: IdempotencyKey, turn: int) -> Address:
         """Return the issuer twice, then the other entries, and again."""
         addresses = self.keeper.get_addresses()
@@ -166,6 +212,7 @@
                     BookingStatus,
                     remaining_s / 2,
                     method,
+                    margin_s=0.0,
                 )
             except CallError as error:
                 if error.kind != "no-answer" or time.monotonic() >= give_up_at:
--- a/sesameplank/client/connections.py
+++ b/sesameplank/client/connections.py
@@ -56,10 +56,11 @@
         kind: type,
         budget_s: float,
         method: str = "GET",
+        margin_s: float = ANSWER_MARGIN_S,
     ):
         """Return the typed answer to a request without body, or raise CallError."""
         headers = {"X-Caller": self.caller}
-        payload = self.call(address, method, path, b"", headers, budget_s)
+        payload = self.call(address, method, path, b"", headers, budget_s, margin_s)
         return msgspec.json.decode(payload, type=kind)
 
     def call(
--- a/sesameplank/client/retries.py
+++ b/sesameplank/client/retries.py
@@ -56,11 +56,17 @@
         return NextStep.NEW_KEY
 
     def explain(self, error: CallError, key: str) -> CallError:
-        """Return the last error with what all attempts together say."""
+        """Return the last error with what all attempts together say.
+
+        A key that others may have sent is as unknown as the entry says.
+        """
+        is_unknown = self.may_have_run or (
+            not self.may_renew and error.ran == "unknown"
+        )
         return CallError(
             str(error),
             kind=error.kind,
-            ran="unknown" if self.may_have_run else error.ran,
+            ran="unknown" if is_unknown else "not_run",
             retry_after_s=error.retry_after_s,
             idempotency_key=key,
         )
--- a/sesameplank/standins/naive.py
+++ b/sesameplank/standins/naive.py
@@ -5,6 +5,7 @@
 call takes a connection of its own when none is idle.
 """
 
+import itertools
 import random
 from collections import defaultdict, deque
 
@@ -33,6 +34,7 @@
     TargetHealth,
     TargetSearch,
     TargetSearchAnswer,
+    WriterAnswer,
 )
 from ..core.ranges import get_position, merge_ranges
 from ..exceptions import PlatformError
@@ -75,6 +77,7 @@
     """The entry's state and its WSGI application."""
 
     def __init__(self, platform: Address, address: Address) -> None:
+        self.writers = itertools.count(1)
         self.platform = platform
         self.address = address
         self.targets = NaiveTargets()
@@ -153,6 +156,8 @@
         if path == "/v1/bookings":
             booking = msgspec.json.decode(payload, type=BookingRequest)
             return self.book(environ, booking)
+        if path == "/v1/writers":
+            return "200 OK", WriterAnswer(f"naive~0~{next(self.writers)}", 60_000, 0)
         if path == "/v1/addresses":
             live = [vm.address for vm in self.vms.vms] or [str(self.address)]
             return "200 OK", AddressAnswer(choose_addresses(live, self.rng), 5_000)
--- /dev/null
+++ b/tests/integration/faulty.py
@@ -0,0 +1,91 @@
+"""A tier whose every connection passes a fault-injecting proxy."""
+
+import contextlib
+import random
+from collections import Counter
+
+import msgspec
+
+from sesameplank.net import Address
+from sesameplank.standins.deployments import VATUWAQA
+from sesameplank.standins.fleet import Fleet, reserve_block
+from sesameplank.standins.proxy import FaultProxy, Faults
+from sesameplank.standins.world import World, WorldOptions
+
+COLLECTION = "order-desk"
+
+
+class FaultyTier:
+    """Stand-ins, entries, and proxies before entries and targets.
+
+    `callers` are the proxies that callers connect to and `peers` those between
+    entries, by the entry's number; `targets` are by target id.
+    """
+
+    def __init__(self, entries: int, seed: int) -> None:
+        self.options = WorldOptions(
+            entries=entries, proxied_targets=True, proxied_peers=True
+        )
+        self.seed = seed
+        self.rng = random.Random(seed)
+        self.callers: list[FaultProxy] = []
+        self.resources = contextlib.ExitStack()
+
+    def __enter__(self) -> "FaultyTier":
+        with contextlib.ExitStack() as stack:
+            block = stack.enter_context(reserve_block())
+            self.world = stack.enter_context(
+                World(VATUWAQA, block, self.seed, options=self.options)
+            )
+            for number, vm in enumerate(self.world.vms):
+                upstream = Address.parse(vm.address)
+                listen = Address(f"{block}.2.{1 + number}", upstream.port)
+                proxy = FaultProxy(listen, upstream, self.rng)
+                self.callers.append(stack.enter_context(proxy))
+            self.world.platform.publish_vms(
+                tuple(
+                    msgspec.structs.replace(vm, address=str(proxy.listen))
+                    for vm, proxy in zip(
+                        self.world.published_vms, self.callers, strict=True
+                    )
+                )
+            )
+            self.fleet = stack.enter_context(
+                Fleet(self.world.vms, self.world.platform_address)
+            )
+            self.resources = stack.pop_all()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.resources.close()
+
+    @property
+    def targets(self) -> dict[str, FaultProxy]:
+        """The proxies before the targets."""
+        return self.world.target_proxies
+
+    @property
+    def peers(self) -> list[FaultProxy]:
+        """The proxies between the entries."""
+        return list(self.world.peer_proxies.proxies.values())
+
+    def heal(self) -> None:
+        """Lift every fault."""
+        for proxy in [*self.callers, *self.peers, *self.targets.values()]:
+            if proxy.faults != Faults():
+                proxy.clear_faults()
+
+    @property
+    def addresses(self) -> list[Address]:
+        """Where callers connect."""
+        return [proxy.listen for proxy in self.callers]
+
+    @property
+    def records(self) -> list[str]:
+        """The keys of all records that can be booked."""
+        return sorted(self.world.stores[COLLECTION].records)
+
+    def count_runs(self) -> Counter:
+        """Return how often the ledger says that each key ran."""
+        ledger = self.world.stores[COLLECTION].ledger
+        return Counter(run.idempotency_key for run in ledger)
--- /dev/null
+++ b/tests/integration/test_bookings.py
@@ -0,0 +1,252 @@
+"""Tests that each booking runs at most once, through real processes and faults."""
+
+import signal
+
+import gevent
+import msgspec
+import testtools
+
+from sesameplank.client import Client
+from sesameplank.core.messages import BookingState, SearchRequest
+from sesameplank.core.outcomes import Ran
+from sesameplank.core.ranges import get_position
+from sesameplank.exceptions import CallError
+from sesameplank.standins.fleet import get_status
+from sesameplank.standins.proxy import Direction, Faults
+
+from .faulty import COLLECTION, FaultyTier
+
+ENTRIES = 3
+LONG_MS = 20_000
+SHORT_MS = 500
+LOOK_UP_MS = 5_000
+REFUSE = Faults(refuse=True)
+CUT_REQUEST = Faults(reset_at_byte=60)
+LOSE_ANSWER = Faults(answer_reset_rate=1.0)
+HOLD_ANSWER = Faults(stalled=(Direction.ANSWER,))
+
+
+class BookingTests(testtools.TestCase):
+    """A booking runs at most once, and what callers are told of it is true."""
+
+    @classmethod
+    def setUpClass(cls):
+        super().setUpClass()
+        cls.tier = cls.enterClassContext(FaultyTier(ENTRIES, seed=5))
+
+    def setUp(self):
+        super().setUp()
+        self.addCleanup(self.tier.heal)
+        self.client = self.make_client(range(ENTRIES))
+        self.record = self.tier.records[0]
+
+    def make_client(self, entries):
+        """Return a caller that knows some of the entries."""
+        seeds = [self.tier.addresses[number] for number in entries]
+        client = self.enterContext(Client("order-desk", seeds))
+        client.keeper.addresses = seeds
+        client.keeper.addresses_until = float("inf")
+        return client
+
+    def make_key(self, entry=0):
+        """Return a new key that an entry issued."""
+        return self.make_client([entry]).make_key(LONG_MS)
+
+    def book(self, key, entries=(0, 1, 2), deadline_ms=LONG_MS, quantity=1):
+        """Book through some of the entries."""
+        client = self.make_client(entries)
+        return client.book(COLLECTION, self.record, quantity, key, deadline_ms)
+
+    def fail_to_book(self, *arguments, **options):
+        """Return the error of a booking."""
+        return self.assertRaises(CallError, self.book, *arguments, **options)
+
+    def look_up(self, key, entry=0):
+        """Return what is known of a key."""
+        return self.make_client([entry]).look_up_booking(key, LOOK_UP_MS)
+
+    def get_shard(self):
+        """Return the shard that holds the record."""
+        collection = self.tier.world.direct.collections[COLLECTION]
+        return collection.get_shard(get_position(self.record))
+
+    def get_replicas(self):
+        """Return the targets that hold the record."""
+        return self.get_shard().replicas
+
+    def get_runs(self, key):
+        """Return how often a key ran."""
+        return self.tier.count_runs()[key]
+
+    def check_ran_once(self, key):
+        self.assertEqual(1, self.get_runs(key))
+
+    def restart(self, entry):
+        """Start an entry that was killed."""
+        entry.start()
+        entry.wait_until_ready()
+
+    def test_broken_connection_to_the_issuer_is_made_good_through_another_entry(self):
+        for faults in (REFUSE, CUT_REQUEST, LOSE_ANSWER):
+            key = self.make_key(entry=0)
+            self.tier.callers[0].set_faults(faults)
+            answer = self.book(key)
+            self.tier.callers[0].set_faults(Faults())
+            self.assertEqual((key, 1), (answer.idempotency_key, self.get_runs(key)))
+
+    def test_same_key_at_all_entries_at_once_runs_once(self):
+        key = self.make_key()
+        calls = [gevent.spawn(self.book, key, [n % 3]) for n in range(12)]
+        answers = {(c.get().result, c.get().snapshot) for c in calls}
+        self.assertEqual(1, len(answers))
+        self.check_ran_once(key)
+
+    def test_answer_lost_at_the_target_is_unknown_for_good(self):
+        key = self.make_key()
+        for target in self.get_replicas():
+            self.tier.targets[target].set_faults(LOSE_ANSWER)
+        errors = [self.fail_to_book(key, [n]) for n in range(3)]
+        self.assertEqual(["unknown"] * 3, [error.ran for error in errors])
+        self.check_ran_once(key)
+        self.assertIs(BookingState.UNKNOWN, self.look_up(key, 1).state)
+
+    def test_answer_after_the_deadline_is_told_later(self):
+        key = self.make_key()
+        for target in self.get_replicas():
+            self.tier.targets[target].set_faults(HOLD_ANSWER)
+        self.assertEqual("unknown", self.fail_to_book(key, deadline_ms=SHORT_MS).ran)
+        self.assertIs(BookingState.RUNNING, self.look_up(key).state)
+        for target in self.get_replicas():
+            self.tier.targets[target].set_faults(Faults())
+        self.assertEqual(key, self.book(key, [1]).idempotency_key)
+        self.check_ran_once(key)
+
+    def test_key_of_a_killed_entry_is_unknown_and_never_runs_again(self):
+        key = self.make_key()
+        self.book(key)
+        entry = self.tier.fleet.entries[0]
+        entry.kill()
+        error = self.fail_to_book(key, [1], deadline_ms=SHORT_MS)
+        self.assertEqual("unknown", error.ran)
+        self.restart(entry)
+        for number in range(3):
+            error = self.fail_to_book(key, [number], deadline_ms=LOOK_UP_MS)
+            self.assertEqual("unknown", error.ran)
+        self.check_ran_once(key)
+
+    def test_caller_of_a_killed_issuer_books_under_a_new_key(self):
+        client = self.enterContext(Client("order-desk", self.tier.fleet.addresses))
+        client.keeper.addresses = self.tier.fleet.addresses
+        client.keeper.addresses_until = float("inf")
+        client.make_key(LONG_MS)
+        issuer = next(iter(client.bookings.issuers.values()))
+        entry = self.tier.fleet.entries[self.tier.fleet.addresses.index(issuer)]
+        entry.kill()
+        self.addCleanup(self.restart, entry)
+        answer = client.book(COLLECTION, self.record, 1, None, LONG_MS)
+        self.assertNotIn(f"~{entry.vm.id}~", f"~{answer.idempotency_key}")
+        self.check_ran_once(answer.idempotency_key)
+
+    def test_request_that_waited_in_a_stopped_entry_is_not_run(self):
+        key = self.make_key()
+        entry = self.tier.fleet.entries[0]
+        entry.signal(signal.SIGSTOP)
+        self.addCleanup(entry.signal, signal.SIGCONT)
+        error = self.fail_to_book(key, [0], deadline_ms=SHORT_MS)
+        self.assertEqual("unknown", error.ran)
+        gevent.sleep(2 * SHORT_MS / 1_000)
+        entry.signal(signal.SIGCONT)
+        self.assertIs(BookingState.NEW, self.look_up(key).state)
+        self.assertEqual(0, self.get_runs(key))
+        self.book(key, [1])
+        self.check_ran_once(key)
+
+    def test_stopped_issuer_runs_what_was_passed_on_at_most_once(self):
+        key = self.make_key()
+        self.book(self.make_key(), [1])
+        entry = self.tier.fleet.entries[0]
+        entry.signal(signal.SIGSTOP)
+        self.addCleanup(entry.signal, signal.SIGCONT)
+        errors = [self.fail_to_book(key, [n], deadline_ms=SHORT_MS) for n in (1, 2)]
+        self.assertEqual(["unknown"] * 2, [error.ran for error in errors])
+        entry.signal(signal.SIGCONT)
+        self.book(key, [1])
+        self.assertEqual(1, self.get_runs(key))
+
+    def test_key_across_a_partition_is_unknown_and_runs_once(self):
+        key = self.make_key()
+        self.book(key, [0])
+        for proxy in self.tier.peers:
+            proxy.set_faults(REFUSE)
+            proxy.reset_all()
+        self.assertEqual("unknown", self.fail_to_book(key, [1], SHORT_MS).ran)
+        self.check_ran_once(key)
+
+    def test_booking_goes_on_to_the_target_that_still_owns_the_shard(self):
+        first, _ = self.get_replicas()
+        self.disown(first)
+        self.check_ran_once(self.book(self.make_key()).idempotency_key)
+
+    def test_booking_waits_for_the_map_of_a_shard_that_moved(self):
+        for target in self.get_replicas():
+            self.disown(target)
+        refused = self.fail_to_book(None, deadline_ms=SHORT_MS)
+        self.assertEqual("not_run", refused.ran)
+        call = gevent.spawn(self.book, self.make_key())
+        gevent.sleep(SHORT_MS / 1_000)
+        world = self.tier.world
+        shard = self.get_shard()
+        others = next(
+            item.replicas
+            for item in world.direct.collections[COLLECTION].shards
+            if item.replicas != shard.replicas
+        )
+        world.move_shard(COLLECTION, shard.id, others)
+        self.check_ran_once(call.get().idempotency_key)
+
+    def disown(self, target):
+        """Take every shard from a target, while the published map says otherwise."""
+        collection = msgspec.structs.replace(
+            self.tier.world.direct.collections[COLLECTION], shards=()
+        )
+        self.tier.world.targets[target].set_shards(collection)
+        self.addCleanup(self.tier.world.update_owners, COLLECTION)
+
+    def test_key_without_a_writer_id_is_refused_as_not_run(self):
+        error = self.fail_to_book("order-17")
+        self.assertEqual(("writer-required", "not_run"), (error.kind, error.ran))
+
+    def test_same_key_for_another_booking_conflicts(self):
+        key = self.make_key()
+        self.book(key)
+        error = self.fail_to_book(key, [1], quantity=2)
+        self.assertEqual(("key-conflict", "not_run"), (error.kind, error.ran))
+        self.check_ran_once(key)
+
+    def test_closed_key_never_runs(self):
+        key = self.make_key()
+        status = self.make_client([1]).close_booking(key, LOOK_UP_MS)
+        self.assertIs(Ran.NOT_RUN, status.ran)
+        error = self.fail_to_book(key)
+        self.assertEqual(("key-closed", "not_run"), (error.kind, error.ran))
+        self.assertEqual(0, self.get_runs(key))
+
+    def test_search_after_a_booking_contains_it(self):
+        answer = self.client.book(COLLECTION, self.record, 1, None, LONG_MS)
+        found = self.client.search(SearchRequest(COLLECTION), LONG_MS)
+        self.assertTrue(found.snapshot >= answer.snapshot)
+
+    def test_look_up_tells_the_answer_at_every_entry(self):
+        key = self.make_key()
+        self.assertIs(BookingState.NEW, self.look_up(key).state)
+        answer = self.book(key)
+        for entry in range(3):
+            status = self.look_up(key, entry)
+            self.assertEqual(
+                (answer.result, answer.snapshot),
+                (status.booking.result, status.booking.snapshot),
+            )
+
+    def test_entry_is_ready_behind_its_proxy(self):
+        for address in self.tier.addresses:
+            self.assertEqual(200, get_status(address, "/readyz"))
