Cancel the losers of hedges at their targets; set the three presets

Cause: a loser kept its slot at the target and cost a new connection; the presets differed only in deadlines and hedges. Change: the target is told by POST /cancel and the connection is kept when the call ends soon, else closed. Presets set every policy, checked in their bounds.

--- a/sesameplank/conf/documents.py
+++ b/sesameplank/conf/documents.py
@@ -178,6 +178,19 @@
 
 DEFAULT_POLICIES = {
     PresetName.ORDINARY: Policy(),
-    PresetName.PEAK: Policy(default_deadline_ms=800, hedge_budget=0.02),
-    PresetName.MAINTENANCE: Policy(default_deadline_ms=3_000, hedge_budget=0.02),
+    PresetName.PEAK: Policy(
+        default_deadline_ms=800,
+        hedge_budget=0.01,
+        retry_budget=0.05,
+        max_ejected=0.2,
+        lower_class_latency=2.0,
+        third_class_share=0.4,
+    ),
+    PresetName.MAINTENANCE: Policy(
+        default_deadline_ms=3_000,
+        retry_budget=0.3,
+        max_ejected=0.5,
+        first_class_latency=0.2,
+        lower_class_latency=4.0,
+    ),
 }
--- a/sesameplank/conf/rules.py
+++ b/sesameplank/conf/rules.py
@@ -25,9 +25,22 @@
     faults = list(find_target_faults(configuration))
     for name, collection in configuration.collections.items():
         faults.extend(find_collection_faults(configuration, name, collection))
+    faults.extend(find_preset_faults(configuration))
     return faults
 
 
+def find_preset_faults(configuration: Configuration) -> Iterator[Fault]:
+    """Yield presets whose default deadline is beyond their longest one."""
+    for name, policy in configuration.presets.items():
+        if policy.default_deadline_ms > policy.max_deadline_ms:
+            yield Fault(
+                f"$.presets.{name.value}.default_deadline_ms",
+                f"{policy.default_deadline_ms} is above max_deadline_ms, "
+                f"{policy.max_deadline_ms}",
+                "lower it or raise max_deadline_ms",
+            )
+
+
 def find_target_faults(configuration: Configuration) -> Iterator[Fault]:
     """Yield targets that share an address."""
     seen: dict[str, str] = {}
--- a/sesameplank/core/observer.py
+++ b/sesameplank/core/observer.py
@@ -16,6 +16,10 @@
         """Take in that an attempt was sent."""
         return
 
+    def note_ended(self, attempt: Attempt) -> None:
+        """Take in that a sent attempt is over, however it ended."""
+        return
+
     def note_answer(
         self, attempt: Attempt, answer: TargetSearchAnswer, now: float
     ) -> None:
--- a/sesameplank/core/policies.py
+++ b/sesameplank/core/policies.py
@@ -81,11 +81,14 @@
         """Count the call as in flight."""
         self.scoreboard.note_sent(attempt.target)
 
+    def note_ended(self, attempt: Attempt) -> None:
+        """Count the call as no longer in flight."""
+        self.scoreboard.note_ended(attempt.target)
+
     def note_answer(
         self, attempt: Attempt, answer: TargetSearchAnswer, now: float
     ) -> None:
         """Learn from an answer; a quick refusal says nothing of the latency."""
-        self.scoreboard.note_ended(attempt.target)
         if any(result.status is ShardStatus.SHED for result in answer.results):
             self.scoreboard.note_shed(attempt.target, now)
             return
@@ -103,14 +106,12 @@
 
     def note_failure(self, attempt: Attempt, failure: Failure, now: float) -> None:
         """Learn from a failure."""
-        self.scoreboard.note_ended(attempt.target)
         if failure.reason is FailureReason.TIMEOUT:
             self.learn_lower_bound(attempt, now)
         self.ejector.note_failure(attempt.target, failure, now)
 
     def note_cancelled(self, attempt: Attempt, now: float) -> None:
         """Learn that the call took longer than it was given; not a failure."""
-        self.scoreboard.note_ended(attempt.target)
         self.learn_lower_bound(attempt, now)
 
     def learn_lower_bound(self, attempt: Attempt, now: float) -> None:
--- a/sesameplank/queries.py
+++ b/sesameplank/queries.py
@@ -25,12 +25,13 @@
 from .core.query import Attempt, AttemptKind, QueryState
 from .core.snapshots import HeldSnapshots, SnapshotTracker
 from .core.versions import AcceptedConfiguration
-from .ids import RequestId, Snapshot
+from .ids import AttemptId, RequestId, Snapshot
 from .targets import Dispatcher
 
 RETURN_MARGIN_S = 0.002
 REPLAN_PAUSE_S = 0.01
 PROBE_TIMEOUT_S = 1.0
+CANCEL_TIMEOUT_S = 0.1
 
 
 class QueryResult(msgspec.Struct, frozen=True):
@@ -96,6 +97,7 @@
         self.plans = 0
         self.calls = 0
         self.slowest_s = 0.0
+        self.cancelled: set[AttemptId] = set()
 
     def run(self) -> QueryResult:
         """Plan and run until an answer is whole or the deadline is near."""
@@ -173,9 +175,23 @@
         for loser in state.pop_losers():
             greenlet = greenlets.pop(loser.id, None)
             if greenlet is not None:
-                greenlet.kill(block=False)
+                gevent.spawn(self.cancel, loser, greenlet)
         return True
 
+    def cancel(self, loser: Attempt, greenlet: gevent.Greenlet) -> None:
+        """Tell a target to drop a call, so that its slot and connection are free.
+
+        The connection is kept when the target ends the call soon, and closed
+        otherwise.
+        """
+        self.cancelled.add(loser.id)
+        self.observer.note_cancelled(loser, self.clock.now())
+        deadline_at = min(self.stop_at, self.clock.now() + CANCEL_TIMEOUT_S)
+        request_id = self.make_call_id(loser)
+        self.runner.dispatcher.cancel(loser.target, request_id, deadline_at)
+        greenlet.join(max(0.0, deadline_at - self.clock.now()))
+        greenlet.kill(block=False)
+
     def take_outcome(
         self,
         plan: Plan,
@@ -208,21 +224,28 @@
 
         A greenlet that is killed on the way was cancelled by its query.
         """
-        observer = self.observer
-        observer.note_sent(attempt)
+        self.observer.note_sent(attempt)
         outcome = None
         try:
             outcome = self.call(plan, attempt, self.stop_at)
         finally:
-            now = self.clock.now()
-            if outcome is None:
-                observer.note_cancelled(attempt, now)
-            elif isinstance(outcome, Failure):
-                observer.note_failure(attempt, outcome, now)
-            else:
-                observer.note_answer(attempt, outcome, now)
+            self.observer.note_ended(attempt)
+            if attempt.id not in self.cancelled:
+                self.observe(attempt, outcome)
         events.put((attempt, outcome))
 
+    def observe(
+        self, attempt: Attempt, outcome: TargetSearchAnswer | Failure | None
+    ) -> None:
+        """Tell the observer what an attempt brought, None when it was cut off."""
+        now = self.clock.now()
+        if outcome is None:
+            self.observer.note_cancelled(attempt, now)
+        elif isinstance(outcome, Failure):
+            self.observer.note_failure(attempt, outcome, now)
+        else:
+            self.observer.note_answer(attempt, outcome, now)
+
     def send_probe(self, plan: Plan, probe: Attempt) -> None:
         """Send a probe that outlives its query, and judge the target by it."""
         deadline_at = self.clock.now() + PROBE_TIMEOUT_S
--- a/sesameplank/targets/dispatch.py
+++ b/sesameplank/targets/dispatch.py
@@ -7,6 +7,7 @@
 from ..conf import Configuration
 from ..core.clock import Clock
 from ..core.messages import (
+    CancelRequest,
     TargetBooking,
     TargetBookingAnswer,
     TargetHealth,
@@ -14,7 +15,7 @@
     TargetSearchAnswer,
 )
 from ..core.outcomes import Failure, FailureReason, Ran
-from ..ids import TargetId
+from ..ids import RequestId, TargetId
 from ..net import Address
 from .pool import TargetPool
 
@@ -30,6 +31,12 @@
     ) -> TargetSearchAnswer | Failure:
         """Return the target's answer to a search call, or a Failure."""
 
+    def cancel(
+        self, target: TargetId, request_id: RequestId, deadline_at: float
+    ) -> None:
+        """Ask a target to drop a search call; whether it did is not known."""
+        return
+
     @abstractmethod
     def book(
         self,
@@ -82,6 +89,13 @@
         """Return the target's answer to a search call, or a Failure."""
         return self.call(target, "/search", message, TargetSearchAnswer, deadline_at)
 
+    def cancel(
+        self, target: TargetId, request_id: RequestId, deadline_at: float
+    ) -> None:
+        """Ask a target to drop a search call, by its request id."""
+        message = CancelRequest(request_id)
+        self.call(target, "/cancel", message, CancelRequest, deadline_at)
+
     def book(
         self,
         target: TargetId,
--- /dev/null
+++ b/tests/test_hedged_queries.py
@@ -0,0 +1,138 @@
+"""Tests of hedges, cancellations and probes as the driver carries them out."""
+
+import random
+
+import gevent
+import msgspec
+import testtools
+from gevent.event import Event
+
+from sesameplank.conf import Configuration, decode_configuration
+from sesameplank.conf.documents import PresetName, PublishedConfiguration
+from sesameplank.core.clock import SystemClock
+from sesameplank.core.counters import HedgeResult
+from sesameplank.core.ejection import EjectedTarget, EjectionReason
+from sesameplank.core.messages import (
+    SearchRequest,
+    ShardResult,
+    ShardStatus,
+    TargetSearch,
+    TargetSearchAnswer,
+)
+from sesameplank.core.policies import LoadPolicies
+from sesameplank.core.ranges import KEY_SPACE
+from sesameplank.core.snapshots import SnapshotTracker
+from sesameplank.core.versions import AcceptedConfiguration
+from sesameplank.queries import QueryRunner
+from sesameplank.targets import Dispatcher
+
+WAIT_S = 30.0
+
+
+class HeldDispatcher(Dispatcher):
+    """Answers at once, but holds calls to some targets until they are cancelled."""
+
+    def __init__(self, held: set[str]) -> None:
+        self.held = held
+        self.calls: list[tuple[str, TargetSearch]] = []
+        self.cancelled: dict[str, Event] = {}
+        self.cancel_seen = Event()
+
+    def search(self, target, message, deadline_at):
+        self.calls.append((target, message))
+        status = ShardStatus.OK
+        if target in self.held:
+            self.cancelled.setdefault(message.request_id, Event()).wait(WAIT_S)
+            status = ShardStatus.SHED
+        return TargetSearchAnswer(
+            message.request_id,
+            message.snapshot,
+            tuple(ShardResult(item.shard, status, 1, 9) for item in message.shards),
+        )
+
+    def cancel(self, target, request_id, deadline_at):
+        self.cancelled[request_id].set()
+        self.cancel_seen.set()
+
+    def book(self, target, message, deadline_at, answer_by):
+        raise NotImplementedError
+
+
+def make_pinned() -> AcceptedConfiguration:
+    """Return a configuration of one shard on the targets a and b."""
+    document = {
+        "deployment": "test",
+        "preset": PresetName.ORDINARY.value,
+        "targets": {
+            "a": {"address": "127.0.0.1:1", "data_centre": "x"},
+            "b": {"address": "127.0.0.1:2", "data_centre": "x"},
+        },
+        "collections": {
+            "orders": {
+                "shards": [
+                    {"id": "s", "start": 0, "end": KEY_SPACE, "replicas": ["a", "b"]}
+                ]
+            }
+        },
+        "callers": {"desk": {}},
+    }
+    raw = msgspec.Raw(msgspec.json.encode(document))
+    configuration: Configuration = decode_configuration(raw)
+    return AcceptedConfiguration(1, configuration, PublishedConfiguration(1, raw), 0.0)
+
+
+class HedgedQueryTests(testtools.TestCase):
+    """A slow call is overtaken by a hedge and then cancelled."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = SystemClock()
+        self.policies = LoadPolicies(self.clock, random.Random(1))
+        self.pinned = make_pinned()
+        self.policies.apply(self.pinned)
+        for _ in range(50):
+            self.policies.latencies.observe("orders", 1, 0.005)
+
+    def run_query(self, dispatcher: Dispatcher):
+        """Run one query and return its answer."""
+        runner = QueryRunner(
+            dispatcher,
+            SnapshotTracker(),
+            self.policies.chooser,
+            self.policies.make_hedges,
+            self.clock,
+            self.policies,
+        )
+        deadline_at = self.clock.now() + WAIT_S
+        request = SearchRequest("orders", at_least_snapshot=3)
+        return runner.run("r", request, self.pinned, deadline_at).answer
+
+    def test_hedge_wins_and_the_loser_is_cancelled(self):
+        self.policies.scoreboard.note_sent("b")
+        dispatcher = HeldDispatcher({"a"})
+        answer = self.run_query(dispatcher)
+        self.assertTrue(dispatcher.cancel_seen.wait(WAIT_S))
+        self.assertTrue(answer.coverage.is_whole)
+        self.assertEqual(["a", "b"], [target for target, _ in dispatcher.calls])
+        self.assertEqual(1, self.policies.counters.hedges[HedgeResult.WON])
+
+    def test_cancelled_loser_counts_neither_as_failure_nor_as_shed(self):
+        self.policies.scoreboard.note_sent("b")
+        dispatcher = HeldDispatcher({"a"})
+        self.run_query(dispatcher)
+        with gevent.Timeout(WAIT_S):
+            while self.policies.scoreboard.get("a").in_flight:
+                gevent.sleep(0.001)
+        suspicion = self.policies.ejector.suspicions["a"]
+        self.assertEqual(0, suspicion.failed_calls)
+        self.assertEqual({}, dict(self.policies.counters.retries))
+
+    def test_ejected_target_gets_a_probe_beside_the_query(self):
+        self.policies.ejector.ejected["a"] = EjectedTarget(EjectionReason.SLOW, 0, 0)
+        dispatcher = HeldDispatcher(set())
+        answer = self.run_query(dispatcher)
+        with gevent.Timeout(WAIT_S):
+            while not self.policies.counters.probes:
+                gevent.sleep(0.001)
+        self.assertTrue(answer.coverage.is_whole)
+        self.assertEqual({"a", "b"}, {target for target, _ in dispatcher.calls})
