Tell lasting slowness from moments and overload; change limits once a round trip

Cause: a slowness remembered for a second doubled the load of the partner, which at half load has no room for it; a noisy moment of 0.3 s led to an ejection; in an overload half of the pairs lost a target; the concurrency limit was cut ten times for one overload.

--- a/sesameplank/core/admission.py
+++ b/sesameplank/core/admission.py
@@ -8,7 +8,7 @@
 from ..conf import CallerClass, Policy
 from ..ids import CollectionName
 from .clock import Clock
-from .concurrency import BaseLatency, ConcurrencyLimit, LatencyWindow, get_median
+from .concurrency import BaseLatency, ConcurrencyLimit
 from .counters import PolicyCounters, RefusalReason
 from .coverage import Coverage, MissingReason
 
@@ -63,7 +63,6 @@
         self.clock = clock
         self.counters = counters
         self.in_flight = 0
-        self.window = LatencyWindow()
         self.base = BaseLatency()
         self.first_limit = ConcurrencyLimit()
         self.lower_limit = ConcurrencyLimit()
@@ -83,7 +82,8 @@
             self.counters.refusals[reason] += 1
             return reason
         self.in_flight += 1
-        self.window.peak = max(self.window.peak, self.in_flight)
+        self.first_limit.note_running(self.in_flight)
+        self.lower_limit.note_running(self.in_flight)
         self.counters.admitted += 1
         return Permit(self, now)
 
@@ -131,22 +131,24 @@
             return
         self.released_at = now
         self.recent.append(now - permit.admitted_at)
-        self.window.samples.append(now - permit.admitted_at)
-        if self.window.is_over(now):
-            self.adjust(now)
-
-    def adjust(self, now: float) -> None:
-        """Let both limits follow the latency of the window that ends."""
-        median_s = get_median(self.window)
-        self.base.update(median_s)
+        self.adjust(now - permit.admitted_at, now)
+
+    def adjust(self, latency_s: float, now: float) -> None:
+        """Let both limits follow the latency."""
         deadline_s = self.policy.default_deadline_ms / 1_000
         first_target_s = deadline_s * self.policy.first_class_latency
-        lower_target_s = min(
-            first_target_s, self.base.seconds * self.policy.lower_class_latency
+        lower_target_s = min(first_target_s, self.get_lower_target_s(latency_s))
+        self.first_limit.note_done(latency_s, first_target_s, self.in_flight, now)
+        median_s = self.lower_limit.note_done(
+            latency_s, lower_target_s, self.in_flight, now
         )
-        self.first_limit.adjust(median_s, first_target_s, self.window.peak)
-        self.lower_limit.adjust(median_s, lower_target_s, self.window.peak)
-        self.window.restart(now, self.in_flight)
+        if median_s is not None:
+            self.base.update(median_s)
+
+    def get_lower_target_s(self, latency_s: float) -> float:
+        """Return the latency that the lower classes may bring about."""
+        base_s = self.base.seconds or latency_s
+        return base_s * self.policy.lower_class_latency
 
 
 def is_load_sample(coverage: Coverage) -> bool:
--- a/sesameplank/core/choice.py
+++ b/sesameplank/core/choice.py
@@ -84,27 +84,29 @@
             if target in already_chosen and not self.ejector.contains(target):
                 return target
         now = self.clock.now()
-        costs = [
-            (self.scoreboard.get(item).get_cost(now), self.rng.random(), item)
-            for item in self.get_usable(candidates, now)
-        ]
+        serving = [item for item in candidates if not self.ejector.is_failing(item)]
+        warm = self.get_warm(serving or candidates, now)
+        costs = [(self.get_cost(item, now), self.rng.random(), item) for item in warm]
         return min(costs)[-1]
 
+    def get_cost(self, target: TargetId, now: float) -> float:
+        """Return the cost of one more call, in multiples of the median."""
+        if self.ejector.contains(target):
+            return self.ejector.get_overflow_cost(target)
+        return self.scoreboard.get(target).get_cost(now)
+
     def is_usable(self, target: TargetId) -> bool:
         """Tell whether the target serves; hedges to an ejected one are wasted."""
         return not self.ejector.contains(target)
 
-    def get_usable(
+    def get_warm(
         self, candidates: Sequence[TargetId], now: float
     ) -> Sequence[TargetId]:
-        """Return the candidates that serve and are due for work, else all."""
-        serving = [item for item in candidates if not self.ejector.contains(item)]
-        if len(serving) < 2:
-            return serving or candidates
+        """Return the candidates that are due for work, or all if none is."""
         warm = [
             item
-            for item in serving
+            for item in candidates
             if (weight := self.scoreboard.get(item).get_weight(now)) >= 1.0
             or self.rng.random() < weight
         ]
-        return warm or serving
+        return warm or candidates
--- a/sesameplank/core/concurrency.py
+++ b/sesameplank/core/concurrency.py
@@ -11,32 +11,13 @@
 INITIAL_LIMIT = 16.0
 MIN_LIMIT = 1.0
 MAX_LIMIT = 1_024.0
-MAX_DECREASE = 0.7
+MAX_DECREASE = 0.5
 INCREASE = 1.1
 BUSY_SHARE = 0.8
 BASE_FALL = 0.3
 BASE_RISE = 0.002
 
 
-class LatencyWindow:
-    """Latencies of one short stretch, and the most that ran at once."""
-
-    def __init__(self) -> None:
-        self.samples: list[float] = []
-        self.started_at = 0.0
-        self.peak = 0
-
-    def is_over(self, now: float) -> bool:
-        """Tell whether the stretch is long and full enough to judge."""
-        return len(self.samples) >= MIN_SAMPLES and now - self.started_at >= WINDOW_S
-
-    def restart(self, now: float, in_flight: int) -> None:
-        """Begin the next stretch."""
-        self.samples.clear()
-        self.started_at = now
-        self.peak = in_flight
-
-
 class BaseLatency:
     """The latency without overload: falls quickly, rises slowly.
 
@@ -57,20 +38,46 @@
 
 
 class ConcurrencyLimit:
-    """How many queries may run at once so that latency stays at a target."""
+    """How many queries may run at once so that latency stays at a target.
+
+    A change shows only in queries that were admitted after it. The time of
+    older ones is not used, so that one overload is not answered twice.
+    """
 
     def __init__(self) -> None:
         self.limit = INITIAL_LIMIT
+        self.changed_at = float("-inf")
+        self.samples: list[float] = []
+        self.peak = 0
 
-    def adjust(self, median_s: float, target_s: float, peak: int) -> None:
-        """Shrink when latency is over the target, grow when the limit was used."""
+    def note_running(self, in_flight: int) -> None:
+        """Take in how many queries run, for the most that ran at once."""
+        self.peak = max(self.peak, in_flight)
+
+    def note_done(
+        self, latency_s: float, target_s: float, in_flight: int, now: float
+    ) -> float | None:
+        """Take in a query's latency; return the median of a window that ends.
+
+        The limit then shrinks if the median is over the target, and grows if
+        it is not and the limit was used.
+        """
+        if now - latency_s < self.changed_at:
+            return None
+        self.samples.append(latency_s)
+        if len(self.samples) < MIN_SAMPLES or now - self.changed_at < WINDOW_S:
+            return None
+        median_s = statistics.median(self.samples)
+        self.adjust(median_s, target_s)
+        self.changed_at = now
+        self.samples.clear()
+        self.peak = in_flight
+        return median_s
+
+    def adjust(self, median_s: float, target_s: float) -> None:
+        """Change the limit by the median of one window."""
         if median_s > target_s:
             factor = max(MAX_DECREASE, target_s / median_s)
-            self.limit = max(MIN_LIMIT, min(self.limit, peak) * factor)
-        elif peak >= BUSY_SHARE * self.limit:
+            self.limit = max(MIN_LIMIT, min(self.limit, self.peak) * factor)
+        elif self.peak >= BUSY_SHARE * self.limit:
             self.limit = min(MAX_LIMIT, max(self.limit + 1.0, self.limit * INCREASE))
-
-
-def get_median(window: LatencyWindow) -> float:
-    """Return the median latency of a window, in seconds."""
-    return statistics.median(window.samples)
--- a/sesameplank/core/ejection.py
+++ b/sesameplank/core/ejection.py
@@ -1,5 +1,6 @@
 """Ejection of lastingly slow or failing targets, their probing and return."""
 
+import statistics
 from collections.abc import Iterable
 
 import msgspec
@@ -10,9 +11,10 @@
 from .scoreboard import Scoreboard
 
 SLOW_RATIO = 2.5
-PARTNER_RATIO = 2.0
+PARTNER_RATIO = 2.5
 SLOW_CALLS = 4
-SLOW_SPAN_S = 0.25
+SLOW_SPAN_S = 1.0
+OVERFLOW_PENALTY = 1.5
 FAILED_CALLS = 3
 RETURN_RATIO = 1.6
 GOOD_PROBES = 2
@@ -52,6 +54,7 @@
     reason: EjectionReason
     since: float
     next_probe_at: float
+    slowness: float = 1.0
     interval_s: float = FIRST_PROBE_AFTER_S
     good_probes: int = 0
     probing: bool = False
@@ -99,6 +102,21 @@
         """Tell whether the target is ejected."""
         return target in self.ejected
 
+    def is_failing(self, target: TargetId) -> bool:
+        """Tell whether the target is ejected because its calls fail."""
+        state = self.ejected.get(target)
+        return state is not None and state.reason is EjectionReason.FAILING
+
+    def get_overflow_cost(self, target: TargetId) -> float:
+        """Return the cost of a call to an ejected target.
+
+        A slow target still has some capacity, which counts when the replicas
+        that stand in for it are at their limit.
+        """
+        state = self.ejected[target]
+        in_flight = self.scoreboard.get(target).in_flight
+        return (in_flight + 1) * state.slowness * OVERFLOW_PENALTY
+
     def note_latency(self, target: TargetId, slowness: float, now: float) -> None:
         """Take in a call's latency as a multiple of the median of its peers."""
         suspicion = self.suspicions.setdefault(target, Suspicion())
@@ -112,7 +130,7 @@
         lasting = now - suspicion.slow_since >= SLOW_SPAN_S
         if suspicion.slow_calls < SLOW_CALLS or not lasting:
             return
-        if self.has_faster_partner(target, now):
+        if self.is_outlier(target, now) and self.has_faster_partner(target, now):
             self.eject(target, EjectionReason.SLOW, now)
 
     def note_failure(self, target: TargetId, failure: Failure, now: float) -> None:
@@ -124,6 +142,24 @@
         if suspicion.failed_calls >= FAILED_CALLS:
             self.eject(target, EjectionReason.FAILING, now)
 
+    def is_outlier(self, target: TargetId, now: float) -> bool:
+        """Tell whether the target is slow beside its peers as they are now.
+
+        In an overload all of them are slow, and none is an outlier.
+        """
+        own = self.scoreboard.get(target).slowness.get(now)
+        return all(
+            own >= SLOW_RATIO * self.get_peer_median(replica_set.collection, now)
+            for replica_set in self.replica_sets.get(target, ())
+        )
+
+    def get_peer_median(self, collection: CollectionName, now: float) -> float:
+        """Return the median slowness of a collection's targets."""
+        return statistics.median(
+            self.scoreboard.get(peer).slowness.get(now)
+            for peer in self.peers[collection]
+        )
+
     def has_faster_partner(self, target: TargetId, now: float) -> bool:
         """Tell whether some replica of each shard is clearly faster."""
         own = self.scoreboard.get(target).slowness.get(now)
@@ -131,7 +167,7 @@
             any(
                 self.scoreboard.get(other).slowness.get(now) * PARTNER_RATIO <= own
                 for other in replica_set.replicas
-                if other != target
+                if other != target and other not in self.ejected
             )
             for replica_set in self.replica_sets.get(target, ())
         )
@@ -147,7 +183,10 @@
             return
         self.counters.ejections[reason] += 1
         self.suspicions.pop(target, None)
-        self.ejected[target] = EjectedTarget(reason, now, now + FIRST_PROBE_AFTER_S)
+        slowness = max(SLOW_RATIO, self.scoreboard.get(target).slowness.get(now))
+        self.ejected[target] = EjectedTarget(
+            reason, now, now + FIRST_PROBE_AFTER_S, slowness
+        )
 
     def find_reason_to_keep(self, target: TargetId) -> EjectionReason | None:
         """Return why the target has to stay, or None."""
@@ -187,6 +226,8 @@
         if state is None:
             return result
         state.probing = False
+        if slowness is not None:
+            state.slowness = max(slowness, RETURN_RATIO)
         if result is not ProbeResult.GOOD:
             state.good_probes = 0
             state.interval_s = min(
@@ -201,11 +242,12 @@
         return result
 
     def restore(self, target: TargetId, now: float) -> None:
-        """Let a target serve again, with little work at first."""
-        del self.ejected[target]
+        """Let a target serve again, with little work first if it was gone."""
+        state = self.ejected.pop(target)
         self.counters.returns += 1
         self.scoreboard.forget_slowness(target)
-        self.scoreboard.get(target).start_ramp(now)
+        if state.reason is EjectionReason.FAILING:
+            self.scoreboard.get(target).start_ramp(now)
 
 
 def judge_probe(slowness: float | None) -> ProbeResult:
--- a/sesameplank/core/query.py
+++ b/sesameplank/core/query.py
@@ -22,7 +22,7 @@
 
 MAX_EXTRA_ROUNDS = 4
 ROUND_PAUSE_S = 0.01
-HEDGE_PAUSE_S = 0.02
+HEDGE_PAUSE_S = 0.05
 REFUSAL_REASONS = {
     ShardStatus.SNAPSHOT_MISSING: MissingReason.SNAPSHOT_GONE,
     ShardStatus.SHED: MissingReason.OVERLOADED,
--- a/sesameplank/core/scoreboard.py
+++ b/sesameplank/core/scoreboard.py
@@ -4,7 +4,7 @@
 from .latency import DecayingAverage, LatencyBook
 
 SLOWNESS_WEIGHT = 0.3
-SLOWNESS_HALF_LIFE_S = 1.0
+SLOWNESS_HALF_LIFE_S = 0.25
 SHED_SLOWNESS = 5.0
 RAMP_S = 4.0
 RAMP_START = 0.1
--- a/tests/core/test_choice.py
+++ b/tests/core/test_choice.py
@@ -51,6 +51,18 @@
         for already in ({}, {"a": 1}):
             self.assertEqual("b", self.choose(already))
 
+    def test_slow_ejected_target_takes_what_overflows(self):
+        self.ejector.eject("a", EjectionReason.SLOW, 100.0)
+        for _ in range(5):
+            self.scoreboard.note_sent("b")
+        self.assertEqual("a", self.choose())
+
+    def test_failing_ejected_target_takes_no_overflow(self):
+        self.ejector.eject("a", EjectionReason.FAILING, 100.0)
+        for _ in range(50):
+            self.scoreboard.note_sent("b")
+        self.assertEqual("b", self.choose())
+
     def test_ejected_target_is_the_last_resort(self):
         self.ejector.eject("a", EjectionReason.SLOW, 100.0)
         self.assertEqual("a", self.chooser.choose_replica(("a",), {}))
