--- a/sesameplank/core/plan.py
+++ b/sesameplank/core/plan.py
@@ -4,9 +4,11 @@
 
 import msgspec
 
-from ..ids import CollectionName, ShardId, Snapshot, TargetId
+from ..ids import CollectionName, ConfigVersion, ShardId, Snapshot, TargetId
 from .ranges import KeyRange
 
+NO_VERSION = ConfigVersion(0)
+
 
 class PlannedShard(msgspec.Struct, frozen=True):
     """One shard of a plan and the replicas that may serve it."""
@@ -17,17 +19,25 @@
 
 
 class Plan(msgspec.Struct, frozen=True):
-    """What a query asks of whom; every attempt of the query is pinned to it."""
+    """What a query asks of whom; every attempt of the query is pinned to it.
+
+    `config_version` and `preset` are of the configuration that the shards are
+    taken from.
+    """
 
     collection: CollectionName
     snapshot: Snapshot
     shards: tuple[PlannedShard, ...]
+    config_version: ConfigVersion = NO_VERSION
+    preset: str = ""
 
 
 def make_plan(
     collection: CollectionName,
     snapshot: Snapshot,
     shards: Iterable[PlannedShard],
+    config_version: ConfigVersion = NO_VERSION,
+    preset: str = "",
 ) -> Plan:
     """Return the plan of a query over disjoint shards."""
-    return Plan(collection, snapshot, tuple(shards))
+    return Plan(collection, snapshot, tuple(shards), config_version, preset)
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -56,7 +56,7 @@
         self.clock = SystemClock()
         self.rng = random.Random(settings.seed or secrets.randbits(64))
         self.store = ConfigurationStore(self.clock)
-        self.snapshots = SnapshotTracker()
+        self.snapshots = SnapshotTracker(self.clock)
         self.vms: PublishedVms | None = None
         self.dispatcher = DirectDispatcher(self.clock, CONNECTION_SHARE)
         self.poller = HealthPoller(
@@ -68,6 +68,7 @@
             RandomReplicaChooser(self.rng),
             lambda pinned: NoHedges(),
             self.clock,
+            lambda: self.store.current,
         )
         self.bookings = BookingRunner(self.dispatcher, self.clock)
         self.store.listeners.append(self.apply_configuration)
@@ -125,6 +126,7 @@
     def apply_configuration(self, accepted: AcceptedConfiguration) -> None:
         """Put a newly accepted configuration in force."""
         self.dispatcher.update_targets(accepted.configuration)
+        self.snapshots.drop_stale()
 
     def apply_vms(self, vms: PublishedVms) -> None:
         """Take a newer VM list in."""
--- /dev/null
+++ b/sesameplank/planning.py
@@ -0,0 +1,181 @@
+"""Plans a query, and plans it anew as a whole when a plan cannot be whole."""
+
+import math
+from collections.abc import Callable
+
+from .callers.problems import ProblemKind, Refusal
+from .core.clock import Clock
+from .core.coverage import MissingReason
+from .core.messages import SearchRequest
+from .core.outcomes import Ran
+from .core.plan import Plan, PlannedShard, make_plan
+from .core.query import QueryState
+from .core.snapshots import SnapshotTracker, list_replicas
+from .core.versions import AcceptedConfiguration
+from .ids import Snapshot
+
+MAX_PLANS = 4
+POLL_S = 0.01
+SNAPSHOT_POLL_S = 0.05
+MAP_WAIT_S = 0.5
+DEFAULT_RETRY_AFTER_MS = 1_000
+
+GetNewest = Callable[[], AcceptedConfiguration | None]
+
+
+class QueryPlanner:
+    """Makes the plans of one query, one after another.
+
+    Each plan has one snapshot and the shards of one configuration. Its
+    snapshot is never older than the request's `at_least_snapshot`.
+    """
+
+    def __init__(
+        self,
+        snapshots: SnapshotTracker,
+        clock: Clock,
+        get_newest: GetNewest,
+        sleep: Callable[[float], None],
+        request: SearchRequest,
+        pinned: AcceptedConfiguration,
+        stop_at: float,
+    ) -> None:
+        self.snapshots = snapshots
+        self.clock = clock
+        self.get_newest = get_newest
+        self.sleep = sleep
+        self.request = request
+        self.collection = request.collection
+        self.at_least = Snapshot(request.at_least_snapshot)
+        self.pinned = pinned
+        self.stop_at = stop_at
+        self.plans = 0
+
+    def next_plan(self) -> Plan:
+        """Return the next plan, once its snapshot should be held.
+
+        Raises Refusal at once when no shard is expected to hold a snapshot that
+        is new enough before the deadline.
+        """
+        while (pause_s := self.get_pause()) > 0:
+            self.sleep(pause_s)
+        self.plans += 1
+        shards = [
+            PlannedShard(shard.id, shard.range, shard.replicas)
+            for shard in self.get_shards()
+        ]
+        return make_plan(
+            self.collection,
+            self.choose_snapshot(),
+            shards,
+            self.pinned.version,
+            self.pinned.configuration.preset.value,
+        )
+
+    def get_shards(self):
+        """Return the published shards of the collection."""
+        return self.pinned.configuration.collections[self.collection].shards
+
+    def choose_snapshot(self) -> Snapshot:
+        """Return the snapshot that serves the query best now."""
+        shards = list_replicas(self.get_shards())
+        chosen = self.snapshots.choose(self.collection, shards, self.at_least)
+        return chosen or Snapshot(0)
+
+    def get_pause(self) -> float:
+        """Return how long to wait for the snapshot, in seconds, 0 to go on.
+
+        A shard that cannot hold it before the deadline is not waited for.
+        """
+        if not self.at_least:
+            return 0.0
+        now = self.clock.now()
+        times = self.get_ready_times(self.choose_snapshot())
+        if times and min(times) >= self.stop_at:
+            raise self.make_refusal(min(times) - now)
+        latest = max((time for time in times if time < self.stop_at), default=now)
+        return min(max(0.0, latest - now), SNAPSHOT_POLL_S)
+
+    def get_ready_times(self, snapshot: Snapshot) -> list[float]:
+        """Return when each shard should hold the snapshot; now if unforeseen."""
+        now = self.clock.now()
+        times = []
+        for shard in list_replicas(self.get_shards()):
+            ready_at = self.snapshots.get_ready_time(self.collection, shard, snapshot)
+            times.append(now if ready_at is None else ready_at)
+        return times
+
+    def make_refusal(self, wait_s: float) -> Refusal:
+        """Return the refusal of a query whose snapshot comes too late."""
+        wait_ms = DEFAULT_RETRY_AFTER_MS
+        if math.isfinite(wait_s):
+            wait_ms = max(1, math.ceil(wait_s * 1_000))
+        return Refusal(
+            ProblemKind.SNAPSHOT_UNAVAILABLE,
+            f"no target holds snapshot {self.at_least} or a newer one before the "
+            "deadline",
+            "ask again after the stated time, or allow a longer deadline_ms",
+            ran=Ran.UNKNOWN if self.plans else Ran.NOT_RUN,
+            retry_after_ms=wait_ms,
+        )
+
+    def is_snapshot_lacking(self, state: QueryState) -> bool:
+        """Tell whether a plan brought nothing because no target had its snapshot."""
+        return all(
+            item.result is None and item.missing is MissingReason.SNAPSHOT_GONE
+            for item in state.shards.values()
+        )
+
+    def has_better_plan(self, state: QueryState) -> bool:
+        """Tell whether another plan could be whole where this one cannot."""
+        if not state.needs_new_plan or self.plans >= MAX_PLANS:
+            return False
+        if state.map_outdated and self.has_newer_map():
+            return True
+        return state.snapshot_missing and self.choose_snapshot() != state.snapshot
+
+    def has_newer_map(self) -> bool:
+        """Tell whether a newer configuration than the pinned one has the shards."""
+        newest = self.get_newest()
+        return (
+            newest is not None
+            and newest.version > self.pinned.version
+            and self.collection in newest.configuration.collections
+        )
+
+    def wait_for_better_plan(self, state: QueryState) -> bool:
+        """Wait until another plan may be whole; False if none is to be expected."""
+        if not state.needs_new_plan or self.plans >= MAX_PLANS:
+            return False
+        give_up_at = min(self.stop_at, self.clock.now() + MAP_WAIT_S)
+        while not self.has_better_plan(state):
+            if not state.map_outdated and not self.is_snapshot_coming(state):
+                return False
+            if self.clock.now() + POLL_S >= give_up_at:
+                return False
+            self.sleep(POLL_S)
+            if not state.map_outdated and self.is_snapshot_due(state):
+                break
+        if state.map_outdated and self.has_newer_map():
+            self.pinned = self.get_newest()
+        return True
+
+    def is_snapshot_coming(self, state: QueryState) -> bool:
+        """Tell whether every unserved shard should hold the snapshot in time."""
+        times = self.get_unserved_times(state)
+        return bool(times) and max(times) < self.stop_at
+
+    def is_snapshot_due(self, state: QueryState) -> bool:
+        """Tell whether every unserved shard should hold the snapshot by now."""
+        return max(self.get_unserved_times(state), default=0.0) <= self.clock.now()
+
+    def get_unserved_times(self, state: QueryState) -> list[float]:
+        """Return when each unserved shard of a plan should hold its snapshot."""
+        unserved = list_replicas(
+            item.planned for item in state.shards.values() if item.result is None
+        )
+        times = [
+            self.snapshots.get_ready_time(self.collection, shard, state.snapshot)
+            for shard in unserved
+        ]
+        return [time for time in times if time is not None]
--- a/sesameplank/queries.py
+++ b/sesameplank/queries.py
@@ -1,11 +1,13 @@
 """Runs queries: pins a snapshot, sends attempts, and merges one answer."""
 
+import math
 from collections.abc import Callable
 
 import gevent
 import msgspec
 from gevent.queue import Empty, SimpleQueue
 
+from .callers.problems import Refusal
 from .core.choice import ReplicaChooser
 from .core.clock import Clock
 from .core.hedging import HedgePolicy
@@ -20,15 +22,15 @@
     TargetSearchAnswer,
 )
 from .core.outcomes import Failure
-from .core.plan import Plan, PlannedShard, make_plan
+from .core.plan import Plan
 from .core.query import Attempt, QueryState
 from .core.snapshots import HeldSnapshots, SnapshotTracker
 from .core.versions import AcceptedConfiguration
-from .ids import RequestId, Snapshot
+from .ids import RequestId
+from .planning import GetNewest, QueryPlanner
 from .targets import Dispatcher
 
 RETURN_MARGIN_S = 0.002
-REPLAN_PAUSE_S = 0.01
 
 
 class QueryResult(msgspec.Struct, frozen=True):
@@ -48,12 +50,16 @@
         chooser: ReplicaChooser,
         make_hedges: Callable[[AcceptedConfiguration], HedgePolicy],
         clock: Clock,
+        get_newest: GetNewest = lambda: None,
+        sleep: Callable[[float], None] = gevent.sleep,
     ) -> None:
         self.dispatcher = dispatcher
         self.snapshots = snapshots
         self.chooser = chooser
         self.make_hedges = make_hedges
         self.clock = clock
+        self.get_newest = get_newest
+        self.sleep = sleep
 
     def run(
         self,
@@ -64,7 +70,8 @@
     ) -> QueryResult:
         """Return the best answer that one snapshot gives before the deadline.
 
-        The configuration stays pinned over every plan of the query.
+        The configuration stays pinned, unless targets say that its shard map is
+        outdated and a newer one is in force; the query is then planned anew.
         """
         execution = QueryExecution(self, request_id, request, pinned, deadline_at)
         return execution.run()
@@ -88,46 +95,43 @@
         self.pinned = pinned
         self.started_at = self.clock.now()
         self.stop_at = deadline_at - RETURN_MARGIN_S
-        self.plans = 0
+        self.planner = QueryPlanner(
+            runner.snapshots,
+            runner.clock,
+            runner.get_newest,
+            runner.sleep,
+            request,
+            pinned,
+            self.stop_at,
+        )
         self.calls = 0
         self.slowest_s = 0.0
 
     def run(self) -> QueryResult:
         """Plan and run until an answer is whole or the deadline is near."""
         best: QueryState | None = None
-        at_least = Snapshot(self.request.at_least_snapshot)
         while True:
-            state = self.run_plan(self.make_plan(at_least))
+            try:
+                plan = self.planner.next_plan()
+            except Refusal:
+                if best is None:
+                    raise
+                break
+            state = self.run_plan(plan)
             if best is None or self.is_better(state, best):
                 best = state
-            if not state.needs_new_plan:
-                break
-            if self.clock.now() + REPLAN_PAUSE_S >= self.stop_at:
+            if not self.planner.wait_for_better_plan(state):
                 break
-            gevent.sleep(REPLAN_PAUSE_S)
+        if self.planner.is_snapshot_lacking(best):
+            raise self.planner.make_refusal(math.inf)
         return QueryResult(self.make_answer(best), was_sent=self.calls > 0)
 
     def is_better(self, state: QueryState, best: QueryState) -> bool:
         """Tell whether the newer state covers at least as much."""
         return state.get_coverage().fraction >= best.get_coverage().fraction
 
-    def make_plan(self, at_least: Snapshot) -> Plan:
-        """Return a plan at the newest snapshot that every shard can serve."""
-        collection = self.pinned.configuration.collections[self.request.collection]
-        shards = [
-            PlannedShard(shard.id, shard.range, shard.replicas)
-            for shard in collection.shards
-        ]
-        snapshot = self.runner.snapshots.choose(
-            self.request.collection,
-            ((shard.id, shard.replicas) for shard in shards),
-            at_least,
-        )
-        return make_plan(self.request.collection, snapshot or Snapshot(0), shards)
-
     def run_plan(self, plan: Plan) -> QueryState:
         """Run one plan until it is done, outdated or out of time."""
-        self.plans += 1
         state = QueryState(
             plan,
             self.runner.chooser,
@@ -138,7 +142,7 @@
         greenlets: dict[int, gevent.Greenlet] = {}
         self.send_all(plan, state.start(self.clock.now()), events, greenlets)
         try:
-            while not state.is_done and not state.needs_new_plan:
+            while not state.is_done and not self.planner.has_better_plan(state):
                 if not self.step(plan, state, events, greenlets):
                     break
         finally:
@@ -184,6 +188,7 @@
                 result.shard,
                 attempt.target,
                 HeldSnapshots(result.oldest, result.newest),
+                attempt.sent_at,
             )
         return state.on_answer(attempt.id, outcome, now)
 
@@ -228,8 +233,8 @@
             request_id=self.request_id,
             collection=self.request.collection,
             snapshot=state.snapshot,
-            config_version=self.pinned.version,
-            preset=self.pinned.configuration.preset.value,
+            config_version=state.plan.config_version,
+            preset=state.plan.preset,
             total=count_total(results),
             hits=merge_hits(results, self.request.order, self.request.limit),
             coverage=state.get_coverage(),
@@ -252,7 +257,7 @@
                 )
                 for item in state.shards.values()
             ),
-            plans=self.plans,
+            plans=self.planner.plans,
             target_calls=self.calls,
             slowest_target_ms=self.slowest_s * 1_000,
             elapsed_ms=(self.clock.now() - self.started_at) * 1_000,
--- /dev/null
+++ b/tests/core/test_snapshots.py
@@ -0,0 +1,162 @@
+"""Tests of the choice of snapshots."""
+
+import testtools
+from hypothesis import given
+from hypothesis import strategies as st
+
+from sesameplank.core.clock import ManualClock
+from sesameplank.core.snapshots import (
+    ANSWER_TRUST_S,
+    STALE_S,
+    HeldSnapshots,
+    SnapshotTracker,
+)
+
+SHARDS = [("s0", ("a", "b")), ("s1", ("a", "b"))]
+
+
+def make_tracker(held: dict[str, dict[str, tuple[int, int]]]) -> SnapshotTracker:
+    """Return a tracker that knows what each replica of each shard holds."""
+    tracker = SnapshotTracker(ManualClock())
+    for shard, replicas in held.items():
+        for target, bounds in replicas.items():
+            tracker.observe("orders", shard, target, HeldSnapshots(*bounds))
+    return tracker
+
+
+class ChooseTests(testtools.TestCase):
+    """One snapshot is chosen for all shards."""
+
+    def test_choice(self):
+        table = [
+            ("nothing known", {}, 0, None),
+            ("nothing known, newest seen", {}, 9, 9),
+            (
+                "held by two of every shard",
+                {"s0": {"a": (1, 21), "b": (1, 20)}, "s1": {"a": (1, 21)}},
+                0,
+                20,
+            ),
+            (
+                "at_least demands the newer one",
+                {"s0": {"a": (1, 21), "b": (1, 20)}, "s1": {"a": (1, 21)}},
+                21,
+                21,
+            ),
+            (
+                "at_least that nobody holds yet",
+                {"s0": {"a": (1, 21)}, "s1": {"a": (1, 21)}},
+                22,
+                22,
+            ),
+            (
+                "a replica that stays far behind is not waited for",
+                {"s0": {"a": (80, 100), "b": (60, 81)}, "s1": {"a": (80, 100)}},
+                0,
+                100,
+            ),
+            (
+                "the newest of one shard that another has not yet",
+                {"s0": {"a": (1, 20)}, "s1": {"a": (1, 18)}},
+                0,
+                18,
+            ),
+            (
+                "a shard that is stuck costs only itself",
+                {"s0": {"a": (80, 100)}, "s1": {"a": (1, 5)}},
+                0,
+                100,
+            ),
+            (
+                "one about to be dropped is not chosen",
+                {"s0": {"a": (80, 100), "b": (40, 81)}, "s1": {"b": (40, 81)}},
+                0,
+                81,
+            ),
+        ]
+        for name, held, at_least, expected in table:
+            chosen = make_tracker(held).choose("orders", SHARDS, at_least)
+            self.assertEqual(expected, chosen, name)
+
+    @given(
+        st.lists(st.tuples(st.integers(1, 30), st.integers(0, 30)), min_size=4),
+        st.integers(0, 70),
+    )
+    def test_never_older_than_at_least(self, bounds, at_least):
+        tracker = SnapshotTracker(ManualClock())
+        for index, (oldest, width) in enumerate(bounds):
+            shard, targets = SHARDS[index % 2]
+            held = HeldSnapshots(oldest, oldest + width)
+            tracker.observe("orders", shard, targets[index // 2 % 2], held)
+        self.assertTrue(tracker.choose("orders", SHARDS, at_least) >= at_least)
+
+
+class ObserveTests(testtools.TestCase):
+    """News of a replica is believed by its source and order."""
+
+    def setUp(self):
+        super().setUp()
+        self.tracker = make_tracker({"s0": {"a": (80, 100)}})
+        self.clock = self.tracker.clock
+
+    def observe(self, oldest: int, newest: int, asked_at: float | None = None) -> None:
+        """Take in news of the replica."""
+        held = HeldSnapshots(oldest, newest)
+        self.tracker.observe("orders", "s0", "a", held, asked_at)
+
+    def get_newest(self) -> int:
+        """Return the newest snapshot that the replica is believed to hold."""
+        return self.tracker.get_held("orders", "s0", "a").newest
+
+    def test_restarted_replica_holds_less_than_before(self):
+        self.observe(1, 2, asked_at=1.0)
+        self.assertEqual(2, self.get_newest())
+
+    def test_late_answer_to_an_earlier_search_is_ignored(self):
+        self.observe(90, 110, asked_at=2.0)
+        self.observe(85, 105, asked_at=1.0)
+        self.assertEqual(110, self.get_newest())
+
+    def test_health_report_counts_only_when_answers_are_old(self):
+        self.observe(1, 2, asked_at=1.0)
+        self.observe(80, 100)
+        self.assertEqual(2, self.get_newest())
+        self.clock.advance(ANSWER_TRUST_S)
+        self.observe(81, 101)
+        self.assertEqual(101, self.get_newest())
+
+    def test_replica_that_went_silent_does_not_count(self):
+        self.clock.advance(STALE_S + 1)
+        self.assertIs(None, self.tracker.get_held("orders", "s0", "a"))
+        self.tracker.drop_stale()
+        self.assertEqual({}, self.tracker.known)
+
+
+class ReadyTimeTests(testtools.TestCase):
+    """The time at which a snapshot should be held follows from earlier ones."""
+
+    def test_ready_times(self):
+        tracker = make_tracker({"s0": {"a": (1, 10), "b": (1, 8)}})
+        tracker.clock.advance(1.0)
+        tracker.observe("orders", "s0", "a", HeldSnapshots(3, 14))
+        table = [
+            ("held now", 14, 1.0),
+            ("held by the other replica only", 2, 0.0),
+            ("two to come", 16, 1.5),
+        ]
+        for name, snapshot, expected in table:
+            ready_at = tracker.get_ready_time("orders", ("s0", ("a", "b")), snapshot)
+            self.assertEqual(expected, ready_at, name)
+
+    def test_dropped_snapshot_never_comes_back(self):
+        tracker = make_tracker({"s0": {"a": (5, 10)}})
+        shard = ("s0", ("a",))
+        self.assertEqual(float("inf"), tracker.get_ready_time("orders", shard, 4))
+
+    def test_unknown_replica_may_hold_a_dropped_snapshot(self):
+        tracker = make_tracker({"s0": {"a": (5, 10)}})
+        self.assertIs(None, tracker.get_ready_time("orders", SHARDS[0], 4))
+
+    def test_unknown_pace_foresees_nothing(self):
+        tracker = make_tracker({"s0": {"a": (5, 10)}})
+        self.assertIs(None, tracker.get_ready_time("orders", SHARDS[0], 11))
--- /dev/null
+++ b/tests/differential.py
@@ -0,0 +1,228 @@
+"""An in-process world for differential tests: real decisions, no sockets."""
+
+import random
+
+import gevent
+import msgspec
+from hypothesis import strategies as st
+
+from sesameplank.conf import Collection, Configuration, PublishedConfiguration, Shard
+from sesameplank.conf.documents import Caller, PresetName, Target
+from sesameplank.core.choice import RandomReplicaChooser
+from sesameplank.core.clock import ManualClock
+from sesameplank.core.hedging import NoHedges
+from sesameplank.core.messages import Filter, Order, SearchAnswer, SearchRequest
+from sesameplank.core.outcomes import Failure, FailureReason, Ran
+from sesameplank.core.ranges import KEY_SPACE, KeyRange, merge_ranges
+from sesameplank.core.snapshots import SnapshotTracker
+from sesameplank.core.versions import ConfigurationStore
+from sesameplank.queries import QueryRunner
+from sesameplank.standins.records import COLOURS, ITEMS, make_records
+from sesameplank.standins.store import TICK_S, Store
+from sesameplank.standins.targets import TargetStandin
+from sesameplank.targets import Dispatcher
+
+NAME = "order-desk"
+STEP_S = 0.002
+TARGETS = ("a", "b", "c", "d")
+PAIRS = (("a", "b"), ("c", "d"), ("a", "c"), ("b", "d"))
+RECORDS = 60
+DEADLINE_S = 3.0
+
+
+class SteppingClock(ManualClock):
+    """A clock that moves a little each time it is read."""
+
+    def now(self) -> float:
+        """Return the time in seconds, a step later than the last."""
+        self.advance(STEP_S)
+        return super().now()
+
+
+class Event(msgspec.Struct, frozen=True):
+    """Something that happens when the dispatcher makes its n-th call."""
+
+    at_call: int
+    kind: str
+    number: int
+
+
+class ScriptedWorld(Dispatcher):
+    """Targets in this process, over which a script of events runs."""
+
+    def __init__(self, seed: int, cuts: list[int], script: list[Event]) -> None:
+        self.rng = random.Random(seed)
+        self.clock = SteppingClock(1_000.0)
+        self.data = Store(
+            NAME, make_records(RECORDS, seed), self.clock, 995.0, random.Random(seed)
+        )
+        self.store = ConfigurationStore(self.clock)
+        self.script = sorted(script, key=lambda event: event.at_call)
+        self.calls = 0
+        self.failing = {}
+        self.shards = make_shards(cuts)
+        self.targets = {
+            name: TargetStandin(
+                name, self.data, Collection(self.shards), 8, random.Random(seed)
+            )
+            for name in TARGETS
+        }
+        for target in self.targets.values():
+            target.slow_factor = 0.0
+        self.publish()
+        self.runner = QueryRunner(
+            self,
+            SnapshotTracker(self.clock),
+            RandomReplicaChooser(self.rng),
+            lambda pinned: NoHedges(),
+            self.clock,
+            lambda: self.store.current,
+            self.sleep,
+        )
+
+    def publish(self) -> None:
+        """Put the present shard map in force at the entry."""
+        document = Configuration(
+            deployment="test",
+            preset=PresetName.ORDINARY,
+            targets={
+                name: Target(f"127.0.0.1:{9_000 + index}", "lautoka")
+                for index, name in enumerate(TARGETS)
+            },
+            collections={NAME: Collection(self.shards)},
+            callers={"clerk": Caller()},
+        )
+        version = self.store.version + 1
+        raw = msgspec.Raw(msgspec.json.encode(document))
+        self.store.offer(PublishedConfiguration(version, raw))
+
+    def split(self, number: int) -> None:
+        """Split a shard and move its upper half to another pair."""
+        index = number % len(self.shards)
+        parent = self.shards[index]
+        if parent.end - parent.start < 2:
+            return
+        middle = (parent.start + parent.end) // 2
+        halves = (
+            Shard(f"{parent.id}l", parent.start, middle, parent.replicas),
+            Shard(f"{parent.id}u", middle, parent.end, PAIRS[number % len(PAIRS)]),
+        )
+        self.shards = (*self.shards[:index], *halves, *self.shards[index + 1 :])
+        for name, target in self.targets.items():
+            target.shards = {
+                shard.id: shard.range for shard in self.shards if name in shard.replicas
+            }
+
+    def happen(self, event: Event) -> None:
+        """Carry one event of the script out."""
+        target = self.targets[TARGETS[event.number % len(TARGETS)]]
+        if event.kind == "tick":
+            self.clock.advance(TICK_S * (1 + event.number % 30))
+        elif event.kind == "change":
+            self.data.change_some_stock(10)
+        elif event.kind == "split":
+            self.split(event.number)
+        elif event.kind == "publish":
+            self.publish()
+        elif event.kind == "restart":
+            target.lag_s = TICK_S * (event.number % 25)
+        elif event.kind == "fail":
+            self.failing[target.target_id] = 1 + event.number % 6
+
+    def run_script(self) -> None:
+        """Count a call and carry out the events that are due."""
+        self.calls += 1
+        while self.script and self.script[0].at_call <= self.calls:
+            self.happen(self.script.pop(0))
+
+    def sleep(self, seconds: float) -> None:
+        """Let time pass without waiting."""
+        self.run_script()
+        self.clock.advance(seconds)
+        gevent.sleep(0)
+
+    def search(self, target, message, deadline_at):
+        """Answer a search call as the target would, or fail."""
+        self.run_script()
+        if self.failing.get(target, 0) > 0:
+            self.failing[target] -= 1
+            return Failure(FailureReason.RESET, Ran.UNKNOWN)
+        return self.targets[target].handle_search(msgspec.json.encode(message))
+
+    def book(self, target, message, deadline_at):
+        """Refuse: no booking is made in these tests."""
+        return Failure(FailureReason.REFUSED, Ran.NOT_RUN)
+
+    def ask(self, request: SearchRequest) -> SearchAnswer:
+        """Return the entry's answer to a query."""
+        pinned = self.store.current
+        deadline_at = self.clock.now() + DEADLINE_S
+        return self.runner.run("q", request, pinned, deadline_at).answer
+
+    def find_difference(self, request: SearchRequest, answer: SearchAnswer) -> str:
+        """Return how an answer differs from a naive scan, empty if it does not."""
+        missing = [item.range for item in answer.coverage.missing]
+        try:
+            tiles = merge_ranges([*answer.coverage.covered, *missing])
+        except ValueError as error:
+            return f"coverage: {error}"
+        if tiles != (KeyRange(0, KEY_SPACE),):
+            return f"coverage leaves a gap: {tiles}"
+        if answer.snapshot < request.at_least_snapshot:
+            return f"snapshot {answer.snapshot} is older than asked"
+        found = [
+            record
+            for covered in answer.coverage.covered
+            for record in self.data.scan(
+                covered, answer.snapshot, request.terms, request.filters
+            )
+        ]
+        if len(found) != answer.total:
+            return f"total {answer.total}, not {len(found)}"
+        expected = sort_naively(found, request.order)[: request.limit]
+        if list(answer.hits) != expected:
+            return f"hits {answer.hits}, not {expected}"
+        return ""
+
+
+def make_shards(cuts: list[int]) -> tuple[Shard, ...]:
+    """Return shards between the cuts, on alternating pairs of targets."""
+    bounds = [0, *sorted(set(cuts)), KEY_SPACE]
+    return tuple(
+        Shard(f"s{index}", bounds[index], bounds[index + 1], PAIRS[index % len(PAIRS)])
+        for index in range(len(bounds) - 1)
+    )
+
+
+def sort_naively(records: list, order: Order) -> list:
+    """Return the records in the order asked, ties by ascending key."""
+    records = sorted(records, key=lambda record: record.key)
+    if order.field == "key":
+        return sorted(records, key=lambda record: record.key, reverse=order.descending)
+    return sorted(
+        records,
+        key=lambda record: record.fields[order.field],
+        reverse=order.descending,
+    )
+
+
+CUTS = st.lists(st.integers(1, KEY_SPACE - 1), max_size=7)
+EVENTS = st.builds(
+    Event,
+    at_call=st.integers(1, 60),
+    kind=st.sampled_from(["tick", "change", "split", "publish", "restart", "fail"]),
+    number=st.integers(0, 60),
+)
+REQUESTS = st.builds(
+    SearchRequest,
+    collection=st.just(NAME),
+    terms=st.lists(st.sampled_from(ITEMS + COLOURS), max_size=1).map(tuple),
+    filters=st.lists(
+        st.builds(Filter, st.just("colour"), st.sampled_from(COLOURS)), max_size=1
+    ).map(tuple),
+    order=st.builds(
+        Order, st.sampled_from(["key", "price", "stock", "item"]), st.booleans()
+    ),
+    limit=st.sampled_from([0, 1, 7, 1_000]),
+    at_least_snapshot=st.integers(0, 2),
+)
--- /dev/null
+++ b/tests/test_queries_differential.py
@@ -0,0 +1,105 @@
+"""Differential tests: each answer equals a naive scan of what it states."""
+
+import msgspec
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sesameplank.callers.problems import ProblemKind, Refusal
+from sesameplank.core.messages import SearchRequest
+
+from .differential import CUTS, EVENTS, NAME, REQUESTS, Event, ScriptedWorld
+
+EXAMPLES = 300
+
+
+class DifferentialTests(testtools.TestCase):
+    """Random records, queries, splits, version changes and failures."""
+
+    @settings(max_examples=EXAMPLES)
+    @given(
+        st.integers(0, 10_000),
+        CUTS,
+        st.lists(EVENTS, max_size=25),
+        st.lists(REQUESTS, min_size=1, max_size=5),
+    )
+    def test_answer_equals_a_naive_scan_of_its_snapshot_and_ranges(
+        self, seed, cuts, script, requests
+    ):
+        world = ScriptedWorld(seed, cuts, script)
+        seen = 0
+        for request in requests:
+            at_least = seen + request.at_least_snapshot if seen else 0
+            request = msgspec.structs.replace(request, at_least_snapshot=at_least)
+            try:
+                answer = world.ask(request)
+            except Refusal as refusal:
+                self.assertIs(ProblemKind.SNAPSHOT_UNAVAILABLE, refusal.kind)
+                continue
+            self.assertEqual("", world.find_difference(request, answer))
+            seen = max(seen, answer.snapshot)
+
+    @settings(max_examples=50)
+    @given(st.integers(0, 10_000), CUTS, st.lists(REQUESTS, min_size=1, max_size=3))
+    def test_answer_is_whole_when_nothing_fails(self, seed, cuts, requests):
+        world = ScriptedWorld(seed, cuts, [])
+        for request in requests:
+            request = msgspec.structs.replace(request, at_least_snapshot=0)
+            answer = world.ask(request)
+            self.assertTrue(answer.coverage.is_whole)
+            self.assertEqual("", world.find_difference(request, answer))
+
+
+class SplitTests(testtools.TestCase):
+    """A split under a running query neither doubles nor loses a range."""
+
+    def test_query_is_planned_anew_once_the_newer_map_is_in_force(self):
+        table = [("at once", 2), ("later", 6)]
+        for name, publish_at in table:
+            script = [Event(1, "split", 0), Event(publish_at, "publish", 0)]
+            world = ScriptedWorld(1, [], script)
+            request = SearchRequest(collection=NAME, limit=1_000, explain=True)
+            world.ask(request)
+            answer = world.ask(request)
+            self.assertTrue(answer.coverage.is_whole, name)
+            self.assertEqual("", world.find_difference(request, answer), name)
+            self.assertEqual(2, answer.config_version, name)
+
+    def test_range_is_stated_missing_while_the_newer_map_is_not_in_force(self):
+        world = ScriptedWorld(1, [], [Event(1, "split", 1)])
+        request = SearchRequest(collection=NAME)
+        answer = world.ask(request)
+        self.assertEqual(
+            ["not_owned"], [item.reason.value for item in answer.coverage.missing]
+        )
+        self.assertEqual("", world.find_difference(request, answer))
+
+
+class CheckTests(testtools.TestCase):
+    """The comparison finds the faults that it is meant for."""
+
+    def test_mutants_are_found(self):
+        table = [
+            ("another snapshot", {"snapshot": 1}, "total"),
+            ("a doubled record", {"total": 61}, "total"),
+            ("a lost range", {"shards": 1}, "total"),
+            ("an older snapshot", {"at_least_snapshot": 10**6}, "older"),
+        ]
+        for name, changes, expected in table:
+            world = ScriptedWorld(5, [30_000], [])
+            for key in world.data.records:
+                world.data.change(key, item="float")
+            world.clock.advance(1.0)
+            request = SearchRequest(NAME, terms=("float",), limit=0)
+            answer = world.ask(request)
+            self.assertEqual("", world.find_difference(request, answer))
+            if "at_least_snapshot" in changes:
+                request = msgspec.structs.replace(request, **changes)
+            elif "shards" in changes:
+                lost = world.data.records.popitem()[1]
+                for records in world.data.by_range.values():
+                    if lost in records:
+                        records.remove(lost)
+            else:
+                answer = msgspec.structs.replace(answer, **changes)
+            self.assertIn(expected, world.find_difference(request, answer), name)
