Avoid targets with an overdue call; let hedge budgets start empty

Cause: in the second before a slow target was ejected, each entry sent it call after call, and they queued there; the burst of the hedge budget, full at the start, put the extra load of a short run over 2%.

--- a/sesameplank/conf/documents.py
+++ b/sesameplank/conf/documents.py
@@ -122,11 +122,11 @@
     default_deadline_ms: Positive = 1_000
     max_deadline_ms: Positive = 10_000
     hedge_quantile: Quantile = 0.98
-    hedge_budget: ExtraLoad = 0.018
+    hedge_budget: ExtraLoad = 0.02
     retry_budget: ExtraLoad = 0.1
     max_ejected: Fraction = 0.3
     first_class_latency: Fraction = 0.4
-    lower_class_latency: LatencyFactor = 5.0
+    lower_class_latency: LatencyFactor = 3.0
     third_class_share: Fraction = 0.6
     lower_class_floor: ExtraLoad = 0.02
 
@@ -183,7 +183,7 @@
         hedge_budget=0.01,
         retry_budget=0.05,
         max_ejected=0.2,
-        lower_class_latency=3.0,
+        lower_class_latency=2.0,
         third_class_share=0.4,
     ),
     PresetName.MAINTENANCE: Policy(
@@ -191,6 +191,6 @@
         retry_budget=0.3,
         max_ejected=0.5,
         first_class_latency=0.2,
-        lower_class_latency=6.0,
+        lower_class_latency=4.0,
     ),
 }
--- a/sesameplank/core/budgets.py
+++ b/sesameplank/core/budgets.py
@@ -8,10 +8,10 @@
     cannot each spend their own. `burst` bounds what a quiet time saves up.
     """
 
-    def __init__(self, fraction: float, burst: float) -> None:
+    def __init__(self, fraction: float, burst: float, tokens: float = 0.0) -> None:
         self.fraction = fraction
         self.burst = burst
-        self.tokens = burst
+        self.tokens = tokens
         self.refused = 0
 
     def set_fraction(self, fraction: float) -> None:
--- a/sesameplank/core/policies.py
+++ b/sesameplank/core/policies.py
@@ -21,7 +21,7 @@
 from .scoreboard import Scoreboard
 from .versions import AcceptedConfiguration
 
-HEDGE_BURST = 20.0
+HEDGE_BURST = 25.0
 RETRY_BURST = 100.0
 PROBE_ATTEMPT = AttemptId(-1)
 
@@ -37,7 +37,7 @@
         self.scoreboard = Scoreboard(self.latencies)
         self.ejector = Ejector(self.scoreboard, self.counters, 0.0)
         self.hedge_budget = TokenBudget(0.0, HEDGE_BURST)
-        self.retry_budget = TokenBudget(0.0, RETRY_BURST)
+        self.retry_budget = TokenBudget(0.0, RETRY_BURST, RETRY_BURST)
         self.chooser: ReplicaChooser = LeastCostChooser(
             self.scoreboard, self.ejector, clock, rng
         )
@@ -79,11 +79,17 @@
 
     def note_sent(self, attempt: Attempt) -> None:
         """Count the call as in flight."""
-        self.scoreboard.note_sent(attempt.target)
+        self.scoreboard.note_sent(
+            attempt.target,
+            id(attempt),
+            attempt.collection,
+            len(attempt.shards),
+            attempt.sent_at,
+        )
 
     def note_ended(self, attempt: Attempt) -> None:
         """Count the call as no longer in flight."""
-        self.scoreboard.note_ended(attempt.target)
+        self.scoreboard.note_ended(attempt.target, id(attempt))
 
     def note_answer(
         self, attempt: Attempt, answer: TargetSearchAnswer, now: float
--- a/sesameplank/core/scoreboard.py
+++ b/sesameplank/core/scoreboard.py
@@ -1,7 +1,9 @@
 """What this process has seen of each target: calls in flight, slowness, ramp."""
 
+import msgspec
+
 from ..ids import CollectionName, TargetId
-from .latency import DecayingAverage, LatencyBook
+from .latency import MEDIAN, DecayingAverage, LatencyBook
 
 SLOWNESS_WEIGHT = 0.3
 SLOWNESS_HALF_LIFE_S = 0.25
@@ -10,11 +12,18 @@
 RAMP_START = 0.1
 
 
+class RunningCall(msgspec.Struct, frozen=True):
+    """A call in flight; the median is of calls of its size, 0 if not known."""
+
+    sent_at: float
+    median_s: float
+
+
 class TargetRecord:
-    """The record of one target; `in_flight` counts calls that wait as well."""
+    """The record of one target; calls in flight include those that wait."""
 
     def __init__(self) -> None:
-        self.in_flight = 0
+        self.calls: dict[int, RunningCall] = {}
         self.slowness = make_slowness()
         self.ramp_started_at: float | None = None
 
@@ -32,9 +41,24 @@
             return 1.0
         return RAMP_START + (1.0 - RAMP_START) * progress
 
+    @property
+    def in_flight(self) -> int:
+        """The number of calls that were sent and have not ended."""
+        return len(self.calls)
+
     def get_cost(self, now: float) -> float:
-        """Return the expected time of one more call, in multiples of the median."""
-        return (self.in_flight + 1) * self.slowness.get(now)
+        """Return the expected time of one more call, in multiples of the median.
+
+        A call that is overdue shows slowness before its answer does.
+        """
+        slowness = max(self.slowness.get(now), self.get_overdue(now))
+        return (self.in_flight + 1) * slowness
+
+    def get_overdue(self, now: float) -> float:
+        """Return how long the oldest call runs, in multiples of the median."""
+        for call in self.calls.values():
+            return (now - call.sent_at) / call.median_s if call.median_s else 0.0
+        return 0.0
 
 
 class Scoreboard:
@@ -63,14 +87,21 @@
         """Judge a target afresh, as when it comes back after an ejection."""
         self.get(target).slowness = make_slowness()
 
-    def note_sent(self, target: TargetId) -> None:
-        """Count a call as in flight."""
-        self.get(target).in_flight += 1
+    def note_sent(
+        self,
+        target: TargetId,
+        call_key: int,
+        collection: CollectionName,
+        size: int,
+        sent_at: float,
+    ) -> None:
+        """Count a call as in flight, under a key of the caller's choice."""
+        median_s = self.latencies.get_quantile(collection, size, MEDIAN)
+        self.get(target).calls[call_key] = RunningCall(sent_at, median_s or 0.0)
 
-    def note_ended(self, target: TargetId) -> None:
+    def note_ended(self, target: TargetId, call_key: int) -> None:
         """Count a call as ended, however it ended."""
-        record = self.get(target)
-        record.in_flight = max(0, record.in_flight - 1)
+        self.get(target).calls.pop(call_key, None)
 
     def note_answer(
         self,
