--- a/sesameplank/load/arrivals.py
+++ b/sesameplank/load/arrivals.py
@@ -72,16 +72,19 @@
     maker = ArrivalMaker(deployment, rng, booking_share)
     return [
         maker.make(index, at_s)
-        for index, at_s in enumerate(make_times(deployment, phases, rng))
+        for index, at_s in enumerate(make_times(deployment, phases, booking_share, rng))
     ]
 
 
 def make_times(
-    deployment: Deployment, phases: Sequence[Phase], rng: random.Random
+    deployment: Deployment,
+    phases: Sequence[Phase],
+    booking_share: float,
+    rng: random.Random,
 ) -> Iterator[float]:
     """Yield Poisson arrival times over phases of constant rate."""
     for phase in phases:
-        rate = get_rate(deployment, phase.load)
+        rate = get_rate(deployment, phase.load, booking_share)
         if rate <= 0:
             continue
         at_s = phase.start_s + rng.expovariate(rate)
--- a/sesameplank/load/checks.py
+++ b/sesameplank/load/checks.py
@@ -45,7 +45,7 @@
 class Evidence(msgspec.Struct):
     """All that the checks of one run look at.
 
-    `killed_entries` are the addresses of entries to which the scenario did harm;
+    `harmed` are the addresses of entries that the scenario killed or paused;
     a broken connection to any other entry is a fault of that entry.
     """
 
@@ -53,7 +53,7 @@
     observations: Sequence[Observation]
     truth: Truth
     sightings: Sequence[Sighting] = ()
-    killed_entries: frozenset[str] = frozenset()
+    harmed: frozenset[str] = frozenset()
 
 
 def check_run(evidence: Evidence) -> Violations:
@@ -214,7 +214,7 @@
     return sum(
         failure.kind == NO_ANSWER
         and failure.cause not in (TIMEOUT_CAUSE, REFUSED_CAUSE)
-        and failure.address not in evidence.killed_entries
+        and failure.address not in evidence.harmed
         for observation in evidence.observations
         for failure in observation.failures
     )
--- a/sesameplank/load/stage.py
+++ b/sesameplank/load/stage.py
@@ -1,23 +1,27 @@
 """What a scenario acts on: the stand-ins, the entries and the clock of a run."""
 
 import random
+import signal
 import time
 
 import gevent
 
 from ..conf import Configuration
+from ..exceptions import LoadError
+from ..ids import CollectionName, EntryId, TargetId
 from ..logs import log_event
 from ..standins import control
 from ..standins.deployments import Deployment
-from ..standins.fleet import Fleet
-from .processes import Standins
+from ..standins.fleet import EntryProcess, Fleet
+from .processes import GROUPS, Standins, get_processor_s
 
 
 class Stage:
     """One run as a scenario sees it.
 
-    `killed_entries` are the callers' addresses of entries that the scenario
-    harmed, whose broken connections are no fault of theirs.
+    `harmed` are the callers' addresses of entries that the scenario killed or
+    paused, whose broken connections are no fault of theirs. `ended_s` are the
+    processor seconds of entry processes that have been replaced.
     """
 
     def __init__(
@@ -35,7 +39,9 @@
         self.rng = rng
         self.start_at = 0.0
         self.seconds = 0.0
-        self.killed_entries: set[str] = set()
+        self.harmed: set[str] = set()
+        self.leaving: set[EntryId] = set()
+        self.ended_s = 0.0
 
     def begin(self, start_at: float, seconds: float) -> None:
         """Fix when the measured part begins, monotonic, and how long it lasts."""
@@ -51,3 +57,79 @@
         """Send a command to the stand-ins."""
         log_event("standins_steered", command=type(command).__name__)
         self.standins.steer(command)
+
+    @property
+    def first(self) -> CollectionName:
+        """The collection of the deployment's first service."""
+        return self.deployment.services[0].collection
+
+    @property
+    def processor_s(self) -> float:
+        """The processor seconds of all entry processes so far."""
+        return self.ended_s + sum(
+            get_processor_s(entry.process.pid) for entry in self.fleet.entries
+        )
+
+    def choose_targets(self, share: float) -> tuple[TargetId, ...]:
+        """Return a share of each service's targets, at most one of a pair."""
+        chosen: list[TargetId] = []
+        for collection in self.configuration.collections.values():
+            pairs = list(dict.fromkeys(item.replicas for item in collection.shards))
+            count = round(share * 2 * len(pairs))
+            chosen += [self.rng.choice(pair) for pair in self.rng.sample(pairs, count)]
+        return tuple(chosen)
+
+    def choose_entries(self, count: int) -> list[EntryProcess]:
+        """Return some entries."""
+        return self.rng.sample(self.fleet.entries, min(count, len(self.fleet.entries)))
+
+    def get_other_pair(self, number: int) -> tuple[TargetId, ...]:
+        """Return the next pair of the first service in the same stand-in process."""
+        shards = self.configuration.collections[self.first].shards
+        pairs = list(dict.fromkeys(shard.replicas for shard in shards))
+        return pairs[(number + GROUPS) % len(pairs)]
+
+    def stop_entry(self, entry: EntryProcess) -> None:
+        """Announce a planned stop, ask for it, and return when it has ended."""
+        self.leaving.add(entry.vm.id)
+        self.steer(control.SetVms(leaving=tuple(self.leaving)))
+        processor_s = get_processor_s(entry.process.pid)
+        entry.signal(signal.SIGTERM)
+        code = entry.wait()
+        self.ended_s += processor_s
+        log_event("entry_stopped", entry=entry.vm.id, code=code)
+        if code:
+            raise LoadError(
+                f"{entry.vm.id} ended with {code} on a planned stop; its log says:\n"
+                f"{entry.log_path.read_text()[-2000:]}"
+            )
+
+    def start_entry(self, entry: EntryProcess) -> None:
+        """Start an entry that has ended, and list it again."""
+        entry.start()
+        entry.wait_until_ready()
+        if entry.vm.id in self.leaving:
+            self.leaving.remove(entry.vm.id)
+            self.steer(control.SetVms(leaving=tuple(self.leaving)))
+
+    def kill_entry(self, entry: EntryProcess) -> None:
+        """End an entry without notice."""
+        self.harmed.add(str(entry.address))
+        self.ended_s += get_processor_s(entry.process.pid)
+        entry.kill()
+
+    def pause_entry(self, entry: EntryProcess, pause_s: float) -> None:
+        """Stop an entry's process for a while, and let it go on."""
+        self.harmed.add(str(entry.address))
+        entry.signal(signal.SIGSTOP)
+        try:
+            gevent.sleep(pause_s)
+        finally:
+            entry.signal(signal.SIGCONT)
+
+    def split_entries(self) -> tuple[tuple[EntryId, ...], tuple[EntryId, ...]]:
+        """Return two halves of the entries, drawn at random."""
+        ids = [entry.vm.id for entry in self.fleet.entries]
+        self.rng.shuffle(ids)
+        middle = len(ids) // 2
+        return tuple(ids[:middle]), tuple(ids[middle:])
--- a/sesameplank/standins/naive.py
+++ b/sesameplank/standins/naive.py
@@ -6,6 +6,7 @@
 """
 
 import random
+import secrets
 from collections import defaultdict, deque
 
 import gevent
@@ -33,6 +34,7 @@
     TargetHealth,
     TargetSearch,
     TargetSearchAnswer,
+    WriterAnswer,
 )
 from ..core.ranges import get_position, merge_ranges
 from ..exceptions import PlatformError
@@ -43,6 +45,7 @@
 POLL_S = 0.5
 WAIT_S = 5.0
 DEFAULT_DEADLINE_MS = 1_000
+WRITER_OPEN_MS = 600_000
 
 
 class NaiveTargets:
@@ -153,6 +156,9 @@
         if path == "/v1/bookings":
             booking = msgspec.json.decode(payload, type=BookingRequest)
             return self.book(environ, booking)
+        if path == "/v1/writers":
+            writer = secrets.token_hex(8)
+            return "200 OK", WriterAnswer(writer, WRITER_OPEN_MS, WRITER_OPEN_MS)
         if path == "/v1/addresses":
             live = [vm.address for vm in self.vms.vms] or [str(self.address)]
             return "200 OK", AddressAnswer(choose_addresses(live, self.rng), 5_000)
--- /dev/null
+++ b/tests/integration/test_load.py
@@ -0,0 +1,28 @@
+"""Tests that a short run of either variant is measured and checked."""
+
+import testtools
+
+from sesameplank.load.experiment import Experiment, Plan, Variant
+
+DEADLINE_MS = 10_000
+
+
+class LoadTests(testtools.TestCase):
+    """The tool sends load through real processes and judges every answer."""
+
+    def test_answers_of_each_variant_match_the_ground_truth(self):
+        for variant in Variant:
+            plan = Plan("vatuwaqa", "steady", variant, 2, 2.0, 2, DEADLINE_MS)
+            figures = Experiment(plan).run()
+            violations = figures.violations
+            self.assertTrue(figures.answered_whole > 0, variant)
+            self.assertEqual(
+                (0, 0, 0, 0),
+                (
+                    violations.mixed_snapshot,
+                    violations.false_coverage,
+                    violations.wrong_answer,
+                    violations.doubled_booking,
+                ),
+                variant,
+            )
