--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -83,7 +83,7 @@
             self.rng,
         )
         self.store = ConfigurationStore(self.clock)
-        self.snapshots = SnapshotTracker()
+        self.snapshots = SnapshotTracker(self.clock)
         self.gate = ServingGate()
         self.coordination = self.make_coordination()
         self.dispatcher = DirectDispatcher(self.clock, CONNECTION_SHARE)
@@ -98,6 +98,7 @@
             self.policies.make_hedges,
             self.clock,
             self.policies,
+            lambda: self.store.current,
         )
         self.admission = AdmissionController(
             self.clock, self.rng, self.policies.counters
@@ -188,6 +189,7 @@
     def apply_configuration(self, accepted: AcceptedConfiguration) -> None:
         """Put a newly accepted configuration in force."""
         self.dispatcher.update_targets(accepted.configuration)
+        self.snapshots.drop_stale()
         self.policies.apply(accepted)
 
     def search(self, call: CallerRequest, request: SearchRequest) -> SearchAnswer:
--- a/sesameplank/queries.py
+++ b/sesameplank/queries.py
@@ -1,11 +1,13 @@
 """Runs queries: pins a snapshot, sends attempts, and merges one answer."""
 
+import math
 from collections.abc import Callable
 
 import gevent
 import msgspec
 from gevent.queue import Empty, SimpleQueue
 
+from .callers.problems import Refusal
 from .core.choice import ReplicaChooser
 from .core.clock import Clock
 from .core.hedging import HedgePolicy
@@ -21,16 +23,17 @@
 )
 from .core.observer import CallObserver
 from .core.outcomes import Failure
-from .core.plan import Plan, PlannedShard, make_plan
+from .core.plan import Plan
 from .core.query import Attempt, AttemptKind, QueryState
 from .core.snapshots import HeldSnapshots, SnapshotTracker
 from .core.versions import AcceptedConfiguration
-from .ids import RequestId, Snapshot
+from .ids import AttemptId, RequestId
+from .planning import GetNewest, QueryPlanner
 from .targets import Dispatcher
 
 RETURN_MARGIN_S = 0.002
-REPLAN_PAUSE_S = 0.01
 PROBE_TIMEOUT_S = 1.0
+CANCEL_TIMEOUT_S = 0.1
 
 
 class QueryResult(msgspec.Struct, frozen=True):
@@ -51,6 +54,8 @@
         make_hedges: Callable[[AcceptedConfiguration], HedgePolicy],
         clock: Clock,
         observer: CallObserver | None = None,
+        get_newest: GetNewest = lambda: None,
+        sleep: Callable[[float], None] = gevent.sleep,
     ) -> None:
         self.dispatcher = dispatcher
         self.snapshots = snapshots
@@ -58,6 +63,8 @@
         self.make_hedges = make_hedges
         self.clock = clock
         self.observer = observer or CallObserver()
+        self.get_newest = get_newest
+        self.sleep = sleep
 
     def run(
         self,
@@ -68,7 +75,8 @@
     ) -> QueryResult:
         """Return the best answer that one snapshot gives before the deadline.
 
-        The configuration stays pinned over every plan of the query.
+        The configuration stays pinned, unless targets say that its shard map is
+        outdated and a newer one is in force; the query is then planned anew.
         """
         execution = QueryExecution(self, request_id, request, pinned, deadline_at)
         return execution.run()
@@ -93,23 +101,36 @@
         self.pinned = pinned
         self.started_at = self.clock.now()
         self.stop_at = deadline_at - RETURN_MARGIN_S
-        self.plans = 0
+        self.planner = QueryPlanner(
+            runner.snapshots,
+            runner.clock,
+            runner.get_newest,
+            runner.sleep,
+            request,
+            pinned,
+            self.stop_at,
+        )
         self.calls = 0
         self.slowest_s = 0.0
+        self.cancelled: set[AttemptId] = set()
 
     def run(self) -> QueryResult:
         """Plan and run until an answer is whole or the deadline is near."""
         best: QueryState | None = None
-        at_least = Snapshot(self.request.at_least_snapshot)
         while True:
-            state = self.run_plan(self.make_plan(at_least))
+            try:
+                plan = self.planner.next_plan()
+            except Refusal:
+                if best is None:
+                    raise
+                break
+            state = self.run_plan(plan)
             if best is None or self.is_better(state, best):
                 best = state
-            if not state.needs_new_plan:
-                break
-            if self.clock.now() + REPLAN_PAUSE_S >= self.stop_at:
+            if not self.planner.wait_for_better_plan(state):
                 break
-            gevent.sleep(REPLAN_PAUSE_S)
+        if self.planner.is_snapshot_lacking(best):
+            raise self.planner.make_refusal(math.inf)
         answer = self.make_answer(best)
         if answer.coverage.missing:
             self.observer.note_missing(answer.coverage.missing)
@@ -119,23 +140,8 @@
         """Tell whether the newer state covers at least as much."""
         return state.get_coverage().fraction >= best.get_coverage().fraction
 
-    def make_plan(self, at_least: Snapshot) -> Plan:
-        """Return a plan at the newest snapshot that every shard can serve."""
-        collection = self.pinned.configuration.collections[self.request.collection]
-        shards = [
-            PlannedShard(shard.id, shard.range, shard.replicas)
-            for shard in collection.shards
-        ]
-        snapshot = self.runner.snapshots.choose(
-            self.request.collection,
-            ((shard.id, shard.replicas) for shard in shards),
-            at_least,
-        )
-        return make_plan(self.request.collection, snapshot or Snapshot(0), shards)
-
     def run_plan(self, plan: Plan) -> QueryState:
         """Run one plan until it is done, outdated or out of time."""
-        self.plans += 1
         state = QueryState(
             plan,
             self.runner.chooser,
@@ -148,7 +154,7 @@
         for probe in self.observer.take_probes(plan, self.clock.now()):
             gevent.spawn(self.send_probe, plan, probe)
         try:
-            while not state.is_done and not state.needs_new_plan:
+            while not state.is_done and not self.planner.has_better_plan(state):
                 if not self.step(plan, state, events, greenlets):
                     break
         finally:
@@ -173,9 +179,23 @@
         for loser in state.pop_losers():
             greenlet = greenlets.pop(loser.id, None)
             if greenlet is not None:
-                greenlet.kill(block=False)
+                gevent.spawn(self.cancel, loser, greenlet)
         return True
 
+    def cancel(self, loser: Attempt, greenlet: gevent.Greenlet) -> None:
+        """Tell a target to drop a call, so that its slot and connection are free.
+
+        The connection is kept when the target ends the call soon, and closed
+        otherwise.
+        """
+        self.cancelled.add(loser.id)
+        self.observer.note_cancelled(loser, self.clock.now())
+        deadline_at = min(self.stop_at, self.clock.now() + CANCEL_TIMEOUT_S)
+        request_id = self.make_call_id(loser)
+        self.runner.dispatcher.cancel(loser.target, request_id, deadline_at)
+        greenlet.join(max(0.0, deadline_at - self.clock.now()))
+        greenlet.kill(block=False)
+
     def take_outcome(
         self,
         plan: Plan,
@@ -194,6 +214,7 @@
                 result.shard,
                 attempt.target,
                 HeldSnapshots(result.oldest, result.newest),
+                attempt.sent_at,
             )
         return state.on_answer(attempt.id, outcome, now)
 
@@ -208,21 +229,28 @@
 
         A greenlet that is killed on the way was cancelled by its query.
         """
-        observer = self.observer
-        observer.note_sent(attempt)
+        self.observer.note_sent(attempt)
         outcome = None
         try:
             outcome = self.call(plan, attempt, self.stop_at)
         finally:
-            now = self.clock.now()
-            if outcome is None:
-                observer.note_cancelled(attempt, now)
-            elif isinstance(outcome, Failure):
-                observer.note_failure(attempt, outcome, now)
-            else:
-                observer.note_answer(attempt, outcome, now)
+            self.observer.note_ended(attempt)
+            if attempt.id not in self.cancelled:
+                self.observe(attempt, outcome)
         events.put((attempt, outcome))
 
+    def observe(
+        self, attempt: Attempt, outcome: TargetSearchAnswer | Failure | None
+    ) -> None:
+        """Tell the observer what an attempt brought, None when it was cut off."""
+        now = self.clock.now()
+        if outcome is None:
+            self.observer.note_cancelled(attempt, now)
+        elif isinstance(outcome, Failure):
+            self.observer.note_failure(attempt, outcome, now)
+        else:
+            self.observer.note_answer(attempt, outcome, now)
+
     def send_probe(self, plan: Plan, probe: Attempt) -> None:
         """Send a probe that outlives its query, and judge the target by it."""
         deadline_at = self.clock.now() + PROBE_TIMEOUT_S
@@ -271,8 +299,8 @@
             request_id=self.request_id,
             collection=self.request.collection,
             snapshot=state.snapshot,
-            config_version=self.pinned.version,
-            preset=self.pinned.configuration.preset.value,
+            config_version=state.plan.config_version,
+            preset=state.plan.preset,
             total=count_total(results),
             hits=merge_hits(results, self.request.order, self.request.limit),
             coverage=state.get_coverage(),
@@ -295,7 +323,7 @@
                 )
                 for item in state.shards.values()
             ),
-            plans=self.plans,
+            plans=self.planner.plans,
             target_calls=self.calls,
             slowest_target_ms=self.slowest_s * 1_000,
             elapsed_ms=(self.clock.now() - self.started_at) * 1_000,
--- a/sesameplank/standins/naive.py
+++ b/sesameplank/standins/naive.py
@@ -5,8 +5,8 @@
 call takes a connection of its own when none is idle.
 """
 
+import itertools
 import random
-import secrets
 from collections import defaultdict, deque
 
 import gevent
@@ -45,7 +45,6 @@
 POLL_S = 0.5
 WAIT_S = 5.0
 DEFAULT_DEADLINE_MS = 1_000
-WRITER_OPEN_MS = 600_000
 
 
 class NaiveTargets:
@@ -78,6 +77,7 @@
     """The entry's state and its WSGI application."""
 
     def __init__(self, platform: Address, address: Address) -> None:
+        self.writers = itertools.count(1)
         self.platform = platform
         self.address = address
         self.targets = NaiveTargets()
@@ -157,8 +157,7 @@
             booking = msgspec.json.decode(payload, type=BookingRequest)
             return self.book(environ, booking)
         if path == "/v1/writers":
-            writer = secrets.token_hex(8)
-            return "200 OK", WriterAnswer(writer, WRITER_OPEN_MS, WRITER_OPEN_MS)
+            return "200 OK", WriterAnswer(f"naive~0~{next(self.writers)}", 60_000, 0)
         if path == "/v1/addresses":
             live = [vm.address for vm in self.vms.vms] or [str(self.address)]
             return "200 OK", AddressAnswer(choose_addresses(live, self.rng), 5_000)
