--- /dev/null
+++ b/tests/integration/test_bookings_random.py
@@ -0,0 +1,34 @@
+"""Tests of 2,000 bookings under seeded random faults."""
+
+import testtools
+
+from .booking_driver import BookingDriver
+from .faulty import FaultyTier
+
+COUNT = 2_000
+ENTRIES = 3
+CUT_RATE = 0.002  # A booking passes four chunks, so under 1% meet a cut.
+MAX_UNKNOWN = COUNT // 100
+
+
+class RandomFaultTests(testtools.TestCase):
+    """No booking is doubled or lost, and "not run" is true."""
+
+    def run_bookings(self, seed, cut_rate, with_process_faults):
+        """Return the tally of one run."""
+        tier = self.enterContext(FaultyTier(ENTRIES, seed))
+        tally = BookingDriver(tier, COUNT).run(cut_rate, with_process_faults)
+        self.addDetail("tally", testtools.content.text_content(str(tally)))
+        self.assertEqual(COUNT, tally.answered + tally.not_run + tally.unknown)
+        self.assertEqual(
+            (0, 0, 0), (tally.doubled, tally.false_not_run, tally.lost), tally
+        )
+        return tally
+
+    def test_few_outcomes_are_unknown_when_few_connections_are_cut(self):
+        tally = self.run_bookings(11, CUT_RATE, with_process_faults=False)
+        self.assertTrue(tally.unknown < MAX_UNKNOWN, tally)
+
+    def test_killed_stopped_and_cut_off_entries_double_nothing(self):
+        tally = self.run_bookings(12, CUT_RATE, with_process_faults=True)
+        self.assertTrue(tally.answered > COUNT // 2, tally)
