--- a/sesameplank/client/connections.py
+++ b/sesameplank/client/connections.py
@@ -1,14 +1,18 @@
 """HTTP connections of the client library, one request on each at a time."""
 
+import uuid
+
 import gevent
 import msgspec
 from geventhttpclient import HTTPClient
 
-from ..exceptions import CallError
+from ..exceptions import CallError, ForeignAnswerError, TruncatedAnswerError
 from ..ids import CallerName
 from ..net import Address
 
 ANSWER_MARGIN_S = 0.5
+MIN_CONNECT_S = 0.05
+MAX_CONNECT_S = 1.0
 
 
 class Connections:
@@ -76,15 +80,16 @@
 
         The answer is awaited for `margin_s` beyond the budget.
         """
-        connection = self.idle.pop(address, None) or HTTPClient(
-            address.host, address.port, concurrency=1, network_timeout=None
-        )
+        request_id = f"c-{uuid.uuid4().hex}"
+        headers = {**headers, "X-Request-Id": request_id}
+        connection = self.idle.pop(address, None) or make_connection(address, budget_s)
         reusable = False
         try:
             with gevent.Timeout(budget_s + margin_s):
                 response = connection.request(method, path, body, headers)
                 payload = bytes(response.read())
-                reusable = len(payload) == int(response["content-length"])
+            check_answer(response, payload, request_id)
+            reusable = response.get("connection", "").lower() != "close"
         except (gevent.Timeout, Exception) as error:
             raise CallError(
                 f"the entry {address} gave no answer: {error!r}",
@@ -103,6 +108,37 @@
         return payload
 
 
+def make_connection(address: Address, budget_s: float) -> HTTPClient:
+    """Return a client of one connection, which opens on its first request.
+
+    Only a share of the budget goes into opening, so that another entry can
+    still be asked where this one is gone.
+    """
+    return HTTPClient(
+        address.host,
+        address.port,
+        concurrency=1,
+        connection_timeout=min(MAX_CONNECT_S, max(MIN_CONNECT_S, budget_s / 3)),
+        network_timeout=None,
+    )
+
+
+def check_answer(response, payload: bytes, request_id: str) -> None:
+    """Raise TransportError unless the answer is whole and to this request.
+
+    A refusal of the connection comes before the request was read, and so
+    without its id.
+    """
+    length = int(response["content-length"])
+    if len(payload) != length:
+        raise TruncatedAnswerError(
+            f"the answer has {len(payload)} bytes, not {length}", sent=True
+        )
+    echoed = response.get("x-request-id")
+    if echoed != request_id and response.status_code == 200:
+        raise ForeignAnswerError(f"the answer is to {echoed}", sent=True)
+
+
 def make_call_error(payload: bytes) -> CallError:
     """Return the error that a problem document stands for."""
     problem = msgspec.json.decode(payload)
