--- a/sesameplank/callers/app.py
+++ b/sesameplank/callers/app.py
@@ -1,6 +1,7 @@
 """The WSGI application that callers talk to."""
 
 import itertools
+import math
 from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable
 
@@ -19,6 +20,8 @@
 from ..core.versions import AcceptedConfiguration, ConfigurationStore
 from ..ids import CallerName, EntryId, IdempotencyKey, RequestId
 from ..logs import log_event
+from ..monitoring import DecisionLog, RequestLedger
+from ..monitoring.requests import ANSWERED, CANCELLED
 from .bodies import read_body
 from .problems import PROBLEM_JSON, STATUSES, ProblemKind, Refusal
 
@@ -80,6 +83,7 @@
         search: Searcher,
         bookings: BookingDesk,
         pages: dict[str, Page],
+        ledger: RequestLedger | None = None,
     ) -> None:
         self.entry_id = entry_id
         self.store = store
@@ -87,6 +91,7 @@
         self.search = search
         self.bookings = bookings
         self.pages = pages
+        self.ledger = ledger or RequestLedger(clock, DecisionLog(clock), math.inf)
         self.counter = itertools.count(1)
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
@@ -96,6 +101,9 @@
         usable = is_token(given, MAX_REQUEST_ID_LENGTH)
         request_id = RequestId(given) if usable else self.make_request_id()
         headers = []
+        caller = environ.get("HTTP_X_CALLER", "")
+        record = self.ledger.begin(request_id, caller, environ["PATH_INFO"])
+        outcome, detail = ANSWERED, ""
         try:
             if given and not usable:
                 raise make_request_id_refusal(given)
@@ -103,9 +111,16 @@
         except Refusal as refusal:
             status, content_type, body = make_refused(refusal, request_id)
             headers = get_refusal_headers(refusal)
+            outcome, detail = refusal.kind.value, refusal.detail
         except Exception as error:  # A fault of ours must still be answered.
             log_event("internal_error", request_id=request_id, error=repr(error))
             status, content_type, body = make_refused(make_internal(), request_id)
+            outcome, detail = ProblemKind.INTERNAL.value, repr(error)
+        except BaseException:
+            outcome = CANCELLED
+            raise
+        finally:
+            self.ledger.end(record, outcome, detail)
         headers += [
             ("Content-Type", content_type),
             ("Content-Length", str(len(body))),
--- a/sesameplank/commands/entry.py
+++ b/sesameplank/commands/entry.py
@@ -7,6 +7,7 @@
 from ..conf.settings import Setting
 from ..entry import Entry, EntrySettings
 from ..ids import DataCentre, EntryId
+from ..monitoring.dump import print_dump
 from ..net import Address
 from .base import Command, run_command
 
@@ -26,6 +27,7 @@
         Setting("start_spread_s", 1.0, "Seconds over which a starting fleet reads."),
         Setting("drain_timeout_s", 10.0, "Seconds to finish requests on a stop."),
         Setting("max_caller_connections", 1_000, "Connections of callers at a time."),
+        Setting("slow_request_s", 1.0, "Seconds from which a request is logged."),
         Setting("seed", 0, "Seed of random choices; 0 draws one."),
     )
 
@@ -43,10 +45,12 @@
             start_spread_s=values["start_spread_s"],
             drain_timeout_s=values["drain_timeout_s"],
             max_caller_connections=values["max_caller_connections"],
+            slow_request_s=values["slow_request_s"],
         )
         with Entry(settings) as entry:
             for number in (signal.SIGTERM, signal.SIGINT):
                 gevent.signal_handler(number, entry.request_stop)
+            gevent.signal_handler(signal.SIGUSR1, print_dump, entry)
             entry.wait()
         return 0
 
--- a/sesameplank/core/ejection.py
+++ b/sesameplank/core/ejection.py
@@ -1,6 +1,6 @@
 """Ejection of lastingly slow or failing targets, their probing and return."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -30,6 +30,9 @@
 }
 
 
+Listener = Callable[[TargetId, str], None]
+
+
 class ReplicaSet(msgspec.Struct, frozen=True):
     """The replicas of one shard; at least one of them is never ejected."""
 
@@ -77,6 +80,7 @@
         self.scoreboard = scoreboard
         self.counters = counters
         self.max_fraction = max_fraction
+        self.listener: Listener = lambda target, reason: None
         self.suspicions: dict[TargetId, Suspicion] = {}
         self.ejected: dict[TargetId, EjectedTarget] = {}
         self.replica_sets: dict[TargetId, list[ReplicaSet]] = {}
@@ -141,6 +145,7 @@
         if target in self.ejected or target not in self.replica_sets:
             return
         refusal = self.find_reason_to_keep(target)
+        self.listener(target, (refusal or reason).value)
         if refusal is not None:
             self.counters.ejections[refusal] += 1
             self.suspicions.pop(target, None)
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -32,6 +32,9 @@
 from .core.versions import AcceptedConfiguration, ConfigurationStore
 from .ids import DataCentre, EntryId, Incarnation
 from .logs import log_event
+from .monitoring import DecisionLog, RequestLedger
+from .monitoring.dump import make_dump
+from .monitoring.metrics import EntryMetrics
 from .net import Address
 from .peers import PeerLinks
 from .queries import QueryRunner
@@ -65,6 +68,7 @@
     start_spread_s: float = 1.0
     drain_timeout_s: float = 10.0
     max_caller_connections: int = 1_000
+    slow_request_s: float = 1.0
 
 
 class Entry:
@@ -73,6 +77,9 @@
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
         self.clock = SystemClock()
+        self.started_at = self.clock.now()
+        self.decisions = DecisionLog(self.clock)
+        self.ledger = RequestLedger(self.clock, self.decisions, settings.slow_request_s)
         self.rng = random.Random(settings.seed or secrets.randbits(64))
         self.incarnation = make_incarnation()
         self.links = PeerLinks(
@@ -91,6 +98,9 @@
             self.dispatcher, self.snapshots, self.clock, settings.health_interval_s
         )
         self.policies = LoadPolicies(self.clock, self.rng)
+        self.policies.ejector.listener = lambda target, reason: self.decisions.note(
+            "ejection", reason, target
+        )
         self.queries = QueryRunner(
             self.dispatcher,
             self.snapshots,
@@ -120,6 +130,10 @@
         self.links.register(ForwardedQuestion, self.bookings.take_forwarded)
         self.store.listeners.append(self.apply_configuration)
         self.stopping = Event()
+        self.metrics = EntryMetrics(self)
+        self.server = CallersServer(
+            settings.address, self.make_app(), settings.max_caller_connections
+        )
         self.resources = contextlib.ExitStack()
         self.greenlets: list[gevent.Greenlet] = []
 
@@ -127,13 +141,8 @@
         with contextlib.ExitStack() as stack:
             stack.enter_context(self.dispatcher)
             stack.enter_context(self.links)
-            server = CallersServer(
-                self.settings.address,
-                self.make_app(),
-                self.settings.max_caller_connections,
-            )
-            server.start()
-            stack.callback(server.stop)
+            self.server.start()
+            stack.callback(self.server.stop)
             stack.callback(lambda: gevent.killall(self.greenlets))
             self.start_loops()
             self.resources = stack.pop_all()
@@ -182,14 +191,21 @@
                 "/v1/addresses": self.get_addresses,
                 "/healthz": self.get_health,
                 "/readyz": self.get_readiness,
-                "/state": self.get_state,
+                "/state": lambda environ: make_dump(self),
+                "/metrics": lambda environ: self.metrics.render(),
             },
+            self.ledger,
         )
 
     def apply_configuration(self, accepted: AcceptedConfiguration) -> None:
         """Put a newly accepted configuration in force."""
         self.dispatcher.update_targets(accepted.configuration)
         self.snapshots.drop_stale()
+        self.decisions.note(
+            "configuration_accepted",
+            accepted.configuration.preset.value,
+            f"version {accepted.version}",
+        )
         self.policies.apply(accepted)
 
     def search(self, call: CallerRequest, request: SearchRequest) -> SearchAnswer:
@@ -257,36 +273,9 @@
             raise make_refusal(self.gate.state)
         return {"status": "ready"}
 
-    def get_state(self, environ: dict) -> dict:
-        """Return the state dump."""
-        refused = self.store.refused
-        return {
-            "entry": self.settings.entry_id,
-            "config_version": self.store.version,
-            "config_age_s": self.store.age_s,
-            "config_ignored": {
-                result.value: count for result, count in self.store.ignored.items()
-            },
-            "refused": refused
-            and {
-                "version": refused.version,
-                "reason": refused.reason,
-            },
-            "incarnation": self.incarnation,
-            "vms": self.coordination.vms.current,
-            "fleet": self.coordination.get_state(),
-            "targets": {
-                target_id: {
-                    "in_flight": pool.in_flight,
-                    "waiting": pool.waiting,
-                    "size": pool.size,
-                }
-                for target_id, pool in self.dispatcher.pools.items()
-            },
-        }
-
     def request_stop(self) -> None:
         """Begin a planned stop."""
+        self.decisions.note("stop", "requested")
         self.stopping.set()
 
     def wait(self) -> None:
--- /dev/null
+++ b/sesameplank/monitoring/dump.py
@@ -0,0 +1,238 @@
+"""The state dump of an entry: everything that its decisions rest on."""
+
+import sys
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from .. import __version__
+from ..conf import PublishedVms
+from ..core.counters import PolicyCounters
+from ..logs import log_event
+from .decisions import Decision
+from .requests import RequestsState
+
+if TYPE_CHECKING:
+    from ..entry import Entry
+
+
+class RefusedState(msgspec.Struct, frozen=True):
+    """A published configuration that was refused, and why."""
+
+    version: int
+    reason: str
+
+
+class ConnectionsState(msgspec.Struct, frozen=True):
+    """Connections of callers, against the limit."""
+
+    open: int
+    limit: int
+    refused: int
+
+
+class TargetDump(msgspec.Struct, frozen=True):
+    """One target as this process sees it.
+
+    `state` is serving, leaving, ejected or ramping; `reason` says why it is
+    not serving. `slowness` is in multiples of the median of its peers.
+    """
+
+    state: str
+    reason: str
+    address: str
+    size: int
+    idle: int
+    in_flight: int
+    waiting: int
+    slowness: float
+    health: str
+
+
+class BudgetState(msgspec.Struct, frozen=True):
+    """A budget of extra load: tokens left, and how often it refused."""
+
+    tokens: float
+    fraction: float
+    refused: int
+
+
+class AdmissionState(msgspec.Struct, frozen=True):
+    """The queries of one collection in flight, against its limits."""
+
+    in_flight: int
+    first_limit: float
+    lower_limit: float
+
+
+class BookingsState(msgspec.Struct, frozen=True):
+    """What the process remembers for its bookings."""
+
+    writers: int
+    keys: int
+    issued: int
+
+
+class SnapshotState(msgspec.Struct, frozen=True):
+    """What the replicas of one collection hold, as last seen."""
+
+    replicas: int
+    newest: int
+    oldest_newest: int
+    seconds_each: float | None
+
+
+class EntryDump(msgspec.Struct, frozen=True):
+    """The state of one entry; times in seconds."""
+
+    entry: str
+    data_centre: str
+    incarnation: int
+    release: str
+    uptime_s: float
+    serving: str
+    config_version: int
+    config_age_s: float | None
+    config_ignored: dict[str, int]
+    preset: str | None
+    refused: RefusedState | None
+    vms: PublishedVms | None
+    fleet: dict
+    requests: RequestsState
+    connections: ConnectionsState
+    targets: dict[str, TargetDump]
+    budgets: dict[str, BudgetState]
+    policies: PolicyCounters
+    admission: dict[str, AdmissionState]
+    bookings: BookingsState
+    snapshots: dict[str, SnapshotState]
+    decisions: tuple[Decision, ...]
+
+
+def make_dump(entry: "Entry") -> EntryDump:
+    """Return the state of an entry at this moment."""
+    store = entry.store
+    return EntryDump(
+        entry=entry.settings.entry_id,
+        data_centre=entry.settings.data_centre,
+        incarnation=entry.incarnation,
+        release=__version__,
+        uptime_s=entry.clock.now() - entry.started_at,
+        serving=entry.gate.state.value,
+        config_version=store.version,
+        config_age_s=store.age_s,
+        config_ignored={item.value: count for item, count in store.ignored.items()},
+        preset=store.current and store.current.configuration.preset.value,
+        refused=store.refused
+        and RefusedState(store.refused.version, store.refused.reason),
+        vms=entry.coordination.vms.current,
+        fleet=entry.coordination.get_state(),
+        requests=entry.ledger.get_state(),
+        connections=dump_connections(entry),
+        targets=dump_targets(entry),
+        budgets=dump_budgets(entry),
+        policies=entry.policies.counters,
+        admission=dump_admission(entry),
+        bookings=dump_bookings(entry),
+        snapshots=dump_snapshots(entry),
+        decisions=entry.decisions.get_state(),
+    )
+
+
+def dump_connections(entry: "Entry") -> ConnectionsState:
+    """Return the connections of callers."""
+    server = entry.server
+    return ConnectionsState(
+        open=server.open_connections,
+        limit=server.max_connections,
+        refused=server.refused_connections,
+    )
+
+
+def dump_targets(entry: "Entry") -> dict[str, TargetDump]:
+    """Return every target that calls are sent to."""
+    now = entry.clock.now()
+    return {
+        target: dump_target(entry, target, pool, now)
+        for target, pool in entry.dispatcher.pools.items()
+    }
+
+
+def dump_target(entry: "Entry", target: str, pool, now: float) -> TargetDump:
+    """Return one target, its state and the reason for it."""
+    state, reason = find_target_state(entry, target)
+    report = entry.poller.reports.get(target)
+    return TargetDump(
+        state=state,
+        reason=reason,
+        address=str(pool.address),
+        size=pool.size,
+        idle=len(pool.idle),
+        in_flight=pool.in_flight,
+        waiting=pool.waiting,
+        slowness=entry.policies.scoreboard.get(target).slowness.get(now),
+        health=getattr(report, "state", "") or "none",
+    )
+
+
+def find_target_state(entry: "Entry", target: str) -> tuple[str, str]:
+    """Return the state of a target and why it is not serving."""
+    ejected = entry.policies.ejector.ejected.get(target)
+    if ejected is not None:
+        age_s = entry.clock.now() - ejected.since
+        return "ejected", f"{ejected.reason.value} for {age_s:.1f} s"
+    configuration = entry.store.current and entry.store.current.configuration
+    published = configuration and configuration.targets.get(target)
+    if published and published.state.value != "serving":
+        return published.state.value, "published by the platform"
+    if entry.policies.scoreboard.get(target).ramp_started_at is not None:
+        return "ramping", "new or back from an ejection"
+    return "serving", ""
+
+
+def dump_budgets(entry: "Entry") -> dict[str, BudgetState]:
+    """Return the budgets of extra load."""
+    budgets = {
+        "hedges": entry.policies.hedge_budget,
+        "retries": entry.policies.retry_budget,
+    }
+    return {
+        name: BudgetState(item.tokens, item.fraction, item.refused)
+        for name, item in budgets.items()
+    }
+
+
+def dump_admission(entry: "Entry") -> dict[str, AdmissionState]:
+    """Return the gates of all collections."""
+    return {
+        name: AdmissionState(
+            gate.in_flight, gate.first_limit.limit, gate.lower_limit.limit
+        )
+        for name, gate in entry.admission.gates.items()
+    }
+
+
+def dump_bookings(entry: "Entry") -> BookingsState:
+    """Return how much is remembered; the keys themselves are not shown."""
+    memory = entry.bookings.memory
+    return BookingsState(len(memory.writers), memory.key_count, memory.issued)
+
+
+def dump_snapshots(entry: "Entry") -> dict[str, SnapshotState]:
+    """Return what is known of the snapshots of each collection."""
+    tracker = entry.snapshots
+    newest: dict[str, list[int]] = {}
+    for (collection, _, _), known in tracker.known.items():
+        newest.setdefault(collection, []).append(known.held.newest)
+    return {
+        name: SnapshotState(
+            len(found), max(found), min(found), tracker.progress[name].seconds_each
+        )
+        for name, found in newest.items()
+    }
+
+
+def print_dump(entry: "Entry") -> None:
+    """Write the dump to standard error, as one line of JSON after a log line."""
+    log_event("state_dump", entry=entry.settings.entry_id)
+    print(msgspec.json.encode(make_dump(entry)).decode(), file=sys.stderr, flush=True)
--- /dev/null
+++ b/sesameplank/monitoring/metrics.py
@@ -0,0 +1,278 @@
+"""Metrics in the text format that operators' scrapers read."""
+
+from collections.abc import Iterator
+from typing import TYPE_CHECKING
+
+import msgspec
+from prometheus_client import CollectorRegistry, ProcessCollector, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+
+from ..conf import PresetName
+from .dump import dump_admission, dump_budgets, dump_connections, dump_targets
+
+if TYPE_CHECKING:
+    from ..entry import Entry
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+PREFIX = "sesameplank_"
+Sample = tuple[tuple[str, ...], float]
+
+
+class MetricSpec(msgspec.Struct, frozen=True):
+    """One metric: its name without prefix, kind, help and labels."""
+
+    name: str
+    kind: str
+    help: str
+    labels: tuple[str, ...] = ()
+
+    @property
+    def full_name(self) -> str:
+        """The name as scrapers see it."""
+        return PREFIX + self.name
+
+
+METRICS = tuple(
+    MetricSpec(*item)
+    for item in (
+        ("requests_total", "counter", "Requests ended.", ("path", "outcome")),
+        ("requests_in_flight", "gauge", "Requests of callers in flight."),
+        (
+            "request_latency_seconds",
+            "gauge",
+            "Latency of answered requests over the last 30 to 60 seconds.",
+            ("path", "quantile"),
+        ),
+        ("caller_connections", "gauge", "Open connections of callers."),
+        (
+            "caller_connections_refused_total",
+            "counter",
+            "Connections of callers refused over the limit.",
+        ),
+        ("serving", "gauge", "1 for the serving state the entry is in.", ("state",)),
+        ("config_version", "gauge", "Version of the configuration in force."),
+        (
+            "config_age_seconds",
+            "gauge",
+            "Seconds since the platform last confirmed the configuration.",
+        ),
+        ("config_refused", "gauge", "1 while a newer version stands refused."),
+        ("preset", "gauge", "1 for the preset in force.", ("preset",)),
+        ("members", "gauge", "Entries known, by health.", ("health",)),
+        (
+            "peer_messages_total",
+            "counter",
+            "Messages between entries.",
+            ("direction", "type"),
+        ),
+        (
+            "peer_bytes_total",
+            "counter",
+            "Bytes between entries.",
+            ("direction", "type"),
+        ),
+        ("peer_dropped_total", "counter", "Messages dropped.", ("reason",)),
+        ("platform_calls_total", "counter", "Calls to the platform's service."),
+        ("pauses_total", "counter", "Times that the process woke up late."),
+        ("targets", "gauge", "Targets by state.", ("state",)),
+        ("target_calls_in_flight", "gauge", "Calls to targets in flight."),
+        ("target_calls_waiting", "gauge", "Calls that wait for a connection."),
+        ("budget_tokens", "gauge", "Tokens left of a budget.", ("budget",)),
+        (
+            "budget_refused_total",
+            "counter",
+            "Extra calls that a budget refused.",
+            ("budget",),
+        ),
+        ("hedges_total", "counter", "Hedges, by what became of them.", ("result",)),
+        ("retries_total", "counter", "Retries, by cause or refusal.", ("result",)),
+        ("ejections_total", "counter", "Ejections, by reason.", ("reason",)),
+        ("probes_total", "counter", "Probes of ejected targets.", ("result",)),
+        (
+            "admission_refusals_total",
+            "counter",
+            "Queries refused before planning.",
+            ("reason",),
+        ),
+        (
+            "missing_ranges_total",
+            "counter",
+            "Ranges missing from answers.",
+            ("reason",),
+        ),
+        ("first_shards_total", "counter", "Shards asked for the first time."),
+        ("extra_shards_total", "counter", "Shards asked again or twice."),
+        (
+            "admission_limit",
+            "gauge",
+            "Queries that may be in flight.",
+            ("collection", "priority"),
+        ),
+        ("booking_writers", "gauge", "Writers remembered."),
+        ("booking_keys", "gauge", "Booking keys remembered."),
+        ("decisions_total", "counter", "Decisions noted, by kind.", ("kind",)),
+    )
+)
+
+
+class EntryMetrics:
+    """The metrics of one entry, read from its state when they are scraped."""
+
+    def __init__(self, entry: "Entry") -> None:
+        self.entry = entry
+        self.registry = CollectorRegistry()
+        self.registry.register(self)
+        ProcessCollector(registry=self.registry)
+
+    def render(self) -> tuple[str, bytes]:
+        """Return the content type and the text of all metrics."""
+        return CONTENT_TYPE, generate_latest(self.registry)
+
+    def describe(self) -> list[Metric]:
+        """Return nothing, so that registering reads no state yet."""
+        return []
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield every metric of METRICS."""
+        samples = collect_samples(self.entry)
+        for spec in METRICS:
+            yield make_family(spec, samples.get(spec.name, []))
+
+
+def make_family(spec: MetricSpec, samples: list[Sample]) -> Metric:
+    """Return one metric with its samples."""
+    is_counter = spec.kind == "counter"
+    family_type = CounterMetricFamily if is_counter else GaugeMetricFamily
+    family = family_type(spec.full_name, spec.help, labels=spec.labels)
+    for labels, value in samples:
+        family.add_metric(labels, value)
+    return family
+
+
+def collect_samples(entry: "Entry") -> dict[str, list[Sample]]:
+    """Return the samples of every metric by its name."""
+    return {
+        **collect_requests(entry),
+        **collect_configuration(entry),
+        **collect_fleet(entry),
+        **collect_targets(entry),
+        **collect_policies(entry),
+    }
+
+
+def single(value: float) -> list[Sample]:
+    """Return the sample of a metric without labels."""
+    return [((), value)]
+
+
+def by_label(counts: dict) -> list[Sample]:
+    """Return one sample for each key, an Enum member or a text."""
+    return [
+        ((str(getattr(key, "value", key)),), count) for key, count in counts.items()
+    ]
+
+
+def collect_requests(entry: "Entry") -> dict[str, list[Sample]]:
+    """Return the metrics of callers' requests."""
+    ledger = entry.ledger
+    connections = dump_connections(entry)
+    return {
+        "requests_total": list(ledger.outcomes.items()),
+        "requests_in_flight": single(len(ledger.open)),
+        "request_latency_seconds": [
+            ((path, f"{quantile:g}"), seconds)
+            for path, window in ledger.latencies.items()
+            for quantile, seconds in window.get_quantiles().items()
+        ],
+        "caller_connections": single(connections.open),
+        "caller_connections_refused_total": single(connections.refused),
+        "decisions_total": by_label(entry.decisions.counts),
+        "booking_writers": single(len(entry.bookings.memory.writers)),
+        "booking_keys": single(entry.bookings.memory.key_count),
+    }
+
+
+def collect_configuration(entry: "Entry") -> dict[str, list[Sample]]:
+    """Return the metrics of the configuration in force."""
+    store = entry.store
+    current = store.current
+    age_s = store.age_s
+    return {
+        "serving": [
+            ((state.value,), state is entry.gate.state)
+            for state in type(entry.gate.state)
+        ],
+        "config_version": single(store.version),
+        "config_age_seconds": [] if age_s is None else single(age_s),
+        "config_refused": single(store.refused is not None),
+        "preset": [
+            ((name.value,), bool(current and current.configuration.preset is name))
+            for name in PresetName
+        ],
+    }
+
+
+def collect_fleet(entry: "Entry") -> dict[str, list[Sample]]:
+    """Return the metrics of membership and control traffic."""
+    counters = entry.links.counters
+    health: dict[str, int] = {}
+    for member in entry.coordination.membership.members.values():
+        name = member.health.name.lower()
+        health[name] = health.get(name, 0) + 1
+    traffic = [
+        (direction, name, item)
+        for direction, table in (("out", counters.sent), ("in", counters.received))
+        for name, item in table.items()
+    ]
+    fleet = entry.coordination.get_state()
+    return {
+        "members": by_label(health),
+        "peer_messages_total": [
+            ((way, name), it.messages) for way, name, it in traffic
+        ],
+        "peer_bytes_total": [((way, name), it.bytes) for way, name, it in traffic],
+        "peer_dropped_total": by_label(counters.dropped),
+        "platform_calls_total": single(fleet["platform_calls"]),
+        "pauses_total": single(fleet["pauses"]),
+    }
+
+
+def collect_targets(entry: "Entry") -> dict[str, list[Sample]]:
+    """Return the metrics of targets."""
+    targets = dump_targets(entry).values()
+    counts: dict[str, int] = {}
+    for target in targets:
+        counts[target.state] = counts.get(target.state, 0) + 1
+    return {
+        "targets": by_label(counts),
+        "target_calls_in_flight": single(sum(item.in_flight for item in targets)),
+        "target_calls_waiting": single(sum(item.waiting for item in targets)),
+    }
+
+
+def collect_policies(entry: "Entry") -> dict[str, list[Sample]]:
+    """Return the metrics of hedges, retries, ejection and admission."""
+    counters = entry.policies.counters
+    budgets = dump_budgets(entry)
+    return {
+        "budget_tokens": [((name,), item.tokens) for name, item in budgets.items()],
+        "budget_refused_total": [
+            ((name,), item.refused) for name, item in budgets.items()
+        ],
+        "hedges_total": by_label(counters.hedges),
+        "retries_total": by_label(counters.retries),
+        "ejections_total": by_label(counters.ejections),
+        "probes_total": by_label(counters.probes),
+        "admission_refusals_total": by_label(counters.refusals),
+        "missing_ranges_total": by_label(counters.missing),
+        "first_shards_total": single(counters.first_shards),
+        "extra_shards_total": single(counters.extra_shards),
+        "admission_limit": [
+            ((name, priority), limit)
+            for name, gate in dump_admission(entry).items()
+            for priority, limit in (
+                ("first", gate.first_limit),
+                ("lower", gate.lower_limit),
+            )
+        ],
+    }
--- /dev/null
+++ b/sesameplank/monitoring/requests.py
@@ -0,0 +1,131 @@
+"""Requests of callers: those in flight, their outcomes, and their log lines."""
+
+from collections import Counter
+
+import msgspec
+
+from ..core.clock import Clock
+from ..logs import LogLimiter, log_event
+from .decisions import DecisionLog
+from .latencies import LatencyWindow
+
+ANSWERED = "answered"
+CANCELLED = "cancelled"
+OTHER_PATH = "other"
+KNOWN_PATHS = frozenset(
+    (
+        "/v1/search",
+        "/v1/bookings",
+        "/v1/addresses",
+        "/v1/writers",
+        "/healthz",
+        "/readyz",
+        "/state",
+        "/metrics",
+    )
+)
+MAX_SHOWN = 100
+
+
+class RequestState(msgspec.Struct, frozen=True):
+    """One request in flight as the state dump shows it."""
+
+    request_id: str
+    caller: str
+    path: str
+    age_s: float
+
+
+class RequestsState(msgspec.Struct, frozen=True):
+    """The requests of a process: how many in flight, and the oldest of them."""
+
+    in_flight: int
+    oldest: tuple[RequestState, ...]
+    outcomes: dict[str, int]
+
+
+class OpenRequest(msgspec.Struct):
+    """A request from its arrival to its answer; the time is in seconds."""
+
+    request_id: str
+    caller: str
+    path: str
+    started_at: float
+
+
+def get_shown_path(path: str) -> str:
+    """Return the path without the parts that differ from request to request."""
+    known = "/".join(path.split("/", 3)[:3])
+    return known if known in KNOWN_PATHS else OTHER_PATH
+
+
+class RequestLedger:
+    """Follows every request of callers; its memory is bounded by connections."""
+
+    def __init__(
+        self, clock: Clock, decisions: DecisionLog, slow_request_s: float
+    ) -> None:
+        self.clock = clock
+        self.decisions = decisions
+        self.slow_request_s = slow_request_s
+        self.open: dict[int, OpenRequest] = {}
+        self.outcomes: Counter[tuple[str, str]] = Counter()
+        self.latencies: dict[str, LatencyWindow] = {}
+        self.limiter = LogLimiter(clock)
+
+    def begin(self, request_id: str, caller: str, path: str) -> OpenRequest:
+        """Count a request as in flight."""
+        shown = get_shown_path(path)
+        request = OpenRequest(request_id, caller[:100], shown, self.clock.now())
+        self.open[id(request)] = request
+        return request
+
+    def end(self, request: OpenRequest, outcome: str, detail: str = "") -> None:
+        """Count a request's outcome; log it if it was refused or slow."""
+        del self.open[id(request)]
+        elapsed_s = self.clock.now() - request.started_at
+        self.outcomes[request.path, outcome] += 1
+        if outcome == ANSWERED:
+            self.record_latency(request.path, elapsed_s)
+            if elapsed_s < self.slow_request_s:
+                return
+        event = "request_slow" if outcome == ANSWERED else "request_refused"
+        if outcome != ANSWERED:
+            self.decisions.note("refused", outcome, f"{request.request_id}: {detail}")
+        suppressed = self.limiter.take()
+        if suppressed is not None:
+            log_event(
+                event,
+                request_id=request.request_id,
+                caller=request.caller,
+                path=request.path,
+                outcome=outcome,
+                elapsed_ms=elapsed_s * 1_000,
+                reason=detail,
+                suppressed=suppressed,
+            )
+
+    def record_latency(self, path: str, elapsed_s: float) -> None:
+        """Record the latency of an answered request."""
+        window = self.latencies.get(path)
+        if window is None:
+            window = self.latencies[path] = LatencyWindow(self.clock)
+        window.record(elapsed_s)
+
+    def get_state(self) -> RequestsState:
+        """Return how many requests are in flight, and the oldest of them."""
+        now = self.clock.now()
+        oldest = sorted(self.open.values(), key=lambda item: item.started_at)
+        return RequestsState(
+            in_flight=len(self.open),
+            oldest=tuple(
+                RequestState(
+                    item.request_id, item.caller, item.path, now - item.started_at
+                )
+                for item in oldest[:MAX_SHOWN]
+            ),
+            outcomes={
+                f"{path} {outcome}": count
+                for (path, outcome), count in sorted(self.outcomes.items())
+            },
+        )
