--- a/sesameplank/planning.py
+++ b/sesameplank/planning.py
@@ -90,15 +90,14 @@
         if not self.at_least:
             return 0.0
         now = self.clock.now()
-        times = self.get_ready_times(self.choose_snapshot())
+        times = self.get_ready_times(self.choose_snapshot(), now)
         if times and min(times) >= self.stop_at:
             raise self.make_refusal(min(times) - now)
         latest = max((time for time in times if time < self.stop_at), default=now)
         return min(max(0.0, latest - now), SNAPSHOT_POLL_S)
 
-    def get_ready_times(self, snapshot: Snapshot) -> list[float]:
-        """Return when each shard should hold the snapshot; now if unforeseen."""
-        now = self.clock.now()
+    def get_ready_times(self, snapshot: Snapshot, now: float) -> list[float]:
+        """Return when each shard should hold the snapshot; `now` if unforeseen."""
         times = []
         for shard in list_replicas(self.get_shards()):
             ready_at = self.snapshots.get_ready_time(self.collection, shard, snapshot)
