Keep the request id that a program gives to the client library

Cause: since the client checks the echoed id, it put one of its own in place of a given one, so that the load tool counted every answer as another request's. Regression test: test_request_id_that_the_caller_gives_is_kept.

--- a/sesameplank/client/connections.py
+++ b/sesameplank/client/connections.py
@@ -81,7 +81,7 @@
 
         The answer is awaited for `margin_s` beyond the budget.
         """
-        request_id = f"c-{uuid.uuid4().hex}"
+        request_id = headers.get("X-Request-Id") or f"c-{uuid.uuid4().hex}"
         headers = {**headers, "X-Request-Id": request_id}
         connection = self.idle.pop(address, None) or make_connection(address, budget_s)
         reusable = False
--- a/tests/client/test_searches.py
+++ b/tests/client/test_searches.py
@@ -34,10 +34,12 @@
         self.address_calls = 0
         self.replies: list = []
         self.requests: list[SearchRequest] = []
+        self.request_ids: list[str] = []
 
     def __call__(self, environ, start_response):
         """Answer one HTTP request."""
         status, extra, request_id = "200 OK", 0, environ["HTTP_X_REQUEST_ID"]
+        self.request_ids.append(request_id)
         if environ["PATH_INFO"] == "/v1/addresses":
             self.address_calls += 1
             body = msgspec.json.encode(self.address_answer)
@@ -159,6 +161,14 @@
             [0, 7], [item.at_least_snapshot for item in self.first.requests]
         )
 
+    def test_request_id_that_the_caller_gives_is_kept(self):
+        address = self.client.keeper.seeds[0]
+        headers = {"X-Request-Id": "mine"}
+        self.client.connections.post(
+            address, "/v1/search", REQUEST, SearchAnswer, 60.0, headers
+        )
+        self.assertEqual("mine", self.first.request_ids[-1])
+
     def test_entry_that_is_gone_is_passed_over(self):
         gone = Address(self.client.keeper.seeds[0].host, 8089)
         self.client.keeper.seeds = [gone, *self.client.keeper.seeds]
