--- a/sesameplank/core/snapshots.py
+++ b/sesameplank/core/snapshots.py
@@ -109,7 +109,10 @@
             return
         known.held = held
         known.seen_at = now
-        self.progress.setdefault(collection, Progress()).note(held.newest, now)
+        progress = self.progress.get(collection)
+        if progress is None:
+            progress = self.progress[collection] = Progress()
+        progress.note(held.newest, now)
 
     def drop_stale(self) -> None:
         """Forget the replicas of which nothing was heard for STALE_S seconds."""
@@ -138,10 +141,17 @@
     ) -> list[list[HeldSnapshots]]:
         """Return what the replicas of each shard hold; unknown shards are left out."""
         found = []
+        known = self.known
+        fresh_from = self.clock.now() - STALE_S
         for shard, targets in shards:
-            held = [self.get_held(collection, shard, target) for target in targets]
-            if any(held):
-                found.append([item for item in held if item is not None])
+            held = [
+                replica.held
+                for target in targets
+                if (replica := known.get((collection, shard, target))) is not None
+                and replica.seen_at >= fresh_from
+            ]
+            if held:
+                found.append(held)
         return found
 
     def choose(
@@ -210,10 +220,11 @@
 def find_common(held: list[list[HeldSnapshots]], replicas: int) -> Snapshot | None:
     """Return the newest snapshot that enough replicas of every shard hold safely.
 
-    Enough is `replicas`, or all of a shard that has fewer. Each pass lowers the
-    snapshot to the newest that the shard allows, until every shard allows it.
+    Enough is `replicas`, or all of a shard that has fewer. No snapshot can be
+    above the lowest bound by `newest` alone, which mostly is the result. Each
+    pass lowers it to the newest that the shard allows, until every shard allows it.
     """
-    snapshot = Snapshot(max(item.newest for shard in held for item in shard))
+    snapshot = min(get_bound(shard, replicas) for shard in held)
     is_settled = False
     while not is_settled:
         is_settled = True
@@ -227,12 +238,23 @@
     return snapshot
 
 
+def get_bound(shard: list[HeldSnapshots], replicas: int) -> Snapshot:
+    """Return the highest snapshot that enough replicas have reached."""
+    if len(shard) == 1:
+        return shard[0].newest
+    return sorted([item.newest for item in shard])[-min(replicas, len(shard))]
+
+
 def find_newest(
     shard: list[HeldSnapshots], at_most: Snapshot, replicas: int
 ) -> Snapshot | None:
     """Return the newest snapshot up to `at_most` that enough replicas hold."""
-    if sum(item.oldest_safe <= at_most <= item.newest for item in shard) >= replicas:
-        return at_most
+    holders = 0
+    for item in shard:
+        if item.newest >= at_most >= item.oldest_safe:
+            holders += 1
+            if holders >= replicas:
+                return at_most
     for candidate in sorted({item.newest for item in shard}, reverse=True):
         if candidate >= at_most:
             continue
