--- a/sesameplank/core/snapshots.py
+++ b/sesameplank/core/snapshots.py
@@ -176,6 +176,13 @@
             return single
         return max(find_most_served(held, at_least), at_least)
 
+    def is_held(
+        self, collection: CollectionName, shards: ShardReplicas, snapshot: Snapshot
+    ) -> bool:
+        """Tell whether a replica of every known shard holds the snapshot."""
+        held = self.get_shards_held(collection, shards)
+        return count_holding(held, snapshot) == len(held)
+
     def get_ready_time(
         self,
         collection: CollectionName,
--- a/sesameplank/planning.py
+++ b/sesameplank/planning.py
@@ -57,8 +57,10 @@
         Raises Refusal at once when no shard is expected to hold a snapshot that
         is new enough before the deadline.
         """
-        while (pause_s := self.get_pause()) > 0:
+        snapshot = self.choose_snapshot()
+        while (pause_s := self.get_pause(snapshot)) > 0:
             self.sleep(pause_s)
+            snapshot = self.choose_snapshot()
         self.plans += 1
         shards = [
             PlannedShard(shard.id, shard.range, shard.replicas)
@@ -66,7 +68,7 @@
         ]
         return make_plan(
             self.collection,
-            self.choose_snapshot(),
+            snapshot,
             shards,
             self.pinned.version,
             self.pinned.configuration.preset.value,
@@ -82,20 +84,25 @@
         chosen = self.snapshots.choose(self.collection, shards, self.at_least)
         return chosen or Snapshot(0)
 
-    def get_pause(self) -> float:
+    def get_pause(self, snapshot: Snapshot) -> float:
         """Return how long to wait for the snapshot, in seconds, 0 to go on.
 
         A shard that cannot hold it before the deadline is not waited for.
         """
-        if not self.at_least:
+        if not self.at_least or self.is_held(snapshot):
             return 0.0
         now = self.clock.now()
-        times = self.get_ready_times(self.choose_snapshot(), now)
+        times = self.get_ready_times(snapshot, now)
         if times and min(times) >= self.stop_at:
             raise self.make_refusal(min(times) - now)
         latest = max((time for time in times if time < self.stop_at), default=now)
         return min(max(0.0, latest - now), SNAPSHOT_POLL_S)
 
+    def is_held(self, snapshot: Snapshot) -> bool:
+        """Tell whether a replica of every known shard holds the snapshot."""
+        shards = list_replicas(self.get_shards())
+        return self.snapshots.is_held(self.collection, shards, snapshot)
+
     def get_ready_times(self, snapshot: Snapshot, now: float) -> list[float]:
         """Return when each shard should hold the snapshot; `now` if unforeseen."""
         times = []
