--- a/sesameplank/client/addresses.py
+++ b/sesameplank/client/addresses.py
@@ -1,5 +1,6 @@
 """Which entries the client library uses, and for how long."""
 
+import math
 import random
 import time
 from collections.abc import Sequence
@@ -10,6 +11,7 @@
 from .connections import Connections
 
 ADDRESSES_TIMEOUT_S = 1.0
+UNUSABLE_S = 2.0
 
 
 class AddressKeeper:
@@ -23,16 +25,42 @@
         self.rng = rng
         self.addresses: list[Address] = []
         self.addresses_until = 0.0
+        self.unusable_until: dict[Address, float] = {}
 
-    def get_addresses(self) -> list[Address]:
-        """Return the entries to use, asking again when the answer is too old."""
-        if time.monotonic() < self.addresses_until:
+    def note_unusable(self, address: Address) -> None:
+        """Leave an entry out for a while, since it is leaving or gives no answer.
+
+        The next call asks another entry for a fresh address list.
+        """
+        self.unusable_until[address] = time.monotonic() + UNUSABLE_S
+        self.addresses_until = 0.0
+
+    def get_addresses(self, give_up_at: float = math.inf) -> list[Address]:
+        """Return the entries to use; those known as unusable come last.
+
+        No entry is asked for its list after `give_up_at`, in seconds of the
+        monotonic clock.
+        """
+        now = time.monotonic()
+        return sorted(
+            self.get_listed(give_up_at),
+            key=lambda item: self.unusable_until.get(item, 0.0) > now,
+        )
+
+    def get_listed(self, give_up_at: float) -> list[Address]:
+        """Return the listed entries, asking again when the answer is too old."""
+        now = time.monotonic()
+        if now < self.addresses_until:
             return self.addresses
         known = [*self.addresses, *self.rng.sample(self.seeds, len(self.seeds))]
+        known.sort(key=lambda item: self.unusable_until.get(item, 0.0) > now)
         for address in dict.fromkeys(known):
+            budget_s = min(ADDRESSES_TIMEOUT_S, give_up_at - time.monotonic())
+            if budget_s <= 0:
+                break
             try:
                 answer = self.connections.get(
-                    address, "/v1/addresses", AddressAnswer, ADDRESSES_TIMEOUT_S
+                    address, "/v1/addresses", AddressAnswer, budget_s
                 )
             except CallError:
                 continue
