--- a/sesameplank/peers/links.py
+++ b/sesameplank/peers/links.py
@@ -216,7 +216,8 @@
         """Connect to a peer and serve the link until it closes."""
         peer = channel.peer
         try:
-            connection = self.open(peer)
+            address = self.addresses[peer]
+            connection = self.open(peer, address)
         except (OSError, WebSocketException, LookupError) as error:
             self.note_dial_failure(peer)
             self.dials.pop(peer, None)
@@ -229,11 +230,14 @@
         self.failures.pop(peer, None)
         self.retry_at.pop(peer, None)
         self.dials.pop(peer, None)
+        if self.addresses.get(peer) != address:
+            connection.close_socket()
+            self.ensure_connected(channel)
+            return
         channel.run(connection, dialled=True)
 
-    def open(self, peer: EntryId) -> Connection:
+    def open(self, peer: EntryId, address: Address) -> Connection:
         """Return an open websocket to the peer, or raise OSError and the like."""
-        address = self.addresses[peer]
         sock = gevent.socket.create_connection(
             tuple(address), DIAL_TIMEOUT_S, source_address=(self.address.host, 0)
         )
