Divide each target's connections over homes, and stop work to leaving targets

An eighth of a target's limit for each entry left no room for an entry that acts on an outdated list: nine holders of 3 pass a limit of 25. Homes are chosen by rendezvous hashing over the published list, the share is the limit divided by homes and headroom, a new home waits for the old one to let go, and an entry that is no home relays over the peer links. Connections open before they are needed. A target is leaving as soon as its answers, its health, the configuration or a peer say so; old health reports do not bring it back.

--- a/sesameplank/commands/entry.py
+++ b/sesameplank/commands/entry.py
@@ -25,6 +25,8 @@
         Setting("address_ttl_s", 5.0, "Seconds for which callers keep addresses."),
         Setting("start_spread_s", 1.0, "Seconds over which a starting fleet reads."),
         Setting("drain_timeout_s", 10.0, "Seconds to finish requests on a stop."),
+        Setting("connection_homes", 8, "Entries that hold connections to a target."),
+        Setting("connection_headroom", 4, "Entries that may act on an old VM list."),
         Setting("max_caller_connections", 1_000, "Connections of callers at a time."),
         Setting("seed", 0, "Seed of random choices; 0 draws one."),
     )
@@ -42,6 +44,8 @@
             seed=values["seed"],
             start_spread_s=values["start_spread_s"],
             drain_timeout_s=values["drain_timeout_s"],
+            connection_homes=values["connection_homes"],
+            connection_headroom=values["connection_headroom"],
             max_caller_connections=values["max_caller_connections"],
         )
         with Entry(settings) as entry:
--- a/sesameplank/core/homes.py
+++ b/sesameplank/core/homes.py
@@ -9,6 +9,8 @@
 from ..ids import EntryId
 from .hashing import hash_text
 
+HOLD_DOWN_S = 5.0
+
 
 def rank(key: str, entries: Iterable[EntryId]) -> list[EntryId]:
     """Return the entries in the order in which they take the duty `key`.
@@ -34,3 +36,42 @@
     share is 0 when there are more homes than connections.
     """
     return limit // (homes + headroom)
+
+
+class ConnectionPlan:
+    """How many connections this process may hold to each target.
+
+    Homes are chosen over the published list, never over the live view: in a
+    partition each part would take the other's share. An entry that the list
+    does not name holds none, and so does one that the list has just made a home
+    until `HOLD_DOWN_S` have passed, while its forerunner lets go.
+    """
+
+    def __init__(self, own: EntryId, homes: int, headroom: int) -> None:
+        self.own = own
+        self.homes = homes
+        self.headroom = headroom
+        self.entries: tuple[EntryId, ...] = ()
+        self.home_since: dict[str, float] = {}
+
+    def update(self, entries: Iterable[EntryId], now: float) -> None:
+        """Take a newer published list in."""
+        self.entries = tuple(sorted(entries))
+        for key in list(self.home_since):
+            if self.own not in self.get_homes(key):
+                del self.home_since[key]
+
+    def get_homes(self, key: str) -> list[EntryId]:
+        """Return the homes of a target in their order."""
+        return choose_homes(key, self.entries, self.homes)
+
+    def get_size(self, key: str, limit: int, now: float) -> int:
+        """Return how many connections this process may hold to a target now."""
+        if self.own not in self.get_homes(key):
+            self.home_since.pop(key, None)
+            return 0
+        since = self.home_since.setdefault(key, now)
+        is_alone = len(self.entries) <= self.homes + self.headroom
+        if not is_alone and now - since < HOLD_DOWN_S:
+            return 0
+        return get_share(limit, self.homes, self.headroom)
--- a/sesameplank/core/peer_messages.py
+++ b/sesameplank/core/peer_messages.py
@@ -155,3 +155,22 @@
     """Tell that a target takes no new work."""
 
     target: TargetId
+
+
+class RelayedAnswer(PeerMessage, frozen=True):
+    """A target's answer as it came."""
+
+    payload: bytes
+
+
+class RelayedCall(PeerMessage, frozen=True):
+    """A call that a target's home makes for another entry.
+
+    `answer_ms` is how long the answer is awaited after the deadline.
+    """
+
+    reply_type: ClassVar = RelayedAnswer
+    target: TargetId
+    path: str
+    body: bytes
+    answer_ms: int
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -20,11 +20,14 @@
 from .callers.app import CallerRequest
 from .callers.problems import ProblemKind, Refusal
 from .callers.server import CallersServer
+from .conf import PublishedVms
 from .coordination import Coordination, CoordinationSettings
 from .core.addresses import AddressAnswer, choose_addresses
 from .core.admission import AdmissionController, Permit, is_load_sample
 from .core.bookings import BookingLimits, BookingMemory
 from .core.clock import SystemClock
+from .core.homes import ConnectionPlan
+from .core.leaving import LeavingTargets
 from .core.messages import SearchAnswer, SearchRequest
 from .core.outcomes import Ran
 from .core.policies import LoadPolicies
@@ -38,8 +41,8 @@
 from .serving import GatedBookings, ServingGate, ServingState, make_refusal
 from .targets import DirectDispatcher
 from .targets.health import HealthPoller
+from .targets.relay import RelayDispatcher
 
-CONNECTION_SHARE = 8
 INCARNATION_RANDOM_BITS = 10
 WRITER_INCARNATION_BITS = 64  # Random, since a wall clock may step back.
 
@@ -64,6 +67,8 @@
     seed: int
     start_spread_s: float = 1.0
     drain_timeout_s: float = 10.0
+    connection_homes: int = 8
+    connection_headroom: int = 4
     max_caller_connections: int = 1_000
 
 
@@ -86,7 +91,20 @@
         self.snapshots = SnapshotTracker()
         self.gate = ServingGate()
         self.coordination = self.make_coordination()
-        self.dispatcher = DirectDispatcher(self.clock, CONNECTION_SHARE)
+        self.plan = ConnectionPlan(
+            settings.entry_id,
+            settings.connection_homes,
+            settings.connection_headroom,
+        )
+        self.leaving = LeavingTargets(self.clock)
+        self.direct = DirectDispatcher(self.clock, self.plan, self.leaving)
+        self.dispatcher = RelayDispatcher(
+            self.direct,
+            self.plan,
+            self.links,
+            self.clock,
+            lambda: self.coordination.membership.neighbours,
+        )
         self.poller = HealthPoller(
             self.dispatcher, self.snapshots, self.clock, settings.health_interval_s
         )
@@ -98,6 +116,7 @@
             self.policies.make_hedges,
             self.clock,
             self.policies,
+            self.leaving.choose_staying,
         )
         self.admission = AdmissionController(
             self.clock, self.rng, self.policies.counters
@@ -124,7 +143,7 @@
 
     def __enter__(self) -> "Entry":
         with contextlib.ExitStack() as stack:
-            stack.enter_context(self.dispatcher)
+            stack.enter_context(self.direct)
             stack.enter_context(self.links)
             server = CallersServer(
                 self.settings.address,
@@ -146,7 +165,8 @@
     def start_loops(self) -> None:
         """Start the loops that keep configuration, VMs and health current."""
         self.greenlets += self.coordination.start()
-        self.greenlets.append(gevent.spawn(self.poller.run))
+        self.coordination.vms.listeners.append(self.apply_vms)
+        self.greenlets += [gevent.spawn(self.poller.run), gevent.spawn(self.direct.run)]
 
     def make_coordination(self) -> Coordination:
         """Return what makes this entry act with the others."""
@@ -187,9 +207,15 @@
 
     def apply_configuration(self, accepted: AcceptedConfiguration) -> None:
         """Put a newly accepted configuration in force."""
-        self.dispatcher.update_targets(accepted.configuration)
+        self.leaving.on_configuration(accepted.configuration)
+        self.direct.update_targets(accepted.configuration)
         self.policies.apply(accepted)
 
+    def apply_vms(self, vms: PublishedVms) -> None:
+        """Choose the targets' homes over a newer VM list."""
+        self.plan.update([vm.id for vm in vms.vms], self.clock.now())
+        self.direct.update_pools()
+
     def search(self, call: CallerRequest, request: SearchRequest) -> SearchAnswer:
         """Answer a caller's query, or raise Refusal."""
         self.coordination.check_pause()
@@ -273,6 +299,11 @@
             "incarnation": self.incarnation,
             "vms": self.coordination.vms.current,
             "fleet": self.coordination.get_state(),
+            "leaving_targets": {
+                target: mark.source.value for target, mark in self.leaving.marks.items()
+            },
+            "relayed_calls": self.dispatcher.relayed,
+            "calls_served_for_peers": self.dispatcher.served,
             "targets": {
                 target_id: {
                     "in_flight": pool.in_flight,
--- a/sesameplank/queries.py
+++ b/sesameplank/queries.py
@@ -1,6 +1,6 @@
 """Runs queries: pins a snapshot, sends attempts, and merges one answer."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import gevent
 import msgspec
@@ -25,7 +25,7 @@
 from .core.query import Attempt, AttemptKind, QueryState
 from .core.snapshots import HeldSnapshots, SnapshotTracker
 from .core.versions import AcceptedConfiguration
-from .ids import AttemptId, RequestId, Snapshot
+from .ids import AttemptId, RequestId, Snapshot, TargetId
 from .targets import Dispatcher
 
 RETURN_MARGIN_S = 0.002
@@ -52,6 +52,7 @@
         make_hedges: Callable[[AcceptedConfiguration], HedgePolicy],
         clock: Clock,
         observer: CallObserver | None = None,
+        choose_replicas: Callable[[Sequence[TargetId]], Sequence[TargetId]] = tuple,
     ) -> None:
         self.dispatcher = dispatcher
         self.snapshots = snapshots
@@ -59,6 +60,7 @@
         self.make_hedges = make_hedges
         self.clock = clock
         self.observer = observer or CallObserver()
+        self.choose_replicas = choose_replicas
 
     def run(
         self,
@@ -125,7 +127,9 @@
         """Return a plan at the newest snapshot that every shard can serve."""
         collection = self.pinned.configuration.collections[self.request.collection]
         shards = [
-            PlannedShard(shard.id, shard.range, shard.replicas)
+            PlannedShard(
+                shard.id, shard.range, self.runner.choose_replicas(shard.replicas)
+            )
             for shard in collection.shards
         ]
         snapshot = self.runner.snapshots.choose(
--- a/sesameplank/targets/dispatch.py
+++ b/sesameplank/targets/dispatch.py
@@ -2,10 +2,13 @@
 
 from abc import ABC, abstractmethod
 
+import gevent
 import msgspec
 
 from ..conf import Configuration
 from ..core.clock import Clock
+from ..core.homes import ConnectionPlan
+from ..core.leaving import LeavingSource, LeavingTargets
 from ..core.messages import (
     CancelRequest,
     TargetBooking,
@@ -19,6 +22,10 @@
 from ..net import Address
 from .pool import TargetPool
 
+WARM_INTERVAL_S = 0.5
+HEALTH_PATH = "/health"
+NEW_WORK_PATHS = frozenset(("/search", "/book"))
+TARGET_LEAVING = Failure(FailureReason.REFUSED, Ran.NOT_RUN, "the target is leaving")
 UNKNOWN_TARGET = Failure(FailureReason.CONNECT, Ran.NOT_RUN, "not in the configuration")
 
 
@@ -54,12 +61,17 @@
 class DirectDispatcher(Dispatcher):
     """Calls targets on connections of this process.
 
-    `connection_share` divides each target's connection limit.
+    The plan says how many it may hold to each; a leaving target gets no new
+    work from here.
     """
 
-    def __init__(self, clock: Clock, connection_share: int) -> None:
+    def __init__(
+        self, clock: Clock, plan: ConnectionPlan, leaving: LeavingTargets
+    ) -> None:
         self.clock = clock
-        self.connection_share = connection_share
+        self.plan = plan
+        self.leaving = leaving
+        self.configuration: Configuration | None = None
         self.pools: dict[TargetId, TargetPool] = {}
 
     def __enter__(self) -> "DirectDispatcher":
@@ -71,17 +83,34 @@
 
     def update_targets(self, configuration: Configuration) -> None:
         """Open pools for new targets and close those of removed ones."""
-        for target_id in set(self.pools) - set(configuration.targets):
+        self.configuration = configuration
+        self.update_pools()
+
+    def update_pools(self) -> None:
+        """Bring the pools in line with the configuration and the plan."""
+        targets = self.configuration.targets if self.configuration else {}
+        for target_id in set(self.pools) - set(targets):
             self.pools.pop(target_id).close()
-        for target_id, target in configuration.targets.items():
+        now = self.clock.now()
+        for target_id, target in targets.items():
             address = Address.parse(target.address)
-            size = max(1, target.connections // self.connection_share)
+            size = self.plan.get_size(target_id, target.connections, now)
             pool = self.pools.get(target_id)
             if pool and (pool.address, pool.size) == (address, size):
                 continue
             if pool:
-                pool.close()
-            self.pools[target_id] = TargetPool(address, size, self.clock)
+                self.pools.pop(target_id).close()
+            if size:
+                self.pools[target_id] = TargetPool(address, size, self.clock)
+
+    def run(self) -> None:
+        """Keep pools in line and connections warm until killed."""
+        while True:
+            self.update_pools()
+            for pool in list(self.pools.values()):
+                if not pool.is_warm:
+                    pool.warm()
+            gevent.sleep(WARM_INTERVAL_S)
 
     def search(
         self, target: TargetId, message: TargetSearch, deadline_at: float
@@ -112,12 +141,9 @@
         self, target: TargetId, deadline_at: float
     ) -> TargetHealth | Failure:
         """Return the target's health report, or a Failure."""
-        pool = self.pools.get(target)
-        if pool is None:
-            return UNKNOWN_TARGET
-        return pool.call(
-            "GET",
-            "/health",
+        return self.exchange(
+            target,
+            HEALTH_PATH,
             b"",
             deadline_at,
             lambda payload: decode_answer(payload, TargetHealth),
@@ -125,9 +151,8 @@
 
     def call(self, target, path, message, answer_type, deadline_at, answer_by=None):
         """Send one message and return the decoded answer to it, or a Failure."""
-        pool = self.pools.get(target)
-        if pool is None:
-            return UNKNOWN_TARGET
+        if path in NEW_WORK_PATHS and self.leaving.is_leaving(target):
+            return TARGET_LEAVING
 
         def decode(payload: bytes):
             answer = decode_answer(payload, answer_type)
@@ -136,7 +161,18 @@
             return answer
 
         body = msgspec.json.encode(message)
-        return pool.call("POST", path, body, deadline_at, decode, answer_by)
+        answer = self.exchange(target, path, body, deadline_at, decode, answer_by)
+        if getattr(answer, "draining", False):
+            self.leaving.mark(target, LeavingSource.ANSWER)
+        return answer
+
+    def exchange(self, target, path, body, deadline_at, decode, answer_by=None):
+        """Send one encoded message on a connection of this process."""
+        pool = self.pools.get(target)
+        if pool is None:
+            return UNKNOWN_TARGET
+        method = "GET" if path == HEALTH_PATH else "POST"
+        return pool.call(method, path, body, deadline_at, decode, answer_by)
 
 
 def decode_answer(payload: bytes, answer_type):
--- a/sesameplank/targets/health.py
+++ b/sesameplank/targets/health.py
@@ -7,10 +7,11 @@
 from ..core.outcomes import Failure
 from ..core.snapshots import HeldSnapshots, SnapshotTracker
 from ..ids import TargetId
-from .dispatch import DirectDispatcher
+from .relay import RelayDispatcher
 
 POLL_TIMEOUT_S = 0.5
 MAX_CONCURRENT_POLLS = 16
+DRAINING = "draining"
 
 
 class HealthPoller:
@@ -18,7 +19,7 @@
 
     def __init__(
         self,
-        dispatcher: DirectDispatcher,
+        dispatcher: RelayDispatcher,
         snapshots: SnapshotTracker,
         clock: Clock,
         interval_s: float,
@@ -27,6 +28,7 @@
         self.snapshots = snapshots
         self.clock = clock
         self.interval_s = interval_s
+        self.leaving = dispatcher.direct.leaving
         self.reports = {}
 
     def run(self) -> None:
@@ -38,7 +40,7 @@
     def poll_all(self) -> None:
         """Ask each target once and wait for all."""
         pool = Pool(MAX_CONCURRENT_POLLS)
-        pool.map(self.poll, list(self.dispatcher.pools))
+        pool.map(self.poll, self.dispatcher.get_targets())
 
     def poll(self, target: TargetId) -> None:
         """Ask one target and remember what it holds."""
@@ -46,7 +48,9 @@
         report = self.dispatcher.get_health(target, deadline_at)
         self.reports[target] = report
         if isinstance(report, Failure):
+            self.leaving.on_unreachable(target)
             return
+        self.leaving.on_health(target, report.state == DRAINING)
         for shard in report.shards:
             self.snapshots.observe(
                 shard.collection,
--- a/sesameplank/targets/pool.py
+++ b/sesameplank/targets/pool.py
@@ -89,6 +89,26 @@
             self.in_flight -= 1
             self.permits.release()
 
+    @property
+    def is_warm(self) -> bool:
+        """Tell whether every connection is open or in use."""
+        return len(self.idle) + self.in_flight >= self.size
+
+    def warm(self) -> None:
+        """Open one connection ahead of its first request, if it may be opened."""
+        if not self.permits.acquire(blocking=False):
+            return
+        self.in_flight += 1
+        try:
+            if not self.closed:
+                connection = TargetConnection(self.address, self.connect_timeout_s)
+                self.put_back(connection)
+        except OSError:
+            pass  # The next request meets the fault and reports it.
+        finally:
+            self.in_flight -= 1
+            self.permits.release()
+
     def get_remaining(self, deadline_at: float) -> float:
         """Return the seconds left until the deadline, at least 0."""
         return max(0.0, deadline_at - self.clock.now())
--- a/tests/core/test_homes.py
+++ b/tests/core/test_homes.py
@@ -5,7 +5,12 @@
 import testtools
 
 from sesameplank.conf import PublishedVms, Vm
-from sesameplank.core.homes import choose_homes, get_share
+from sesameplank.core.homes import (
+    HOLD_DOWN_S,
+    ConnectionPlan,
+    choose_homes,
+    get_share,
+)
 from sesameplank.core.readers import choose_readers, draw_start_delay
 
 
@@ -71,3 +76,61 @@
             early = [item for item in delays if item < delays[0] + spread_s]
             self.assertTrue(len(early) <= most, f"{count}: {len(early)}")
             self.assertTrue(delays[-1] <= 1.0)
+
+
+class ConnectionPlanTests(testtools.TestCase):
+    """The sum over all entries stays within the limit at every moment."""
+
+    def test_entry_that_the_list_does_not_name_holds_none(self):
+        plan = ConnectionPlan("e9", 8, 4)
+        plan.update(["e0", "e1"], 0.0)
+        self.assertEqual(0, plan.get_size("t", 25, 0.0))
+
+    def test_new_home_waits_until_the_old_one_let_go(self):
+        entries = [f"e{number}" for number in range(40)]
+        (home, successor, *_) = choose_homes("t", entries, 3)
+        plan = ConnectionPlan(successor, 1, 1)
+        plan.update(entries, 0.0)
+        self.assertEqual(0, plan.get_size("t", 25, 0.0))
+        entries.remove(home)
+        plan.update(entries, 10.0)
+        self.assertEqual(0, plan.get_size("t", 25, 10.0))
+        self.assertEqual(0, plan.get_size("t", 25, 10.0 + HOLD_DOWN_S - 0.1))
+        self.assertEqual(12, plan.get_size("t", 25, 10.0 + HOLD_DOWN_S))
+
+    def test_old_home_lets_go_at_once(self):
+        entries = [f"e{number}" for number in range(8)]
+        home = choose_homes("t", entries, 2)[0]
+        plan = ConnectionPlan(home, 2, 2)
+        plan.update(entries, 0.0)
+        self.assertEqual(0, plan.get_size("t", 25, 0.0))
+        self.assertEqual(6, plan.get_size("t", 25, HOLD_DOWN_S))
+        entries.remove(home)
+        plan.update(entries, HOLD_DOWN_S)
+        self.assertEqual(0, plan.get_size("t", 25, HOLD_DOWN_S))
+
+    def test_sum_stays_within_the_limit_over_replacements(self):
+        for seed in range(40):
+            self.run_replacements(random.Random(seed))
+
+    def run_replacements(self, rng: random.Random) -> None:
+        """Replace VMs while some are stopped for good and one lags behind."""
+        homes, headroom, limit = rng.choice(((8, 4, 25), (2, 2, 25), (2, 4, 110)))
+        entries = [f"e{number}" for number in range(8)]
+        plans = {entry: ConnectionPlan(entry, homes, headroom) for entry in entries}
+        held: dict[str, int] = {}
+        stopped: set[str] = set()
+        now = 0.0
+        for number in range(8, 60):
+            now += rng.uniform(HOLD_DOWN_S, 4 * HOLD_DOWN_S)
+            removed = entries.pop(rng.randrange(len(entries)))
+            if len(stopped) < headroom - 1:
+                stopped.add(removed)
+            entries.append(f"e{number}")
+            plans[entries[-1]] = ConnectionPlan(entries[-1], homes, headroom)
+            order = [item for item in plans if item not in stopped]
+            for step in (0.0, HOLD_DOWN_S):
+                for entry in rng.sample(order, len(order)):
+                    plans[entry].update(entries, now)
+                    held[entry] = plans[entry].get_size("t", limit, now + step)
+                    self.assertTrue(sum(held.values()) <= limit)
