--- /dev/null
+++ b/tests/integration/test_leaving.py
@@ -0,0 +1,111 @@
+"""Tests of entries and targets that leave, over real processes."""
+
+import signal
+
+import gevent
+
+from sesameplank.client import Client
+from sesameplank.core.messages import SearchRequest
+from sesameplank.exceptions import CallError
+from sesameplank.standins.fleetmeter import get_state
+
+from .fleets import FleetTestCase
+
+DEADLINE_MS = 10_000
+CALLERS = 4
+DRAINED = "order-desk-00"
+
+
+class LeavingTests(FleetTestCase):
+    """What leaves gets no new work and finishes what it has."""
+
+    def start_callers(self) -> None:
+        """Search without pause until the test ends; errors are kept."""
+        self.errors = []
+        self.answers = 0
+        callers = [gevent.spawn(self.call_in_turn) for _ in range(CALLERS)]
+        self.addCleanup(gevent.killall, callers)
+
+    def call_in_turn(self) -> None:
+        with Client("order-desk", self.fleet.addresses) as client:
+            while True:
+                self.search(client)
+
+    def search(self, client: Client) -> None:
+        try:
+            client.search(SearchRequest("order-desk"), DEADLINE_MS)
+            self.answers += 1
+        except CallError as error:
+            self.errors.append((error.kind, error.ran, str(error)))
+
+    def wait_for_answers(self, count: int) -> None:
+        goal = self.answers + count
+        self.wait_for(lambda: self.answers >= goal, f"{count} more answers")
+
+    def test_rolling_restart_cuts_off_nothing(self):
+        self.start_fleet(3, "--address_ttl_s=1")
+        self.start_callers()
+        for entry in self.fleet.entries:
+            self.wait_for_answers(20)
+            entry.signal(signal.SIGTERM)
+            self.assertEqual(0, entry.wait(60))
+            self.assertIn("event=left finished=True", entry.log_path.read_text())
+            entry.start()
+            entry.wait_until_ready()
+        self.wait_for_answers(20)
+        self.assertEqual([], self.errors)
+
+    def test_leaving_entry_is_left_out_of_addresses_by_all(self):
+        self.start_fleet(3)
+        self.wait_for_views([self.fleet.entries])
+        leaving, *others = self.fleet.entries
+        leaving.signal(signal.SIGTERM)
+        for entry in self.fleet.entries:
+            self.wait_for(
+                lambda entry=entry: (
+                    get_state(entry)["fleet"]["members"][leaving.vm.id]["phase"]
+                    != "serving"
+                ),
+                f"{entry.vm.id} knows that {leaving.vm.id} leaves",
+            )
+        for entry in others:
+            with Client("order-desk", [entry.address]) as client:
+                for _ in range(5):
+                    addresses = client.keeper.get_addresses()
+                    self.assertNotIn(leaving.address, addresses)
+        self.assertEqual(0, leaving.wait(60))
+
+    def test_drained_target_gets_no_new_work_at_any_entry(self):
+        self.start_fleet(3)
+        self.start_callers()
+        self.wait_for_answers(20)
+        target = self.world.targets[DRAINED]
+        target.drain()
+        for entry in self.fleet.entries:
+            self.wait_for(
+                lambda entry=entry: DRAINED in get_state(entry)["leaving_targets"],
+                f"{entry.vm.id} knows that {DRAINED} leaves",
+            )
+        self.wait_for(lambda: not target.running + target.waiting, "work is finished")
+        runs = target.truth.shard_runs
+        self.wait_for_answers(60)
+        self.assertEqual(runs, target.truth.shard_runs)
+        self.assertEqual([], self.errors)
+
+    def test_connections_stay_within_every_limit(self):
+        self.start_fleet(8)
+        self.start_callers()
+        self.wait_for_answers(20)
+        paused, restarted = self.fleet.entries[:2]
+        self.resume_at_end(paused)
+        paused.signal(signal.SIGSTOP)
+        restarted.kill()
+        restarted.start()
+        restarted.wait_until_ready()
+        self.wait_for_answers(20)
+        over = {
+            name: item.truth.connections_over_limit
+            for name, item in self.world.targets.items()
+            if item.truth.connections_over_limit
+        }
+        self.assertEqual({}, over)
