Warm connections before serving, and choose homes incrementally

A home that waits for its hold-down, or has opened nothing yet, is not ready. A list change costs one hash a target and added entry instead of a whole rank.

--- a/sesameplank/coordination.py
+++ b/sesameplank/coordination.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Callable
 
 import gevent
 import msgspec
@@ -102,6 +103,8 @@
         self.vm_reader = PlatformReader(settings.platform_address)
         self.pauses = PauseDetector(BootClock())
         self.refreshing: gevent.Greenlet | None = None
+        self.prepare: Callable[[], None] = lambda: None
+        gate.before_admission = self.check_pause
         self.vms.listeners.append(self.service.on_published)
         self.vms.listeners.append(lambda vms: self.relay.notify())
         store.listeners.append(self.on_accepted)
@@ -146,12 +149,16 @@
         return [gevent.spawn(loop) for loop in loops]
 
     def become_ready(self) -> None:
-        """Open the gate once peers were asked for a newer configuration."""
+        """Open the gate once peers were asked for a newer configuration.
+
+        `prepare` runs last, with the configuration in force.
+        """
         while self.vms.current is None:
             gevent.sleep(START_CHECK_S)
         answers = self.relay.catch_up(self.get_peers())
         while self.store.current is None:
             gevent.sleep(START_CHECK_S)
+        self.prepare()
         log_event("ready", config_version=self.store.version, peers_asked=answers)
         self.gate.set_state(ServingState.OPEN)
 
--- a/sesameplank/core/homes.py
+++ b/sesameplank/core/homes.py
@@ -51,19 +51,34 @@
         self.own = own
         self.homes = homes
         self.headroom = headroom
-        self.entries: tuple[EntryId, ...] = ()
+        self.entries: frozenset[EntryId] = frozenset()
+        self.homes_by_key: dict[str, list[EntryId]] = {}
         self.home_since: dict[str, float] = {}
 
     def update(self, entries: Iterable[EntryId], now: float) -> None:
-        """Take a newer published list in."""
-        self.entries = tuple(sorted(entries))
+        """Take a newer published list in.
+
+        Costs one hash for each known key and added entry, and a new rank only
+        for keys that lost a home.
+        """
+        known, self.entries = self.entries, frozenset(entries)
+        removed, added = known - self.entries, self.entries - known
+        for key, homes in list(self.homes_by_key.items()):
+            if removed.intersection(homes):
+                del self.homes_by_key[key]
+            elif added:
+                self.homes_by_key[key] = choose_homes(key, {*homes, *added}, self.homes)
         for key in list(self.home_since):
             if self.own not in self.get_homes(key):
                 del self.home_since[key]
 
     def get_homes(self, key: str) -> list[EntryId]:
         """Return the homes of a target in their order."""
-        return choose_homes(key, self.entries, self.homes)
+        homes = self.homes_by_key.get(key)
+        if homes is None:
+            homes = choose_homes(key, self.entries, self.homes)
+            self.homes_by_key[key] = homes
+        return homes
 
     def get_size(self, key: str, limit: int, now: float) -> int:
         """Return how many connections this process may hold to a target now."""
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -137,6 +137,8 @@
         )
         self.links.register(ForwardedQuestion, self.bookings.take_forwarded)
         self.store.listeners.append(self.apply_configuration)
+        self.coordination.vms.listeners.append(self.apply_vms)
+        self.coordination.prepare = self.direct.wait_until_warm
         self.stopping = Event()
         self.resources = contextlib.ExitStack()
         self.greenlets: list[gevent.Greenlet] = []
@@ -165,7 +167,6 @@
     def start_loops(self) -> None:
         """Start the loops that keep configuration, VMs and health current."""
         self.greenlets += self.coordination.start()
-        self.coordination.vms.listeners.append(self.apply_vms)
         self.greenlets += [gevent.spawn(self.poller.run), gevent.spawn(self.direct.run)]
 
     def make_coordination(self) -> Coordination:
@@ -218,7 +219,6 @@
 
     def search(self, call: CallerRequest, request: SearchRequest) -> SearchAnswer:
         """Answer a caller's query, or raise Refusal."""
-        self.coordination.check_pause()
         with self.gate.admit():
             return self.run_search(call, request)
 
--- a/sesameplank/serving.py
+++ b/sesameplank/serving.py
@@ -1,7 +1,7 @@
 """Whether this process takes requests, and how many are in flight."""
 
 import contextlib
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from enum import Enum
 
 from gevent.event import Event
@@ -32,6 +32,8 @@
 class ServingGate:
     """Admits requests while open, and knows when none is in flight.
 
+    `before_admission` runs first, and may change the state.
+
     A refusal here is a true "not run": nothing was done for the request.
     """
 
@@ -39,6 +41,7 @@
         self.state = ServingState.STARTING
         self.in_flight = 0
         self.refused = 0
+        self.before_admission: Callable[[], None] = lambda: None
         self.idle = Event()
         self.idle.set()
 
@@ -54,6 +57,7 @@
         A request that is not new has had an effect that only its repetition
         brings to light, so it is admitted in every state.
         """
+        self.before_admission()
         if is_new and self.state is not ServingState.OPEN:
             self.refused += 1
             raise make_refusal(self.state)
--- a/sesameplank/targets/dispatch.py
+++ b/sesameplank/targets/dispatch.py
@@ -4,10 +4,11 @@
 
 import gevent
 import msgspec
+from gevent.pool import Pool
 
 from ..conf import Configuration
 from ..core.clock import Clock
-from ..core.homes import ConnectionPlan
+from ..core.homes import HOLD_DOWN_S, ConnectionPlan, get_share
 from ..core.leaving import LeavingSource, LeavingTargets
 from ..core.messages import (
     CancelRequest,
@@ -23,6 +24,8 @@
 from .pool import TargetPool
 
 WARM_INTERVAL_S = 0.5
+WARM_UP_S = 1.0
+MAX_CONCURRENT_OPENS = 32
 HEALTH_PATH = "/health"
 NEW_WORK_PATHS = frozenset(("/search", "/book"))
 TARGET_LEAVING = Failure(FailureReason.REFUSED, Ran.NOT_RUN, "the target is leaving")
@@ -107,11 +110,41 @@
         """Keep pools in line and connections warm until killed."""
         while True:
             self.update_pools()
-            for pool in list(self.pools.values()):
-                if not pool.is_warm:
-                    pool.warm()
+            self.warm_all()
             gevent.sleep(WARM_INTERVAL_S)
 
+    def warm_all(self) -> None:
+        """Open one more connection to every target that lacks some."""
+        cold = [pool for pool in self.pools.values() if not pool.is_warm]
+        Pool(MAX_CONCURRENT_OPENS).map(TargetPool.warm, cold)
+
+    def wait_until_warm(self) -> None:
+        """Wait until this home may hold its connections, and open some.
+
+        Takes no longer than the hold-down and `WARM_UP_S`, since a target may
+        be down.
+        """
+        until = self.clock.now() + HOLD_DOWN_S + WARM_UP_S
+        while self.holds_back() and self.clock.now() < until:
+            gevent.sleep(WARM_INTERVAL_S)
+        until = self.clock.now() + WARM_UP_S
+        while self.clock.now() < until:
+            if all(pool.is_warm for pool in self.pools.values()):
+                return
+            self.warm_all()
+            gevent.sleep(0)
+
+    def holds_back(self) -> bool:
+        """Tell whether a target has this process as a home but no connections."""
+        self.update_pools()
+        targets = self.configuration.targets if self.configuration else {}
+        return any(
+            target_id not in self.pools
+            and self.plan.own in self.plan.get_homes(target_id)
+            and get_share(target.connections, self.plan.homes, self.plan.headroom)
+            for target_id, target in targets.items()
+        )
+
     def search(
         self, target: TargetId, message: TargetSearch, deadline_at: float
     ) -> TargetSearchAnswer | Failure:
--- a/tests/core/test_homes.py
+++ b/tests/core/test_homes.py
@@ -86,6 +86,16 @@
         plan.update(["e0", "e1"], 0.0)
         self.assertEqual(0, plan.get_size("t", 25, 0.0))
 
+    def test_homes_after_changes_equal_those_of_the_list(self):
+        rng = random.Random(5)
+        plan = ConnectionPlan("e0", 3, 2)
+        for _ in range(200):
+            entries = [f"e{number}" for number in range(12) if rng.random() < 0.6]
+            plan.update(entries, 0.0)
+            for target in range(5):
+                homes = plan.get_homes(f"t{target}")
+                self.assertEqual(choose_homes(f"t{target}", entries, 3), homes)
+
     def test_new_home_waits_until_the_old_one_let_go(self):
         entries = [f"e{number}" for number in range(40)]
         (home, successor, *_) = choose_homes("t", entries, 3)
--- a/tests/integration/test_leaving.py
+++ b/tests/integration/test_leaving.py
@@ -92,6 +92,23 @@
         self.assertEqual(runs, target.truth.shard_runs)
         self.assertEqual([], self.errors)
 
+    def test_entries_that_are_no_home_relay_searches_and_bookings(self):
+        self.start_fleet(6, "--connection_homes=2", "--connection_headroom=2")
+        store = self.world.stores["order-desk"]
+        record = next(
+            key
+            for key, item in store.records.items()
+            if item.get_at(store.get_snapshot()).fields["stock"] > 10
+        )
+        for entry in self.fleet.entries:
+            with Client("order-desk", [entry.address]) as client:
+                client.keeper.get_addresses = lambda entry=entry: [entry.address]
+                answer = client.search(SearchRequest("order-desk"), DEADLINE_MS)
+                self.assertTrue(answer.coverage.is_whole)
+                booked = client.book("order-desk", record, 1, None, DEADLINE_MS)
+                self.assertEqual("accepted", booked.result.value)
+            self.assertTrue(get_state(entry)["relayed_calls"] > 0)
+
     def test_connections_stay_within_every_limit(self):
         self.start_fleet(8)
         self.start_callers()
