--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -88,7 +88,7 @@
             self.rng,
         )
         self.store = ConfigurationStore(self.clock)
-        self.snapshots = SnapshotTracker()
+        self.snapshots = SnapshotTracker(self.clock)
         self.gate = ServingGate()
         self.coordination = self.make_coordination()
         self.plan = ConnectionPlan(
@@ -116,7 +116,8 @@
             self.policies.make_hedges,
             self.clock,
             self.policies,
-            self.leaving.choose_staying,
+            lambda: self.store.current,
+            choose_replicas=self.leaving.choose_staying,
         )
         self.admission = AdmissionController(
             self.clock, self.rng, self.policies.counters
@@ -210,6 +211,7 @@
         """Put a newly accepted configuration in force."""
         self.leaving.on_configuration(accepted.configuration)
         self.direct.update_targets(accepted.configuration)
+        self.snapshots.drop_stale()
         self.policies.apply(accepted)
 
     def apply_vms(self, vms: PublishedVms) -> None:
