--- /dev/null
+++ b/tests/peers/test_documents.py
@@ -0,0 +1,101 @@
+"""Tests of documents that travel from entry to entry."""
+
+import random
+
+import gevent
+import msgspec
+import testtools
+
+from sesameplank.conf import PublishedConfiguration
+from sesameplank.core.clock import SystemClock
+from sesameplank.core.peer_messages import Versions
+from sesameplank.core.versions import ConfigurationStore, VmStore
+from sesameplank.net import Address
+from sesameplank.peers import PeerLinks
+from sesameplank.peers.documents import DocumentRelay
+from sesameplank.standins.deployments import VATUWAQA, make_configuration
+from sesameplank.standins.fleet import reserve_block
+
+WAIT_S = 30.0
+VALID = msgspec.json.encode(make_configuration(VATUWAQA, "127.20"))
+
+
+class DocumentRelayTests(testtools.TestCase):
+    """A version that one entry has reaches those that ask or are told."""
+
+    def setUp(self):
+        super().setUp()
+        block = self.enterContext(reserve_block())
+        clock = SystemClock()
+        names = ("a", "b", "c")
+        addresses = {
+            name: Address(f"{block}.1.{number}", 8081)
+            for number, name in enumerate(names, 1)
+        }
+        self.relays = {}
+        for name in names:
+            links = self.enterContext(
+                PeerLinks(name, 1, addresses[name], clock, random.Random(1))
+            )
+            links.addresses.update(addresses)
+            others = [item for item in names if item != name]
+            self.relays[name] = DocumentRelay(
+                links,
+                ConfigurationStore(clock),
+                VmStore(),
+                lambda others=others: others,
+                clock,
+                random.Random(1),
+            )
+
+    def run_relays(self) -> None:
+        loops = [gevent.spawn(relay.run) for relay in self.relays.values()]
+        self.addCleanup(gevent.killall, loops)
+
+    def publish(self, name: str, version: int, document: bytes = VALID) -> None:
+        published = PublishedConfiguration(version, msgspec.Raw(document))
+        self.relays[name].store.offer(published)
+
+    def wait_for(self, condition) -> None:
+        with gevent.Timeout(WAIT_S):
+            while not condition():
+                gevent.sleep(0.01)
+
+    def test_version_of_one_reaches_all(self):
+        self.run_relays()
+        self.publish("a", 7)
+        self.relays["a"].notify()
+        self.wait_for(lambda: {r.store.version for r in self.relays.values()} == {7})
+
+    def test_refused_version_reaches_all_with_its_reason(self):
+        self.run_relays()
+        self.publish("a", 7)
+        self.publish("a", 8, b'{"deployment":"x"}')
+        self.relays["a"].notify()
+        self.wait_for(lambda: all(r.store.refused for r in self.relays.values()))
+        reasons = {r.store.refused.reason for r in self.relays.values()}
+        self.assertEqual(1, len(reasons))
+        self.wait_for(lambda: {r.store.version for r in self.relays.values()} == {7})
+
+    def test_starting_entry_catches_up_with_the_newest_of_its_peers(self):
+        self.publish("a", 5)
+        self.publish("b", 9)
+        self.publish("c", 4)
+        loop = gevent.spawn(self.relays["c"].run)
+        self.addCleanup(loop.kill)
+        self.assertEqual(2, self.relays["c"].catch_up(["a", "b", "c"]))
+        self.wait_for(lambda: self.relays["c"].store.version == 9)
+
+    def test_peer_that_lies_about_its_version_changes_nothing(self):
+        self.publish("a", 5)
+        self.publish("b", 5)
+        self.run_relays()
+        self.relays["b"].on_versions("a", Versions(config=99))
+        self.wait_for(lambda: not any(self.relays["b"].offers.values()))
+        self.assertEqual(5, self.relays["b"].store.version)
+
+    def test_confirmation_of_a_peer_counts_for_the_same_version_only(self):
+        self.publish("b", 5)
+        for version, expected in ((4, False), (5, True)):
+            self.relays["b"].on_versions("a", Versions(version, config_age_ms=100))
+            self.assertEqual(expected, self.relays["b"].store.age_s is not None)
--- /dev/null
+++ b/tests/test_serving.py
@@ -0,0 +1,75 @@
+"""Tests of what a process admits in each stage of its life."""
+
+import testtools
+
+from sesameplank.bookings.service import BookingService
+from sesameplank.callers.problems import ProblemKind, Refusal
+from sesameplank.core.bookings import BookingLimits, BookingMemory
+from sesameplank.core.clock import ManualClock
+from sesameplank.core.outcomes import Ran
+from sesameplank.core.pauses import PauseDetector
+from sesameplank.core.writers import parse_key
+from sesameplank.serving import GatedBookings, ServingGate, ServingState
+
+
+class ServingGateTests(testtools.TestCase):
+    """A refusal at the gate is a true "not run"."""
+
+    def test_refusals_by_state(self):
+        table = [
+            (ServingState.STARTING, ProblemKind.NOT_READY),
+            (ServingState.REFRESHING, ProblemKind.NOT_READY),
+            (ServingState.CLOSED, ProblemKind.LEAVING),
+        ]
+        for state, kind in table:
+            gate = ServingGate()
+            gate.set_state(state)
+            refusal = self.assertRaises(Refusal, gate.admit().__enter__)
+            self.assertEqual((kind, Ran.NOT_RUN), (refusal.kind, refusal.ran))
+            self.assertEqual(0, gate.in_flight)
+
+    def test_closed_is_final(self):
+        gate = ServingGate()
+        gate.set_state(ServingState.CLOSED)
+        gate.set_state(ServingState.OPEN)
+        self.assertIs(ServingState.CLOSED, gate.state)
+
+    def test_idle_only_when_nothing_is_in_flight(self):
+        gate = ServingGate()
+        gate.set_state(ServingState.OPEN)
+        with gate.admit(), gate.admit():
+            self.assertFalse(gate.idle.is_set())
+        self.assertTrue(gate.idle.is_set())
+
+    def test_pause_is_noticed_before_a_request_is_admitted(self):
+        gate = ServingGate()
+        gate.set_state(ServingState.OPEN)
+        gate.before_admission = lambda: gate.set_state(ServingState.REFRESHING)
+        self.assertRaises(Refusal, gate.admit().__enter__)
+
+    def test_booking_that_may_have_run_passes_a_closed_gate(self):
+        memory = BookingMemory("e1", 5, BookingLimits())
+        clock = ManualClock()
+        desk = GatedBookings(BookingService(memory, None, None, clock), ServingGate())
+        writer = memory.issue(0.0)
+        used, unused = f"{writer}~a", f"{writer}~b"
+        memory.begin(parse_key(used), b"", 0.0)
+        forerunner = used.replace("e1~5", "e1~4")
+        other = used.replace("e1~", "e2~")
+        table = [(unused, True), (used, False), (forerunner, False), (other, False)]
+        for key, is_new in table:
+            self.assertIsNotNone(parse_key(key), key)
+            self.assertEqual(is_new, desk.is_new(key), key)
+
+
+class PauseDetectorTests(testtools.TestCase):
+    """A gap between checks is a pause, once."""
+
+    def test_gaps(self):
+        clock = ManualClock()
+        detector = PauseDetector(clock)
+        table = [(0.0, 0.0), (0.1, 0.0), (0.9, 0.0), (20.0, 20.0), (0.1, 0.0)]
+        for step_s, pause_s in table:
+            clock.advance(step_s)
+            self.assertAlmostEqual(pause_s, detector.check())
+        self.assertEqual(1, detector.pauses)
