--- a/sesameplank/coordination.py
+++ b/sesameplank/coordination.py
@@ -9,7 +9,8 @@
 
 from .conf import Vm, VmState
 from .core.clock import Clock
-from .core.membership import Membership, make_unheard
+from .core.members import make_unheard
+from .core.membership import Membership
 from .core.pauses import BootClock, PauseDetector
 from .core.peer_messages import Phase
 from .core.readers import choose_readers
--- /dev/null
+++ b/sesameplank/core/members.py
@@ -0,0 +1,36 @@
+"""What membership is made of: records of entries and messages to send."""
+
+import msgspec
+
+from ..conf import Vm
+from ..ids import EntryId, Incarnation
+from .hashing import hash_text
+from .peer_messages import Health, Member, PeerMessage, Phase
+
+
+class Outgoing(msgspec.Struct, frozen=True):
+    """A message that the process shall send."""
+
+    peer: EntryId
+    message: PeerMessage
+
+
+def get_digest(member: Member | None) -> int:
+    """Return the part of a view's digest that one member makes."""
+    if member is None or not member.is_present:
+        return 0
+    return hash_text(member.id, member.epoch, member.health.value) >> 32
+
+
+def make_unheard(vm: Vm) -> Member:
+    """Return the record of a published VM that was never heard."""
+    return Member(
+        vm.id,
+        Incarnation(0),
+        0,
+        Phase.SERVING,
+        Health.ALIVE,
+        vm.address,
+        vm.peer_address,
+        vm.data_centre,
+    )
--- a/sesameplank/core/membership.py
+++ b/sesameplank/core/membership.py
@@ -12,9 +12,9 @@
 
 import msgspec
 
-from ..conf import PublishedVms, Vm
+from ..conf import PublishedVms
 from ..ids import EntryId, Incarnation
-from .hashing import hash_text
+from .members import Outgoing, get_digest, make_unheard
 from .overlay import choose_neighbours
 from .peer_messages import (
     Health,
@@ -38,13 +38,6 @@
 MAX_UPDATES = 50
 
 
-class Outgoing(msgspec.Struct, frozen=True):
-    """A message that the process shall send."""
-
-    peer: EntryId
-    message: PeerMessage
-
-
 class Membership:
     """The view of one process; every method takes the present time in seconds.
 
@@ -391,24 +384,3 @@
         for entry in self.changed_at:
             self.changed_at[entry] = now
         return [self.make_table(entry, now) for entry in self.neighbours]
-
-
-def get_digest(member: Member | None) -> int:
-    """Return the part of a view's digest that one member makes."""
-    if member is None or not member.is_present:
-        return 0
-    return hash_text(member.id, member.epoch, member.health.value) >> 32
-
-
-def make_unheard(vm: Vm) -> Member:
-    """Return the record of a published VM that was never heard."""
-    return Member(
-        vm.id,
-        Incarnation(0),
-        0,
-        Phase.SERVING,
-        Health.ALIVE,
-        vm.address,
-        vm.peer_address,
-        vm.data_centre,
-    )
--- a/sesameplank/peers/links.py
+++ b/sesameplank/peers/links.py
@@ -7,14 +7,10 @@
 from collections.abc import Callable
 
 import gevent
-import gevent.socket
 import msgspec
 from gevent.pool import Pool
-from gevent.server import StreamServer
 from websockets.exceptions import WebSocketException
-from websockets.sync.client import connect
 from websockets.sync.connection import Connection
-from websockets.sync.server import serve
 
 from ..core.clock import Clock
 from ..core.delays import DelayEstimate
@@ -22,8 +18,9 @@
 from ..exceptions import PeerProtocolError
 from ..ids import EntryId, Incarnation
 from ..logs import log_event
-from ..net import Address, set_no_delay
-from .channel import MAX_FRAME_BYTES, Channel, PendingCall, QueuedMessage
+from ..net import Address
+from .channel import Channel, PendingCall, QueuedMessage
+from .connecting import SENDER_HEADER, Backoff, make_link_server, open_link
 from .frames import (
     Envelope,
     EnvelopeKind,
@@ -35,16 +32,8 @@
 from .messages import PeerMessage
 from .traffic import TrafficCounters
 
-DIAL_TIMEOUT_S = 1.0
-PING_INTERVAL_S = 5.0
-PING_TIMEOUT_S = 10.0
-CLOSE_TIMEOUT_S = 1.0
-RETRY_MIN_S = 0.05
-RETRY_MAX_S = 1.0
 IDLE_CLOSE_S = 30.0
 MAX_RUNNING_HANDLERS = 512
-SENDER_HEADER = "X-Entry-Id"
-LISTEN_BACKLOG = 512
 
 
 class PeerContext(msgspec.Struct, frozen=True):
@@ -90,8 +79,7 @@
         self.handlers: dict[str, tuple[type[PeerMessage], Handler]] = {}
         self.channels: dict[EntryId, Channel] = {}
         self.dials: dict[EntryId, gevent.Greenlet] = {}
-        self.retry_at: dict[EntryId, float] = {}
-        self.failures: dict[EntryId, int] = {}
+        self.backoff = Backoff(rng)
         self.delays: dict[tuple[EntryId, Incarnation], DelayEstimate] = {}
         self.call_ids = itertools.count(1)
         self.running = Pool(MAX_RUNNING_HANDLERS)
@@ -100,7 +88,9 @@
     def __enter__(self) -> "PeerLinks":
         logging.getLogger("websockets").setLevel(logging.CRITICAL)
         with contextlib.ExitStack() as stack:
-            server = self.make_server()
+            server = make_link_server(
+                self.address, self.serve_connection, self.check_request
+            )
             server.start()
             stack.callback(server.stop, timeout=0)
             reaper = gevent.spawn(self.close_idle)
@@ -207,7 +197,7 @@
         peer = channel.peer
         if channel.current is not None or peer in self.dials:
             return
-        if self.clock.now() < self.retry_at.get(peer, 0.0):
+        if not self.backoff.may_try(peer, self.clock.now()):
             channel.fail_queued(FailureReason.CONNECT, "waits to reconnect")
             return
         self.dials[peer] = gevent.spawn(self.dial, channel)
@@ -217,9 +207,9 @@
         peer = channel.peer
         try:
             address = self.addresses[peer]
-            connection = self.open(peer, address)
+            connection = open_link(self.entry_id, self.address, peer, address)
         except (OSError, WebSocketException, LookupError) as error:
-            self.note_dial_failure(peer)
+            self.backoff.note_failure(peer, self.clock.now())
             self.dials.pop(peer, None)
             if channel.current is None:
                 channel.fail_queued(FailureReason.CONNECT, repr(error))
@@ -227,8 +217,7 @@
         except BaseException:
             self.dials.pop(peer, None)
             raise
-        self.failures.pop(peer, None)
-        self.retry_at.pop(peer, None)
+        self.backoff.note_success(peer)
         self.dials.pop(peer, None)
         if self.addresses.get(peer) != address:
             connection.close_socket()
@@ -236,37 +225,6 @@
             return
         channel.run(connection, dialled=True)
 
-    def open(self, peer: EntryId, address: Address) -> Connection:
-        """Return an open websocket to the peer, or raise OSError and the like."""
-        sock = gevent.socket.create_connection(
-            tuple(address), DIAL_TIMEOUT_S, source_address=(self.address.host, 0)
-        )
-        set_no_delay(sock)
-        try:
-            return connect(
-                f"ws://{address}/peers/{peer}",
-                sock=sock,
-                compression=None,
-                proxy=None,
-                additional_headers={SENDER_HEADER: self.entry_id},
-                open_timeout=DIAL_TIMEOUT_S,
-                ping_interval=PING_INTERVAL_S,
-                ping_timeout=PING_TIMEOUT_S,
-                close_timeout=CLOSE_TIMEOUT_S,
-                max_size=MAX_FRAME_BYTES + 1,
-            )
-        except BaseException:
-            sock.close()
-            raise
-
-    def note_dial_failure(self, peer: EntryId) -> None:
-        """Put the next dial off by a growing time with jitter."""
-        count = self.failures[peer] = self.failures.get(peer, 0) + 1
-        longest_s = min(RETRY_MAX_S, RETRY_MIN_S * 2**count)
-        self.retry_at[peer] = self.clock.now() + self.rng.uniform(
-            RETRY_MIN_S, longest_s
-        )
-
     def read_frame(self, channel: Channel, frame: bytes) -> None:
         """Take in every message of a frame; close the link on a bad one."""
         try:
@@ -375,27 +333,6 @@
         if channel.current is None or not channel.enqueue(QueuedMessage(name, payload)):
             self.counters.count_dropped("reply")
 
-    def make_server(self) -> StreamServer:
-        """Return the server that takes links from peers, not yet started."""
-        stream = StreamServer(
-            tuple(self.address),
-            lambda sock, address: server.handler(sock, address),
-            backlog=LISTEN_BACKLOG,
-        )
-        stream.init_socket()
-        server = serve(
-            self.serve_connection,
-            sock=stream.socket,
-            compression=None,
-            process_request=self.check_request,
-            open_timeout=DIAL_TIMEOUT_S,
-            ping_interval=PING_INTERVAL_S,
-            ping_timeout=PING_TIMEOUT_S,
-            close_timeout=CLOSE_TIMEOUT_S,
-            max_size=MAX_FRAME_BYTES + 1,
-        )
-        return stream
-
     def check_request(self, connection, request):
         """Refuse a peer that takes this process for another entry."""
         if request.path == f"/peers/{self.entry_id}" and request.headers.get(
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -9,11 +9,11 @@
 from hypothesis import strategies as st
 
 from sesameplank.conf import PublishedVms, Vm
+from sesameplank.core.members import make_unheard
 from sesameplank.core.membership import (
     CONFIRM_AFTER_S,
     SUSPECT_AFTER_S,
     Membership,
-    make_unheard,
 )
 from sesameplank.core.peer_messages import (
     Health,
