--- a/sesameplank/core/membership.py
+++ b/sesameplank/core/membership.py
@@ -235,6 +235,7 @@
         ]
         for entry in old:
             self.drop(entry)
+            self.last_change_at = now
 
     def learn(
         self, records: Iterable[Member], source: EntryId | None, now: float
--- a/sesameplank/peers/links.py
+++ b/sesameplank/peers/links.py
@@ -192,6 +192,11 @@
         if known not in (None, address) and peer in self.channels:
             self.channels[peer].close_dialled()
 
+    def forget_address(self, peer: EntryId) -> None:
+        """Forget a peer that is gone for good."""
+        self.addresses.pop(peer, None)
+        self.backoff.note_success(peer)
+
     def ensure_connected(self, channel: Channel) -> None:
         """Open a connection in the background unless there is one."""
         peer = channel.peer
@@ -351,6 +356,8 @@
         while True:
             gevent.sleep(IDLE_CLOSE_S / 3)
             now = self.clock.now()
+            for key in [item for item in self.delays if item[0] not in self.channels]:
+                del self.delays[key]
             for peer, channel in list(self.channels.items()):
                 idle = now - channel.used_at > IDLE_CLOSE_S
                 if idle and not channel.calls and not channel.queue:
--- a/sesameplank/peers/membership.py
+++ b/sesameplank/peers/membership.py
@@ -97,6 +97,8 @@
         if self.known_at == self.membership.last_change_at:
             return
         self.known_at = self.membership.last_change_at
+        for entry in set(self.links.addresses) - set(self.membership.members):
+            self.links.forget_address(entry)
         for entry, member in self.membership.members.items():
             address = self.published.get(entry, member.peer_address)
             self.links.set_address(entry, Address.parse(address))
