--- a/sesameplank/planning.py
+++ b/sesameplank/planning.py
@@ -1,7 +1,7 @@
 """Plans a query, and plans it anew as a whole when a plan cannot be whole."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from .callers.problems import ProblemKind, Refusal
 from .core.clock import Clock
@@ -12,7 +12,7 @@
 from .core.query import QueryState
 from .core.snapshots import SnapshotTracker, list_replicas
 from .core.versions import AcceptedConfiguration
-from .ids import Snapshot
+from .ids import Snapshot, TargetId
 
 MAX_PLANS = 4
 POLL_S = 0.01
@@ -39,6 +39,7 @@
         request: SearchRequest,
         pinned: AcceptedConfiguration,
         stop_at: float,
+        choose_replicas: Callable[[Sequence[TargetId]], Sequence[TargetId]] = tuple,
     ) -> None:
         self.snapshots = snapshots
         self.clock = clock
@@ -49,6 +50,7 @@
         self.at_least = Snapshot(request.at_least_snapshot)
         self.pinned = pinned
         self.stop_at = stop_at
+        self.choose_replicas = choose_replicas
         self.plans = 0
 
     def next_plan(self) -> Plan:
@@ -63,7 +65,7 @@
             snapshot = self.choose_snapshot()
         self.plans += 1
         shards = [
-            PlannedShard(shard.id, shard.range, shard.replicas)
+            PlannedShard(shard.id, shard.range, self.choose_replicas(shard.replicas))
             for shard in self.get_shards()
         ]
         return make_plan(
--- a/sesameplank/queries.py
+++ b/sesameplank/queries.py
@@ -1,7 +1,7 @@
 """Runs queries: pins a snapshot, sends attempts, and merges one answer."""
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import gevent
 import msgspec
@@ -27,7 +27,7 @@
 from .core.query import Attempt, AttemptKind, QueryState
 from .core.snapshots import HeldSnapshots, SnapshotTracker
 from .core.versions import AcceptedConfiguration
-from .ids import AttemptId, RequestId
+from .ids import AttemptId, RequestId, TargetId
 from .planning import GetNewest, QueryPlanner
 from .targets import Dispatcher
 
@@ -56,6 +56,7 @@
         observer: CallObserver | None = None,
         get_newest: GetNewest = lambda: None,
         sleep: Callable[[float], None] = gevent.sleep,
+        choose_replicas: Callable[[Sequence[TargetId]], Sequence[TargetId]] = tuple,
     ) -> None:
         self.dispatcher = dispatcher
         self.snapshots = snapshots
@@ -65,6 +66,7 @@
         self.observer = observer or CallObserver()
         self.get_newest = get_newest
         self.sleep = sleep
+        self.choose_replicas = choose_replicas
 
     def run(
         self,
@@ -109,6 +111,7 @@
             request,
             pinned,
             self.stop_at,
+            runner.choose_replicas,
         )
         self.calls = 0
         self.slowest_s = 0.0
