--- a/sesameplank/commands/entry.py
+++ b/sesameplank/commands/entry.py
@@ -7,6 +7,7 @@
 from ..conf.settings import Setting
 from ..entry import Entry, EntrySettings
 from ..ids import DataCentre, EntryId
+from ..monitoring.dump import print_dump
 from ..net import Address
 from .base import Command, run_command
 
@@ -25,7 +26,10 @@
         Setting("address_ttl_s", 5.0, "Seconds for which callers keep addresses."),
         Setting("start_spread_s", 1.0, "Seconds over which a starting fleet reads."),
         Setting("drain_timeout_s", 10.0, "Seconds to finish requests on a stop."),
+        Setting("connection_homes", 8, "Entries that hold connections to a target."),
+        Setting("connection_headroom", 4, "Entries that may act on an old VM list."),
         Setting("max_caller_connections", 1_000, "Connections of callers at a time."),
+        Setting("slow_request_s", 1.0, "Seconds from which a request is logged."),
         Setting("seed", 0, "Seed of random choices; 0 draws one."),
     )
 
@@ -42,11 +46,15 @@
             seed=values["seed"],
             start_spread_s=values["start_spread_s"],
             drain_timeout_s=values["drain_timeout_s"],
+            connection_homes=values["connection_homes"],
+            connection_headroom=values["connection_headroom"],
             max_caller_connections=values["max_caller_connections"],
+            slow_request_s=values["slow_request_s"],
         )
         with Entry(settings) as entry:
             for number in (signal.SIGTERM, signal.SIGINT):
                 gevent.signal_handler(number, entry.request_stop)
+            gevent.signal_handler(signal.SIGUSR1, print_dump, entry)
             entry.wait()
         return 0
 
--- a/sesameplank/core/ejection.py
+++ b/sesameplank/core/ejection.py
@@ -1,7 +1,7 @@
 """Ejection of lastingly slow or failing targets, their probing and return."""
 
 import statistics
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -32,6 +32,9 @@
 }
 
 
+Listener = Callable[[TargetId, str], None]
+
+
 class ReplicaSet(msgspec.Struct, frozen=True):
     """The replicas of one shard; at least one of them is never ejected."""
 
@@ -80,6 +83,7 @@
         self.scoreboard = scoreboard
         self.counters = counters
         self.max_fraction = max_fraction
+        self.listener: Listener = lambda target, reason: None
         self.suspicions: dict[TargetId, Suspicion] = {}
         self.ejected: dict[TargetId, EjectedTarget] = {}
         self.replica_sets: dict[TargetId, list[ReplicaSet]] = {}
@@ -177,6 +181,7 @@
         if target in self.ejected or target not in self.replica_sets:
             return
         refusal = self.find_reason_to_keep(target)
+        self.listener(target, (refusal or reason).value)
         if refusal is not None:
             self.counters.ejections[refusal] += 1
             self.suspicions.pop(target, None)
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -20,11 +20,14 @@
 from .callers.app import CallerRequest
 from .callers.problems import ProblemKind, Refusal
 from .callers.server import CallersServer
+from .conf import PublishedVms
 from .coordination import Coordination, CoordinationSettings
 from .core.addresses import AddressAnswer, choose_addresses
 from .core.admission import AdmissionController, Permit, is_load_sample
 from .core.bookings import BookingLimits, BookingMemory
 from .core.clock import SystemClock
+from .core.homes import ConnectionPlan
+from .core.leaving import LeavingTargets
 from .core.messages import SearchAnswer, SearchRequest
 from .core.outcomes import Ran
 from .core.policies import LoadPolicies
@@ -32,14 +35,17 @@
 from .core.versions import AcceptedConfiguration, ConfigurationStore
 from .ids import DataCentre, EntryId, Incarnation
 from .logs import log_event
+from .monitoring import DecisionLog, RequestLedger
+from .monitoring.dump import make_dump
+from .monitoring.metrics import EntryMetrics
 from .net import Address
 from .peers import PeerLinks
 from .queries import QueryRunner
 from .serving import GatedBookings, ServingGate, ServingState, make_refusal
 from .targets import DirectDispatcher
 from .targets.health import HealthPoller
+from .targets.relay import RelayDispatcher
 
-CONNECTION_SHARE = 8
 INCARNATION_RANDOM_BITS = 10
 WRITER_INCARNATION_BITS = 64  # Random, since a wall clock may step back.
 
@@ -64,7 +70,10 @@
     seed: int
     start_spread_s: float = 1.0
     drain_timeout_s: float = 10.0
+    connection_homes: int = 8
+    connection_headroom: int = 4
     max_caller_connections: int = 1_000
+    slow_request_s: float = 1.0
 
 
 class Entry:
@@ -73,6 +82,9 @@
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
         self.clock = SystemClock()
+        self.started_at = self.clock.now()
+        self.decisions = DecisionLog(self.clock)
+        self.ledger = RequestLedger(self.clock, self.decisions, settings.slow_request_s)
         self.rng = random.Random(settings.seed or secrets.randbits(64))
         self.incarnation = make_incarnation()
         self.links = PeerLinks(
@@ -86,11 +98,27 @@
         self.snapshots = SnapshotTracker(self.clock)
         self.gate = ServingGate()
         self.coordination = self.make_coordination()
-        self.dispatcher = DirectDispatcher(self.clock, CONNECTION_SHARE)
+        self.plan = ConnectionPlan(
+            settings.entry_id,
+            settings.connection_homes,
+            settings.connection_headroom,
+        )
+        self.leaving = LeavingTargets(self.clock)
+        self.direct = DirectDispatcher(self.clock, self.plan, self.leaving)
+        self.dispatcher = RelayDispatcher(
+            self.direct,
+            self.plan,
+            self.links,
+            self.clock,
+            lambda: self.coordination.membership.neighbours,
+        )
         self.poller = HealthPoller(
             self.dispatcher, self.snapshots, self.clock, settings.health_interval_s
         )
         self.policies = LoadPolicies(self.clock, self.rng)
+        self.policies.ejector.listener = lambda target, reason: self.decisions.note(
+            "ejection", reason, target
+        )
         self.queries = QueryRunner(
             self.dispatcher,
             self.snapshots,
@@ -99,6 +127,7 @@
             self.clock,
             self.policies,
             lambda: self.store.current,
+            choose_replicas=self.leaving.choose_staying,
         )
         self.admission = AdmissionController(
             self.clock, self.rng, self.policies.counters
@@ -119,21 +148,22 @@
         )
         self.links.register(ForwardedQuestion, self.bookings.take_forwarded)
         self.store.listeners.append(self.apply_configuration)
+        self.coordination.vms.listeners.append(self.apply_vms)
+        self.coordination.prepare = self.direct.wait_until_warm
         self.stopping = Event()
+        self.metrics = EntryMetrics(self)
+        self.server = CallersServer(
+            settings.address, self.make_app(), settings.max_caller_connections
+        )
         self.resources = contextlib.ExitStack()
         self.greenlets: list[gevent.Greenlet] = []
 
     def __enter__(self) -> "Entry":
         with contextlib.ExitStack() as stack:
-            stack.enter_context(self.dispatcher)
+            stack.enter_context(self.direct)
             stack.enter_context(self.links)
-            server = CallersServer(
-                self.settings.address,
-                self.make_app(),
-                self.settings.max_caller_connections,
-            )
-            server.start()
-            stack.callback(server.stop)
+            self.server.start()
+            stack.callback(self.server.stop)
             stack.callback(lambda: gevent.killall(self.greenlets))
             self.start_loops()
             self.resources = stack.pop_all()
@@ -147,7 +177,7 @@
     def start_loops(self) -> None:
         """Start the loops that keep configuration, VMs and health current."""
         self.greenlets += self.coordination.start()
-        self.greenlets.append(gevent.spawn(self.poller.run))
+        self.greenlets += [gevent.spawn(self.poller.run), gevent.spawn(self.direct.run)]
 
     def make_coordination(self) -> Coordination:
         """Return what makes this entry act with the others."""
@@ -182,19 +212,31 @@
                 "/v1/addresses": self.get_addresses,
                 "/healthz": self.get_health,
                 "/readyz": self.get_readiness,
-                "/state": self.get_state,
+                "/state": lambda environ: make_dump(self),
+                "/metrics": lambda environ: self.metrics.render(),
             },
+            self.ledger,
         )
 
     def apply_configuration(self, accepted: AcceptedConfiguration) -> None:
         """Put a newly accepted configuration in force."""
-        self.dispatcher.update_targets(accepted.configuration)
+        self.leaving.on_configuration(accepted.configuration)
+        self.direct.update_targets(accepted.configuration)
         self.snapshots.drop_stale()
+        self.decisions.note(
+            "configuration_accepted",
+            accepted.configuration.preset.value,
+            f"version {accepted.version}",
+        )
         self.policies.apply(accepted)
 
+    def apply_vms(self, vms: PublishedVms) -> None:
+        """Choose the targets' homes over a newer VM list."""
+        self.plan.update([vm.id for vm in vms.vms], self.clock.now())
+        self.direct.update_pools()
+
     def search(self, call: CallerRequest, request: SearchRequest) -> SearchAnswer:
         """Answer a caller's query, or raise Refusal."""
-        self.coordination.check_pause()
         with self.gate.admit():
             return self.run_search(call, request)
 
@@ -257,36 +299,9 @@
             raise make_refusal(self.gate.state)
         return {"status": "ready"}
 
-    def get_state(self, environ: dict) -> dict:
-        """Return the state dump."""
-        refused = self.store.refused
-        return {
-            "entry": self.settings.entry_id,
-            "config_version": self.store.version,
-            "config_age_s": self.store.age_s,
-            "config_ignored": {
-                result.value: count for result, count in self.store.ignored.items()
-            },
-            "refused": refused
-            and {
-                "version": refused.version,
-                "reason": refused.reason,
-            },
-            "incarnation": self.incarnation,
-            "vms": self.coordination.vms.current,
-            "fleet": self.coordination.get_state(),
-            "targets": {
-                target_id: {
-                    "in_flight": pool.in_flight,
-                    "waiting": pool.waiting,
-                    "size": pool.size,
-                }
-                for target_id, pool in self.dispatcher.pools.items()
-            },
-        }
-
     def request_stop(self) -> None:
         """Begin a planned stop."""
+        self.decisions.note("stop", "requested")
         self.stopping.set()
 
     def wait(self) -> None:
