--- a/sesameplank/conf/documents.py
+++ b/sesameplank/conf/documents.py
@@ -121,8 +121,8 @@
 
     default_deadline_ms: Positive = 1_000
     max_deadline_ms: Positive = 10_000
-    hedge_quantile: Quantile = 0.98
-    hedge_budget: ExtraLoad = 0.02
+    hedge_quantile: Quantile = 0.99
+    hedge_budget: ExtraLoad = 0.045
     retry_budget: ExtraLoad = 0.1
     max_ejected: Fraction = 0.3
     first_class_latency: Fraction = 0.4
