Steer links between entries where their proxies are; report other work's cores

Commands about links went to every stand-in process, and those without the proxies failed, so that the partition scenario ended at once (KeyError). They go to the first process now. Runs on a busy machine looked like faults of the tier: each run states how many cores other work kept busy.

--- a/sesameplank/load/experiment.py
+++ b/sesameplank/load/experiment.py
@@ -21,7 +21,7 @@
 from .checks import Evidence, check_run
 from .figures import Control, Figures, ProcessorUse, Window, make_figures
 from .observations import Observation, Sighting, WorkerReport
-from .processes import ChildProcess, StandinOptions, Standins
+from .processes import ChildProcess, StandinOptions, Standins, get_machine_s
 from .scenarios import SCENARIOS, Scenario
 from .stage import Stage
 from .worker import WorkerPlan
@@ -63,6 +63,7 @@
     at: float
     entries: float
     standins: list[float]
+    machine: float
 
 
 class Experiment:
@@ -161,6 +162,7 @@
             time.monotonic(),
             stage.processor_s,
             stage.standins.processor_s,
+            get_machine_s(),
         )
 
     def get_processor_use(
@@ -172,6 +174,12 @@
         """Return the processor shares of the loaded part."""
         loaded_s = self.phases[-1].end_s
         entries_s = after.entries - before.entries
+        others_s = (
+            (after.machine - before.machine)
+            - entries_s
+            - (sum(after.standins) - sum(before.standins))
+            - sum(report.processor_s for report in reports)
+        )
         queries = sum(item.search is not None for item in self.arrivals)
         return ProcessorUse(
             generators=max(report.processor_s for report in reports) / loaded_s,
@@ -181,6 +189,7 @@
             ),
             entries=entries_s / self.plan.entries / loaded_s,
             entry_ms_per_query=entries_s / queries * 1_000,
+            other_cores=max(0.0, others_s / (after.at - before.at)),
         )
 
     def run_workers(
--- a/sesameplank/load/figures.py
+++ b/sesameplank/load/figures.py
@@ -44,12 +44,14 @@
     """Processor time under load, as shares of one core, and a query's part.
 
     Of generators and stand-ins it is the busiest process; of entries the mean.
+    `other_cores` are the cores that other work on the machine kept busy.
     """
 
     generators: float = 0.0
     standins: float = 0.0
     entries: float = 0.0
     entry_ms_per_query: float = 0.0
+    other_cores: float = 0.0
 
 
 class Figures(msgspec.Struct):
--- a/sesameplank/load/processes.py
+++ b/sesameplank/load/processes.py
@@ -19,6 +19,11 @@
 
 STANDIN_MODULE = "sesameplank.commands.standin"
 GROUPS = 5
+FIRST_GROUP_COMMANDS = (
+    control.PartitionEntries,
+    control.LoseBetween,
+    control.HealEntries,
+)
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 10.0
 CONTROL_TIMEOUT_S = 60.0
@@ -75,7 +80,8 @@
 class Standins:
     """All stand-ins, in several processes; a context manager.
 
-    The platform and the first group of targets share a process.
+    The platform, the proxies between entries and the first group of targets
+    share a process.
     """
 
     def __init__(self, options: StandinOptions, directory: Path) -> None:
@@ -119,8 +125,9 @@
             gevent.sleep(POLL_S)
 
     def steer(self, command: control.Command) -> None:
-        """Let every group carry a command out."""
-        for number in range(GROUPS):
+        """Let every group that a command concerns carry it out."""
+        groups = 1 if isinstance(command, FIRST_GROUP_COMMANDS) else GROUPS
+        for number in range(groups):
             self.call(number, "POST", "/control", msgspec.json.encode(command))
 
     def read_truth(self) -> control.Truth:
@@ -182,6 +189,13 @@
     )
 
 
+def get_machine_s() -> float:
+    """Return the processor seconds that the whole machine has been busy."""
+    fields = Path("/proc/stat").read_text().split("\n", 1)[0].split()[1:]
+    user, nice, system, _, _, irq, softirq = (int(item) for item in fields[:7])
+    return (user + nice + system + irq + softirq) / CLOCK_TICKS_PER_S
+
+
 def get_processor_s(pid: int) -> float:
     """Return the processor seconds of a running process, 0 when it has ended."""
     try:
--- a/sesameplank/load/report.py
+++ b/sesameplank/load/report.py
@@ -27,6 +27,7 @@
     "not run",
     "unknown",
     "late p99",
+    "other",
     "violations",
 )
 PLOT_INCHES = (10, 5)
@@ -70,6 +71,7 @@
         str(figures.refused_not_run),
         str(figures.unknown),
         f"{figures.generator_late_ms.p99:.1f}",
+        f"{figures.processor.other_cores:.1f}",
         describe_violations(figures),
     )
 
