--- a/tests/differential.py
+++ b/tests/differential.py
@@ -13,7 +13,7 @@
 from sesameplank.core.hedging import NoHedges
 from sesameplank.core.messages import Filter, Order, SearchAnswer, SearchRequest
 from sesameplank.core.outcomes import Failure, FailureReason, Ran
-from sesameplank.core.ranges import KEY_SPACE, KeyRange, merge_ranges
+from sesameplank.core.ranges import KEY_SPACE
 from sesameplank.core.snapshots import SnapshotTracker
 from sesameplank.core.versions import ConfigurationStore
 from sesameplank.queries import QueryRunner
@@ -22,6 +22,8 @@
 from sesameplank.standins.targets import TargetStandin
 from sesameplank.targets import Dispatcher
 
+from .naive import find_difference
+
 NAME = "order-desk"
 STEP_S = 0.002
 TARGETS = ("a", "b", "c", "d")
@@ -168,28 +170,7 @@
 
     def find_difference(self, request: SearchRequest, answer: SearchAnswer) -> str:
         """Return how an answer differs from a naive scan, empty if it does not."""
-        missing = [item.range for item in answer.coverage.missing]
-        try:
-            tiles = merge_ranges([*answer.coverage.covered, *missing])
-        except ValueError as error:
-            return f"coverage: {error}"
-        if tiles != (KeyRange(0, KEY_SPACE),):
-            return f"coverage leaves a gap: {tiles}"
-        if answer.snapshot < request.at_least_snapshot:
-            return f"snapshot {answer.snapshot} is older than asked"
-        found = [
-            record
-            for covered in answer.coverage.covered
-            for record in self.data.scan(
-                covered, answer.snapshot, request.terms, request.filters
-            )
-        ]
-        if len(found) != answer.total:
-            return f"total {answer.total}, not {len(found)}"
-        expected = sort_naively(found, request.order)[: request.limit]
-        if list(answer.hits) != expected:
-            return f"hits {answer.hits}, not {expected}"
-        return ""
+        return find_difference(self.data, request, answer)
 
 
 def make_shards(cuts: list[int]) -> tuple[Shard, ...]:
@@ -201,18 +182,6 @@
     )
 
 
-def sort_naively(records: list, order: Order) -> list:
-    """Return the records in the order asked, ties by ascending key."""
-    records = sorted(records, key=lambda record: record.key)
-    if order.field == "key":
-        return sorted(records, key=lambda record: record.key, reverse=order.descending)
-    return sorted(
-        records,
-        key=lambda record: record.fields[order.field],
-        reverse=order.descending,
-    )
-
-
 CUTS = st.lists(st.integers(1, KEY_SPACE - 1), max_size=7)
 EVENTS = st.builds(
     Event,
