--- a/sesameplank/commands/entry.py
+++ b/sesameplank/commands/entry.py
@@ -7,6 +7,7 @@
 from ..conf.settings import Setting
 from ..entry import Entry, EntrySettings
 from ..ids import DataCentre, EntryId
+from ..monitoring.dump import print_dump
 from ..net import Address
 from .base import Command, run_command
 
@@ -28,6 +29,7 @@
         Setting("connection_homes", 8, "Entries that hold connections to a target."),
         Setting("connection_headroom", 4, "Entries that may act on an old VM list."),
         Setting("max_caller_connections", 1_000, "Connections of callers at a time."),
+        Setting("slow_request_s", 1.0, "Seconds from which a request is logged."),
         Setting("seed", 0, "Seed of random choices; 0 draws one."),
     )
 
@@ -47,10 +49,12 @@
             connection_homes=values["connection_homes"],
             connection_headroom=values["connection_headroom"],
             max_caller_connections=values["max_caller_connections"],
+            slow_request_s=values["slow_request_s"],
         )
         with Entry(settings) as entry:
             for number in (signal.SIGTERM, signal.SIGINT):
                 gevent.signal_handler(number, entry.request_stop)
+            gevent.signal_handler(signal.SIGUSR1, print_dump, entry)
             entry.wait()
         return 0
 
