--- a/tests/integration/test_leaving.py
+++ b/tests/integration/test_leaving.py
@@ -102,7 +102,7 @@
         )
         for entry in self.fleet.entries:
             with Client("order-desk", [entry.address]) as client:
-                client.keeper.get_addresses = lambda entry=entry: [entry.address]
+                client.keeper.get_addresses = lambda *_, at=entry: [at.address]
                 answer = client.search(SearchRequest("order-desk"), DEADLINE_MS)
                 self.assertTrue(answer.coverage.is_whole)
                 booked = client.book("order-desk", record, 1, None, DEADLINE_MS)
