--- a/sesameplank/monitoring/dump.py
+++ b/sesameplank/monitoring/dump.py
@@ -49,13 +49,6 @@
     health: str
 
 
-class RelayState(msgspec.Struct, frozen=True):
-    """Calls passed on to other entries, and calls carried out for them."""
-
-    relayed: int
-    served: int
-
-
 class BudgetState(msgspec.Struct, frozen=True):
     """A budget of extra load: tokens left, and how often it refused."""
 
@@ -108,7 +101,9 @@
     requests: RequestsState
     connections: ConnectionsState
     targets: dict[str, TargetDump]
-    relays: RelayState
+    leaving_targets: dict[str, str]
+    relayed_calls: int
+    calls_served_for_peers: int
     budgets: dict[str, BudgetState]
     policies: PolicyCounters
     admission: dict[str, AdmissionState]
@@ -138,7 +133,11 @@
         requests=entry.ledger.get_state(),
         connections=dump_connections(entry),
         targets=dump_targets(entry),
-        relays=RelayState(entry.dispatcher.relayed, entry.dispatcher.served),
+        leaving_targets={
+            target: mark.source.value for target, mark in entry.leaving.marks.items()
+        },
+        relayed_calls=entry.dispatcher.relayed,
+        calls_served_for_peers=entry.dispatcher.served,
         budgets=dump_budgets(entry),
         policies=entry.policies.counters,
         admission=dump_admission(entry),
