--- a/sesameplank/core/latency.py
+++ b/sesameplank/core/latency.py
@@ -6,7 +6,7 @@
 from ..ids import CollectionName
 
 WINDOW_SAMPLES = 512
-REFRESH_SAMPLES = 16
+REFRESH_SAMPLES = 32
 MIN_SAMPLES = 20
 MEDIAN = 0.5
 
@@ -58,8 +58,13 @@
 
     def observe(self, collection: CollectionName, size: int, elapsed_s: float) -> None:
         """Record an answered call for `size` shards."""
-        self.by_size.setdefault((collection, size), RecentQuantiles()).add(elapsed_s)
-        pooled = self.by_shard.setdefault(collection, RecentQuantiles())
+        exact = self.by_size.get((collection, size))
+        if exact is None:
+            exact = self.by_size[(collection, size)] = RecentQuantiles()
+        pooled = self.by_shard.get(collection)
+        if pooled is None:
+            pooled = self.by_shard[collection] = RecentQuantiles()
+        exact.add(elapsed_s)
         pooled.add(elapsed_s / size)
 
     def get_quantile(
--- a/sesameplank/core/query.py
+++ b/sesameplank/core/query.py
@@ -186,8 +186,10 @@
                 retries.append(progress)
         return self.retry(retries, now)
 
-    def retry(self, shards: Iterable[ShardProgress], now: float) -> list[Attempt]:
+    def retry(self, shards: list[ShardProgress], now: float) -> list[Attempt]:
         """Send shards that nobody serves any more to untried replicas."""
+        if not shards:
+            return []
         again = []
         for progress in shards:
             if progress.in_flight:
