Answer callers with one call to the kernel instead of two

Measurement: processor time of the callers' interface a request, 2,000 searches on one kept connection against a search that does nothing, three runs of each in turn: 500, 532, 445 us before; 350, 392, 410 us after. The server process's own time, on a machine that others used as well. Cause: the WSGI server sends headers and body apart.

--- a/sesameplank/callers/server.py
+++ b/sesameplank/callers/server.py
@@ -71,6 +71,8 @@
 class CallersHandler(QuietHandler):
     """Handles one caller's connection within bounds."""
 
+    held: bytearray | None = None
+
     def __init__(self, sock, address, server, rfile=None) -> None:
         sock.settimeout(SOCKET_TIMEOUT_S)
         super().__init__(sock, address, server, rfile)
@@ -108,6 +110,20 @@
         if not self.wsgi_input.is_drained:
             self.close_connection = True
 
+    def _write_with_headers(self, data: bytes) -> None:
+        """Send headers and the first part of the body in one call."""
+        self.held = bytearray()
+        super()._write_with_headers(data)
+        payload, self.held = self.held, None
+        self._sendall(payload)
+
+    def _sendall(self, data: bytes) -> None:
+        """Send bytes, or hold them back while headers are being written."""
+        if self.held is None:
+            super()._sendall(data)
+        else:
+            self.held += data
+
     def _handle_client_error(self, error: Exception) -> tuple[str, bytes]:
         """Return the answer to a request that could not be parsed."""
         refusal = explain_parse_error(error)
