--- a/sesameplank/monitoring/dump.py
+++ b/sesameplank/monitoring/dump.py
@@ -49,6 +49,13 @@
     health: str
 
 
+class RelayState(msgspec.Struct, frozen=True):
+    """Calls passed on to other entries, and calls carried out for them."""
+
+    relayed: int
+    served: int
+
+
 class BudgetState(msgspec.Struct, frozen=True):
     """A budget of extra load: tokens left, and how often it refused."""
 
@@ -101,9 +108,7 @@
     requests: RequestsState
     connections: ConnectionsState
     targets: dict[str, TargetDump]
-    leaving_targets: dict[str, str]
-    relayed_calls: int
-    calls_served_for_peers: int
+    relays: RelayState
     budgets: dict[str, BudgetState]
     policies: PolicyCounters
     admission: dict[str, AdmissionState]
@@ -133,11 +138,7 @@
         requests=entry.ledger.get_state(),
         connections=dump_connections(entry),
         targets=dump_targets(entry),
-        leaving_targets={
-            target: mark.source.value for target, mark in entry.leaving.marks.items()
-        },
-        relayed_calls=entry.dispatcher.relayed,
-        calls_served_for_peers=entry.dispatcher.served,
+        relays=RelayState(entry.dispatcher.relayed, entry.dispatcher.served),
         budgets=dump_budgets(entry),
         policies=entry.policies.counters,
         admission=dump_admission(entry),
@@ -185,13 +186,14 @@
 
 def find_target_state(entry: "Entry", target: str) -> tuple[str, str]:
     """Return the state of a target and why it is not serving."""
+    mark = entry.leaving.marks.get(target)
+    if mark is not None:
+        age_s = entry.clock.now() - mark.marked_at
+        return "leaving", f"said by {mark.source.value} {age_s:.1f} s ago"
     ejected = entry.policies.ejector.ejected.get(target)
     if ejected is not None:
         age_s = entry.clock.now() - ejected.since
         return "ejected", f"{ejected.reason.value} for {age_s:.1f} s"
-    mark = entry.leaving.marks.get(target)
-    if mark is not None:
-        return "leaving", f"told by {mark.source.value}"
     if entry.policies.scoreboard.get(target).ramp_started_at is not None:
         return "ramping", "new or back from an ejection"
     return "serving", ""
