--- a/tests/integration/test_leaving.py
+++ b/tests/integration/test_leaving.py
@@ -83,9 +83,7 @@
         target.drain()
         for entry in self.fleet.entries:
             self.wait_for(
-                lambda entry=entry: (
-                    get_state(entry)["targets"][DRAINED]["state"] == "leaving"
-                ),
+                lambda entry=entry: DRAINED in get_state(entry)["leaving_targets"],
                 f"{entry.vm.id} knows that {DRAINED} leaves",
             )
         self.wait_for(lambda: not target.running + target.waiting, "work is finished")
@@ -109,7 +107,7 @@
                 self.assertTrue(answer.coverage.is_whole)
                 booked = client.book("order-desk", record, 1, None, DEADLINE_MS)
                 self.assertEqual("accepted", booked.result.value)
-            self.assertTrue(get_state(entry)["relays"]["relayed"] > 0)
+            self.assertTrue(get_state(entry)["relayed_calls"] > 0)
 
     def test_connections_stay_within_every_limit(self):
         self.start_fleet(8)
