--- a/sesameplank/core/admission.py
+++ b/sesameplank/core/admission.py
@@ -35,13 +35,15 @@
     """The right to run one query; a context manager that gives it back.
 
     `counts` says whether the time the query took measures the load; it does
-    not when shards were missing for another reason than time.
+    not when shards were missing for another reason than time. `paused_s` is the
+    part of it that the query waited for a snapshot.
     """
 
     def __init__(self, gate: "CollectionGate", admitted_at: float) -> None:
         self.gate = gate
         self.admitted_at = admitted_at
         self.counts = True
+        self.paused_s = 0.0
 
     def __enter__(self) -> "Permit":
         return self
@@ -130,8 +132,9 @@
         if not permit.counts:
             return
         self.released_at = now
-        self.recent.append(now - permit.admitted_at)
-        self.adjust(now - permit.admitted_at, now)
+        latency_s = max(0.0, now - permit.admitted_at - permit.paused_s)
+        self.recent.append(latency_s)
+        self.adjust(latency_s, now)
 
     def adjust(self, latency_s: float, now: float) -> None:
         """Let both limits follow the latency."""
--- a/sesameplank/queries.py
+++ b/sesameplank/queries.py
@@ -37,10 +37,14 @@
 
 
 class QueryResult(msgspec.Struct, frozen=True):
-    """The answer of a query and whether any target may have run part of it."""
+    """The answer of a query and whether any target may have run part of it.
+
+    `paused_s` is the time spent waiting for a snapshot or map, in seconds.
+    """
 
     answer: SearchAnswer
     was_sent: bool
+    paused_s: float = 0.0
 
 
 class QueryRunner:
@@ -107,13 +111,14 @@
             runner.snapshots,
             runner.clock,
             runner.get_newest,
-            runner.sleep,
+            self.pause,
             request,
             pinned,
             self.stop_at,
             runner.choose_replicas,
         )
         self.calls = 0
+        self.paused_s = 0.0
         self.slowest_s = 0.0
         self.cancelled: set[AttemptId] = set()
 
@@ -137,7 +142,13 @@
         answer = self.make_answer(best)
         if answer.coverage.missing:
             self.observer.note_missing(answer.coverage.missing)
-        return QueryResult(answer, was_sent=self.calls > 0)
+        return QueryResult(answer, self.calls > 0, self.paused_s)
+
+    def pause(self, seconds: float) -> None:
+        """Wait for a plan that can be served, and count the time."""
+        started_at = self.clock.now()
+        self.runner.sleep(seconds)
+        self.paused_s += self.clock.now() - started_at
 
     def is_better(self, state: QueryState, best: QueryState) -> bool:
         """Tell whether the newer state covers at least as much."""
--- a/tests/core/test_admission.py
+++ b/tests/core/test_admission.py
@@ -127,6 +127,14 @@
             pass
         self.assertEqual(0, permit.gate.in_flight)
 
+    def test_waiting_for_a_snapshot_is_not_load(self):
+        for _ in range(20):
+            with self.admit() as permit:
+                self.clock.advance(0.3)
+                permit.paused_s = 0.25
+        gate = self.controller.gates["orders"]
+        self.assertAlmostEqual(0.05, gate.get_expected_s(self.clock.now()))
+
     def test_load_samples_by_missing_reason(self):
         whole = (KeyRange(0, KEY_SPACE),)
         table = [
