--- a/sesameplank/commands/load.py
+++ b/sesameplank/commands/load.py
@@ -39,6 +39,7 @@
         Setting("seconds", 20.0, "Seconds of load that are measured."),
         Setting("entries", 8, "Entry processes."),
         Setting("deadline_ms", 1_000, "Milliseconds that callers give an answer."),
+        Setting("load_factor", 1.0, "Multiplies the load of the scenario."),
         Setting("output", "json", "json or text."),
         Setting("save", "", "Directory to which the result is written."),
         Setting("plot", "", "File for the report's plot, such as plot.png."),
@@ -94,8 +95,9 @@
         raise BadRequestError(
             f"--entries={values['entries']} is out of range; use 1 to {MAX_ENTRIES}"
         )
-    if values["seconds"] <= 0 or values["deadline_ms"] <= 0:
-        raise BadRequestError("--seconds and --deadline_ms must be above 0")
+    for name in ("seconds", "deadline_ms", "load_factor"):
+        if values[name] <= 0:
+            raise BadRequestError(f"--{name}={values[name]} must be above 0")
 
 
 def get_seeds(values: dict) -> tuple[int, ...]:
@@ -144,6 +146,7 @@
             seconds=values["seconds"],
             entries=values["entries"],
             deadline_ms=values["deadline_ms"],
+            load_factor=values["load_factor"],
         )
     ).run()
 
--- a/tests/load/test_results.py
+++ b/tests/load/test_results.py
@@ -19,6 +19,7 @@
     "output": "json",
     "entries": 8,
     "seconds": 20.0,
+    "load_factor": 1.0,
     "deadline_ms": 1_000,
     "seed": 4,
     "seeds": "",
