--- a/sesameplank/core/query.py
+++ b/sesameplank/core/query.py
@@ -22,7 +22,7 @@
 
 MAX_EXTRA_ROUNDS = 4
 ROUND_PAUSE_S = 0.01
-HEDGE_PAUSE_S = 0.02
+HEDGE_PAUSE_S = 0.05
 REFUSAL_REASONS = {
     ShardStatus.SNAPSHOT_MISSING: MissingReason.SNAPSHOT_GONE,
     ShardStatus.SHED: MissingReason.OVERLOADED,
@@ -186,8 +186,10 @@
                 retries.append(progress)
         return self.retry(retries, now)
 
-    def retry(self, shards: Iterable[ShardProgress], now: float) -> list[Attempt]:
+    def retry(self, shards: list[ShardProgress], now: float) -> list[Attempt]:
         """Send shards that nobody serves any more to untried replicas."""
+        if not shards:
+            return []
         again = []
         for progress in shards:
             if progress.in_flight:
