Keep a given-up call's connection until its late answer is dropped

Cause: a call that was cancelled or timed out closed its connection and freed its place at once, while the target still held the connection until it had served the call. The next one passed the target's limit, was reset, and the target was ejected as failing. Ruled out: the shares (16 of 25 are planned).

The place is now held until the late answer has been read and dropped, at most 5 s; the connection can then be used again.

--- a/sesameplank/targets/connection.py
+++ b/sesameplank/targets/connection.py
@@ -12,7 +12,8 @@
 
     The library opens no connection and sends nothing here, so it has no way
     to send a request again. `sent` says whether a byte of the request that
-    came last has left this process.
+    came last has left this process; `is_awaiting_answer` whether all of it has
+    and nothing of its answer was read, so that the answer can still be read.
     """
 
     def __init__(self, address: Address, timeout_s: float) -> None:
@@ -21,6 +22,7 @@
         self.sock = open_connection(address, timeout_s)
         self.sock.settimeout(None)
         self.sent = False
+        self.is_awaiting_answer = False
 
     def close(self) -> None:
         """Close the socket."""
@@ -52,12 +54,15 @@
         count = self.sock.send(data)
         self.sent = True
         self.sock.sendall(data[count:])
+        self.is_awaiting_answer = True
 
     def read(self) -> tuple[int, bytes, bool]:
         """Return status, body and whether the connection may be used again.
 
         Raises OSError, TruncatedAnswerError, or the HTTP library's errors.
         """
+        gevent.socket.wait_read(self.sock.fileno())
+        self.is_awaiting_answer = False
         response = HTTPSocketResponse(self.sock, method="POST")
         payload = bytes(response.read())
         length = response.get("content-length")
--- a/sesameplank/targets/pool.py
+++ b/sesameplank/targets/pool.py
@@ -1,5 +1,6 @@
 """Connections to one target; a connection never outlives an unread answer."""
 
+import contextlib
 from collections import deque
 from collections.abc import Callable
 from http import HTTPStatus
@@ -13,16 +14,40 @@
 from ..net import Address
 from .connection import TargetConnection
 
+DRAIN_TIMEOUT_S = 5.0
+
 Decode = Callable[[bytes], object]
 CLOSED = Failure(FailureReason.CONNECT, Ran.NOT_RUN, "the pool is closed")
 OUT_OF_TIME = Failure(FailureReason.TIMEOUT, Ran.NOT_RUN, "before sending")
 
 
+class Permit:
+    """The right to hold one of a pool's connections, given back just once.
+
+    A permit that was handed over outlives the call that took it.
+    """
+
+    def __init__(self, pool: "TargetPool") -> None:
+        self.pool = pool
+        self.is_handed_over = False
+
+    def __enter__(self) -> "Permit":
+        self.pool.in_flight += 1
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.pool.in_flight -= 1
+        if not self.is_handed_over:
+            self.pool.permits.release()
+
+
 class TargetPool:
     """Up to `size` connections to one target, one request on each at a time.
 
-    A connection whose request did not end with a whole answer is closed and
-    never used again. Use it as a context manager, or call `close`.
+    A connection whose request was given up keeps its place until the late
+    answer is read and dropped, because the target counts it until then; after
+    DRAIN_TIMEOUT_S it is closed. After any other failure it is closed at once.
+    Use the pool as a context manager, or call `close`.
     """
 
     def __init__(
@@ -75,8 +100,7 @@
             self.waiting -= 1
         if not admitted:
             return Failure(FailureReason.QUEUE_FULL, Ran.NOT_RUN)
-        self.in_flight += 1
-        try:
+        with Permit(self) as permit:
             connection = self.get_connection(deadline_at)
             if isinstance(connection, Failure):
                 return connection
@@ -84,10 +108,7 @@
                 self.put_back(connection)
                 return OUT_OF_TIME
             end_at = deadline_at if answer_by is None else answer_by
-            return self.exchange(connection, method, path, body, end_at, decode)
-        finally:
-            self.in_flight -= 1
-            self.permits.release()
+            return self.exchange(permit, connection, method, path, body, end_at, decode)
 
     @property
     def is_warm(self) -> bool:
@@ -98,16 +119,11 @@
         """Open one connection ahead of its first request, if it may be opened."""
         if not self.permits.acquire(blocking=False):
             return
-        self.in_flight += 1
-        try:
+        with Permit(self), contextlib.suppress(OSError):
+            # The next request meets a fault again and reports it.
             if not self.closed:
                 connection = TargetConnection(self.address, self.connect_timeout_s)
                 self.put_back(connection)
-        except OSError:
-            pass  # The next request meets the fault and reports it.
-        finally:
-            self.in_flight -= 1
-            self.permits.release()
 
     def get_remaining(self, deadline_at: float) -> float:
         """Return the seconds left until the deadline, at least 0."""
@@ -132,6 +148,7 @@
 
     def exchange(
         self,
+        permit: Permit,
         connection: TargetConnection,
         method: str,
         path: str,
@@ -162,9 +179,27 @@
         finally:
             if reusable:
                 self.put_back(connection)
+            elif connection.is_awaiting_answer:
+                permit.is_handed_over = True
+                gevent.spawn(self.drain, connection)
             else:
                 connection.close()
 
+    def drain(self, connection: TargetConnection) -> None:
+        """Read and drop a late answer, and only then free the connection's place."""
+        is_clean = False
+        try:
+            with gevent.Timeout(DRAIN_TIMEOUT_S, False):
+                is_clean = connection.read()[2]
+        except Exception:  # Whatever ends the connection ends the draining.
+            is_clean = False
+        finally:
+            if is_clean:
+                self.put_back(connection)
+            else:
+                connection.close()
+            self.permits.release()
+
     def put_back(self, connection: TargetConnection) -> None:
         """Keep a connection whose last answer was read whole."""
         if self.closed:
--- a/tests/targets/test_pool.py
+++ b/tests/targets/test_pool.py
@@ -33,6 +33,7 @@
     NEVER = "never"
     REFUSE = "refuse"
     TWICE = "twice"
+    LATE = "late"
 
 
 PIECES = {
@@ -42,6 +43,7 @@
     Act.CUT_BODY: ANSWER[:-1],
     Act.REFUSE: b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
     Act.TWICE: ANSWER + ANSWER,
+    Act.LATE: ANSWER.replace(b"ok", b"no"),
 }
 
 
@@ -53,6 +55,7 @@
         self.requests = 0
         self.connections = 0
         self.ended = Event()
+        self.may_answer = Event()
         self.server = StreamServer(("127.0.0.1", 0), self.handle)
 
     def __enter__(self):
@@ -72,13 +75,15 @@
             while self.read_request(sock):
                 act = self.acts[self.requests]
                 self.requests += 1
+                if act is Act.LATE:
+                    self.may_answer.wait(LONG_S)
                 sock.sendall(PIECES.get(act, b""))
                 if act is Act.NEVER:
                     continue
                 if act is Act.RESET:
                     linger = struct.pack("ii", 1, 0)
                     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-                if act not in (Act.ANSWER, Act.TWICE, Act.REFUSE):
+                if act not in (Act.ANSWER, Act.TWICE, Act.REFUSE, Act.LATE):
                     break
         sock.close()
         self.ended.set()
@@ -189,6 +194,16 @@
         self.assertIs(FailureReason.TIMEOUT, self.call(pool, SHORT_S).reason)
         self.assertEqual(0, len(pool.idle))
 
+    def test_given_up_call_keeps_its_place_until_its_answer_is_dropped(self):
+        server = self.enterContext(ScriptedServer([Act.LATE, Act.ANSWER]))
+        pool = self.open_pool(server.address)
+        self.assertIs(FailureReason.TIMEOUT, self.call(pool, SHORT_S).reason)
+        self.assertIs(FailureReason.QUEUE_FULL, self.call(pool, SHORT_S).reason)
+        self.assertEqual((1, 1), (server.requests, server.connections))
+        server.may_answer.set()
+        self.assertEqual(b"ok", self.call(pool))
+        self.assertEqual((2, 1), (server.requests, server.connections))
+
     def test_killed_call_closes_its_connection_and_frees_its_permit(self):
         server = self.enterContext(ScriptedServer([Act.NEVER, Act.ANSWER]))
         pool = self.open_pool(server.address)
