--- a/sesameplank/commands/demo.py
+++ b/sesameplank/commands/demo.py
@@ -19,6 +19,7 @@
 
 MAX_LATENCY_US = 60_000_000
 SHOWN = 5
+DEADLINE_MS = 10_000
 
 
 class Summary(msgspec.Struct):
@@ -66,7 +67,8 @@
     histogram = HdrHistogram(1, MAX_LATENCY_US, 3)
     summary = Summary(queries=count)
     collection = world.deployment.services[0].collection
-    booked = client.book(collection, next(iter(world.stores[collection].records)))
+    record = next(iter(world.stores[collection].records))
+    booked = client.book(collection, record, deadline_ms=DEADLINE_MS)
     summary.bookings = 1
     print(f"booking {booked.result.value}, readable from snapshot {booked.snapshot}")
     for number in range(count):
@@ -78,7 +80,7 @@
             limit=5,
         )
         started_at = clock.now()
-        answer = client.search(request)
+        answer = client.search(request, DEADLINE_MS)
         histogram.record_value(int((clock.now() - started_at) * 1e6))
         summary.whole_answers += answer.coverage.is_whole
         summary.coverage += answer.coverage.fraction / count
--- a/sesameplank/core/snapshots.py
+++ b/sesameplank/core/snapshots.py
@@ -16,6 +16,7 @@
 STALE_S = 5.0
 ANSWER_TRUST_S = 1.0
 PROGRESS_POINTS = 16
+MIN_PROGRESS_POINTS = 4
 
 ShardReplicas = Sequence[tuple[ShardId, Sequence[TargetId]]]
 ReplicaKey = tuple[CollectionName, ShardId, TargetId]
@@ -63,7 +64,7 @@
     @property
     def seconds_each(self) -> float | None:
         """The seconds from one snapshot to the next, or None if not known."""
-        if len(self.points) < 2:
+        if len(self.points) < MIN_PROGRESS_POINTS:
             return None
         (first_at, first), (last_at, last) = self.points[0], self.points[-1]
         return (last_at - first_at) / (last - first)
@@ -214,9 +215,14 @@
         held = self.get_held(collection, shard, target)
         if held is None:
             return None
-        seen_at = self.known[(collection, shard, target)].seen_at
+        known = self.known[(collection, shard, target)]
+        seen_at = known.seen_at
         if snapshot <= held.newest:
             return seen_at if snapshot >= held.oldest else float("inf")
+        if known.answered_at < seen_at:
+            # A health report lags by a time that nobody states, so that what
+            # is foreseen from it would come too late.
+            return None
         progress = self.progress.get(collection)
         seconds_each = progress.seconds_each if progress else None
         if seconds_each is None:
--- a/sesameplank/planning.py
+++ b/sesameplank/planning.py
@@ -18,6 +18,7 @@
 POLL_S = 0.01
 SNAPSHOT_POLL_S = 0.05
 MAP_WAIT_S = 0.5
+UNFORESEEN_PAUSE_S = 0.05
 DEFAULT_RETRY_AFTER_MS = 1_000
 
 GetNewest = Callable[[], AcceptedConfiguration | None]
@@ -155,27 +156,32 @@
         """Wait until another plan may be whole; False if none is to be expected."""
         if not state.needs_new_plan or self.plans >= MAX_PLANS:
             return False
-        give_up_at = min(self.stop_at, self.clock.now() + MAP_WAIT_S)
+        started_at = self.clock.now()
+        give_up_at = min(self.stop_at, started_at + MAP_WAIT_S)
+        retry_at = started_at + UNFORESEEN_PAUSE_S * 2**self.plans
         while not self.has_better_plan(state):
-            if not state.map_outdated and not self.is_snapshot_coming(state):
+            if not state.map_outdated and not self.is_snapshot_coming(state, retry_at):
                 return False
             if self.clock.now() + POLL_S >= give_up_at:
                 return False
             self.sleep(POLL_S)
-            if not state.map_outdated and self.is_snapshot_due(state):
+            if not state.map_outdated and self.is_snapshot_due(state, retry_at):
                 break
         if state.map_outdated and self.has_newer_map():
             self.pinned = self.get_newest()
         return True
 
-    def is_snapshot_coming(self, state: QueryState) -> bool:
-        """Tell whether every unserved shard should hold the snapshot in time."""
-        times = self.get_unserved_times(state)
-        return bool(times) and max(times) < self.stop_at
+    def is_snapshot_coming(self, state: QueryState, retry_at: float) -> bool:
+        """Tell whether every unserved shard should hold the snapshot in time.
 
-    def is_snapshot_due(self, state: QueryState) -> bool:
+        `retry_at` is when to ask again where that cannot be foreseen.
+        """
+        return max(self.get_unserved_times(state), default=retry_at) < self.stop_at
+
+    def is_snapshot_due(self, state: QueryState, retry_at: float) -> bool:
         """Tell whether every unserved shard should hold the snapshot by now."""
-        return max(self.get_unserved_times(state), default=0.0) <= self.clock.now()
+        due_at = max(self.get_unserved_times(state), default=retry_at)
+        return due_at <= self.clock.now()
 
     def get_unserved_times(self, state: QueryState) -> list[float]:
         """Return when each unserved shard of a plan should hold its snapshot."""
--- a/tests/core/test_snapshots.py
+++ b/tests/core/test_snapshots.py
@@ -135,10 +135,30 @@
 class ReadyTimeTests(testtools.TestCase):
     """The time at which a snapshot should be held follows from earlier ones."""
 
+    def answer(self, tracker: SnapshotTracker, newest: range) -> None:
+        """Let replica a answer searches with a newer snapshot each 0.25 s."""
+        for snapshot in newest:
+            tracker.clock.advance(0.25)
+            held = HeldSnapshots(3, snapshot)
+            tracker.observe("orders", "s0", "a", held, tracker.clock.now())
+
+    def test_health_reports_foresee_nothing(self):
+        tracker = make_tracker({"s0": {"a": (1, 10)}})
+        for newest in range(11, 15):
+            tracker.clock.advance(0.25)
+            tracker.observe("orders", "s0", "a", HeldSnapshots(3, newest))
+        self.assertIs(None, tracker.get_ready_time("orders", SHARDS[0], 16))
+
+    def test_report_after_answers_foresees_nothing(self):
+        tracker = make_tracker({"s0": {"a": (1, 10)}})
+        self.answer(tracker, range(11, 15))
+        tracker.clock.advance(ANSWER_TRUST_S)
+        tracker.observe("orders", "s0", "a", HeldSnapshots(3, 15))
+        self.assertIs(None, tracker.get_ready_time("orders", SHARDS[0], 17))
+
     def test_ready_times(self):
         tracker = make_tracker({"s0": {"a": (1, 10), "b": (1, 8)}})
-        tracker.clock.advance(1.0)
-        tracker.observe("orders", "s0", "a", HeldSnapshots(3, 14))
+        self.answer(tracker, range(11, 15))
         table = [
             ("held now", 14, 1.0),
             ("held by the other replica only", 2, 0.0),
--- /dev/null
+++ b/tests/integration/test_demo.py
@@ -0,0 +1,23 @@
+"""Tests that the demonstration shows the whole path."""
+
+import json
+import subprocess
+import sys
+
+import testtools
+
+TIMEOUT_S = 120
+
+
+class DemoTests(testtools.TestCase):
+    """The demonstration ends well, right after the entries have started."""
+
+    def test_every_answer_is_whole_and_of_one_snapshot(self):
+        command = [sys.executable, "-m", "sesameplank.commands.demo", "--queries=20"]
+        done = subprocess.run(
+            command, capture_output=True, text=True, timeout=TIMEOUT_S
+        )
+        self.assertEqual(0, done.returncode, done.stdout + done.stderr)
+        summary = json.loads(done.stdout.splitlines()[-1])
+        self.assertEqual(20, summary["whole_answers"])
+        self.assertEqual(0, summary["snapshots_mixed"])
