Check in one place that an answer belongs to its request

Direct calls and relayed ones each compared the echoed request id on their own, and no test covered either. Both use decode_reply now, which has tests.

--- a/sesameplank/targets/dispatch.py
+++ b/sesameplank/targets/dispatch.py
@@ -188,10 +188,7 @@
             return TARGET_LEAVING
 
         def decode(payload: bytes):
-            answer = decode_answer(payload, answer_type)
-            if answer and answer.request_id != message.request_id:
-                return Failure(FailureReason.FOREIGN, Ran.UNKNOWN, answer.request_id)
-            return answer
+            return decode_reply(payload, answer_type, message.request_id)
 
         body = msgspec.json.encode(message)
         answer = self.exchange(target, path, body, deadline_at, decode, answer_by)
@@ -214,3 +211,11 @@
         return msgspec.json.decode(payload, type=answer_type)
     except msgspec.DecodeError as error:
         return Failure(FailureReason.BAD_ANSWER, Ran.UNKNOWN, str(error))
+
+
+def decode_reply(payload: bytes, answer_type, request_id: RequestId):
+    """Return the typed answer to a request, or a Failure for a foreign one."""
+    answer = decode_answer(payload, answer_type)
+    if answer and answer.request_id != request_id:
+        return Failure(FailureReason.FOREIGN, Ran.UNKNOWN, answer.request_id)
+    return answer
--- a/sesameplank/targets/relay.py
+++ b/sesameplank/targets/relay.py
@@ -24,6 +24,7 @@
     DirectDispatcher,
     Dispatcher,
     decode_answer,
+    decode_reply,
 )
 from .pool import TargetPool
 
@@ -119,9 +120,7 @@
         outcome = self.call_homes(target, path, body, deadline_at, extra_s)
         if isinstance(outcome, Failure):
             return outcome
-        answer = decode_answer(outcome.payload, answer_type)
-        if answer and answer.request_id != message.request_id:
-            return Failure(FailureReason.FOREIGN, Ran.UNKNOWN, answer.request_id)
+        answer = decode_reply(outcome.payload, answer_type, message.request_id)
         if getattr(answer, "draining", False):
             self.direct.leaving.mark(target, LeavingSource.ANSWER)
         return answer
--- /dev/null
+++ b/tests/targets/test_dispatch.py
@@ -0,0 +1,30 @@
+"""Tests of the decoding of targets' answers."""
+
+import msgspec
+import testtools
+
+from sesameplank.core.messages import TargetSearchAnswer
+from sesameplank.core.outcomes import Failure, FailureReason, Ran
+from sesameplank.targets.dispatch import decode_reply
+
+ANSWER = TargetSearchAnswer("r1", 7, ())
+
+
+class DecodeReplyTests(testtools.TestCase):
+    """Only the whole answer to the request itself is taken."""
+
+    def test_answer_to_the_request_is_taken(self):
+        payload = msgspec.json.encode(ANSWER)
+        self.assertEqual(ANSWER, decode_reply(payload, TargetSearchAnswer, "r1"))
+
+    def test_other_payloads_are_failures(self):
+        payload = msgspec.json.encode(ANSWER)
+        table = [
+            ("of another request", payload, "r2", FailureReason.FOREIGN),
+            ("cut off", payload[:-1], "r1", FailureReason.BAD_ANSWER),
+            ("of another kind", b"{}", "r1", FailureReason.BAD_ANSWER),
+        ]
+        for name, received, request_id, reason in table:
+            outcome = decode_reply(received, TargetSearchAnswer, request_id)
+            self.assertIsInstance(outcome, Failure, name)
+            self.assertEqual((reason, Ran.UNKNOWN), (outcome.reason, outcome.ran), name)
