Test the core of forwarding; earn only the own part of the slack

Cause: a fleet without slack still earned one token in a window for each service. Found by the new test of a spent budget, which failed first.

--- a/sesameplank/core/extra_load.py
+++ b/sesameplank/core/extra_load.py
@@ -48,10 +48,15 @@
         """Set among how many processes the slack is divided."""
         self.fleet_size = max(MIN_FLEET_SIZE, size)
 
+    @property
+    def half_slack(self) -> float:
+        """Half of the process's part of the slack, in tokens."""
+        return SAFETY * self.bounds.slack / self.fleet_size / 2.0
+
     @property
     def capacity(self) -> float:
         """The most tokens that a service can save up."""
-        return max(1.0, SAFETY * self.bounds.slack / self.fleet_size / 2.0)
+        return max(1.0, self.half_slack)
 
     def get(self, service: ServiceName, now: float) -> ServiceBudget:
         """Return a service's budget with what it earned by time."""
@@ -59,7 +64,7 @@
         if budget is None:
             budget = self.services[service] = ServiceBudget(now)
         elapsed_s = max(0.0, now - budget.updated_at)
-        earned = self.capacity * elapsed_s / self.bounds.window_s
+        earned = self.half_slack * elapsed_s / self.bounds.window_s
         budget.tokens = min(self.capacity, budget.tokens + earned)
         budget.updated_at = now
         return budget
--- /dev/null
+++ b/tests/core/test_extra_load.py
@@ -0,0 +1,55 @@
+"""Tests of the fleet's bound on extra load."""
+
+import random
+
+import testtools
+
+from sesameplank.core.extra_load import ExtraLoadBounds, ExtraLoadBudget
+
+BOUNDS = ExtraLoadBounds(ratio=0.2, slack=56.0, window_s=10.0)
+
+
+class ExtraLoadBudgetTests(testtools.TestCase):
+    """No window of the fleet sees more extra arrivals than the bound."""
+
+    def play(self, fleet: int, rate: float, seconds: float, seed: int):
+        """Return the times of requests and extras of processes that take all."""
+        rng = random.Random(seed)
+        budgets = [ExtraLoadBudget(BOUNDS) for _ in range(fleet)]
+        for budget in budgets:
+            budget.set_fleet_size(fleet)
+        requests, extras = [], []
+        now = 0.0
+        while now < seconds:
+            now += rng.expovariate(rate)
+            budget = rng.choice(budgets)
+            budget.note_request("s", now)
+            requests.append(now)
+            while budget.take("s", now):
+                extras.append(now)
+        return requests, extras
+
+    def test_every_window_keeps_the_bound(self):
+        for fleet, rate in ((8, 5.0), (8, 60.0), (80, 60.0), (4, 400.0)):
+            requests, extras = self.play(fleet, rate, 40.0, fleet)
+            for start in range(0, 31):
+                asked = sum(start <= at < start + 10 for at in requests)
+                extra = sum(start <= at < start + 10 for at in extras)
+                self.assertLessEqual(extra, 0.2 * asked + 56.0, (fleet, rate))
+
+    def test_most_of_the_bound_can_be_used(self):
+        requests, extras = self.play(8, 100.0, 40.0, 1)
+        self.assertGreater(len(extras), 0.15 * len(requests))
+
+    def test_new_process_starts_with_nothing(self):
+        self.assertFalse(ExtraLoadBudget(BOUNDS).take("s", 0.0))
+
+    def test_reserve_is_left_for_retries(self):
+        budget = ExtraLoadBudget(BOUNDS)
+        budget.set_fleet_size(8)
+        budget.get("s", 0.0)
+        taken = 0
+        while budget.take("s", 100.0, reserve=0.5):
+            taken += 1
+        self.assertTrue(budget.take("s", 100.0))
+        self.assertGreater(taken, 0)
--- /dev/null
+++ b/tests/core/test_fanout.py
@@ -0,0 +1,223 @@
+"""Tests of the state of a forwarded request, with time played by hand."""
+
+import random
+
+import testtools
+
+from sesameplank.core.extra_load import ExtraLoadBounds, ExtraLoadBudget
+from sesameplank.core.fanout import (
+    BUDGET_PAUSE_S,
+    NEVER,
+    CallKind,
+    Fanout,
+    FanoutPlan,
+    Verdict,
+)
+from sesameplank.core.outcomes import Ran
+from sesameplank.core.placement import Placement
+from sesameplank.core.target_table import TargetPhase, TargetRecord
+
+AMPLE = ExtraLoadBounds(ratio=1.0, slack=1_000.0)
+NONE = ExtraLoadBounds(ratio=0.0, slack=0.0)
+
+
+class FanoutTestCase(testtools.TestCase):
+    """Makes requests over shards `s0`, `s1`, ... with replicas `a` and `b`."""
+
+    def make(
+        self,
+        shards=3,
+        required=2,
+        idempotent=True,
+        replicas="ab",
+        attempts=2,
+        bounds=AMPLE,
+        hedge=0.03,
+    ) -> Fanout:
+        names = tuple(f"s{number}" for number in range(shards))
+        self.targets = {
+            name: [
+                TargetRecord(
+                    f"{name}{letter}", name, "10.0.0.1:80", "dc", 2, TargetPhase.READY
+                )
+                for letter in replicas
+            ]
+            for name in names
+        }
+        self.budget = ExtraLoadBudget(bounds)
+        for name in names:
+            self.budget.get(name, 0.0)
+        plan = FanoutPlan(
+            shards=names,
+            required=required,
+            idempotent=idempotent,
+            max_attempts=attempts,
+            goal_at=100.1,
+            deadline_at=101.0,
+            call_s=0.02,
+            hedge_after_s=hedge if idempotent else None,
+        )
+        placement = Placement("dc", random.Random(1))
+        self.fanout = Fanout(plan, self.targets.get, placement, self.budget)
+        return self.fanout
+
+    def start(self, **options):
+        calls = self.make(**options).start(100.0)
+        for call in calls:
+            self.fanout.note_arrived(call)
+        return calls
+
+
+class VerdictTests(FanoutTestCase):
+    """When a request is decided."""
+
+    def test_all_shards_answer_at_once(self):
+        for call in self.start():
+            self.assertIs(Verdict.OPEN, self.fanout.get_verdict(100.01))
+            self.fanout.on_answer(call)
+        self.assertIs(Verdict.ANSWERED, self.fanout.get_verdict(100.01))
+
+    def test_a_part_is_awaited_until_the_objective(self):
+        calls = self.start()
+        for call in calls[:2]:
+            self.fanout.on_answer(call)
+        self.assertIs(Verdict.OPEN, self.fanout.get_verdict(100.09))
+        self.assertIs(Verdict.ANSWERED, self.fanout.get_verdict(100.1))
+
+    def test_too_few_parts_are_no_answer_after_the_objective(self):
+        calls = self.start()
+        self.fanout.on_answer(calls[0])
+        self.assertIs(Verdict.OPEN, self.fanout.get_verdict(100.5))
+        self.assertIs(Verdict.EXPIRED, self.fanout.get_verdict(101.0))
+
+    def test_no_target_for_too_many_shards_is_hopeless_at_once(self):
+        fanout = self.make()
+        self.targets.update(s0=[], s1=[])
+        fanout.start(100.0)
+        self.assertIs(Verdict.HOPELESS, fanout.get_verdict(100.0))
+
+    def test_no_target_for_one_shard_leaves_the_others(self):
+        fanout = self.make()
+        self.targets["s0"] = []
+        for call in fanout.start(100.0):
+            fanout.on_answer(call)
+        self.assertIs(Verdict.ANSWERED, fanout.get_verdict(100.01))
+
+
+class HedgeTests(FanoutTestCase):
+    """A late call is sent a second time, to another target."""
+
+    def test_late_call_gets_a_copy_elsewhere(self):
+        (first,) = self.start(shards=1, required=1)
+        self.assertEqual([], self.fanout.on_time(100.02))
+        (copy,) = self.fanout.on_time(100.03)
+        self.assertIs(CallKind.HEDGE, copy.kind)
+        self.assertNotEqual(first.target.id, copy.target.id)
+        self.assertEqual(101.0, self.fanout.get_next_time())
+
+    def test_first_answer_counts_and_the_other_does_not(self):
+        (first,) = self.start(shards=1, required=1)
+        (copy,) = self.fanout.on_time(100.03)
+        self.assertTrue(self.fanout.on_answer(copy))
+        self.assertFalse(self.fanout.on_answer(first))
+        self.assertEqual(1, self.fanout.answered)
+
+    def test_budget_that_is_spent_puts_the_copy_off(self):
+        self.start(shards=1, required=1, bounds=NONE)
+        self.assertEqual([], self.fanout.on_time(100.03))
+        self.assertAlmostEqual(100.03 + BUDGET_PAUSE_S, self.fanout.get_next_time())
+
+    def test_request_that_may_run_once_is_never_hedged(self):
+        self.start(shards=1, required=1, idempotent=False)
+        self.assertEqual(NEVER, self.fanout.shards["s0"].hedge_at)
+        self.assertEqual([], self.fanout.on_time(100.9))
+
+    def test_route_with_one_attempt_is_never_hedged(self):
+        self.start(shards=1, required=1, attempts=1)
+        self.assertEqual([], self.fanout.on_time(100.03))
+
+
+class FailureTests(FanoutTestCase):
+    """What follows a failed call."""
+
+    CASES = (
+        # idempotent, ran, whether a retry follows, verdict
+        (True, Ran.UNKNOWN, True, Verdict.OPEN),
+        (True, Ran.ANSWERED, True, Verdict.OPEN),
+        (True, Ran.NOT_RUN, True, Verdict.OPEN),
+        (False, Ran.NOT_RUN, True, Verdict.OPEN),
+        (False, Ran.UNKNOWN, False, Verdict.HOPELESS),
+        (False, Ran.ANSWERED, False, Verdict.HOPELESS),
+    )
+
+    def test_table(self):
+        for idempotent, ran, retried, verdict in self.CASES:
+            (call,) = self.start(shards=1, required=1, idempotent=idempotent)
+            calls = self.fanout.on_failure(call, ran, 100.01)
+            self.assertEqual(retried, bool(calls), (idempotent, ran))
+            self.assertIs(verdict, self.fanout.get_verdict(100.01))
+
+    def test_runs_stay_within_the_attempts_of_the_route(self):
+        (call,) = self.start(shards=1, required=1, replicas="abc")
+        (second,) = self.fanout.on_failure(call, Ran.UNKNOWN, 100.01)
+        third = self.fanout.on_failure(second, Ran.UNKNOWN, 100.02)
+        self.assertEqual([], third)
+        calls = self.fanout.on_time(100.2)
+        self.assertTrue({item.target.id for item in calls} <= {"s0a", "s0b", "s0c"})
+        for item in calls:
+            self.assertIn(item.target.id, self.fanout.shards["s0"].runs)
+
+    def test_call_that_never_arrived_costs_no_budget(self):
+        self.make(shards=1, required=1, bounds=NONE)
+        (call,) = self.fanout.start(100.0)
+        self.assertEqual(1, len(self.fanout.on_failure(call, Ran.NOT_RUN, 100.01)))
+
+    def test_not_run_is_said_only_when_it_is_sure(self):
+        self.make(shards=1, required=1, idempotent=False)
+        (call,) = self.fanout.start(100.0)
+        self.assertTrue(self.fanout.is_unrun)
+        self.fanout.note_arrived(call)
+        self.assertFalse(self.fanout.is_unrun)
+        self.fanout.on_failure(call, Ran.NOT_RUN, 100.01)
+        self.assertTrue(self.fanout.is_unrun)
+
+
+class RandomScheduleTests(FanoutTestCase):
+    """Whatever happens in whatever order, the promises hold."""
+
+    def play(self, seed: int) -> None:
+        rng = random.Random(seed)
+        idempotent = rng.random() < 0.7
+        shards = rng.choice((1, 5)) if idempotent else 1
+        calls = list(
+            self.start(shards=shards, required=1, idempotent=idempotent, replicas="abc")
+        )
+        sent = list(calls)
+        ran: dict[str, set] = {}
+        now = 100.0
+        while self.fanout.get_verdict(now) is Verdict.OPEN:
+            now += rng.uniform(0.0, 0.02)
+            new = self.fanout.on_time(now)
+            if calls and rng.random() < 0.7:
+                call = calls.pop(rng.randrange(len(calls)))
+                outcome = rng.choice((Ran.NOT_RUN, Ran.UNKNOWN, None))
+                if outcome is not Ran.NOT_RUN:
+                    ran.setdefault(call.shard, set()).add(call.target.id)
+                if outcome is None:
+                    self.fanout.on_answer(call)
+                else:
+                    new += self.fanout.on_failure(call, outcome, now)
+            for call in new:
+                self.fanout.note_arrived(call)
+            calls += new
+            sent += new
+            if not idempotent:
+                self.assertLessEqual(len(calls) + len(ran), 1)
+        for targets in ran.values():
+            self.assertLessEqual(len(targets), 2)
+        if self.fanout.is_unrun:
+            self.assertEqual({}, ran)
+
+    def test_seeds(self):
+        for seed in range(300):
+            self.play(seed)
--- /dev/null
+++ b/tests/core/test_record_merge.py
@@ -0,0 +1,37 @@
+"""Tests of the merging of parts, against a plain sort."""
+
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sesameplank.core.record_merge import RECORD_BYTES, merge_parts
+
+FIXED = settings.get_profile("fixed")
+PARTS = st.lists(st.binary(max_size=100), max_size=6)
+
+
+def sort_plainly(parts: list[bytes], limit: int) -> bytes:
+    """Return what the merge must return, by sorting everything."""
+    records = []
+    for part in parts:
+        while len(part) >= RECORD_BYTES:
+            records.append(part[:RECORD_BYTES])
+            part = part[RECORD_BYTES:]
+    return b"".join(sorted(records, reverse=True)[:limit])
+
+
+class MergePartsTests(testtools.TestCase):
+    """The greatest records come first, equal ones all count."""
+
+    @FIXED
+    @given(parts=PARTS, limit=st.integers(0, 20))
+    def test_same_as_a_plain_sort(self, parts, limit):
+        self.assertEqual(sort_plainly(parts, limit), merge_parts(parts, limit))
+
+    def test_equal_records_all_count(self):
+        record = b"r" * RECORD_BYTES
+        self.assertEqual(record * 3, merge_parts([record * 2, record], 5))
+
+    def test_remainder_is_no_record(self):
+        record = b"r" * RECORD_BYTES
+        self.assertEqual(record, merge_parts([record + b"zz"], 5))
--- /dev/null
+++ b/tests/core/test_routes.py
@@ -0,0 +1,60 @@
+"""Tests of the choice of a route."""
+
+import testtools
+
+from sesameplank.core.routes import (
+    RequestLimits,
+    Route,
+    RoutingConfiguration,
+    WeightedService,
+    normalise_host,
+)
+from sesameplank.core.weighting import WeightedRotation
+
+
+def make_route(name: str, prefix: str, services=(("s", 1.0),)) -> Route:
+    """Return a route of the host `orders.example`."""
+    weighted = tuple(WeightedService(*item) for item in services)
+    return Route(name, "orders.example", prefix, True, 1.0, 0.1, 2, 0, weighted)
+
+
+class FindRouteTests(testtools.TestCase):
+    """The longest prefix of the host wins."""
+
+    CASES = (
+        ("orders.example", "/a/x", "short"),
+        ("orders.example", "/a/b/x", "long"),
+        ("ORDERS.example:8080", "/a/b/", "long"),
+        ("orders.example", "/a/bx", "short"),
+        ("orders.example", "/a", None),
+        ("orders.example", "/", None),
+        ("other.example", "/a/b/x", None),
+        ("", "/a/b/x", None),
+    )
+
+    def test_table(self):
+        routes = (make_route("short", "/a/"), make_route("long", "/a/b/"))
+        table = RoutingConfiguration(3, routes, (), RequestLimits())
+        for host, path, expected in self.CASES:
+            found = table.find_route(host, path)
+            self.assertEqual(expected, found and found.name, (host, path))
+
+    def test_port_is_no_part_of_the_host(self):
+        self.assertEqual("a.example", normalise_host("A.example:80"))
+
+
+class WeightedRotationTests(testtools.TestCase):
+    """Each service gets its share at any moment."""
+
+    def test_shares_follow_the_weights_in_every_span(self):
+        route = make_route("r", "/a/", (("x", 3.0), ("y", 1.0)))
+        rotation = WeightedRotation()
+        chosen = [rotation.choose(route) for _ in range(400)]
+        for start in range(0, 400, 20):
+            self.assertEqual(15, chosen[start : start + 20].count("x"))
+
+    def test_routes_that_are_gone_are_forgotten(self):
+        rotation = WeightedRotation()
+        rotation.choose(make_route("r", "/a/", (("x", 3.0), ("y", 1.0))))
+        rotation.keep_only(())
+        self.assertEqual({}, rotation.credits)
--- /dev/null
+++ b/tests/core/test_target_table.py
@@ -0,0 +1,102 @@
+"""Tests of the table of targets."""
+
+import random
+
+import testtools
+
+from sesameplank.core.target_table import (
+    REMOVED_USE_S,
+    RETURN_USE_S,
+    TargetChanges,
+    TargetPhase,
+    TargetRecord,
+    TargetTable,
+)
+
+
+def make_record(name: str, revision: int, phase=TargetPhase.READY) -> TargetRecord:
+    """Return a record of the service `orders`."""
+    return TargetRecord(
+        name, "orders", "10.0.0.1:80", "dc-a", 2, phase, revision=revision
+    )
+
+
+class TargetTableTests(testtools.TestCase):
+    """Newer entries replace older ones; gone ones are used a little longer."""
+
+    def setUp(self):
+        super().setUp()
+        self.table = TargetTable()
+        self.apply(2, [make_record("a", 1), make_record("b", 2)], whole=True)
+
+    def apply(self, revision, records=(), removed=(), now=0.0, whole=False, bad=False):
+        changes = TargetChanges(revision, tuple(records), tuple(removed), whole)
+        return self.table.apply(changes, now, bad)
+
+    def get_ready(self) -> list[str]:
+        return sorted(item.id for item in self.table.get_ready("orders"))
+
+    def get_last_resort(self, now: float) -> list[str]:
+        found = self.table.get_last_resort("orders", now)
+        return sorted(item.id for item in found)
+
+    def test_older_revision_changes_nothing(self):
+        self.assertFalse(self.apply(2, [make_record("c", 2)]))
+        self.assertEqual(["a", "b"], self.get_ready())
+
+    def test_draining_target_takes_work_only_as_a_last_resort_for_a_moment(self):
+        self.apply(3, [make_record("a", 3, TargetPhase.DRAINING)], now=10.0)
+        self.assertEqual(["b"], self.get_ready())
+        self.assertEqual(["a"], self.get_last_resort(10.0))
+        self.assertEqual([], self.get_last_resort(10.0 + REMOVED_USE_S))
+
+    def test_target_first_seen_draining_takes_no_work(self):
+        self.apply(3, [make_record("c", 3, TargetPhase.DRAINING)])
+        self.assertEqual([], self.get_last_resort(0.0))
+
+    def test_lapsed_entry_is_used_until_entries_are_back(self):
+        for disturbed, use_s in ((False, REMOVED_USE_S), (True, RETURN_USE_S)):
+            table = TargetTable()
+            table.apply(TargetChanges(1, (make_record("a", 1),)), 0.0, False)
+            table.apply(TargetChanges(2, (), (("a", 2),)), 5.0, disturbed)
+            resort = table.get_last_resort("orders", 5.0 + use_s - 0.01)
+            self.assertEqual(["a"], [item.id for item in resort])
+            self.assertEqual([], table.get_last_resort("orders", 5.0 + use_s))
+
+    def test_entry_that_came_back_is_ready_again(self):
+        self.apply(3, removed=[("a", 3)])
+        self.apply(4, [make_record("a", 4)])
+        self.assertEqual(["a", "b"], self.get_ready())
+        self.assertEqual([], self.get_last_resort(0.0))
+
+    def test_removal_older_than_the_entry_is_ignored(self):
+        self.apply(5, [make_record("a", 5)], [("b", 1)])
+        self.assertEqual(["a", "b"], self.get_ready())
+
+    def test_whole_list_ends_what_it_does_not_name(self):
+        self.apply(9, [make_record("b", 2)], whole=True)
+        self.assertEqual(["b"], self.get_ready())
+
+    def test_forgotten_target_is_not_even_a_last_resort(self):
+        self.apply(3, removed=[("a", 3)])
+        self.table.forget("a")
+        self.assertEqual([], self.get_last_resort(0.0))
+
+    def test_peers_reach_the_same_table_by_changes_alone(self):
+        rng = random.Random(7)
+        peer = TargetTable()
+        revision = 2
+        for _ in range(300):
+            revision += 1
+            name = rng.choice("abcdef")
+            if rng.random() < 0.4 and name in self.table.records:
+                self.apply(revision, removed=[(name, revision)])
+            else:
+                phase = rng.choice(list(TargetPhase))
+                self.apply(revision, [make_record(name, revision, phase)])
+            if rng.random() < 0.3:
+                peer.apply(self.table.get_changes(peer.revision), 0.0, False)
+        peer.apply(
+            self.table.get_changes(peer.revision) or TargetChanges(0), 0.0, False
+        )
+        self.assertEqual(self.table.records, peer.records)
--- /dev/null
+++ b/tests/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of forwarding."""
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
