Reckon the answer's way from the measured round trip; count calls by place

Cause: chsk quick-check answered 10 ms before its objective and still came late, since a first request there spends 12 ms on the network.

--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -16,7 +16,7 @@
 
 from ..core.routes import RequestLimits
 from ..logs import log_event
-from ..net import Address, set_no_delay
+from ..net import Address, get_round_trip_s, set_no_delay
 from .http_messages import (
     Headers,
     MessageError,
@@ -52,10 +52,15 @@
 
 
 class CallerLink:
-    """Tells the serving of a request whether its caller is still there."""
+    """Tells the serving of a request whether its caller is still there.
 
-    def __init__(self, received_at: float) -> None:
+    `received_at` is when the request was read, and `transit_s` the time that
+    passes on the network before that and after the answer, both in seconds.
+    """
+
+    def __init__(self, received_at: float, transit_s: float = 0.0) -> None:
         self.received_at = received_at
+        self.transit_s = transit_s
         self.is_gone = False
         self.on_gone: Callable[[], None] = lambda: None
 
@@ -129,6 +134,8 @@
         self.worker: gevent.Greenlet | None = None
         self.is_open = True
         self.is_finishing = False
+        self.served = 0
+        self.round_trip_s = 0.0
 
     @property
     def in_flight(self) -> int:
@@ -138,6 +145,7 @@
     def run(self) -> None:
         """Read requests until the caller or this side closes."""
         set_no_delay(self.sock)
+        self.round_trip_s = get_round_trip_s(self.sock)
         limits = self.server.get_limits()
         reader = RequestReader(limits.max_header_bytes, limits.max_body_bytes)
         try:
@@ -199,7 +207,8 @@
         try:
             while self.queue and self.is_open:
                 request = self.queue.popleft()
-                self.current = CallerLink(self.server.now())
+                self.current = CallerLink(self.server.now(), self.get_transit_s())
+                self.served += 1
                 reply = self.serve(request, self.current)
                 is_gone = self.current.is_gone
                 self.current = None
@@ -211,6 +220,13 @@
         finally:
             self.worker = None
 
+    def get_transit_s(self) -> float:
+        """Return the network's part of a request's time, in seconds.
+
+        The first request of a connection also waited for its opening.
+        """
+        return self.round_trip_s * (1 if self.served else 2)
+
     def serve(self, request: Request, link: CallerLink) -> Reply:
         """Return the handler's answer; a fault of ours is answered too."""
         try:
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -22,7 +22,7 @@
 from .http_messages import Request, Response, encode_request
 from .target_connections import Exchange, TargetPools
 
-ANSWER_MARGIN_S = 0.010
+ANSWER_MARGIN_S = 0.004
 DEADLINE_MARGIN_S = 0.010
 STARTING_RETRY_S = 0.3
 REFUSED_RETRY_S = 0.2
@@ -160,7 +160,7 @@
             required=required if route.is_gather else 1,
             idempotent=route.idempotent,
             max_attempts=route.max_attempts,
-            goal_at=received_at + max(0.0, route.goal_s - ANSWER_MARGIN_S),
+            goal_at=received_at + self.get_time_to_goal_s(),
             deadline_at=received_at + max(0.0, wait_s - DEADLINE_MARGIN_S),
             call_s=times.get_usual_s(route),
             hedge_after_s=(
@@ -168,8 +168,14 @@
             ),
         )
 
+    def get_time_to_goal_s(self) -> float:
+        """Return how long the answer may take here to reach its caller in time."""
+        spent_s = self.link.transit_s + ANSWER_MARGIN_S
+        return max(0.0, self.route.goal_s - spent_s)
+
     def run(self) -> Reply:
         """Serve the request and return its answer."""
+        self.forwarder.count("requests")
         now = self.clock.now()
         if now >= self.plan.deadline_at:
             return self.forwarder.refuse(self.terms.request_id, 504)
@@ -210,8 +216,15 @@
                 is_head=self.request.method == b"HEAD",
             )
             self.exchanges[call.id] = exchange
+            self.count_call(call)
             pool.submit(exchange)
 
+    def count_call(self, call: Call) -> None:
+        """Count a call by its kind, and those to other data centres."""
+        self.forwarder.count(f"calls_{call.kind.value}")
+        if call.target.data_centre != self.forwarder.placement.data_centre:
+            self.forwarder.count(f"remote_{call.kind.value}")
+
     def encode(self, target: TargetRecord) -> bytes:
         """Return the bytes of a call with the time that is left now."""
         remaining_s = self.plan.deadline_at - self.clock.now()
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -40,8 +40,7 @@
 FLEET_MEMORY_S = 60.0
 STOP_MARGIN_S = 0.9
 LAST_ANSWER_MARGIN_S = 0.3
-WARM_CONNECTIONS = 1
-WARM_INTERVAL_S = 0.01
+COUNTS_INTERVAL_S = 10.0
 
 
 class FrontSettings(msgspec.Struct, frozen=True):
@@ -119,6 +118,8 @@
         self.pauses = PauseDetector(BootClock())
         self.fleet_sizes: list[tuple[float, int]] = []
         self.revision = 0
+        self.logged_at = clock.now()
+        self.replicas: dict[DataCentre, int] = {}
         self.is_stopping = False
         self.stopped = Event()
         self.resources = contextlib.ExitStack()
@@ -190,6 +191,7 @@
         routing = accepted.configuration
         self.forwarder.routing = routing
         self.forwarder.rotation.keep_only(routing.routes)
+        self.replicas = self.count_replicas()
         log_event(
             "config_in_force", version=accepted.version, routes=len(routing.routes)
         )
@@ -201,6 +203,7 @@
             self.check_pause()
             self.follow_table()
             self.forwarder.set_fleet_size(self.get_fleet_size())
+            self.log_counts()
             gevent.sleep(HOUSEKEEPING_S)
 
     def check_pause(self) -> None:
@@ -222,6 +225,23 @@
         self.revision = self.table.revision
         self.pools.keep_only(self.table.is_listed)
         self.placement.keep_only([*self.table.records, *self.table.leaving])
+        self.replicas = self.count_replicas()
+
+    def log_counts(self) -> None:
+        """Log every few seconds what was counted since the start."""
+        now = self.clock.now()
+        if now - self.logged_at < COUNTS_INTERVAL_S:
+            return
+        self.logged_at = now
+        log_event(
+            "counts",
+            fleet=self.forwarder.fleet_size,
+            config_version=self.store.version,
+            targets_revision=self.table.revision,
+            opened=self.pools.opened,
+            budget_refused=self.budget.refused,
+            **self.forwarder.counts,
+        )
 
     def get_fleet_size(self) -> int:
         """Return the most VMs that served at a time of late."""
@@ -237,12 +257,26 @@
         ]
         return max(size for _, size in self.fleet_sizes)
 
-    def get_addresses(self, data_centre: DataCentre) -> list[str]:
-        """Return the addresses that a caller of a data centre should use."""
+    def get_addresses(self) -> list[str]:
+        """Return the addresses that callers should use."""
         members = [
             self.membership.members[entry] for entry in self.membership.get_serving()
         ]
-        return choose_addresses(members, data_centre)
+        return choose_addresses(members, self.replicas)
+
+    def count_replicas(self) -> dict[DataCentre, int]:
+        """Return how many targets of sharded services each data centre holds."""
+        routing = self.forwarder.routing
+        shards = {
+            shard
+            for route in (routing.routes if routing else ())
+            for shard in route.shards
+        }
+        counts: dict[DataCentre, int] = {}
+        for shard in shards:
+            for record in self.table.get_ready(shard):
+                counts[record.data_centre] = counts.get(record.data_centre, 0) + 1
+        return counts
 
     def request_stop(self) -> None:
         """Leave the fleet and end before the platform kills this process."""
--- a/sesameplank/net.py
+++ b/sesameplank/net.py
@@ -7,6 +7,7 @@
 
 TCP_INFO_BYTES = 104
 LAST_DATA_RECEIVED_OFFSET = 52
+ROUND_TRIP_OFFSET = 68
 
 
 class Address(tuple):
@@ -50,9 +51,19 @@
 
     A request that waited in the buffers of a stopped process is known by it.
     """
+    return read_tcp_info(sock, LAST_DATA_RECEIVED_OFFSET) / 1_000
+
+
+def get_round_trip_s(sock: socket.socket) -> float:
+    """Return the kernel's estimate of the time to the peer and back, in seconds."""
+    return read_tcp_info(sock, ROUND_TRIP_OFFSET) / 1_000_000
+
+
+def read_tcp_info(sock: socket.socket, offset: int) -> int:
+    """Return one whole number of the kernel's `tcp_info`."""
     info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
-    (age_ms,) = struct.unpack_from("=I", info, LAST_DATA_RECEIVED_OFFSET)
-    return age_ms / 1_000
+    (value,) = struct.unpack_from("=I", info, offset)
+    return value
 
 
 def open_connection(
--- a/sesameplank/platform/command.py
+++ b/sesameplank/platform/command.py
@@ -16,7 +16,6 @@
     ADDRESSES_PATH,
     READY_PATH,
     encode_addresses,
-    read_data_centre,
 )
 from .headers import PlatformDialect
 from .items import decode_routing
@@ -46,7 +45,7 @@
         """Answer where a caller should connect."""
         if request.path != ADDRESSES_PATH:
             return Reply(404)
-        addresses = self.front.get_addresses(read_data_centre(request))
+        addresses = self.front.get_addresses()
         if not addresses:
             return Reply(503)
         ttl_s = min(ADDRESS_TTL_S, self.settings.max_address_ttl_s)
