Prefer targets that do not shed; spend a scarce budget where it completes an answer

Change: placement learns each target's share of refusals; a retry from a scarce budget waits until it is known whether it completes an answer. The plan of a request moved to core/plans; tests/forwarding/played_load plays a load against modelled targets in virtual time.

--- a/sesameplank/core/fanout.py
+++ b/sesameplank/core/fanout.py
@@ -21,6 +21,8 @@
 MAX_RETRY_PAUSE_S = 0.08
 BUDGET_PAUSE_S = 0.03
 HEDGE_RESERVE = 0.25
+SCARCE_FILL = 0.5
+SPARE_RESERVE = 0.6
 NEVER = float("inf")
 
 FindTargets = Callable[[ServiceName], Sequence[TargetRecord]]
@@ -202,11 +204,30 @@
             pause_s = RETRY_PAUSE_S * 2 ** min(shard.failures, 4)
             shard.retry_at = now + min(MAX_RETRY_PAUSE_S, pause_s)
             return []
-        if shard.arrived and not self.budget.take(shard.service, now):
+        if shard.arrived and not self.may_spend(shard, now):
             shard.retry_at = now + BUDGET_PAUSE_S
             return []
         return [self.make_call(shard, kind, fresh, now)]
 
+    def may_spend(self, shard: ShardState, now: float) -> bool:
+        """Take a token for a retry, or return False.
+
+        A scarce budget goes where it completes an answer in time: not to a
+        request that has its required parts or has missed its objective, and
+        not before it is known how many parts are missing.
+        """
+        is_needed = self.answered < self.plan.required and now < self.plan.goal_at
+        reserve = 0.0 if is_needed else SPARE_RESERVE
+        if is_needed and self.budget.get_fill(shard.service, now) < SCARCE_FILL:
+            waits = sum(bool(item.calls) for item in self.shards.values())
+            missing = self.plan.required - self.answered - waits
+            retrying = sum(
+                item.is_open and not item.calls for item in self.shards.values()
+            )
+            if waits and missing < retrying:
+                return False
+        return self.budget.take(shard.service, now, reserve)
+
     def may_run(self, shard: ShardState, target: TargetId) -> bool:
         """Tell whether the route allows the shard to run on one more target."""
         busy = shard.runs | {call.target.id for call in shard.calls.values()}
--- a/sesameplank/core/latency.py
+++ b/sesameplank/core/latency.py
@@ -90,10 +90,12 @@
 class DecayingAverage:
     """An average of recent values that drifts back to 1 while none arrive."""
 
+    REST = 1.0
+
     def __init__(self, weight: float, half_life_s: float) -> None:
         self.weight = weight
         self.half_life_s = half_life_s
-        self.average = 1.0
+        self.average = self.REST
         self.updated_at = 0.0
 
     def add(self, value: float, now: float) -> None:
@@ -102,6 +104,13 @@
         self.updated_at = now
 
     def get(self, now: float) -> float:
-        """Return the average, moved towards 1 by the time since the last value."""
+        """Return the average, moved towards rest by the time since the last value."""
         idle_s = max(0.0, now - self.updated_at)
-        return 1.0 + (self.average - 1.0) * 0.5 ** (idle_s / self.half_life_s)
+        offset = self.average - self.REST
+        return self.REST + offset * 0.5 ** (idle_s / self.half_life_s)
+
+
+class DecayingShare(DecayingAverage):
+    """A share of recent events that drifts back to 0 while none happen."""
+
+    REST = 0.0
--- a/sesameplank/core/placement.py
+++ b/sesameplank/core/placement.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from ..ids import AttemptId, DataCentre, TargetId
-from .latency import DecayingAverage
+from .latency import DecayingAverage, DecayingShare
 from .target_table import TargetRecord
 
 SLOWNESS_WEIGHT = 0.3
@@ -29,7 +29,9 @@
 FAILING_MIN_S = 0.25
 FAILING_MAX_S = 2.0
 SILENT_AFTER_S = 0.15
-DEFAULT_CALL_S = 0.02
+SHED_WEIGHT = 0.2
+SHED_HALF_LIFE_S = 2.0
+SHED_COST_S = 0.15
 REPORT_AGE_S = 0.1
 
 
@@ -53,6 +55,7 @@
         self.slowness = DecayingAverage(SLOWNESS_WEIGHT, SLOWNESS_HALF_LIFE_S)
         self.failures = 0
         self.avoid_until = 0.0
+        self.shedding = DecayingShare(SHED_WEIGHT, SHED_HALF_LIFE_S)
         self.report: LoadReport | None = None
         self.reported_at = float("-inf")
         self.cold_until = 0.0
@@ -121,6 +124,7 @@
             expected_s *= COLD_FACTOR
         cost_s = expected_s * (1.0 + view.get_queue(now, record.slots))
         cost_s += self.get_pause_s(view, expected_s, now)
+        cost_s += SHED_COST_S * view.shedding.get(now)
         if record.data_centre != self.data_centre:
             cost_s = cost_s * REMOTE_FACTOR + REMOTE_COST_S
         return cost_s * (1.0 + COST_JITTER * self.rng.random())
@@ -153,6 +157,7 @@
         view = self.get(target)
         view.failures = 0
         view.avoid_until = 0.0
+        view.shedding.add(0.0, now)
         sent_at = view.in_flight.pop(attempt, None)
         if sent_at is None:
             return None
@@ -169,9 +174,11 @@
         pause_s = FAILING_MIN_S * 2 ** min(view.failures - 1, 4)
         view.avoid_until = now + min(FAILING_MAX_S, pause_s)
 
-    def note_shed(self, target: TargetId, attempt: AttemptId) -> None:
+    def note_shed(self, target: TargetId, attempt: AttemptId, now: float) -> None:
         """Take in that a target refused a call without running it."""
-        self.get(target).in_flight.pop(attempt, None)
+        view = self.get(target)
+        view.in_flight.pop(attempt, None)
+        view.shedding.add(1.0, now)
 
     def note_abandoned(
         self, target: TargetId, attempt: AttemptId, call_s: float, now: float
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -1,16 +1,15 @@
 """Serves one request: chooses its route, sends its calls and makes its answer."""
 
-import math
-
 import msgspec
 from gevent.event import Event
 
 from ..core.call_times import CallTimes
 from ..core.clock import Clock
 from ..core.extra_load import ExtraLoadBudget
-from ..core.fanout import Call, Fanout, FanoutPlan, Verdict
+from ..core.fanout import Call, Fanout, Verdict
 from ..core.outcomes import Failure, FailureReason, Ran
 from ..core.placement import Placement
+from ..core.plans import make_plan
 from ..core.record_merge import merge_parts
 from ..core.routes import Route, RoutingConfiguration
 from ..core.target_table import TargetRecord, TargetTable
@@ -22,13 +21,10 @@
 from .http_messages import Request, Response, encode_request
 from .target_connections import Exchange, TargetPools
 
-ANSWER_MARGIN_S = 0.004
-DEADLINE_MARGIN_S = 0.010
 STARTING_RETRY_S = 0.3
 REFUSED_RETRY_S = 0.2
 MIN_CONNECTIONS = 1
 CONNECTION_SHARE = 0.9
-SHARE_TOLERANCE = 1e-9
 
 
 class Part(msgspec.Struct, frozen=True):
@@ -138,41 +134,21 @@
         self.failure: Part | None = None
         self.exchanges: dict[int, Exchange] = {}
         self.wake = Event()
-        self.plan = self.make_plan()
+        self.plan = make_plan(
+            route,
+            route.shards or (forwarder.rotation.choose(route),),
+            received_at=link.received_at,
+            transit_s=link.transit_s,
+            wait_s=terms.wait_s,
+            now=self.clock.now(),
+            times=forwarder.times,
+            budget=forwarder.budget,
+        )
         self.fanout = Fanout(
             self.plan, forwarder.find_targets, forwarder.placement, forwarder.budget
         )
         link.on_gone = self.wake.set
 
-    def make_plan(self) -> FanoutPlan:
-        """Return what the request may cost and when it is due."""
-        route = self.route
-        received_at = self.link.received_at
-        wait_s = route.timeout_s
-        if self.terms.wait_s is not None:
-            wait_s = min(wait_s, self.terms.wait_s)
-        shards = route.shards or (self.forwarder.rotation.choose(route),)
-        required = max(1, math.ceil(route.min_share * len(shards) - SHARE_TOLERANCE))
-        times = self.forwarder.times
-        fill = self.forwarder.budget.get_fill(shards[0], self.clock.now())
-        return FanoutPlan(
-            shards=shards,
-            required=required if route.is_gather else 1,
-            idempotent=route.idempotent,
-            max_attempts=route.max_attempts,
-            goal_at=received_at + self.get_time_to_goal_s(),
-            deadline_at=received_at + max(0.0, wait_s - DEADLINE_MARGIN_S),
-            call_s=times.get_usual_s(route),
-            hedge_after_s=(
-                times.get_hedge_delay_s(route, fill) if route.idempotent else None
-            ),
-        )
-
-    def get_time_to_goal_s(self) -> float:
-        """Return how long the answer may take here to reach its caller in time."""
-        spent_s = self.link.transit_s + ANSWER_MARGIN_S
-        return max(0.0, self.route.goal_s - spent_s)
-
     def run(self) -> Reply:
         """Serve the request and return its answer."""
         self.forwarder.count("requests")
@@ -281,7 +257,7 @@
             placement.note_failure(call.target.id, call.id, now)
             self.forwarder.table.forget(call.target.id)
         else:
-            placement.note_shed(call.target.id, call.id)
+            placement.note_shed(call.target.id, call.id, now)
         self.forwarder.count("shed")
         self.dispatch(self.fanout.on_failure(call, Ran.NOT_RUN, now))
 
--- /dev/null
+++ b/tests/forwarding/played_load.py
@@ -0,0 +1,363 @@
+"""Plays a load of gathered requests against modelled targets in virtual time.
+
+The core's decisions run as they are; targets are modelled with slots, queues,
+pauses, noisy neighbours and stragglers. Times are in seconds.
+"""
+
+import heapq
+import itertools
+import math
+import random
+from collections import deque
+
+import msgspec
+
+from sesameplank.core.call_times import CallTimes
+from sesameplank.core.extra_load import ExtraLoadBounds, ExtraLoadBudget
+from sesameplank.core.fanout import Call, Fanout, Verdict
+from sesameplank.core.outcomes import Ran
+from sesameplank.core.placement import Placement
+from sesameplank.core.plans import make_plan
+from sesameplank.core.routes import Route
+from sesameplank.core.target_table import TargetPhase, TargetRecord
+
+LINGER_S = 0.25
+HOP_S = 0.0003
+QUEUE = 12
+
+
+class Scenario(msgspec.Struct, frozen=True):
+    """A deployment and its load."""
+
+    shards: int = 20
+    replicas: int = 2
+    vms: int = 8
+    data_centres: int = 3
+    per_s: float = 80.0
+    work_s: tuple[float, float] = (0.011, 0.0038)
+    goals_s: tuple[float, float] = (0.118, 0.056)
+    min_shares: tuple[float, float] = (0.89, 0.75)
+    deadline_s: float = 1.5
+    transit_s: float = 0.003
+    pause_s: float = 0.12
+    pause_every_s: float = 3.0
+    noise_share: float = 0.15
+    noise_factor: float = 2.5
+    noise_every_s: float = 0.6
+    speeds: tuple[float, ...] = (0.8, 1.0, 1.3)
+    slow_share: float = 0.0
+    slow_factor: float = 8.0
+    shed_share: float = 0.0
+    shed_rate: float = 0.6
+    dark_share: float = 0.0
+    seconds: float = 12.0
+
+
+class Job:
+    """One call at a target."""
+
+    def __init__(self, work_s: float, done) -> None:
+        self.work_s = work_s
+        self.done = done
+        self.is_dropped = False
+
+
+class PlayedTarget:
+    """A target with slots, a queue, pauses and a noisy neighbour."""
+
+    def __init__(self, world: "World", scenario: Scenario, rng: random.Random) -> None:
+        self.world = world
+        self.scenario = scenario
+        self.rng = rng
+        self.speed = rng.choice(scenario.speeds)
+        self.phase = rng.uniform(0.0, scenario.pause_every_s)
+        self.slow = scenario.slow_factor if rng.random() < scenario.slow_share else 1.0
+        self.sheds = rng.random() < scenario.shed_share
+        self.is_dark = rng.random() < scenario.dark_share
+        self.noises: dict[int, float] = {}
+        self.running = 0
+        self.queue: deque[Job] = deque()
+        self.arrivals = 0
+
+    def get_noise(self, now: float) -> float:
+        """Return how many times longer work takes at this time."""
+        span = int(now / self.scenario.noise_every_s)
+        if span not in self.noises:
+            noisy = self.rng.random() < self.scenario.noise_share
+            self.noises[span] = self.scenario.noise_factor if noisy else 1.0
+        return self.noises[span]
+
+    def get_pause_end(self, now: float) -> float:
+        """Return when the target goes on, which is now unless it pauses."""
+        into = (now + self.phase) % self.scenario.pause_every_s
+        return now + max(0.0, self.scenario.pause_s - into)
+
+    def arrive(self, job: Job) -> None:
+        """Take a call in."""
+        self.arrivals += 1
+        if self.is_dark:
+            return
+        if self.sheds and self.rng.random() < self.scenario.shed_rate:
+            job.done(False)
+        elif self.running < self.scenario_slots:
+            self.start(job)
+        elif len(self.queue) >= QUEUE:
+            job.done(False)
+        else:
+            self.queue.append(job)
+
+    scenario_slots = 2
+
+    def start(self, job: Job) -> None:
+        """Run a call."""
+        self.running += 1
+        now = self.get_pause_end(self.world.now)
+        work_s = job.work_s * self.speed * self.slow * self.get_noise(now)
+        end = now + work_s
+        if self.get_pause_end(end) > end:
+            end = self.get_pause_end(end)
+        self.world.at(end, lambda: self.finish(job))
+
+    def finish(self, job: Job) -> None:
+        """End a call and start the next."""
+        self.running -= 1
+        if not job.is_dropped:
+            job.done(True)
+        while self.queue and self.running < self.scenario_slots:
+            waiting = self.queue.popleft()
+            if not waiting.is_dropped:
+                self.start(waiting)
+
+
+class World:
+    """Virtual time."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self.events: list = []
+        self.numbers = itertools.count()
+
+    def at(self, time_s: float, action) -> None:
+        """Do something at a time."""
+        heapq.heappush(self.events, (time_s, next(self.numbers), action))
+
+    def run(self, until: float) -> None:
+        """Play all events up to a time."""
+        while self.events and self.events[0][0] <= until:
+            self.now, _, action = heapq.heappop(self.events)
+            action()
+
+
+class PlayedVm:
+    """The decisions of one VM."""
+
+    def __init__(self, name: str, scenario: Scenario, rng: random.Random) -> None:
+        self.placement = Placement(name, rng)
+        self.times = CallTimes()
+        bounds = ExtraLoadBounds(ratio=0.2, slack=56.0)
+        self.budget = ExtraLoadBudget(bounds)
+        self.budget.set_fleet_size(scenario.vms)
+
+
+class PlayedRequest:
+    """One request on its way."""
+
+    def __init__(self, play: "PlayedLoad", vm: PlayedVm, route: Route) -> None:
+        self.play = play
+        self.vm = vm
+        self.route = route
+        self.world = play.world
+        self.started_at = play.world.now
+        self.jobs: dict[int, Job] = {}
+        self.is_over = False
+        plan = make_plan(
+            route,
+            route.shards,
+            received_at=self.world.now,
+            transit_s=play.scenario.transit_s,
+            wait_s=play.scenario.deadline_s,
+            now=self.world.now,
+            times=vm.times,
+            budget=vm.budget,
+        )
+        self.fanout = Fanout(plan, play.replicas.get, vm.placement, vm.budget)
+        self.send(self.fanout.start(self.world.now))
+        self.look()
+
+    def send(self, calls: list[Call]) -> None:
+        """Let calls arrive at their targets."""
+        for call in calls:
+            self.fanout.note_arrived(call)
+            job = Job(
+                self.play.draw_work_s(self.route),
+                lambda ok, call=call: self.world.at(
+                    self.world.now + HOP_S, lambda: self.take(call, ok)
+                ),
+            )
+            self.jobs[call.id] = job
+            target = self.play.targets[call.target.id]
+            self.world.at(
+                self.world.now + HOP_S, lambda job=job, to=target: to.arrive(job)
+            )
+            if call.target.data_centre != self.vm.placement.data_centre:
+                self.play.remote += 1
+            self.play.calls += 1
+
+    def take(self, call: Call, is_ok: bool) -> None:
+        """Take the outcome of a call in."""
+        now = self.world.now
+        if self.jobs.pop(call.id, None) is None:
+            return
+        placement = self.vm.placement
+        if is_ok:
+            elapsed_s = placement.note_answer(
+                call.target.id, call.id, self.fanout.plan.call_s, now
+            )
+            self.vm.times.observe(self.route, elapsed_s)
+            self.fanout.on_answer(call)
+            copies = self.fanout.shards[call.shard].calls
+            for copy in list(copies.values()):
+                self.abandon(copy)
+        else:
+            placement.note_shed(call.target.id, call.id, now)
+            self.send(self.fanout.on_failure(call, Ran.NOT_RUN, now))
+        self.look()
+
+    def abandon(self, call: Call) -> None:
+        """Give a call up; the target stops a moment later."""
+        job = self.jobs.pop(call.id, None)
+        if job is None:
+            return
+        self.vm.placement.note_abandoned(
+            call.target.id, call.id, self.fanout.plan.call_s, self.world.now
+        )
+        self.world.at(
+            self.world.now + LINGER_S, lambda: setattr(job, "is_dropped", True)
+        )
+
+    def look(self) -> None:
+        """Do what is due and come back when more is."""
+        if self.is_over:
+            return
+        now = self.world.now
+        verdict = self.fanout.get_verdict(now)
+        if verdict is not Verdict.OPEN:
+            self.end(verdict)
+            return
+        self.send(self.fanout.on_time(now))
+        self.world.at(max(now + 1e-6, self.fanout.get_next_time()), self.look)
+
+    def end(self, verdict: Verdict) -> None:
+        """Count what the caller gets."""
+        self.is_over = True
+        for shard in self.fanout.shards.values():
+            for call in list(shard.calls.values()):
+                self.abandon(call)
+        latency_s = self.world.now - self.started_at + self.play.scenario.transit_s
+        self.play.results.append(
+            Result(
+                self.route,
+                latency_s,
+                verdict is Verdict.ANSWERED,
+                self.fanout.answered / len(self.fanout.shards),
+            )
+        )
+
+
+class Result(msgspec.Struct, frozen=True):
+    """What a caller got, and after how long."""
+
+    route: Route
+    latency_s: float
+    is_answered: bool
+    coverage: float
+
+    @property
+    def worth(self) -> float:
+        """Full credit in time, a tenth when late, by the square of the share."""
+        if not self.is_answered:
+            return 0.0
+        in_time = self.latency_s <= self.route.goal_s
+        return (1.0 if in_time else 0.1) * self.coverage**2
+
+
+class PlayedLoad:
+    """A whole play; `results` holds what callers got."""
+
+    def __init__(self, scenario: Scenario, seed: int) -> None:
+        self.scenario = scenario
+        self.world = World()
+        self.rng = random.Random(seed)
+        self.results: list[Result] = []
+        self.calls = 0
+        self.remote = 0
+        self.targets: dict[str, PlayedTarget] = {}
+        self.replicas: dict[str, list[TargetRecord]] = {}
+        shards = tuple(f"s{number}" for number in range(scenario.shards))
+        for number, shard in enumerate(shards):
+            self.replicas[shard] = []
+            for copy in range(scenario.replicas):
+                name = f"{shard}-{copy}"
+                data_centre = f"dc{(number + copy) % scenario.data_centres}"
+                self.replicas[shard].append(
+                    TargetRecord(
+                        name, shard, "10.0.0.1:80", data_centre, 2, TargetPhase.READY
+                    )
+                )
+                self.targets[name] = PlayedTarget(self.world, scenario, self.rng)
+        self.routes = [
+            Route(
+                name=f"r{number}",
+                host="h",
+                prefix="/",
+                idempotent=True,
+                timeout_s=scenario.deadline_s,
+                goal_s=scenario.goals_s[number],
+                max_attempts=2,
+                priority=number,
+                shards=shards,
+                top_k=5,
+                min_share=scenario.min_shares[number],
+            )
+            for number in range(2)
+        ]
+        self.vms = [
+            PlayedVm(f"dc{number % scenario.data_centres}", scenario, self.rng)
+            for number in range(scenario.vms)
+        ]
+
+    def draw_work_s(self, route: Route) -> float:
+        """Return the work of one call, with stragglers."""
+        mean_s = self.scenario.work_s[route.priority]
+        sigma = 0.35
+        work_s = mean_s * math.exp(self.rng.gauss(-sigma * sigma / 2, sigma))
+        return work_s * (5.0 if self.rng.random() < 0.01 else 1.0)
+
+    def arrive(self) -> None:
+        """Start a request and plan the next."""
+        vm = self.rng.choice(self.vms)
+        route = self.routes[0 if self.rng.random() < 0.75 else 1]
+        PlayedRequest(self, vm, route)
+        gap_s = self.rng.expovariate(self.scenario.per_s)
+        if self.world.now + gap_s < self.scenario.seconds:
+            self.world.at(self.world.now + gap_s, self.arrive)
+
+    def run(self) -> "PlayedLoad":
+        """Play to the end."""
+        self.world.at(0.0, self.arrive)
+        self.world.run(self.scenario.seconds + 2.0)
+        return self
+
+    def get_worth(self, priority: int | None = None) -> float:
+        """Return the mean worth of requests, after a second of learning."""
+        chosen = [
+            item.worth
+            for item in self.results[int(self.scenario.per_s) :]
+            if priority is None or item.route.priority == priority
+        ]
+        return sum(chosen) / len(chosen)
+
+    def get_extra_load(self) -> float:
+        """Return the calls beyond the first of each shard, as a share."""
+        first = len(self.results) * self.scenario.shards
+        return self.calls / first - 1.0
