Bound connections by a target's slots; weigh the reported stretch

Change: at most slots + 1 connections to a target; the stretch that targets report (how long work takes there now) scales the expected time and fades with a half-life of 0.3 s; targets of other data centres cost 8 ms and a factor 2.

--- a/sesameplank/core/placement.py
+++ b/sesameplank/core/placement.py
@@ -1,9 +1,8 @@
 """Which target of a service gets the next call of a request.
 
-A process judges targets by its own calls alone: how many it has in flight, how
-long the oldest has been silent, how recent answers compared with those of other
-targets, and what failed. Load that a target reports is older than what a call
-in flight shows, so it only breaks ties.
+A process judges targets by its own calls: how many it has in flight, how long
+the oldest has been silent, how recent answers compared with those of other
+targets, what failed, and what load the last answers reported.
 """
 
 import itertools
@@ -19,8 +18,8 @@
 SLOWNESS_WEIGHT = 0.3
 SLOWNESS_HALF_LIFE_S = 1.5
 MAX_SLOWNESS = 12.0
-REMOTE_COST_S = 0.004
-REMOTE_FACTOR = 1.15
+REMOTE_COST_S = 0.008
+REMOTE_FACTOR = 2.0
 OVERDUE_FACTOR = 2.5
 OVERDUE_FLOOR_S = 0.015
 MIN_PAUSE_S = 0.03
@@ -33,6 +32,7 @@
 SHED_HALF_LIFE_S = 2.0
 SHED_COST_S = 0.15
 REPORT_AGE_S = 0.1
+STRETCH_HALF_LIFE_S = 0.3
 
 
 class LoadReport(msgspec.Struct, frozen=True):
@@ -66,6 +66,17 @@
             return 0.0
         return now - next(iter(self.in_flight.values()))
 
+    def get_stretch(self, now: float) -> float:
+        """Return how many times longer work takes on the target's VM now.
+
+        What was reported last counts less and less as it grows old.
+        """
+        if self.report is None:
+            return 1.0
+        age_s = max(0.0, now - self.reported_at)
+        trust = 0.5 ** (age_s / STRETCH_HALF_LIFE_S)
+        return 1.0 + (self.report.stretch - 1.0) * trust
+
     def get_queue(self, now: float, slots: int) -> float:
         """Return the calls ahead of a new one, in rounds of the target's slots."""
         ahead = len(self.in_flight)
@@ -119,7 +130,7 @@
     def get_cost_s(self, record: TargetRecord, call_s: float, now: float) -> float:
         """Return the expected time of a call, and what it costs besides."""
         view = self.get(record.id)
-        expected_s = call_s * view.slowness.get(now)
+        expected_s = call_s * view.slowness.get(now) * view.get_stretch(now)
         if now < view.cold_until:
             expected_s *= COLD_FACTOR
         cost_s = expected_s * (1.0 + view.get_queue(now, record.slots))
@@ -163,7 +174,8 @@
             return None
         elapsed_s = max(0.0, now - sent_at)
         if call_s:
-            view.slowness.add(min(MAX_SLOWNESS, elapsed_s / call_s), now)
+            usual_s = call_s * view.get_stretch(now)
+            view.slowness.add(min(MAX_SLOWNESS, elapsed_s / usual_s), now)
         return elapsed_s
 
     def note_failure(self, target: TargetId, attempt: AttemptId, now: float) -> None:
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -24,6 +24,7 @@
 STARTING_RETRY_S = 0.3
 REFUSED_RETRY_S = 0.2
 MIN_CONNECTIONS = 1
+SPARE_CONNECTIONS = 1  # Beyond its slots, calls only queue at the target.
 CONNECTION_SHARE = 0.9
 
 
@@ -105,10 +106,11 @@
     ) -> int:
         """Return how many connections this process may hold to a target."""
         service = routing.services.get(record.service)
+        useful = record.slots + SPARE_CONNECTIONS
         if service is None or service.max_connections <= 0:
-            return record.slots
+            return useful
         share = CONNECTION_SHARE * service.max_connections / self.fleet_size
-        return max(MIN_CONNECTIONS, int(share))
+        return max(MIN_CONNECTIONS, min(useful, int(share)))
 
 
 class ForwardedRequest:
--- a/tests/forwarding/played_load.py
+++ b/tests/forwarding/played_load.py
@@ -16,7 +16,7 @@
 from sesameplank.core.extra_load import ExtraLoadBounds, ExtraLoadBudget
 from sesameplank.core.fanout import Call, Fanout, Verdict
 from sesameplank.core.outcomes import Ran
-from sesameplank.core.placement import Placement
+from sesameplank.core.placement import LoadReport, Placement
 from sesameplank.core.plans import make_plan
 from sesameplank.core.routes import Route
 from sesameplank.core.target_table import TargetPhase, TargetRecord
@@ -87,6 +87,11 @@
             self.noises[span] = self.scenario.noise_factor if noisy else 1.0
         return self.noises[span]
 
+    def get_report(self) -> LoadReport:
+        """Return the load that an answer reports."""
+        stretch = self.get_noise(self.world.now)
+        return LoadReport(self.running, len(self.queue), 2, stretch)
+
     def get_pause_end(self, now: float) -> float:
         """Return when the target goes on, which is now unless it pauses."""
         into = (now + self.phase) % self.scenario.pause_every_s
@@ -210,6 +215,8 @@
             return
         placement = self.vm.placement
         if is_ok:
+            report = self.play.targets[call.target.id].get_report()
+            placement.note_report(call.target.id, report, now)
             elapsed_s = placement.note_answer(
                 call.target.id, call.id, self.fanout.plan.call_s, now
             )
