Judge a call late by its siblings, and a target's pace beside them

A hedge delay by route sent copies of all calls of a heavy request and came late for a light one; paces were judged against the route's median, so heavy requests made sound targets look slow. Ruled out: the delay's quantile (0.75 to 0.9 change little in the played load). Change: a call is late after 2.6 times the median of its answered siblings, or early enough before the objective for a copy; paces are compared within a request.

--- a/sesameplank/core/fanout.py
+++ b/sesameplank/core/fanout.py
@@ -4,8 +4,13 @@
 failures and time. Each shard is answered once; a second copy goes out when the
 first is late, and a failed call is repeated while the route and the budget of
 extra load allow it.
+
+A request takes about the same work at every shard, so a call is late by the
+times of its siblings: a request that is heavy as a whole is not hedged.
 """
 
+import bisect
+import math
 from collections.abc import Callable, Sequence
 from enum import Enum
 
@@ -23,6 +28,11 @@
 HEDGE_RESERVE = 0.25
 SCARCE_FILL = 0.5
 SPARE_RESERVE = 0.6
+SIBLING_SHARE = 0.15
+LATE_FACTOR = 2.6  # Work beside a noisy neighbour takes up to 2.5 times as long.
+LATE_SLACK_S = 0.002
+COPY_FACTOR = 1.6
+MIN_LATE_FACTOR = 1.3
 NEVER = float("inf")
 
 FindTargets = Callable[[ServiceName], Sequence[TargetRecord]]
@@ -112,6 +122,9 @@
         self.given_up = 0
         self.may_have_run = False
         self.arrived_calls: set[AttemptId] = set()
+        self.times_s: list[float] = []
+        self.answered_calls: list[tuple[Call, float]] = []
+        self.min_siblings = max(1, math.ceil(SIBLING_SHARE * len(plan.shards)))
 
     def start(self, now: float) -> list[Call]:
         """Return the first call of every shard."""
@@ -160,7 +173,7 @@
                 calls += self.hedge(shard, now)
         return calls
 
-    def on_answer(self, call: Call) -> bool:
+    def on_answer(self, call: Call, now: float) -> bool:
         """Take a good answer in; False if the shard was answered before."""
         shard = self.shards[call.shard]
         shard.calls.pop(call.id, None)
@@ -169,8 +182,46 @@
             return False
         shard.is_answered = True
         self.answered += 1
+        elapsed_s = now - call.sent_at
+        self.answered_calls.append((call, elapsed_s))
+        bisect.insort(self.times_s, elapsed_s)
+        if len(self.shards) > 1 and self.answered % self.min_siblings == 0:
+            self.watch_siblings()
         return True
 
+    @property
+    def typical_s(self) -> float | None:
+        """The median time of the answered calls, None while they are few."""
+        if len(self.times_s) < self.min_siblings:
+            return None
+        return self.times_s[len(self.times_s) // 2]
+
+    def watch_siblings(self) -> None:
+        """Set when the calls in flight are late by the answered ones."""
+        typical_s = self.typical_s
+        if typical_s is None or not self.plan.idempotent:
+            return
+        late_s = LATE_FACTOR * typical_s + LATE_SLACK_S
+        for shard in self.shards.values():
+            if shard.is_open and len(shard.calls) == 1:
+                (call,) = shard.calls.values()
+                last_s = self.plan.goal_at - call.sent_at - COPY_FACTOR * typical_s
+                delay_s = max(MIN_LATE_FACTOR * typical_s, min(late_s, last_s))
+                shard.hedge_at = call.sent_at + delay_s
+
+    def finish(self, now: float) -> None:
+        """Teach the placement how fast the targets were beside each other."""
+        typical_s = self.typical_s
+        if typical_s is None or len(self.shards) == 1:
+            return
+        for call, elapsed_s in self.answered_calls:
+            self.placement.note_pace(call.target.id, elapsed_s / typical_s, now)
+        for shard in self.shards.values():
+            for call in shard.calls.values():
+                pace = (now - call.sent_at) / typical_s
+                if pace > MIN_LATE_FACTOR:
+                    self.placement.note_pace(call.target.id, pace, now)
+
     def on_failure(self, call: Call, ran: Ran, now: float) -> list[Call]:
         """Take a failed call in and return the calls that follow it."""
         shard = self.shards[call.shard]
@@ -266,10 +317,19 @@
         self.placement.note_sent(target.id, attempt, now)
         shard.calls[call.id] = call
         shard.tried.append(target.id)
-        if kind is not CallKind.HEDGE and self.plan.hedge_after_s is not None:
-            shard.hedge_at = now + self.plan.hedge_after_s
+        if kind is not CallKind.HEDGE:
+            shard.hedge_at = self.get_hedge_time(now)
         return call
 
+    def get_hedge_time(self, now: float) -> float:
+        """Return when a call sent now is late, as far as is known."""
+        if not self.plan.idempotent or self.plan.hedge_after_s is None:
+            return NEVER
+        if len(self.shards) == 1:
+            return now + self.plan.hedge_after_s
+        typical_s = self.typical_s
+        return NEVER if typical_s is None else now + LATE_FACTOR * typical_s
+
     def give_up(self, shard: ShardState) -> None:
         """Note that nothing more can be done for a shard."""
         if shard.is_open and not shard.calls:
--- a/sesameplank/core/placement.py
+++ b/sesameplank/core/placement.py
@@ -155,28 +155,24 @@
         self.get(target).in_flight[attempt] = now
 
     def note_answer(
-        self,
-        target: TargetId,
-        attempt: AttemptId,
-        call_s: float | None,
-        now: float,
+        self, target: TargetId, attempt: AttemptId, now: float
     ) -> float | None:
-        """Take an answer in; return the call's time in seconds if it was known.
-
-        `call_s` is how long such a call usually takes, None if unknown.
-        """
+        """Take an answer in; return the call's time in seconds if it was known."""
         view = self.get(target)
         view.failures = 0
         view.avoid_until = 0.0
         view.shedding.add(0.0, now)
         sent_at = view.in_flight.pop(attempt, None)
-        if sent_at is None:
-            return None
-        elapsed_s = max(0.0, now - sent_at)
-        if call_s:
-            usual_s = call_s * view.get_stretch(now)
-            view.slowness.add(min(MAX_SLOWNESS, elapsed_s / usual_s), now)
-        return elapsed_s
+        return None if sent_at is None else max(0.0, now - sent_at)
+
+    def note_pace(self, target: TargetId, pace: float, now: float) -> None:
+        """Take in how long a call took as a multiple of what was to be expected.
+
+        What the target's VM itself reports as its slowness is taken out.
+        """
+        view = self.get(target)
+        own_pace = pace / view.get_stretch(now)
+        view.slowness.add(min(MAX_SLOWNESS, own_pace), now)
 
     def note_failure(self, target: TargetId, attempt: AttemptId, now: float) -> None:
         """Take a failed call in; the target is avoided for a growing time."""
@@ -192,9 +188,7 @@
         view.in_flight.pop(attempt, None)
         view.shedding.add(1.0, now)
 
-    def note_abandoned(
-        self, target: TargetId, attempt: AttemptId, call_s: float, now: float
-    ) -> None:
+    def note_abandoned(self, target: TargetId, attempt: AttemptId, now: float) -> None:
         """Take in that a call was given up before any answer."""
         view = self.get(target)
         sent_at = view.in_flight.get(attempt)
@@ -202,9 +196,8 @@
             return
         if now - sent_at >= SILENT_AFTER_S:
             self.note_failure(target, attempt, now)
-            return
-        view.in_flight.pop(attempt)
-        view.slowness.add(min(MAX_SLOWNESS, (now - sent_at) / call_s), now)
+        else:
+            view.in_flight.pop(attempt)
 
     def note_report(self, target: TargetId, report: LoadReport, now: float) -> None:
         """Keep the load that a target reported."""
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -136,6 +136,7 @@
         self.failure: Part | None = None
         self.exchanges: dict[int, Exchange] = {}
         self.wake = Event()
+        self.wake_at = 0.0
         self.plan = make_plan(
             route,
             route.shards or (forwarder.rotation.choose(route),),
@@ -159,6 +160,7 @@
             return self.forwarder.refuse(self.terms.request_id, 504)
         self.dispatch(self.fanout.start(now))
         verdict = self.wait()
+        self.fanout.finish(self.clock.now())
         for exchange in list(self.exchanges.values()):
             self.abandon(exchange)
         return self.make_reply(verdict)
@@ -177,7 +179,8 @@
                 self.dispatch(calls)
                 continue
             self.wake.clear()
-            self.wake.wait(max(0.0, self.fanout.get_next_time() - now))
+            self.wake_at = self.fanout.get_next_time()
+            self.wake.wait(max(0.0, self.wake_at - now))
 
     def dispatch(self, calls: list[Call]) -> None:
         """Send calls to their targets."""
@@ -221,7 +224,8 @@
             self.fail(call, outcome)
         else:
             self.take_response(call, outcome)
-        if self.fanout.get_verdict(self.clock.now()) is not Verdict.OPEN:
+        is_decided = self.fanout.get_verdict(self.clock.now()) is not Verdict.OPEN
+        if is_decided or self.fanout.get_next_time() < self.wake_at:
             self.wake.set()
 
     def take_response(self, call: Call, response: Response) -> None:
@@ -242,12 +246,12 @@
             self.failure = part
             self.fail(call, Failure(FailureReason.REFUSED, Ran.ANSWERED))
             return
-        elapsed_s = placement.note_answer(
-            call.target.id, call.id, self.plan.call_s, now
-        )
+        elapsed_s = placement.note_answer(call.target.id, call.id, now)
         if elapsed_s is not None:
             self.forwarder.times.observe(self.route, elapsed_s)
-        if self.fanout.on_answer(call):
+            if not self.route.is_gather:
+                placement.note_pace(call.target.id, elapsed_s / self.plan.call_s, now)
+        if self.fanout.on_answer(call, now):
             self.parts[call.shard] = part
             self.abandon_copies(call.shard)
 
@@ -291,7 +295,7 @@
         call = exchange.call
         self.exchanges.pop(call.id, None)
         self.forwarder.placement.note_abandoned(
-            call.target.id, call.id, self.plan.call_s, self.clock.now()
+            call.target.id, call.id, self.clock.now()
         )
         limit = self.forwarder.get_connection_limit(self.routing, call.target)
         self.forwarder.pools.get(call.target, limit).cancel(exchange)
--- a/tests/core/test_fanout.py
+++ b/tests/core/test_fanout.py
@@ -74,19 +74,19 @@
     def test_all_shards_answer_at_once(self):
         for call in self.start():
             self.assertIs(Verdict.OPEN, self.fanout.get_verdict(100.01))
-            self.fanout.on_answer(call)
+            self.fanout.on_answer(call, 100.01)
         self.assertIs(Verdict.ANSWERED, self.fanout.get_verdict(100.01))
 
     def test_a_part_is_awaited_until_the_objective(self):
         calls = self.start()
         for call in calls[:2]:
-            self.fanout.on_answer(call)
+            self.fanout.on_answer(call, 100.01)
         self.assertIs(Verdict.OPEN, self.fanout.get_verdict(100.09))
         self.assertIs(Verdict.ANSWERED, self.fanout.get_verdict(100.1))
 
     def test_too_few_parts_are_no_answer_after_the_objective(self):
         calls = self.start()
-        self.fanout.on_answer(calls[0])
+        self.fanout.on_answer(calls[0], 100.01)
         self.assertIs(Verdict.OPEN, self.fanout.get_verdict(100.5))
         self.assertIs(Verdict.EXPIRED, self.fanout.get_verdict(101.0))
 
@@ -100,7 +100,7 @@
         fanout = self.make()
         self.targets["s0"] = []
         for call in fanout.start(100.0):
-            fanout.on_answer(call)
+            fanout.on_answer(call, 100.01)
         self.assertIs(Verdict.ANSWERED, fanout.get_verdict(100.01))
 
 
@@ -118,8 +118,8 @@
     def test_first_answer_counts_and_the_other_does_not(self):
         (first,) = self.start(shards=1, required=1)
         (copy,) = self.fanout.on_time(100.03)
-        self.assertTrue(self.fanout.on_answer(copy))
-        self.assertFalse(self.fanout.on_answer(first))
+        self.assertTrue(self.fanout.on_answer(copy, 100.05))
+        self.assertFalse(self.fanout.on_answer(first, 100.05))
         self.assertEqual(1, self.fanout.answered)
 
     def test_budget_that_is_spent_puts_the_copy_off(self):
@@ -204,7 +204,7 @@
                 if outcome is not Ran.NOT_RUN:
                     ran.setdefault(call.shard, set()).add(call.target.id)
                 if outcome is None:
-                    self.fanout.on_answer(call)
+                    self.fanout.on_answer(call, 100.01)
                 else:
                     new += self.fanout.on_failure(call, outcome, now)
             for call in new:
--- a/tests/forwarding/played_load.py
+++ b/tests/forwarding/played_load.py
@@ -175,6 +175,7 @@
         self.started_at = play.world.now
         self.jobs: dict[int, Job] = {}
         self.is_over = False
+        self.work_s = play.draw_work_s(route)
         plan = make_plan(
             route,
             route.shards,
@@ -194,7 +195,7 @@
         for call in calls:
             self.fanout.note_arrived(call)
             job = Job(
-                self.play.draw_work_s(self.route),
+                self.work_s,
                 lambda ok, call=call: self.world.at(
                     self.world.now + HOP_S, lambda: self.take(call, ok)
                 ),
@@ -217,11 +218,9 @@
         if is_ok:
             report = self.play.targets[call.target.id].get_report()
             placement.note_report(call.target.id, report, now)
-            elapsed_s = placement.note_answer(
-                call.target.id, call.id, self.fanout.plan.call_s, now
-            )
+            elapsed_s = placement.note_answer(call.target.id, call.id, now)
             self.vm.times.observe(self.route, elapsed_s)
-            self.fanout.on_answer(call)
+            self.fanout.on_answer(call, now)
             copies = self.fanout.shards[call.shard].calls
             for copy in list(copies.values()):
                 self.abandon(copy)
@@ -235,9 +234,7 @@
         job = self.jobs.pop(call.id, None)
         if job is None:
             return
-        self.vm.placement.note_abandoned(
-            call.target.id, call.id, self.fanout.plan.call_s, self.world.now
-        )
+        self.vm.placement.note_abandoned(call.target.id, call.id, self.world.now)
         self.world.at(
             self.world.now + LINGER_S, lambda: setattr(job, "is_dropped", True)
         )
@@ -257,6 +254,7 @@
     def end(self, verdict: Verdict) -> None:
         """Count what the caller gets."""
         self.is_over = True
+        self.fanout.finish(self.world.now)
         for shard in self.fanout.shards.values():
             for call in list(shard.calls.values()):
                 self.abandon(call)
@@ -334,7 +332,7 @@
         ]
 
     def draw_work_s(self, route: Route) -> float:
-        """Return the work of one call, with stragglers."""
+        """Return the work of a request at each shard, with heavy ones."""
         mean_s = self.scenario.work_s[route.priority]
         sigma = 0.35
         work_s = mean_s * math.exp(self.rng.gauss(-sigma * sigma / 2, sigma))
