--- a/sesameplank/platform/store.py
+++ b/sesameplank/platform/store.py
@@ -13,6 +13,8 @@
 READ_BYTES = 65_536
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 16 * 1024 * 1024
+RANGE_PATH = "/kv-range"
+WATCH_PATH = "/kv-watch"
 OK = 200
 HISTORY_GONE = 410
 
@@ -53,7 +55,7 @@
 
     def read_page(self, prefix: str, after: str = "") -> WirePage:
         """Return one page of the items under a prefix, or raise PlatformError."""
-        path = f"/kv-range?prefix={prefix}"
+        path = f"{RANGE_PATH}?prefix={prefix}"
         if after:
             path += f"&after={after}"
         return self.decode(self.get(path, CALL_TIMEOUT_S), WirePage)
@@ -64,7 +66,7 @@
         Raises HistoryGoneError if only a new read can tell what changed.
         """
         wait_ms = int(wait_s * 1_000)
-        path = f"/kv-watch?prefix={prefix}&after={after}&wait_ms={wait_ms}"
+        path = f"{WATCH_PATH}?prefix={prefix}&after={after}&wait_ms={wait_ms}"
         return self.decode(self.get(path, wait_s + CALL_TIMEOUT_S), WireEvents)
 
     def get(self, path: str, timeout_s: float) -> bytes:
--- /dev/null
+++ b/sesameplank/standins/front_store.py
@@ -0,0 +1,134 @@
+"""A stand-in for the platform's store: pages, watches, and its troubles."""
+
+import base64
+from enum import Enum
+from urllib.parse import parse_qs
+
+import gevent
+import msgspec
+from gevent.event import Event
+
+from ..core.routes import RequestLimits
+from ..forwarding.caller_connections import CallerLink, CallerServer, Reply
+from ..forwarding.http_messages import Request
+from ..net import Address
+from ..platform.items import CONFIG_KEY, TARGET_PREFIX
+from ..platform.store import (
+    HISTORY_GONE,
+    RANGE_PATH,
+    WATCH_PATH,
+    WireEvents,
+    WireItem,
+    WirePage,
+)
+
+PAGE_ITEMS = 5
+SILENCE_S = 60.0
+
+
+class StoreTrouble(Enum):
+    """What the store does wrong."""
+
+    NONE = "none"
+    BUSY = "busy"
+    SILENT = "silent"
+
+
+class StoreStandin:
+    """Holds items under one rising revision; a context manager that listens."""
+
+    def __init__(self, address: Address, now) -> None:
+        self.items: dict[str, WireItem] = {}
+        self.events: list[WireItem] = []
+        self.revision = 1
+        self.kept_after = 0
+        self.trouble = StoreTrouble.NONE
+        self.refused_hosts: set[str] = set()
+        self.changed = Event()
+        self.calls = 0
+        self.server = CallerServer(address, self.serve, RequestLimits, now)
+
+    def __enter__(self) -> "StoreStandin":
+        self.server.__enter__()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.server.__exit__()
+
+    def put(self, key: str, value: bytes) -> None:
+        """Write an item."""
+        self.revision += 1
+        text = base64.b64encode(value).decode()
+        self.note(WireItem(key, self.revision, text))
+
+    def put_config(self, document: dict) -> None:
+        """Publish a configuration."""
+        self.put(CONFIG_KEY, msgspec.json.encode(document))
+
+    def put_target(self, target: str, entry: dict) -> None:
+        """Write what a target says of itself."""
+        self.put(TARGET_PREFIX + target, msgspec.json.encode(entry))
+
+    def remove_target(self, target: str) -> None:
+        """Remove the entry of a target."""
+        self.revision += 1
+        self.note(WireItem(TARGET_PREFIX + target, self.revision, deleted=True))
+
+    def note(self, item: WireItem) -> None:
+        """Keep an event and wake the watches."""
+        self.items.pop(item.key, None)
+        if not item.deleted:
+            self.items[item.key] = item
+        self.events.append(item)
+        self.changed.set()
+        self.changed.clear()
+
+    def compact(self) -> None:
+        """Forget the history."""
+        self.kept_after = self.revision
+        self.events.clear()
+        self.changed.set()
+        self.changed.clear()
+
+    def serve(self, request: Request, link: CallerLink) -> Reply:
+        """Answer a read or a watch, unless there is trouble."""
+        self.calls += 1
+        if self.trouble is StoreTrouble.SILENT:
+            gevent.sleep(SILENCE_S)
+        if self.trouble is StoreTrouble.BUSY:
+            return Reply(503)
+        query = parse_qs(request.target.partition(b"?")[2].decode())
+        prefix = query.get("prefix", [""])[0]
+        after = query.get("after", [""])[0]
+        if request.path == RANGE_PATH:
+            return self.read(prefix, after)
+        if request.path == WATCH_PATH:
+            return self.watch(prefix, int(after), int(query["wait_ms"][0]) / 1_000)
+        return Reply(404)
+
+    def read(self, prefix: str, after: str) -> Reply:
+        """Return a page of items by key."""
+        keys = sorted(key for key in self.items if key.startswith(prefix))
+        rest = [key for key in keys if key > after]
+        page = [self.items[key] for key in rest[:PAGE_ITEMS]]
+        has_more = len(rest) > PAGE_ITEMS
+        body = msgspec.json.encode(WirePage(page, has_more, self.revision))
+        return Reply(200, body=body)
+
+    def watch(self, prefix: str, after: int, wait_s: float) -> Reply:
+        """Return what changed after a revision, as soon as anything did."""
+        with gevent.Timeout(wait_s, exception=False):
+            while after >= self.kept_after and not self.find_events(prefix, after):
+                self.changed.wait()
+        if after < self.kept_after:
+            return Reply(HISTORY_GONE)
+        events = self.find_events(prefix, after)
+        return Reply(200, body=msgspec.json.encode(WireEvents(events, self.revision)))
+
+    def find_events(self, prefix: str, after: int) -> list[WireItem]:
+        """Return the events after a revision."""
+        return [
+            item
+            for item in self.events
+            if item.rev > after and item.key.startswith(prefix)
+        ]
--- /dev/null
+++ b/sesameplank/standins/front_targets.py
@@ -0,0 +1,185 @@
+"""A stand-in for a target of forwarded requests, and its troubles."""
+
+import contextlib
+import socket
+import struct
+from enum import Enum
+
+import gevent
+import gevent.socket
+from gevent.server import StreamServer
+
+from ..forwarding.http_messages import (
+    Headers,
+    MessageError,
+    Request,
+    RequestReader,
+    encode_response,
+)
+from ..net import Address
+from ..platform.headers import (
+    EXPECTED_TARGET,
+    MISDIRECTED,
+    NOT_RUN,
+    REQUEST_ID,
+    SIGNATURE,
+)
+
+READ_BYTES = 65_536
+MAX_BYTES = 1_048_576
+LATE_S = 0.3
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class TargetTrouble(Enum):
+    """What a target does wrong with each request."""
+
+    NONE = "none"
+    SHED = "shed"
+    FAIL = "fail"
+    SILENT = "silent"
+    LATE = "late"
+    CUT = "cut"
+    RESET = "reset"
+    GARBAGE = "garbage"
+    TWICE = "twice"
+    UNFRAMED = "unframed"
+    UNFRAMED_RESET = "unframed_reset"
+    CHUNKED = "chunked"
+    ENCODED = "encoded"
+    UNSIGNED = "unsigned"
+    LATE_EXTRA = "late_extra"
+
+
+class FrontTarget:
+    """Answers with a signature and a body; a context manager that listens.
+
+    `runs` names the requests that it ran, in order.
+    """
+
+    def __init__(self, name: str, address: Address, body: bytes) -> None:
+        self.name = name
+        self.address = address
+        self.body = body
+        self.trouble = TargetTrouble.NONE
+        self.runs: list[str] = []
+        self.requests: list[Request] = []
+        self.open_now = 0
+        self.most_open = 0
+        self.server = StreamServer(tuple(address), self.handle)
+
+    def __enter__(self) -> "FrontTarget":
+        self.server.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.server.stop(timeout=0)
+
+    def handle(self, sock: gevent.socket.socket, source: tuple) -> None:
+        """Serve one connection."""
+        self.open_now += 1
+        self.most_open = max(self.most_open, self.open_now)
+        reader = RequestReader(MAX_BYTES, MAX_BYTES)
+        try:
+            while data := sock.recv(READ_BYTES):
+                reader.feed(data)
+                while reader.complete:
+                    if not self.answer(sock, reader.complete.pop(0)):
+                        return
+        except (OSError, MessageError):
+            return
+        finally:
+            self.open_now -= 1
+            with contextlib.suppress(OSError):
+                sock.close()
+
+    def answer(self, sock: gevent.socket.socket, request: Request) -> bool:
+        """Answer a request; tell whether the connection goes on."""
+        expected = request.get(EXPECTED_TARGET.lower())
+        if expected not in (None, self.name):
+            sock.sendall(self.encode(MISDIRECTED, [(NOT_RUN, b"1")], b""))
+            return True
+        if self.trouble is TargetTrouble.SHED:
+            sock.sendall(self.encode(503, [(NOT_RUN, b"1")], b""))
+            return True
+        request_id = request.get(REQUEST_ID.lower()) or ""
+        self.runs.append(request_id)
+        self.requests.append(request)
+        return self.send(sock, request_id)
+
+    def send(self, sock: gevent.socket.socket, request_id: str) -> bool:
+        """Send the answer of a run in the manner of the trouble."""
+        trouble = self.trouble
+        whole = self.make_answer(request_id)
+        if trouble is TargetTrouble.SILENT:
+            gevent.sleep(LATE_S * 100)
+        elif trouble is TargetTrouble.LATE:
+            gevent.sleep(LATE_S)
+            sock.sendall(whole)
+        elif trouble is TargetTrouble.CUT:
+            sock.sendall(whole[:-3])
+            return False
+        elif trouble is TargetTrouble.RESET:
+            reset(sock)
+            return False
+        elif trouble is TargetTrouble.GARBAGE:
+            sock.sendall(b"\x00\x01 no response\r\n\r\n")
+        elif trouble in (TargetTrouble.UNFRAMED, TargetTrouble.UNFRAMED_RESET):
+            return self.send_unframed(sock, request_id)
+        elif trouble is TargetTrouble.TWICE:
+            sock.sendall(whole + self.make_answer("another"))
+        elif trouble is TargetTrouble.LATE_EXTRA:
+            sock.sendall(whole)
+            gevent.spawn_later(LATE_S, self.send_extra, sock, whole)
+        else:
+            sock.sendall(whole)
+        return True
+
+    def send_extra(self, sock: gevent.socket.socket, data: bytes) -> None:
+        """Send an answer once more."""
+        with contextlib.suppress(OSError):
+            sock.sendall(data)
+
+    def send_unframed(self, sock: gevent.socket.socket, request_id: str) -> bool:
+        """Send an answer that ends with its connection."""
+        head = b"HTTP/1.1 200 OK\r\n"
+        for item in self.make_headers(request_id):
+            head += b"%b: %b\r\n" % item
+        sock.sendall(head + b"\r\n" + self.body)
+        if self.trouble is TargetTrouble.UNFRAMED_RESET:
+            gevent.sleep(LATE_S / 10)
+            reset(sock)
+        return False
+
+    def make_headers(self, request_id: str) -> Headers:
+        """Return the headers of an answer."""
+        headers: Headers = [(REQUEST_ID, request_id.encode())]
+        if self.trouble is not TargetTrouble.UNSIGNED:
+            signature = f"{self.name}.{request_id}"
+            headers.append((SIGNATURE, signature.encode()))
+        if self.trouble is TargetTrouble.ENCODED:
+            headers.append((b"Content-Encoding", b"gzip"))
+        return headers
+
+    def make_answer(self, request_id: str) -> bytes:
+        """Return the bytes of an answer."""
+        headers = self.make_headers(request_id)
+        if self.trouble is TargetTrouble.FAIL:
+            return self.encode(500, headers, b"failed")
+        if self.trouble is not TargetTrouble.CHUNKED:
+            return self.encode(200, headers, self.body)
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+        for item in headers:
+            head += b"%b: %b\r\n" % item
+        body = self.body
+        return head + b"\r\n%x\r\n%b\r\n0\r\nX-Trailer: 1\r\n\r\n" % (len(body), body)
+
+    def encode(self, status: int, headers: Headers, body: bytes) -> bytes:
+        """Return the bytes of a response."""
+        return encode_response(status, "Status", headers, body, close=False)
+
+
+def reset(sock: gevent.socket.socket) -> None:
+    """Close a connection so that the peer sees a reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    sock.close()
--- /dev/null
+++ b/tests/integration/front_world.py
@@ -0,0 +1,261 @@
+"""A small deployment of the users' platform on loopback addresses."""
+
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import gevent
+import gevent.socket
+import testtools
+
+from sesameplank.forwarding.http_messages import Response, ResponseReader
+from sesameplank.net import Address
+from sesameplank.standins.fleet import reserve_block
+from sesameplank.standins.front_store import StoreStandin
+from sesameplank.standins.front_targets import FrontTarget
+
+ROOT = Path(__file__).resolve().parents[2]
+WAIT_S = 30.0
+SHARDS = 4
+SHARDED = tuple(f"shard{number}" for number in range(SHARDS))
+HOST = "orders.example"
+
+
+def make_config(version: int, **changes) -> dict:
+    """Return a configuration with a gathered, a plain and a booking route."""
+    route = {"host": HOST, "timeout_ms": 3000, "attempts": 2, "priority": 1}
+    routes = [
+        {
+            **route,
+            "name": "gather",
+            "prefix": "/all/",
+            "type": "safe",
+            "goal_ms": 600,
+            "gather": list(SHARDED),
+            "top_k": 6,
+            "min_share": 0.75,
+        },
+        {
+            **route,
+            "name": "plain",
+            "prefix": "/one/",
+            "type": "safe",
+            "goal_ms": 600,
+            "service": "single",
+        },
+        {
+            **route,
+            "name": "booking",
+            "prefix": "/book/",
+            "type": "unsafe",
+            "goal_ms": 600,
+            "service": "single",
+        },
+    ]
+    services = [{"name": name, "max_conns": 40} for name in (*SHARDED, "single")]
+    limits = {
+        "max_header_bytes": 4096,
+        "max_body_bytes": 20000,
+        "header_timeout_ms": 1000,
+        "idle_timeout_ms": 5000,
+    }
+    return {
+        "version": version,
+        "routes": routes,
+        "services": services,
+        "limits": limits,
+        **changes,
+    }
+
+
+class FrontProcess:
+    """One real process with its settings file; a context manager."""
+
+    def __init__(self, block: str, number: int, grace_s: float) -> None:
+        self.host = f"{block}.1.{number}"
+        self.front = Address(self.host, 8104)
+        self.ready = Address(self.host, 8108)
+        self.directory = Address(self.host, 8100)
+        self.folder = tempfile.TemporaryDirectory()
+        self.path = Path(self.folder.name) / "node.conf"
+        self.log = Path(self.folder.name) / "log"
+        self.path.write_text(
+            f"node=front-{number}\nip={self.host}\nzone=dc-{number % 2}\n"
+            f"listen.front={self.front}\nlisten.ready={self.ready}\n"
+            f"listen.directory={self.directory}\nlisten.control={self.host}:8106\n"
+            f"port_range=7380,7395\nseeds={block}.1.1:8106,{block}.1.2:8106\n"
+            f"platform.addr={block}.200.1:8102\nbounds.grace_s={grace_s}\n"
+            "bounds.ttl_max_s=5\nbounds.retry_ratio=0.2\nbounds.retry_slack=4000\n"
+            "bounds.retry_window_s=10\nnew.field=1\n"
+        )
+        self.process: subprocess.Popen | None = None
+
+    def __enter__(self) -> "FrontProcess":
+        self.start()
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait()
+        self.folder.cleanup()
+
+    def start(self) -> None:
+        """Start the process."""
+        with self.log.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "sesameplank.platform.command"],
+                cwd=ROOT,
+                env={**os.environ, "SESAMEPLANK_BOOT": str(self.path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def get(self, address: Address, path: str) -> Response:
+        """Return the answer to a call of the platform."""
+        with Client(address) as client:
+            return client.ask(f"GET {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+
+    def is_ready(self) -> bool:
+        """Tell whether the process says that it is ready."""
+        try:
+            return self.get(self.ready, "/readyz").status == 200
+        except OSError:
+            return False
+
+
+class Client:
+    """One raw connection of a caller; a context manager."""
+
+    def __init__(self, address: Address) -> None:
+        self.sock = gevent.socket.create_connection(tuple(address), 5.0)
+        self.sock.settimeout(10.0)
+        self.reader = ResponseReader(1_000_000, 1_000_000)
+
+    def __enter__(self) -> "Client":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        self.sock.close()
+
+    def ask(self, data: bytes) -> Response:
+        """Send bytes and return the next answer."""
+        self.sock.sendall(data)
+        return self.read()
+
+    def read(self) -> Response:
+        """Return the next answer, or raise ConnectionError at the end."""
+        while not self.reader.complete:
+            data = self.sock.recv(65_536)
+            if not data:
+                raise ConnectionError("closed without an answer")
+            self.reader.feed(data)
+        return self.reader.complete.pop(0)
+
+    def is_closed(self) -> bool:
+        """Tell whether the other side closed, after what it may still send."""
+        try:
+            while self.sock.recv(65_536):
+                pass
+        except TimeoutError:
+            return False
+        except OSError:
+            return True
+        return True
+
+
+def make_request(
+    path: str, request_id="r1", deadline_ms=2500, method="GET", body=b"", extra=""
+) -> bytes:
+    """Return the bytes of a caller's request."""
+    length = f"Content-Length: {len(body)}\r\n" if body else ""
+    head = (
+        f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {request_id}\r\n"
+        f"X-Deadline-Ms: {deadline_ms}\r\n{length}{extra}\r\n"
+    )
+    return head.encode() + body
+
+
+class FrontTestCase(testtools.TestCase):
+    """Starts the store, targets with two replicas each, and processes."""
+
+    fronts_count = 1
+    grace_s = 3.0
+
+    def setUp(self):
+        super().setUp()
+        self.block = self.enterContext(reserve_block())
+        self.store = self.enterContext(
+            StoreStandin(Address(f"{self.block}.200.1", 8102), time.monotonic)
+        )
+        self.targets: dict[str, FrontTarget] = {}
+        self.number = 0
+        for service in (*SHARDED, "single"):
+            for copy in "ab":
+                self.add_target(f"{service}{copy}", service)
+        self.store.put("servers/forged", b"\x00 nothing")
+        self.store.put("servers/other", b'{"service":5,"addr":"x"}')
+        self.store.put_config(make_config(3))
+        self.fronts = [
+            self.enterContext(FrontProcess(self.block, number, self.grace_s))
+            for number in range(1, self.fronts_count + 1)
+        ]
+        for front in self.fronts:
+            self.wait_for(front.is_ready, "ready")
+        self.addOnException(self.show_logs)
+
+    def show_logs(self, exc_info) -> None:
+        """Attach what the processes logged to a failure."""
+        for front in self.fronts:
+            text = front.log.read_text()
+            self.addDetail(front.host, testtools.content.text_content(text[-4000:]))
+
+    def add_target(self, name: str, service: str) -> FrontTarget:
+        """Start a target and list it."""
+        self.number += 1
+        address = Address(f"{self.block}.2.{self.number}", 8080)
+        body = b"".join(b"%s-%010d" % (name[-5:].encode(), n) for n in range(3))
+        target = self.enterContext(FrontTarget(name, address, body))
+        self.targets[name] = target
+        self.list_target(name, service)
+        return target
+
+    def list_target(self, name: str, service: str, state="ready", seq=1) -> None:
+        """Write a target's entry."""
+        self.store.put_target(
+            name,
+            {
+                "service": service,
+                "addr": str(self.targets[name].address),
+                "zone": "dc-0",
+                "version": "v1",
+                "slots": 2,
+                "state": state,
+                "cold_left_ms": 0,
+                "seq": seq,
+                "born": 1,
+            },
+        )
+
+    def wait_for(self, condition, description: str) -> None:
+        """Return once the condition holds, or fail after a generous time."""
+        with gevent.Timeout(WAIT_S, AssertionError(f"never: {description}")):
+            while not condition():
+                gevent.sleep(0.02)
+
+    def ask(self, data: bytes, front: int = 0) -> Response:
+        """Return the answer of a process on a new connection."""
+        with Client(self.fronts[front].front) as client:
+            return client.ask(data)
+
+    def get_runs(self, *names: str) -> int:
+        """Return how many requests ran at the named targets."""
+        return sum(len(self.targets[name].runs) for name in names)
+
+    def end(self, front: FrontProcess) -> None:
+        """Ask a process to end."""
+        front.process.send_signal(signal.SIGTERM)
--- /dev/null
+++ b/tests/integration/test_forwarding.py
@@ -0,0 +1,250 @@
+"""Requests through a real process to targets that misbehave."""
+
+import gevent
+
+from sesameplank.core.record_merge import merge_parts
+from sesameplank.standins.front_targets import TargetTrouble
+
+from .front_world import (
+    SHARDED,
+    Client,
+    FrontTestCase,
+    make_config,
+    make_request,
+)
+
+SINGLES = ("singlea", "singleb")
+
+
+class WholePathTests(FrontTestCase):
+    """The calm path: gathers, plain routes, bookings, and the platform's calls."""
+
+    def test_gather_merges_the_greatest_records_of_all_shards(self):
+        answer = self.ask(make_request("/all/x?q=1", "g1"))
+        self.assertEqual(200, answer.status)
+        self.assertEqual("0", answer.get(b"x-missing-parts"))
+        signatures = answer.get(b"x-part-stamps").split(", ")
+        names = [item.partition(".")[0] for item in signatures]
+        self.assertEqual(list(SHARDED), sorted(name[:-1] for name in names))
+        self.assertEqual({"g1"}, {item.partition(".")[2] for item in signatures})
+        bodies = [self.targets[name].body for name in names]
+        self.assertEqual(merge_parts(bodies, 6), bytes(answer.body))
+        (sent,) = self.targets[names[0]].requests
+        self.assertEqual(b"/all/x?q=1", sent.target)
+        self.assertLessEqual(int(sent.get(b"x-deadline-ms")), 2500)
+
+    def test_plain_answer_is_passed_on_as_it_came(self):
+        answer = self.ask(make_request("/one/x", "p1", extra="X-Own: 7\r\n"))
+        (name,) = [item for item in SINGLES if self.targets[item].runs]
+        self.assertEqual(200, answer.status)
+        self.assertEqual(f"{name}.p1", answer.get(b"x-server-stamp"))
+        self.assertEqual(self.targets[name].body, bytes(answer.body))
+        self.assertEqual("7", self.targets[name].requests[0].get(b"x-own"))
+
+    def test_body_reaches_the_target_by_length_and_in_chunks(self):
+        body = bytes(range(256)) * 60
+        self.ask(make_request("/book/x", "b1", method="POST", body=body))
+        head = make_request(
+            "/book/x", "b2", method="POST", extra="Transfer-Encoding: chunked\r\n"
+        )
+        chunks = b"".join(b"%x\r\n%b\r\n" % (len(body), body) for _ in range(1))
+        self.ask(head + chunks + b"0\r\n\r\n")
+        ran = [r for name in SINGLES for r in self.targets[name].requests]
+        self.assertEqual([body, body], [bytes(item.body) for item in ran])
+
+    def test_connection_is_kept_and_pipelined_requests_are_answered_in_order(self):
+        with Client(self.fronts[0].front) as client:
+            client.sock.sendall(
+                make_request("/one/x", "k1") + make_request("/all/x", "k2")
+            )
+            first, second = client.read(), client.read()
+            third = client.ask(make_request("/one/x", "k3"))
+        self.assertIn(".k1", first.get(b"x-server-stamp"))
+        self.assertIn(".k2", second.get(b"x-part-stamps"))
+        self.assertIn(".k3", third.get(b"x-server-stamp"))
+
+    def test_addresses_name_this_process(self):
+        answer = self.fronts[0].get(
+            self.fronts[0].directory, "/resolve?name=x&region=r&zone=dc-0"
+        )
+        self.assertIn(str(self.fronts[0].front).encode(), bytes(answer.body))
+
+
+class BadInputTests(FrontTestCase):
+    """What is no proper request gets a clear error and touches no other."""
+
+    CASES = (
+        (b"\x00\x01\r\n\r\n", 400),
+        (b"GET /one/x HTTP/1.1\r\nHost: orders.example\r\n\r\n", 400),
+        (make_request("/none/x"), 404),
+        (make_request("/one/x", extra="X-Long: " + "x" * 5000 + "\r\n"), 431),
+        (make_request("/book/x", method="POST", body=b"x" * 30000), 413),
+        (
+            make_request(
+                "/one/x",
+                method="POST",
+                body=b"x",
+                extra="Transfer-Encoding: chunked\r\n",
+            ),
+            400,
+        ),
+        (
+            make_request(
+                "/one/x", method="POST", extra="Transfer-Encoding: chunked\r\n"
+            )
+            + b"zz\r\n",
+            400,
+        ),
+        (make_request("/one/x", deadline_ms=0), 504),
+        (make_request("/one/x", extra="Content-Length: -4\r\n"), 400),
+        (b"GET /one/x HTTP/1.1\r\nHost: orders.example\r\nX-Request-Id: s", 408),
+    )
+
+    def test_table(self):
+        for data, status in self.CASES:
+            with Client(self.fronts[0].front) as client:
+                self.assertEqual(status, client.ask(data).status, data[:80])
+        self.assertEqual(0, self.get_runs(*SINGLES))
+        self.assertEqual(200, self.ask(make_request("/one/x", "after")).status)
+
+
+class TargetTroubleTests(FrontTestCase):
+    """Troubles of targets, for requests that may be repeated and that may not."""
+
+    # The trouble of every target, then the status of a plain request, of a
+    # booking, and of a gather.
+    EVERYWHERE = (
+        (TargetTrouble.CHUNKED, 200, 200, 200),
+        (TargetTrouble.UNFRAMED, 200, 200, 200),
+        (TargetTrouble.TWICE, 200, 200, 200),
+        (TargetTrouble.LATE_EXTRA, 200, 200, 200),
+        (TargetTrouble.FAIL, 500, 500, 504),
+        (TargetTrouble.SHED, 503, 503, 503),
+        (TargetTrouble.CUT, 504, 502, 504),
+        (TargetTrouble.RESET, 504, 502, 504),
+        (TargetTrouble.GARBAGE, 504, 502, 504),
+        (TargetTrouble.UNFRAMED_RESET, 504, 502, 504),
+        (TargetTrouble.ENCODED, 504, 502, 504),
+        (TargetTrouble.UNSIGNED, 504, 502, 504),
+        (TargetTrouble.SILENT, 504, 504, 504),
+    )
+
+    def set_trouble(self, trouble: TargetTrouble, names=None) -> None:
+        for name in names or self.targets:
+            self.targets[name].trouble = trouble
+
+    def test_every_target_has_it(self):
+        for trouble, plain, booking, gather in self.EVERYWHERE:
+            self.set_trouble(trouble)
+            found = []
+            for number, path in enumerate(("/one/x", "/book/x", "/all/x")):
+                method = "POST" if path == "/book/x" else "GET"
+                request_id = f"{trouble.value}{number}"
+                data = make_request(path, request_id, 500, method, b"12")
+                found.append(self.ask(data).status)
+                if method == "POST":
+                    runs = [
+                        item
+                        for name in SINGLES
+                        for item in self.targets[name].runs
+                        if item == request_id
+                    ]
+                    self.assertLessEqual(len(runs), 1, trouble)
+                    if found[-1] == 503:
+                        self.assertEqual([], runs, trouble)
+            self.assertEqual([plain, booking, gather], found, trouble)
+            self.set_trouble(TargetTrouble.NONE)
+            self.wait_for(
+                lambda: self.ask(make_request("/one/x", "calm")).status == 200,
+                "served again",
+            )
+
+    def test_one_replica_has_it_and_the_other_serves(self):
+        firsts = [f"{shard}a" for shard in SHARDED]
+        for trouble in TargetTrouble:
+            self.set_trouble(trouble, firsts)
+            for number in range(4):
+                answer = self.ask(make_request("/all/x", f"{trouble.value}{number}"))
+                self.assertEqual(200, answer.status, trouble)
+                signatures = answer.get(b"x-part-stamps").split(", ")
+                missing = int(answer.get(b"x-missing-parts"))
+                self.assertEqual(4, len(signatures) + missing, trouble)
+                names = [item.partition(".")[0] for item in signatures]
+                bodies = [self.targets[name].body for name in names]
+                self.assertEqual(merge_parts(bodies, 6), bytes(answer.body))
+
+    def test_late_answer_never_reaches_another_request(self):
+        self.set_trouble(TargetTrouble.LATE_EXTRA)
+        with Client(self.fronts[0].front) as client:
+            for number in range(12):
+                answer = client.ask(make_request("/one/x", f"q{number}"))
+                self.assertIn(f".q{number}", answer.get(b"x-server-stamp"))
+                gevent.sleep(0.05)
+
+    def test_shard_without_targets_is_missing_and_two_are_refused_at_once(self):
+        for name in ("shard0a", "shard0b"):
+            self.store.remove_target(name)
+        self.wait_for(
+            lambda: self.ask(make_request("/all/x")).get(b"x-missing-parts") == "1",
+            "a missing part",
+        )
+        for name in ("shard1a", "shard1b"):
+            self.store.remove_target(name)
+        self.wait_for(
+            lambda: self.ask(make_request("/all/x", deadline_ms=2500)).status != 200,
+            "refused",
+        )
+
+    def test_caller_that_leaves_ends_the_work(self):
+        self.set_trouble(TargetTrouble.SILENT, SINGLES)
+        with Client(self.fronts[0].front) as client:
+            client.sock.sendall(make_request("/one/x", "gone"))
+            self.wait_for(lambda: self.get_runs(*SINGLES) == 1, "a run")
+        self.wait_for(
+            lambda: sum(self.targets[name].open_now for name in SINGLES) == 0,
+            "closed at the target",
+        )
+
+    def test_another_target_at_the_address_runs_nothing(self):
+        for name in SINGLES:
+            self.targets[name].name = f"new-{name}"
+        answer = self.ask(make_request("/book/x", "moved", 500, "POST", b"1"))
+        self.assertEqual(503, answer.status)
+        self.assertEqual(0, self.get_runs(*SINGLES))
+
+
+class ConfigurationTests(FrontTestCase):
+    """Versions come into force, never fall, and survive bad documents."""
+
+    def test_versions(self):
+        moved = make_config(7)
+        moved["routes"] = moved["routes"][:1]
+        self.store.put_config(moved)
+        self.wait_for(
+            lambda: self.ask(make_request("/one/x")).status == 404, "version 7"
+        )
+        self.store.put("op/config", b"{")
+        self.store.put_config(make_config(5))
+        gevent.sleep(0.2)
+        self.assertEqual(404, self.ask(make_request("/one/x")).status)
+        self.store.put_config(make_config(9))
+        self.wait_for(
+            lambda: self.ask(make_request("/one/x")).status == 200, "version 9"
+        )
+
+    def test_history_that_is_gone_is_read_again(self):
+        self.store.compact()
+        self.store.remove_target("singlea")
+        self.targets["singleb"].name = "elsewhere"
+        self.wait_for(
+            lambda: self.ask(make_request("/one/x", "h", 300)).status == 503,
+            "both gone",
+        )
+
+    def test_draining_target_gets_no_new_work(self):
+        self.list_target("singlea", "single", "draining", 2)
+        gevent.sleep(0.3)
+        before = len(self.targets["singlea"].runs)
+        for number in range(20):
+            self.ask(make_request("/one/x", f"d{number}"))
+        self.assertEqual(before, len(self.targets["singlea"].runs))
--- /dev/null
+++ b/tests/integration/test_fronts.py
@@ -0,0 +1,106 @@
+"""Several real processes: membership, relayed versions, stops and starts."""
+
+import gevent
+import msgspec
+
+from sesameplank.standins.front_store import StoreTrouble
+from sesameplank.standins.front_targets import TargetTrouble
+
+from .front_world import Client, FrontTestCase, make_config, make_request
+
+
+class FleetOfFrontsTests(FrontTestCase):
+    """Three processes that find each other by two of their addresses."""
+
+    fronts_count = 3
+
+    def get_addresses(self, front: int = 0) -> set[str]:
+        process = self.fronts[front]
+        answer = process.get(process.directory, "/resolve?name=x&zone=dc-0")
+        return set(msgspec.json.decode(bytes(answer.body))["addrs"])
+
+    def wait_for_addresses(self, *numbers: int, ask: int = 0) -> None:
+        expected = {str(self.fronts[number].front) for number in numbers}
+        self.wait_for(
+            lambda: self.get_addresses(ask) == expected, f"addresses of {numbers}"
+        )
+
+    def test_all_are_named_and_a_leaving_one_at_once_no_more(self):
+        self.wait_for_addresses(0, 1, 2)
+        self.end(self.fronts[2])
+        self.wait_for_addresses(0, 1)
+        self.assertEqual(200, self.ask(make_request("/one/x"), 2).status)
+        self.assertFalse(self.fronts[2].is_ready())
+        self.assertEqual(0, self.fronts[2].process.wait())
+
+    def test_killed_one_is_left_out_and_comes_back(self):
+        self.wait_for_addresses(0, 1, 2)
+        self.fronts[2].process.kill()
+        self.fronts[2].process.wait()
+        self.wait_for_addresses(0, 1)
+        self.fronts[2].start()
+        self.wait_for_addresses(0, 1, 2)
+
+    def test_stop_cuts_off_no_request_and_ends_kept_connections(self):
+        for name in ("singlea", "singleb"):
+            self.targets[name].trouble = TargetTrouble.LATE
+        with Client(self.fronts[0].front) as client:
+            client.sock.sendall(make_request("/book/x", "s1", 2500, "POST", b"1"))
+            self.wait_for(lambda: self.get_runs("singlea", "singleb") == 1, "the run")
+            self.end(self.fronts[0])
+            answer = client.read()
+            self.assertEqual(200, answer.status)
+            self.assertEqual("close", answer.get(b"connection"))
+            self.assertTrue(client.is_closed())
+        self.assertEqual(0, self.fronts[0].process.wait())
+
+    def test_store_that_turns_one_away_is_heard_through_the_others(self):
+        self.wait_for_addresses(0, 1, 2)
+        for version in (8, 12):
+            moved = make_config(version)
+            moved["routes"] = moved["routes"][: 1 if version == 8 else 3]
+            self.store.put_config(moved)
+            expected = 404 if version == 8 else 200
+            for front in range(3):
+                self.wait_for(
+                    lambda front=front, expected=expected: (
+                        self.ask(make_request("/one/x"), front).status == expected
+                    ),
+                    f"version {version} at {front}",
+                )
+
+    def test_process_that_starts_without_the_store_learns_from_the_others(self):
+        self.wait_for_addresses(0, 1, 2)
+        self.fronts[2].process.kill()
+        self.fronts[2].process.wait()
+        self.store.trouble = StoreTrouble.BUSY
+        self.fronts[2].start()
+        self.wait_for(self.fronts[2].is_ready, "ready from peers alone")
+        self.assertEqual(200, self.ask(make_request("/all/x", "n1"), 2).status)
+
+    def test_processes_that_know_nothing_answer_503(self):
+        self.store.trouble = StoreTrouble.SILENT
+        for front in self.fronts:
+            front.process.kill()
+            front.process.wait()
+            front.start()
+        self.wait_for(lambda: self.try_ask() == 503, "503 without configuration")
+        self.assertFalse(self.fronts[0].is_ready())
+        self.store.trouble = StoreTrouble.NONE
+        self.wait_for(lambda: self.try_ask() == 200, "served again")
+
+    def try_ask(self) -> int:
+        try:
+            return self.ask(make_request("/one/x")).status
+        except OSError:
+            return 0
+
+    def test_reload_reads_the_settings_again(self):
+        front = self.fronts[0]
+        front.path.write_text(
+            front.path.read_text().replace("seeds=", f"seeds={self.block}.1.9:8106,")
+        )
+        front.process.send_signal(1)
+        self.wait_for(lambda: "event=reloaded" in front.log.read_text(), "reloaded")
+        gevent.sleep(0.1)
+        self.assertEqual(200, self.ask(make_request("/one/x")).status)
