--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -19,6 +19,7 @@
 from .caller_connections import CallerLink, Reply
 from .dialect import CallerTerms, Dialect, TargetAnswer
 from .http_messages import Request, Response, encode_request
+from .metrics import FrontMetrics
 from .target_connections import Exchange, TargetPools
 
 STARTING_RETRY_S = 0.3
@@ -58,11 +59,11 @@
         self.rotation = WeightedRotation()
         self.routing: RoutingConfiguration | None = None
         self.fleet_size = 1
-        self.counts: dict[str, int] = {}
+        self.metrics = FrontMetrics()
 
     def count(self, event: str) -> None:
         """Count an event for the metrics."""
-        self.counts[event] = self.counts.get(event, 0) + 1
+        self.metrics.count(event)
 
     def set_fleet_size(self, size: int) -> None:
         """Set how many processes share the targets."""
@@ -163,6 +164,8 @@
         self.fanout.finish(self.clock.now())
         for exchange in list(self.exchanges.values()):
             self.abandon(exchange)
+        elapsed_s = self.clock.now() - self.link.received_at
+        self.forwarder.metrics.observe(self.route.name, elapsed_s)
         return self.make_reply(verdict)
 
     def wait(self) -> Verdict:
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -233,15 +233,55 @@
         if now - self.logged_at < COUNTS_INTERVAL_S:
             return
         self.logged_at = now
-        log_event(
-            "counts",
-            fleet=self.forwarder.fleet_size,
-            config_version=self.store.version,
-            targets_revision=self.table.revision,
-            opened=self.pools.opened,
-            budget_refused=self.budget.refused,
-            **self.forwarder.counts,
-        )
+        log_event("counts", **self.get_gauges(), **self.forwarder.metrics.counts)
+
+    def get_gauges(self) -> dict[str, float]:
+        """Return what holds at this moment, for logs and metrics."""
+        age_s = self.store.age_s
+        return {
+            "fleet_size": self.forwarder.fleet_size,
+            "config_version": self.store.version,
+            "config_age_s": -1.0 if age_s is None else age_s,
+            "targets_revision": self.table.revision,
+            "targets": len(self.table.records),
+            "in_flight": self.callers.in_flight,
+            "connections_opened": self.pools.opened,
+            "copies_refused": self.budget.refused,
+        }
+
+    def render_metrics(self) -> str:
+        """Return counters, gauges and latencies as scrapers read them."""
+        return self.forwarder.metrics.render(self.get_gauges())
+
+    def get_state(self) -> dict:
+        """Return what this process believes, for a dump."""
+        now = self.clock.now()
+        return {
+            "vm": self.settings.vm,
+            "is_ready": self.is_ready,
+            "is_stopping": self.is_stopping,
+            "gauges": self.get_gauges(),
+            "members": {
+                member.id: {
+                    "address": member.address,
+                    "data_centre": member.data_centre,
+                    "phase": member.phase.name.lower(),
+                    "health": member.health.name.lower(),
+                }
+                for member in self.membership.members.values()
+            },
+            "targets": {
+                record.id: {
+                    "service": record.service,
+                    "address": record.address,
+                    "phase": record.phase.value,
+                    "in_flight": len(self.placement.get(record.id).in_flight),
+                    "slowness": self.placement.get(record.id).slowness.get(now),
+                    "is_avoided": self.placement.is_avoided(record.id, now),
+                }
+                for record in self.table.records.values()
+            },
+        }
 
     def get_fleet_size(self) -> int:
         """Return the most VMs that served at a time of late."""
--- a/sesameplank/platform/command.py
+++ b/sesameplank/platform/command.py
@@ -5,6 +5,7 @@
 import sys
 
 import gevent
+import msgspec
 
 from ..core.clock import BootTimeClock
 from ..exceptions import SesameplankError
@@ -25,6 +26,9 @@
 
 ADDRESS_TTL_S = 2.0
 EXIT_USAGE = 2
+METRICS_PATH = "/metrics"
+STATE_PATH = "/state"
+TEXT_HEADER = (b"Content-Type", b"text/plain; version=0.0.4")
 JSON_HEADER = (b"Content-Type", b"application/json")
 
 
@@ -51,6 +55,15 @@
         ttl_s = min(ADDRESS_TTL_S, self.settings.max_address_ttl_s)
         return Reply(200, [JSON_HEADER], encode_addresses(addresses, ttl_s))
 
+    def serve_metrics(self, request: Request, link: CallerLink) -> Reply:
+        """Answer a scraper, or a person who asks for the state."""
+        if request.path == METRICS_PATH:
+            return Reply(200, [TEXT_HEADER], self.front.render_metrics().encode())
+        if request.path == STATE_PATH:
+            body = msgspec.json.encode(self.front.get_state())
+            return Reply(200, [JSON_HEADER], body)
+        return Reply(404)
+
     def make_server(self, address, handler) -> CallerServer:
         """Return a server for one of the platform's calls."""
         return CallerServer(
@@ -62,13 +75,20 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self.front.request_stop)
         gevent.signal_handler(signal.SIGHUP, self.reload)
+        gevent.signal_handler(signal.SIGUSR1, self.dump)
+        log_event("listening", metrics=self.settings.metrics_address)
         with (
             self.front,
             self.make_server(self.settings.ready_address, self.serve_ready),
             self.make_server(self.settings.directory_address, self.serve_addresses),
+            self.make_server(self.settings.metrics_address, self.serve_metrics),
         ):
             self.front.wait()
 
+    def dump(self) -> None:
+        """Log the state of this process."""
+        log_event("state", dump=msgspec.json.encode(self.front.get_state()).decode())
+
     def reload(self) -> None:
         """Read the settings file again; new peers are dialled."""
         try:
--- /dev/null
+++ b/tests/core/test_placement.py
@@ -0,0 +1,89 @@
+"""Tests of the choice among the targets of a service."""
+
+import random
+
+import testtools
+
+from sesameplank.core.placement import (
+    FAILING_MIN_S,
+    SILENT_AFTER_S,
+    LoadReport,
+    Placement,
+)
+from sesameplank.core.target_table import TargetPhase, TargetRecord
+
+
+def make_record(name: str, data_centre: str = "dc") -> TargetRecord:
+    """Return a ready target."""
+    return TargetRecord(name, "s", "10.0.0.1:80", data_centre, 2, TargetPhase.READY)
+
+
+class PlacementTests(testtools.TestCase):
+    """The target whose call ends first is chosen."""
+
+    def setUp(self):
+        super().setUp()
+        self.placement = Placement("dc", random.Random(3))
+        self.records = [make_record("a"), make_record("b")]
+        self.attempt = 0
+
+    def send(self, name: str, now: float = 0.0) -> int:
+        self.attempt += 1
+        self.placement.note_sent(name, self.attempt, now)
+        return self.attempt
+
+    def choose(self, now: float = 0.0, records=None) -> str:
+        return self.placement.choose(records or self.records, 0.02, now).id
+
+    def test_a_queue_is_avoided(self):
+        for _ in range(4):
+            self.send("a")
+        self.assertEqual("b", self.choose())
+
+    def test_a_silent_target_is_avoided(self):
+        self.send("a")
+        self.assertEqual("b", self.choose(0.12))
+
+    def test_a_slow_pace_is_avoided_and_forgiven(self):
+        for _ in range(6):
+            self.placement.note_pace("a", 8.0, 0.0)
+        self.assertEqual("b", self.choose())
+        chosen = {self.choose(30.0) for _ in range(50)}
+        self.assertEqual({"a", "b"}, chosen)
+
+    def test_what_the_target_reports_is_no_fault_of_its_pace(self):
+        report = LoadReport(1, 0, 2, stretch=2.5)
+        self.placement.note_report("a", report, 0.0)
+        self.placement.note_pace("a", 2.5, 0.0)
+        self.assertAlmostEqual(1.0, self.placement.get("a").slowness.get(0.0))
+        self.assertEqual("b", self.choose())
+        self.assertEqual({"a", "b"}, {self.choose(5.0) for _ in range(50)})
+
+    def test_refusals_are_avoided(self):
+        for _ in range(4):
+            self.placement.note_shed("a", self.send("a"), 0.0)
+        self.assertEqual("b", self.choose())
+
+    def test_a_failing_target_is_taken_only_when_all_fail(self):
+        self.placement.note_failure("a", self.send("a"), 0.0)
+        self.assertTrue(self.placement.is_avoided("a", 0.0))
+        self.assertEqual("b", self.choose())
+        self.assertEqual("a", self.choose(records=self.records[:1]))
+        self.assertFalse(self.placement.is_avoided("a", FAILING_MIN_S))
+
+    def test_silence_until_a_call_is_given_up_counts_as_failure(self):
+        attempt = self.send("a", 0.0)
+        self.placement.note_abandoned("a", attempt, SILENT_AFTER_S)
+        self.assertTrue(self.placement.is_avoided("a", SILENT_AFTER_S))
+        early = self.send("b", 0.0)
+        self.placement.note_abandoned("b", early, 0.01)
+        self.assertFalse(self.placement.is_avoided("b", 0.01))
+
+    def test_the_own_data_centre_is_preferred(self):
+        records = [make_record("far", "other"), make_record("near")]
+        self.assertEqual({"near"}, {self.choose(records=records) for _ in range(50)})
+
+    def test_targets_that_are_gone_are_forgotten(self):
+        self.send("a")
+        self.placement.keep_only(["b"])
+        self.assertNotIn("a", self.placement.views)
--- a/tests/forwarding/played_load.py
+++ b/tests/forwarding/played_load.py
@@ -362,6 +362,13 @@
         ]
         return sum(chosen) / len(chosen)
 
+    def count_by_shard(self) -> dict[str, int]:
+        """Return the arrivals at the targets of each shard."""
+        return {
+            shard: sum(self.targets[item.id].arrivals for item in records)
+            for shard, records in self.replicas.items()
+        }
+
     def get_extra_load(self) -> float:
         """Return the calls beyond the first of each shard, as a share."""
         first = len(self.results) * self.scenario.shards
--- /dev/null
+++ b/tests/forwarding/test_http_messages.py
@@ -0,0 +1,133 @@
+"""Tests of the readers of requests and responses."""
+
+import random
+
+import testtools
+
+from sesameplank.forwarding.http_messages import (
+    MessageError,
+    RequestReader,
+    ResponseReader,
+    encode_request,
+    encode_response,
+)
+
+LIMIT = 1_000
+GOOD = b"POST /a?b=1 HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\nabc"
+CHUNKED = (
+    b"POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"3\r\nabc\r\n2\r\nde\r\n0\r\nX-Trailer: 1\r\n\r\n"
+)
+
+
+class RequestReaderTests(testtools.TestCase):
+    """Requests are read whole, in any cut of their bytes."""
+
+    def test_every_cut_reads_the_same(self):
+        data = GOOD + CHUNKED + GOOD
+        for cut in range(1, len(data)):
+            reader = RequestReader(LIMIT, LIMIT)
+            reader.feed(data[:cut])
+            reader.feed(data[cut:])
+            bodies = [bytes(item.body) for item in reader.complete]
+            self.assertEqual([b"abc", b"abcde", b"abc"], bodies)
+            self.assertEqual([], [h for h in reader.complete[1].headers if b"T" in h])
+
+    def test_refused_requests(self):
+        for data, status in (
+            (b"GET / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+            (
+                b"GET / HTTP/1.1\r\nContent-Length: 1\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n",
+                400,
+            ),
+            (b"GET / HTTP/1.1\r\n" + b"X: " + b"y" * 2_000 + b"\r\n\r\n", 431),
+            (b"GET /" + b"y" * 2_000 + b" HTTP/1.1\r\n\r\n", 431),
+            (b"POST / HTTP/1.1\r\nContent-Length: 1001\r\n\r\n", 413),
+            (
+                b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"3e9\r\n" + b"x" * 1_001,
+                413,
+            ),
+            (b"CONNECT h:1 HTTP/1.1\r\n\r\n", 400),
+            (b"nothing\r\n\r\n", 400),
+        ):
+            reader = RequestReader(LIMIT, LIMIT)
+            error = self.assertRaises(MessageError, reader.feed, data)
+            self.assertEqual(status, error.status, data[:60])
+
+    def test_broken_bytes_raise_one_error_or_nothing(self):
+        rng = random.Random(5)
+        for _ in range(2_000):
+            data = bytearray(GOOD + CHUNKED)
+            for _ in range(rng.randrange(1, 4)):
+                data[rng.randrange(len(data))] = rng.randrange(256)
+            reader = RequestReader(LIMIT, LIMIT)
+            try:
+                reader.feed(bytes(data))
+            except MessageError:
+                continue
+            for request in reader.complete:
+                self.assertLessEqual(len(request.body), LIMIT)
+
+
+class ResponseReaderTests(testtools.TestCase):
+    """Responses end by their length, their chunks, or their connection."""
+
+    CASES = (
+        # bytes, complete before the end, complete after it, spoilt
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab", 1, 1, False),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", 0, 0, False),
+        (b"HTTP/1.1 200 OK\r\n\r\nab", 0, 1, False),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"2\r\nab\r\n0\r\n\r\n",
+            1,
+            1,
+            False,
+        ),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+            0,
+            0,
+            False,
+        ),
+        (
+            b"HTTP/1.1 100 Continue\r\n\r\n"
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+            1,
+            1,
+            False,
+        ),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\nextra", 1, 1, True),
+        (b"\x00\x01\x02", 0, 0, True),
+    )
+
+    def test_table(self):
+        for data, before, after, spoilt in self.CASES:
+            reader = ResponseReader(LIMIT, LIMIT)
+            reader.feed(data)
+            self.assertEqual(before, len(reader.complete), data)
+            reader.finish()
+            self.assertEqual(after, len(reader.complete), data)
+            self.assertEqual(spoilt, reader.is_spoilt, data)
+
+
+class EncodeTests(testtools.TestCase):
+    """What is encoded reads back the same."""
+
+    def test_request(self):
+        reader = RequestReader(LIMIT, LIMIT)
+        reader.feed(encode_request(b"PUT", b"/x", [(b"A", b"b")], b"body"))
+        (request,) = reader.complete
+        self.assertEqual(
+            (b"PUT", b"/x", b"body"),
+            (request.method, request.target, bytes(request.body)),
+        )
+
+    def test_response(self):
+        reader = ResponseReader(LIMIT, LIMIT)
+        reader.feed(encode_response(204, "No Content", [], b"", close=False))
+        reader.feed(encode_response(200, "OK", [(b"A", b"b")], b"x", close=True))
+        self.assertEqual([204, 200], [item.status for item in reader.complete])
+        self.assertFalse(reader.complete[1].keep_alive)
--- /dev/null
+++ b/tests/forwarding/test_played_load.py
@@ -0,0 +1,39 @@
+"""What callers get under a load, played against the core in virtual time.
+
+The bounds follow from the stated aims: a calm day serves nearly all of its
+worth, extra load stays within the fleet's bound, and trouble at a part of the
+targets costs callers less than that part.
+"""
+
+import testtools
+
+from .played_load import PlayedLoad, Scenario
+
+SECONDS = 6.0
+
+
+class PlayedLoadTests(testtools.TestCase):
+    """One run a case, each with a fixed seed."""
+
+    CASES = (
+        # what is changed, least worth
+        ({}, 0.95),
+        ({"slow_share": 0.12}, 0.85),
+        ({"dark_share": 0.08}, 0.85),
+        ({"per_s": 100.0}, 0.85),
+    )
+
+    def test_callers_are_served(self):
+        for changes, least in self.CASES:
+            values = {"per_s": 50.0, "seconds": SECONDS, **changes}
+            play = PlayedLoad(Scenario(**values), seed=11).run()
+            self.assertGreaterEqual(play.get_worth(), least, changes)
+
+    def test_extra_load_stays_within_the_bound(self):
+        for changes in ({}, {"slow_share": 0.3}, {"shed_share": 0.5}):
+            values = {"per_s": 50.0, "seconds": SECONDS, **changes}
+            play = PlayedLoad(Scenario(**values), seed=12).run()
+            requests = len(play.results)
+            for target_calls in play.count_by_shard().values():
+                extra = target_calls - requests
+                self.assertLessEqual(extra, 0.2 * requests + 56.0, changes)
--- /dev/null
+++ b/tests/integration/test_front_operations.py
@@ -0,0 +1,74 @@
+"""What operators see of a process: metrics, state, logs and checked settings."""
+
+import os
+import signal
+import subprocess
+import sys
+
+import msgspec
+
+from sesameplank.net import Address
+from sesameplank.standins.front_targets import TargetTrouble
+
+from .front_world import ROOT, FrontTestCase, make_request
+
+
+class OperationsTests(FrontTestCase):
+    """One process that served and refused."""
+
+    def get_metrics(self, path: str):
+        front = self.fronts[0]
+        return front.get(Address(front.host, 7380), path)
+
+    def run_command(self, *flags: str) -> subprocess.CompletedProcess:
+        return subprocess.run(
+            [sys.executable, "-m", "sesameplank.commands.front", *flags],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            env={**os.environ, "SESAMEPLANK_BOOT": str(self.fronts[0].path)},
+        )
+
+    def test_metrics_count_and_time_requests(self):
+        for number in range(3):
+            self.ask(make_request("/all/x", f"m{number}"))
+        text = bytes(self.get_metrics("/metrics").body).decode()
+        self.assertIn('events_total{event="requests"} 3', text)
+        self.assertIn('latency_ms_count{route="gather"} 3', text)
+        self.assertIn("sesameplank_front_config_version 3", text)
+        self.assertEqual(404, self.get_metrics("/other").status)
+
+    def test_state_names_members_and_targets(self):
+        state = msgspec.json.decode(bytes(self.get_metrics("/state").body))
+        self.assertTrue(state["is_ready"])
+        self.assertEqual("single", state["targets"]["singlea"]["service"])
+        self.assertIn(self.fronts[0].host, state["members"])
+
+    def test_dump_on_a_signal(self):
+        front = self.fronts[0]
+        front.process.send_signal(signal.SIGUSR1)
+        self.wait_for(lambda: "event=state dump=" in front.log.read_text(), "a dump")
+
+    def test_refused_request_leaves_its_story(self):
+        for name in ("singlea", "singleb"):
+            self.targets[name].trouble = TargetTrouble.RESET
+        self.assertEqual(
+            502, self.ask(make_request("/book/x", "st1", 900, "POST", b"1")).status
+        )
+        lines = [
+            line
+            for line in self.fronts[0].log.read_text().splitlines()
+            if "request=st1" in line
+        ]
+        self.assertIn("event=call_failed", lines[0])
+        self.assertIn("reason=reset", lines[0])
+        self.assertIn("event=request_refused", lines[-1])
+        self.assertIn("not_run=False", lines[-1])
+
+    def test_settings_are_checked(self):
+        done = self.run_command("--check")
+        self.assertEqual(0, done.returncode, done.stderr)
+        self.assertIn(f"caller_address={self.fronts[0].front}", done.stdout)
+        wrong = self.run_command("--check", "--settings_file=/nowhere")
+        self.assertEqual(2, wrong.returncode)
+        self.assertIn("cannot be read", wrong.stderr)
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,92 @@
+"""Tests of the platform's headers."""
+
+import testtools
+
+from sesameplank.forwarding.http_messages import Request, Response
+from sesameplank.platform.headers import (
+    PlatformDialect,
+    parse_idle_s,
+    parse_load,
+    parse_whole,
+)
+
+
+class ParseTests(testtools.TestCase):
+    """Texts of headers."""
+
+    def test_whole_numbers(self):
+        for text, value in (
+            ("5", 5),
+            ("0", 0),
+            ("-1", None),
+            ("1.5", None),
+            ("", None),
+            (None, None),
+            ("x", None),
+        ):
+            self.assertEqual(value, parse_whole(text), text)
+
+    def test_idle_time(self):
+        for text, value in (
+            ("timeout=5", 5.0),
+            ("max=3, Timeout=7", 7.0),
+            ("timeout=x", None),
+            ("", None),
+            (None, None),
+        ):
+            self.assertEqual(value, parse_idle_s(text), text)
+
+    def test_load(self):
+        self.assertEqual(2.5, parse_load("1,2,3,250").stretch)
+        self.assertEqual(1.0, parse_load("1,2,3").stretch)
+        for text in ("1,2", "a,b,c", "1,2,-3", "", None):
+            self.assertIsNone(parse_load(text), text)
+
+
+class PlatformDialectTests(testtools.TestCase):
+    """Requests and responses in the forwarder's types."""
+
+    def test_headers_of_one_connection_are_left_out(self):
+        request = Request()
+        request.headers = [
+            (b"Host", b"h"),
+            (b"Connection", b"close, X-Hop"),
+            (b"X-Hop", b"1"),
+            (b"Keep-Alive", b"5"),
+            (b"X-Own", b"2"),
+            (b"X-Deadline-Ms", b"900"),
+            (b"X-Expect-Instance", b"forged"),
+            (b"X-Request-Id", b"r"),
+        ]
+        headers = PlatformDialect().make_call_headers(request, "i-1", 0.4567)
+        self.assertEqual(
+            {
+                b"Host": b"h",
+                b"X-Own": b"2",
+                b"X-Request-Id": b"r",
+                b"X-Deadline-Ms": b"456",
+                b"X-Expect-Instance": b"i-1",
+            },
+            dict(headers),
+        )
+
+    def test_answers(self):
+        for status, headers, not_run, other, usable in (
+            (200, [(b"x-server-stamp", b"s")], False, False, True),
+            (503, [(b"X-Not-Executed", b"1")], True, False, True),
+            (503, [], False, False, True),
+            (421, [], True, True, True),
+            (200, [(b"Content-Encoding", b"gzip")], False, False, False),
+        ):
+            response = Response()
+            response.status = status
+            response.headers = headers
+            answer = PlatformDialect().read_answer(response)
+            self.assertEqual(
+                (not_run, other, usable),
+                (answer.not_run, answer.is_other_target, answer.is_usable),
+            )
+
+    def test_refusal_says_when_to_come_back(self):
+        headers = dict(PlatformDialect().make_refusal_headers("r", 0.25))
+        self.assertEqual(b"0.250", headers[b"Retry-After"])
--- /dev/null
+++ b/tests/platform/test_items.py
@@ -0,0 +1,151 @@
+"""Tests of the items of the platform's store."""
+
+import base64
+
+import msgspec
+import testtools
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from sesameplank.core.target_table import TargetPhase
+from sesameplank.exceptions import ConfigurationError
+from sesameplank.platform.items import decode_routing, decode_target
+from sesameplank.platform.source import make_publication
+from sesameplank.platform.store import WireItem
+
+FIXED = settings.get_profile("fixed")
+TARGET = {
+    "service": "s1",
+    "addr": "10.0.0.9:80",
+    "zone": "dc-a",
+    "version": "v1",
+    "slots": 2,
+    "state": "ready",
+    "cold_left_ms": 0,
+    "seq": 4,
+    "born": 17,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "h",
+            "prefix": "/a/",
+            "type": "safe",
+            "timeout_ms": 800,
+            "goal_ms": 56,
+            "priority": 2,
+            "gather": ["s1", "s2"],
+            "attempts": 2,
+            "top_k": 5,
+            "min_share": 0.75,
+            "unknown": 1,
+        },
+        {
+            "name": "r2",
+            "host": "h",
+            "prefix": "/b/",
+            "type": "unsafe",
+            "timeout_ms": 6000,
+            "weighted_services": [
+                {"service": "s3", "weight": 3},
+                {"service": "s4", "weight": 1},
+            ],
+        },
+    ],
+    "services": [{"name": "s1", "health_path": "/h", "max_conns": 26}],
+    "limits": {"max_header_bytes": 100, "idle_timeout_ms": 15000},
+}
+
+
+def encode(value: object) -> bytes:
+    """Return a value as the store's writers encode it."""
+    return msgspec.json.encode(value)
+
+
+class DecodeTargetTests(testtools.TestCase):
+    """Only whole, known entries name a target."""
+
+    def test_ready_target(self):
+        record = decode_target("servers/i-1", encode(TARGET), 9)
+        self.assertEqual(("i-1", "s1", "dc-a"), (record.id, record.service, "dc-a"))
+        self.assertIs(TargetPhase.READY, record.phase)
+        self.assertEqual((9, 17), (record.revision, record.started_ms))
+
+    def test_forged_entries_are_refused(self):
+        for change in (
+            {"service": 5},
+            {"service": ""},
+            {"addr": "10.0.0.9"},
+            {"state": "resting"},
+            {"slots": -1},
+            {"slots": "2"},
+            {"born": 1.5},
+            {"seq": None},
+        ):
+            value = encode({**TARGET, **change})
+            self.assertRaises(ConfigurationError, decode_target, "k", value, 1)
+        for name in ("service", "addr", "zone", "slots", "state", "seq"):
+            value = encode({k: v for k, v in TARGET.items() if k != name})
+            self.assertRaises(ConfigurationError, decode_target, "k", value, 1)
+
+    @FIXED
+    @given(st.binary(max_size=60))
+    def test_bytes_that_cannot_be_read(self, value):
+        self.assertRaises(ConfigurationError, decode_target, "k", value, 1)
+
+
+class DecodeRoutingTests(testtools.TestCase):
+    """A configuration becomes typed routes."""
+
+    def test_routes(self):
+        routing = decode_routing(encode(CONFIG))
+        gather, split = routing.routes
+        self.assertEqual(7, routing.version)
+        self.assertEqual(("s1", "s2"), gather.shards)
+        self.assertEqual((0.8, 0.056, 2), (gather.timeout_s, gather.goal_s, 2))
+        self.assertTrue(gather.idempotent)
+        self.assertFalse(split.idempotent)
+        self.assertEqual(6.0, split.goal_s)
+        self.assertEqual([3.0, 1.0], [item.weight for item in split.services])
+        self.assertEqual(26, routing.services["s1"].max_connections)
+        self.assertEqual(100, routing.limits.max_header_bytes)
+        self.assertEqual(15.0, routing.limits.idle_timeout_s)
+
+    def test_malformed_documents_are_refused(self):
+        for value in (b"", b"{", b"[]", b'{"version":"7"}', b'{"routes":[]}'):
+            self.assertRaises(ConfigurationError, decode_routing, value)
+
+
+class MakePublicationTests(testtools.TestCase):
+    """Items that cannot be read are left out, and the others hold."""
+
+    def make(self, key: str, value: bytes, rev: int) -> WireItem:
+        return WireItem(key, rev, base64.b64encode(value).decode())
+
+    def test_mixed_items(self):
+        items = [
+            self.make("op/config", encode(CONFIG), 3),
+            self.make("servers/a", encode(TARGET), 4),
+            self.make("servers/b", b"\x00", 5),
+            WireItem("servers/c", 6, "not base64!"),
+            WireItem("servers/d", 7, deleted=True),
+            self.make("another/key", b"x", 8),
+        ]
+        publication = make_publication(items, 8, is_whole=False)
+        self.assertEqual(7, publication.configuration.version)
+        self.assertEqual(["a"], [item.id for item in publication.targets.records])
+        removed = dict(publication.targets.removed)
+        self.assertEqual({"b": 5, "c": 6, "d": 7}, removed)
+
+    def test_last_event_of_a_target_counts(self):
+        items = [
+            self.make("servers/a", encode(TARGET), 4),
+            WireItem("servers/a", 5, deleted=True),
+            self.make("servers/b", b"\x00", 6),
+            self.make("servers/b", encode(TARGET), 7),
+        ]
+        publication = make_publication(items, 7, is_whole=False)
+        self.assertEqual(["b"], [item.id for item in publication.targets.records])
+        self.assertEqual((("a", 5),), publication.targets.removed)
