--- a/sesameplank/core/plans.py
+++ b/sesameplank/core/plans.py
@@ -8,7 +8,7 @@
 from .fanout import FanoutPlan
 from .routes import Route
 
-ANSWER_MARGIN_S = 0.012
+ANSWER_MARGIN_S = 0.006
 DEADLINE_MARGIN_S = 0.010
 SHARE_TOLERANCE = 1e-9
 
--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -28,6 +28,8 @@
 READ_BYTES = 65_536
 WRITE_TIMEOUT_S = 10.0
 MAX_PIPELINED = 8
+OPENING_TRIPS = 1
+LOOK_UP_TRIPS = 2  # A connection to the directory, and the question itself.
 LISTEN_BACKLOG = 1_024
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -223,9 +225,11 @@
     def get_transit_s(self) -> float:
         """Return the network's part of a request's time, in seconds.
 
-        The first request of a connection also waited for its opening.
+        Besides its own way and back, a request may have waited while its caller
+        asked for addresses, and the first one for the connection's opening.
         """
-        return self.round_trip_s * (1 if self.served else 2)
+        trips = 1 + LOOK_UP_TRIPS + (0 if self.served else OPENING_TRIPS)
+        return self.round_trip_s * trips
 
     def serve(self, request: Request, link: CallerLink) -> Reply:
         """Return the handler's answer; a fault of ours is answered too."""
--- a/sesameplank/platform/command.py
+++ b/sesameplank/platform/command.py
@@ -24,7 +24,7 @@
 from .source import StoreSource
 from .store import StoreClient
 
-ADDRESS_TTL_S = 2.0
+ADDRESS_TTL_S = 5.0
 EXIT_USAGE = 2
 METRICS_PATH = "/metrics"
 STATE_PATH = "/state"
