--- a/sesameplank/platform/settings.py
+++ b/sesameplank/platform/settings.py
@@ -11,6 +11,8 @@
 from ..net import Address
 
 PATH_VARIABLE = "SESAMEPLANK_BOOT"
+METRICS_PORT_VARIABLE = "SESAMEPLANK_METRICS_PORT"
+DEFAULT_METRICS_PORT = 9180
 DEFAULT_PATH = "/etc/sesameplank/node.conf"
 
 
@@ -60,6 +62,11 @@
         ) from error
 
 
+def read_metrics_port() -> int:
+    """Return the port for metrics and state, or raise ValueError."""
+    return int(os.environ.get(METRICS_PORT_VARIABLE, DEFAULT_METRICS_PORT))
+
+
 def make_settings(values: dict[str, str]) -> VmSettings:
     """Return the typed settings, or raise KeyError or ValueError."""
     ip = values["ip"]
@@ -71,7 +78,7 @@
         ready_address=Address.parse(values["listen.ready"]),
         directory_address=Address.parse(values["listen.directory"]),
         peer_address=Address.parse(values["listen.control"]),
-        metrics_address=Address(ip, int(values["port_range"].split(",")[0])),
+        metrics_address=Address(ip, read_metrics_port()),
         store_address=Address.parse(values["platform.addr"]),
         peers=tuple(
             Address.parse(item) for item in values.get("seeds", "").split(",") if item
