--- a/sesameplank/commands/demo.py
+++ b/sesameplank/commands/demo.py
@@ -1,5 +1,6 @@
 """Start a small deployment, run queries and a booking, and print a summary."""
 
+import math
 import random
 
 import msgspec
@@ -71,6 +72,7 @@
     booked = client.book(collection, record, deadline_ms=DEADLINE_MS)
     summary.bookings = 1
     print(f"booking {booked.result.value}, readable from snapshot {booked.snapshot}")
+    fractions: list[float] = []
     for number in range(count):
         request = SearchRequest(
             collection=collection,
@@ -83,7 +85,7 @@
         answer = client.search(request, DEADLINE_MS)
         histogram.record_value(int((clock.now() - started_at) * 1e6))
         summary.whole_answers += answer.coverage.is_whole
-        summary.coverage += answer.coverage.fraction / count
+        fractions.append(answer.coverage.fraction)
         if not is_true(world, request, answer):
             summary.snapshots_mixed += 1
         if number < SHOWN:
@@ -92,6 +94,7 @@
                 f"{answer.snapshot}, coverage {answer.coverage.fraction:.3f}, "
                 f"first {[hit.key for hit in answer.hits]}"
             )
+    summary.coverage = math.fsum(fractions) / len(fractions) if fractions else 0.0
     summary.p99_ms = histogram.get_value_at_percentile(99) / 1_000
     return summary
 
--- /dev/null
+++ b/sesameplank/core/attempts.py
@@ -0,0 +1,27 @@
+"""Attempts of a query: the calls that it makes to targets, and why."""
+
+from enum import Enum
+
+import msgspec
+
+from ..ids import AttemptId, CollectionName, ShardId, TargetId
+
+
+class AttemptKind(Enum):
+    """Why an attempt was sent."""
+
+    FIRST = "first"
+    RETRY = "retry"
+    HEDGE = "hedge"
+    PROBE = "probe"
+
+
+class Attempt(msgspec.Struct, frozen=True):
+    """One call to one target for some shards of the plan."""
+
+    id: AttemptId
+    kind: AttemptKind
+    collection: CollectionName
+    target: TargetId
+    shards: tuple[ShardId, ...]
+    sent_at: float
--- a/sesameplank/core/hedging.py
+++ b/sesameplank/core/hedging.py
@@ -1,16 +1,13 @@
 """When a second copy of a read is sent, and how much extra load that may cost."""
 
 from abc import ABC, abstractmethod
-from typing import TYPE_CHECKING
 
+from .attempts import Attempt
 from .budgets import TokenBudget
 from .counters import HedgeResult, PolicyCounters, RetryResult
 from .coverage import MissingReason
 from .latency import LatencyBook
 
-if TYPE_CHECKING:
-    from .query import Attempt
-
 MIN_HEDGE_DELAY_S = 0.002
 
 
@@ -18,7 +15,7 @@
     """Decides on hedges and retries; the extension point for other policies."""
 
     @abstractmethod
-    def get_hedge_time(self, attempt: "Attempt") -> float | None:
+    def get_hedge_time(self, attempt: Attempt) -> float | None:
         """Return when the attempt should be hedged, in seconds, or None."""
 
     @abstractmethod
@@ -41,7 +38,7 @@
 class NoHedges(HedgePolicy):
     """Never hedges; retries without limit."""
 
-    def get_hedge_time(self, attempt: "Attempt") -> float | None:
+    def get_hedge_time(self, attempt: Attempt) -> float | None:
         """Return None: no attempt is hedged."""
         return None
 
@@ -75,7 +72,7 @@
         self.retry_budget = retry_budget
         self.counters = counters
 
-    def get_hedge_time(self, attempt: "Attempt") -> float | None:
+    def get_hedge_time(self, attempt: Attempt) -> float | None:
         """Return the send time plus the quantile, or None if little is known."""
         delay_s = self.latencies.get_quantile(
             attempt.collection, len(attempt.shards), self.quantile
--- a/sesameplank/core/observer.py
+++ b/sesameplank/core/observer.py
@@ -2,11 +2,11 @@
 
 from collections.abc import Sequence
 
+from .attempts import Attempt
 from .coverage import MissingRange
 from .messages import TargetSearchAnswer
 from .outcomes import Failure
 from .plan import Plan
-from .query import Attempt
 
 
 class CallObserver:
--- a/sesameplank/core/policies.py
+++ b/sesameplank/core/policies.py
@@ -5,6 +5,7 @@
 
 from ..conf import Configuration
 from ..ids import AttemptId, TargetId
+from .attempts import Attempt, AttemptKind
 from .budgets import TokenBudget
 from .choice import LeastCostChooser, ReplicaChooser
 from .clock import Clock
@@ -17,7 +18,6 @@
 from .observer import CallObserver
 from .outcomes import Failure, FailureReason
 from .plan import Plan
-from .query import Attempt, AttemptKind
 from .scoreboard import Scoreboard
 from .versions import AcceptedConfiguration
 
--- a/sesameplank/core/query.py
+++ b/sesameplank/core/query.py
@@ -9,9 +9,8 @@
 from collections.abc import Iterable
 from enum import Enum
 
-import msgspec
-
-from ..ids import AttemptId, CollectionName, ShardId, Snapshot, TargetId
+from ..ids import AttemptId, ShardId, Snapshot, TargetId
+from .attempts import Attempt, AttemptKind
 from .choice import ReplicaChooser
 from .coverage import Coverage, MissingRange, MissingReason
 from .hedging import HedgePolicy
@@ -30,26 +29,6 @@
 }
 
 
-class AttemptKind(Enum):
-    """Why an attempt was sent."""
-
-    FIRST = "first"
-    RETRY = "retry"
-    HEDGE = "hedge"
-    PROBE = "probe"
-
-
-class Attempt(msgspec.Struct, frozen=True):
-    """One call to one target for some shards of the plan."""
-
-    id: AttemptId
-    kind: AttemptKind
-    collection: CollectionName
-    target: TargetId
-    shards: tuple[ShardId, ...]
-    sent_at: float
-
-
 class ShardProgress:
     """What is known of one shard while its query runs."""
 
--- a/sesameplank/queries.py
+++ b/sesameplank/queries.py
@@ -8,6 +8,7 @@
 from gevent.queue import Empty, SimpleQueue
 
 from .callers.problems import Refusal
+from .core.attempts import Attempt, AttemptKind
 from .core.choice import ReplicaChooser
 from .core.clock import Clock
 from .core.hedging import HedgePolicy
@@ -24,7 +25,7 @@
 from .core.observer import CallObserver
 from .core.outcomes import Failure
 from .core.plan import Plan
-from .core.query import Attempt, AttemptKind, QueryState
+from .core.query import QueryState
 from .core.snapshots import HeldSnapshots, SnapshotTracker
 from .core.versions import AcceptedConfiguration
 from .ids import AttemptId, RequestId, TargetId
--- a/tests/core/test_hedging.py
+++ b/tests/core/test_hedging.py
@@ -4,6 +4,7 @@
 
 import testtools
 
+from sesameplank.core.attempts import AttemptKind
 from sesameplank.core.budgets import TokenBudget
 from sesameplank.core.choice import FirstReplicaChooser
 from sesameplank.core.counters import HedgeResult, PolicyCounters, RetryResult
@@ -13,7 +14,7 @@
 from sesameplank.core.messages import ShardResult, ShardStatus, TargetSearchAnswer
 from sesameplank.core.outcomes import Failure, FailureReason, Ran
 from sesameplank.core.plan import PlannedShard, make_plan
-from sesameplank.core.query import AttemptKind, QueryState
+from sesameplank.core.query import QueryState
 from sesameplank.core.ranges import KEY_SPACE, KeyRange
 
 RESET = Failure(FailureReason.RESET, Ran.UNKNOWN)
--- a/tests/core/test_policies.py
+++ b/tests/core/test_policies.py
@@ -6,6 +6,7 @@
 import testtools
 
 from sesameplank.conf import PresetName
+from sesameplank.core.attempts import Attempt, AttemptKind
 from sesameplank.core.clock import ManualClock
 from sesameplank.core.counters import EjectionReason, ProbeResult
 from sesameplank.core.coverage import MissingRange, MissingReason
@@ -13,7 +14,6 @@
 from sesameplank.core.outcomes import Failure, FailureReason, Ran
 from sesameplank.core.plan import PlannedShard, make_plan
 from sesameplank.core.policies import LoadPolicies
-from sesameplank.core.query import Attempt, AttemptKind
 from sesameplank.core.versions import AcceptedConfiguration
 from sesameplank.standins.deployments import VATUWAQA, make_configuration
 
--- a/tests/core/test_query.py
+++ b/tests/core/test_query.py
@@ -2,13 +2,14 @@
 
 import testtools
 
+from sesameplank.core.attempts import AttemptKind
 from sesameplank.core.choice import FirstReplicaChooser
 from sesameplank.core.coverage import MissingReason
 from sesameplank.core.hedging import NoHedges
 from sesameplank.core.messages import ShardResult, ShardStatus, TargetSearchAnswer
 from sesameplank.core.outcomes import Failure, FailureReason, Ran
 from sesameplank.core.plan import PlannedShard, make_plan
-from sesameplank.core.query import AttemptKind, QueryState
+from sesameplank.core.query import QueryState
 from sesameplank.core.ranges import KEY_SPACE, KeyRange
 
 HALF = KEY_SPACE // 2
