Few VMs read the store; the others hear by pulses that the view is current

Change: two VMs read, chosen alike by rank among those that the store does not turn away; a VM that is turned away says so in its member record; every answer floods once as a pulse; a VM without news for 2.3 s reads for itself. Ruled out: longer watches (cover for readers that die in silence would come after the 3 s in which a change must be in force).

--- a/sesameplank/core/membership.py
+++ b/sesameplank/core/membership.py
@@ -376,6 +376,16 @@
         self.put(own, now)
         return self.flood([own], None)
 
+    def set_blind(self, is_blind: bool, now: float) -> list[Outgoing]:
+        """Say of this process whether the platform's service turns it away."""
+        if self.own.is_blind == is_blind:
+            return []
+        own = msgspec.structs.replace(
+            self.own, is_blind=is_blind, epoch=self.own.epoch + 1
+        )
+        self.put(own, now)
+        return self.flood([own], None)
+
     def on_pause(self, now: float) -> list[Outgoing]:
         """Forget what silence meant, and ask the neighbours for their views."""
         self.fresh = False
--- a/sesameplank/core/peer_messages.py
+++ b/sesameplank/core/peer_messages.py
@@ -41,6 +41,7 @@
 
     Only the entry itself raises its epoch, to change its phase or to refute
     what others say of its health. Epoch 0 means that it was never heard.
+    `is_blind` says that the platform's service turns it away.
     """
 
     id: EntryId
@@ -51,6 +52,7 @@
     address: str
     peer_address: str
     data_centre: DataCentre
+    is_blind: bool = False
 
     @property
     def precedence(self) -> tuple[int, int]:
--- /dev/null
+++ b/sesameplank/core/reader_duty.py
@@ -0,0 +1,36 @@
+"""Which VMs read the platform's service for the whole fleet.
+
+A few read, and all others hear from them within moments. A reader that is turned
+away says so, and the next takes its place; whoever has not heard for a while
+that its view is current reads for itself, whatever it believes of the others.
+"""
+
+from collections.abc import Iterable
+
+from ..ids import EntryId
+from .homes import rank
+from .peer_messages import Member
+
+READERS = 2
+MAX_VIEW_AGE_S = 2.3  # A change must be in force within 3 s.
+DUTY = "reader"
+
+
+def choose_reading_members(members: Iterable[Member]) -> list[EntryId]:
+    """Return the members that read: those that can, or any if none can."""
+    known = list(members)
+    able = [member.id for member in known if not member.is_blind]
+    return rank(DUTY, able or [member.id for member in known])[:READERS]
+
+
+def has_duty(
+    own_id: EntryId, members: Iterable[Member], view_age_s: float | None
+) -> bool:
+    """Tell whether this process has to read.
+
+    `view_age_s` is the time since its view was known to be current, None if it
+    never was.
+    """
+    if view_age_s is None or view_age_s > MAX_VIEW_AGE_S:
+        return True
+    return own_id in choose_reading_members(members)
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -18,6 +18,7 @@
 from ..core.pauses import BootClock, PauseDetector
 from ..core.peer_messages import Member, Phase
 from ..core.placement import Placement
+from ..core.reader_duty import has_duty
 from ..core.routes import RequestLimits, RoutingConfiguration
 from ..core.target_table import TargetTable
 from ..core.versions import AcceptedConfiguration, ConfigurationStore
@@ -40,6 +41,7 @@
 FLEET_MEMORY_S = 60.0
 STOP_MARGIN_S = 0.9
 LAST_ANSWER_MARGIN_S = 0.3
+PULSE_S = 0.5
 COUNTS_INTERVAL_S = 10.0
 
 
@@ -97,6 +99,7 @@
             lambda: self.membership.neighbours,
             clock,
             rng,
+            pulse_s=PULSE_S,
         )
         self.service = MembershipService(
             self.membership,
@@ -106,7 +109,14 @@
             self.relay.on_versions,
         )
         self.follower = PublicationFollower(
-            source, self.store, self.table, clock, rng, self.relay.notify
+            source,
+            self.store,
+            self.table,
+            clock,
+            rng,
+            self.relay.notify,
+            self.has_reading_duty,
+            self.service.set_blind,
         )
         self.callers = CallerServer(
             settings.caller_address,
@@ -168,6 +178,15 @@
             and self.table.revision > 0
         )
 
+    def has_reading_duty(self, view_age_s: float | None) -> bool:
+        """Tell whether this process has to read the platform's store now."""
+        return has_duty(self.settings.vm, self.get_serving(), view_age_s)
+
+    def get_serving(self) -> list[Member]:
+        """Return the members that serve, this one included."""
+        members = self.membership.members
+        return [members[entry] for entry in self.membership.get_serving()]
+
     def get_limits(self) -> RequestLimits:
         """Return the limits of the configuration in force."""
         routing = self.forwarder.routing
@@ -299,10 +318,7 @@
 
     def get_addresses(self) -> list[str]:
         """Return the addresses that callers should use."""
-        members = [
-            self.membership.members[entry] for entry in self.membership.get_serving()
-        ]
-        return choose_addresses(members, self.replicas)
+        return choose_addresses(self.get_serving(), self.replicas)
 
     def count_replicas(self) -> dict[DataCentre, int]:
         """Return how many targets of sharded services each data centre holds."""
--- a/sesameplank/peers/documents.py
+++ b/sesameplank/peers/documents.py
@@ -34,7 +34,8 @@
     """Announces versions to neighbours and fetches the ones that it lacks.
 
     A version that rises is announced to every neighbour at once; heartbeats
-    repeat it. The value travels only to an entry that asks for it.
+    repeat it. The value travels only to an entry that asks for it. With `pulse_s`,
+    neighbours also hear that often, in seconds, that the view is still current.
     """
 
     def __init__(
@@ -45,7 +46,10 @@
         get_neighbours: Callable[[], Iterable[EntryId]],
         clock: Clock,
         rng: random.Random,
+        pulse_s: float | None = None,
     ) -> None:
+        self.pulse_s = pulse_s
+        self.pulsed_at = float("-inf")
         self.links = links
         self.store = store
         self.documents = dict(documents)
@@ -89,13 +93,26 @@
     def announce(self) -> None:
         """Tell the neighbours if a version rose since the last time."""
         versions = msgspec.structs.replace(self.get_versions(), config_age_ms=-1)
-        if versions == self.announced:
+        if versions == self.announced and not self.is_pulse_due():
             return
         self.announced = versions
         message = Announcement(self.get_versions())
         for neighbour in self.get_neighbours():
             self.links.send(neighbour, message)
 
+    def is_pulse_due(self) -> bool:
+        """Tell whether neighbours should hear that the view is still current.
+
+        Each entry passes the news on once, so that it floods the overlay.
+        """
+        confirmed_at = self.store.confirmed_at
+        if self.pulse_s is None or confirmed_at is None:
+            return False
+        if confirmed_at - self.pulsed_at < self.pulse_s:
+            return False
+        self.pulsed_at = confirmed_at
+        return True
+
     def notify(self) -> None:
         """Let the loop look for versions that rose."""
         self.wake.set()
@@ -106,8 +123,7 @@
 
     def on_versions(self, sender: EntryId, versions: Versions) -> None:
         """Note which newer documents a peer has, and what the service confirmed."""
-        if versions.config == self.store.version and versions.config_age_ms >= 0:
-            self.store.confirm(versions.config_age_ms / 1_000)
+        self.take_confirmation(versions)
         offered = {
             DocumentKind.CONFIG: versions.config,
             DocumentKind.VMS: versions.vms,
@@ -120,6 +136,16 @@
                 self.offers[kind][sender] = version
                 self.wake.set()
 
+    def take_confirmation(self, versions: Versions) -> None:
+        """Note that a peer's view, which is also ours, was current of late."""
+        is_same = versions.config == self.store.version
+        is_newer = versions.targets > self.get_version(DocumentKind.TARGETS)
+        if not is_same or is_newer or versions.config_age_ms < 0:
+            return
+        self.store.confirm(versions.config_age_ms / 1_000)
+        if self.pulse_s is not None:
+            self.wake.set()
+
     def fetch_newest(self, kind: DocumentKind) -> None:
         """Fetch one document from the peers that offer it, the newest first."""
         offers = self.offers[kind]
--- a/sesameplank/peers/membership.py
+++ b/sesameplank/peers/membership.py
@@ -78,6 +78,10 @@
         """Tell the core that this process was stopped for a while."""
         self.send(self.membership.on_pause(self.clock.now()))
 
+    def set_blind(self, is_blind: bool) -> None:
+        """Announce whether the platform's service turns this process away."""
+        self.send(self.membership.set_blind(is_blind, self.clock.now()))
+
     def leave(self, phase: Phase) -> None:
         """Announce that this process is leaving or has left."""
         self.send(self.membership.leave(phase, self.clock.now()))
--- a/sesameplank/published/follower.py
+++ b/sesameplank/published/follower.py
@@ -14,7 +14,10 @@
 from ..exceptions import HistoryGoneError, PlatformError
 from ..logs import log_event
 
-WATCH_WAIT_S = 8.0
+WATCH_WAIT_S = 1.5
+ANSWER_AGE_S = 0.3  # The longest that an answer is usually under way.
+DUTY_CHECK_S = 0.1
+BLIND_S = 5.0
 PAUSE_MIN_S = 0.2
 PAUSE_MAX_S = 0.6
 DISTURBED_S = 5.0
@@ -43,7 +46,12 @@
 
 
 class PublicationFollower:
-    """Keeps the configuration and the table of targets current."""
+    """Keeps the configuration and the table of targets current.
+
+    `has_duty` tells whether this process has to read when its view was last
+    known to be current so many seconds ago. `set_blind` hears whether the
+    service turns this process away, and `on_answer` of every answer.
+    """
 
     def __init__(
         self,
@@ -52,14 +60,18 @@
         table: TargetTable,
         clock: Clock,
         rng: random.Random,
-        on_change: Callable[[], None],
+        on_answer: Callable[[], None],
+        has_duty: Callable[[float | None], bool],
+        set_blind: Callable[[bool], None],
     ) -> None:
         self.source = source
         self.store = store
         self.table = table
         self.clock = clock
         self.rng = rng
-        self.on_change = on_change
+        self.on_answer = on_answer
+        self.has_duty = has_duty
+        self.set_blind = set_blind
         self.revision: int | None = None
         self.failed_at = float("-inf")
         self.is_failing = False
@@ -67,6 +79,9 @@
     def run(self) -> None:
         """Read and watch until killed."""
         while True:
+            if not self.has_duty(self.store.age_s):
+                self.rest()
+                continue
             try:
                 self.step()
             except HistoryGoneError:
@@ -76,6 +91,13 @@
                 self.note_failure(error)
                 gevent.sleep(self.rng.uniform(PAUSE_MIN_S, PAUSE_MAX_S))
 
+    def rest(self) -> None:
+        """Leave the reading to others for a moment."""
+        if self.is_failing and self.clock.now() - self.failed_at > BLIND_S:
+            self.is_failing = False
+            self.set_blind(False)
+        gevent.sleep(DUTY_CHECK_S)
+
     def step(self) -> None:
         """Make one call and take its answer in."""
         asked_at = self.clock.now()
@@ -86,15 +108,17 @@
         if self.is_failing:
             log_event("store_regained", revision=publication.targets.revision)
             self.is_failing = False
+            self.set_blind(False)
         self.take(publication)
-        self.store.confirm(self.clock.now() - asked_at)
+        self.store.confirm(min(ANSWER_AGE_S, self.clock.now() - asked_at))
+        self.on_answer()
 
     def take(self, publication: Publication) -> None:
         """Take in what the service published."""
         now = self.clock.now()
         self.revision = publication.targets.revision
         disturbed = now - self.failed_at < DISTURBED_S
-        changed = self.table.apply(publication.targets, now, disturbed)
+        self.table.apply(publication.targets, now, disturbed)
         if publication.configuration is not None:
             result = self.store.offer(publication.configuration)
             log_event(
@@ -102,15 +126,13 @@
                 version=publication.configuration.version,
                 result=result.value,
             )
-            changed = True
-        if changed:
-            self.on_change()
 
     def note_failure(self, error: PlatformError) -> None:
         """Log the first failure of a series."""
         self.failed_at = self.clock.now()
         if not self.is_failing:
             log_event("store_lost", reason=str(error))
+            self.set_blind(True)
         self.is_failing = True
 
     def read_again(self) -> None:
--- /dev/null
+++ b/tests/core/test_reader_duty.py
@@ -0,0 +1,50 @@
+"""Tests of who reads the platform's service."""
+
+import testtools
+
+from sesameplank.core.peer_messages import Health, Member, Phase
+from sesameplank.core.reader_duty import (
+    MAX_VIEW_AGE_S,
+    READERS,
+    choose_reading_members,
+    has_duty,
+)
+
+
+def make_members(count: int, blind=()) -> list[Member]:
+    """Return serving members `m0`, `m1`, ..., some of them turned away."""
+    return [
+        Member(
+            f"m{n}", 1, 1, Phase.SERVING, Health.ALIVE, "", "", "dc", f"m{n}" in blind
+        )
+        for n in range(count)
+    ]
+
+
+class ReaderDutyTests(testtools.TestCase):
+    """A few read; nobody stays without news."""
+
+    def test_a_few_read_whatever_the_size(self):
+        for count in (1, 2, 8, 83, 1_400):
+            readers = choose_reading_members(make_members(count))
+            self.assertEqual(min(READERS, count), len(readers))
+
+    def test_readers_that_are_turned_away_are_replaced(self):
+        readers = choose_reading_members(make_members(8))
+        others = choose_reading_members(make_members(8, readers))
+        self.assertEqual(READERS, len(others))
+        self.assertEqual(set(), set(readers) & set(others))
+
+    def test_some_still_try_when_all_are_turned_away(self):
+        blind = {f"m{n}" for n in range(8)}
+        self.assertEqual(READERS, len(choose_reading_members(make_members(8, blind))))
+
+    def test_an_old_view_is_a_duty_for_all(self):
+        members = make_members(8)
+        idle = next(
+            m.id for m in members if m.id not in choose_reading_members(members)
+        )
+        self.assertFalse(has_duty(idle, members, MAX_VIEW_AGE_S))
+        self.assertTrue(has_duty(idle, members, MAX_VIEW_AGE_S + 0.1))
+        self.assertTrue(has_duty(idle, members, None))
+        self.assertTrue(has_duty(idle, [], None))
