--- a/sesameplank/core/directory.py
+++ b/sesameplank/core/directory.py
@@ -18,6 +18,14 @@
 MIN_ADDRESSES = 3
 MIN_ACTIVE_SHARE = 0.25  # Room for demand that connections say nothing of.
 DUTY = "active"
+ADDRESS_TTL_S = 5.0  # A look-up costs its caller two round trips.
+CORES_A_UNIT = 0.1
+MBPS_A_UNIT = 10.0
+
+
+def get_capacity(cores: float, link_mbps: float) -> int:
+    """Return what a VM can carry beside others: the narrower of both, at least 1."""
+    return max(1, int(min(cores / CORES_A_UNIT, link_mbps / MBPS_A_UNIT)))
 
 
 def choose_active(
--- a/sesameplank/platform/command.py
+++ b/sesameplank/platform/command.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from ..core.clock import BootTimeClock
+from ..core.directory import ADDRESS_TTL_S, get_capacity
 from ..exceptions import SesameplankError
 from ..forwarding.caller_connections import CallerLink, CallerServer, Reply
 from ..forwarding.front import Front, FrontSettings
@@ -24,7 +25,6 @@
 from .source import StoreSource
 from .store import StoreClient
 
-ADDRESS_TTL_S = 5.0
 EXIT_USAGE = 2
 METRICS_PATH = "/metrics"
 STATE_PATH = "/state"
@@ -110,7 +110,7 @@
             caller_address=settings.caller_address,
             peer_address=settings.peer_address,
             peers=settings.peers,
-            capacity=settings.capacity,
+            capacity=get_capacity(settings.cores, settings.link_mbps),
             stop_timeout_s=settings.stop_timeout_s,
             extra_load=settings.extra_load,
         ),
--- a/sesameplank/platform/settings.py
+++ b/sesameplank/platform/settings.py
@@ -20,7 +20,8 @@
     """What a process learns of itself at its start; times in seconds.
 
     `vm` is the VM's IP number, by which VMs know each other. `peers` are the
-    peer addresses of a few VMs, some of which may be down.
+    peer addresses of a few VMs, some of which may be down. `cores` and
+    `link_mbps` are what the VM's processor and link carry, 0 if unknown.
     """
 
     name: str
@@ -33,7 +34,8 @@
     metrics_address: Address
     store_address: Address
     peers: tuple[Address, ...]
-    capacity: int
+    cores: float
+    link_mbps: float
     stop_timeout_s: float
     max_address_ttl_s: float
     extra_load: ExtraLoadBounds
@@ -63,18 +65,6 @@
         ) from error
 
 
-def get_capacity(values: dict[str, str]) -> int:
-    """Return the VM's capacity: tenths of a core or of 100 Mbit/s, the fewer.
-
-    A VM whose settings do not say counts as one of the smallest.
-    """
-    cores = float(values.get("limits.cpu_share", 0)) * float(
-        values.get("limits.cores", 0)
-    )
-    link_mbps = float(values.get("limits.link_mbps", 0))
-    return max(1, int(min(10 * cores, link_mbps / 10)))
-
-
 def read_metrics_port() -> int:
     """Return the port for metrics and state, or raise ValueError."""
     return int(os.environ.get(METRICS_PORT_VARIABLE, DEFAULT_METRICS_PORT))
@@ -96,7 +86,9 @@
         peers=tuple(
             Address.parse(item) for item in values.get("seeds", "").split(",") if item
         ),
-        capacity=get_capacity(values),
+        cores=float(values.get("limits.cpu_share", 0))
+        * float(values.get("limits.cores", 0)),
+        link_mbps=float(values.get("limits.link_mbps", 0)),
         stop_timeout_s=float(values["bounds.grace_s"]),
         max_address_ttl_s=float(values["bounds.ttl_max_s"]),
         extra_load=ExtraLoadBounds(
--- a/tests/core/test_directory.py
+++ b/tests/core/test_directory.py
@@ -3,7 +3,7 @@
 import msgspec
 import testtools
 
-from sesameplank.core.directory import choose_active
+from sesameplank.core.directory import choose_active, get_capacity
 from sesameplank.core.peer_messages import Health, Member, Phase
 
 
@@ -15,6 +15,19 @@
     ]
 
 
+class GetCapacityTests(testtools.TestCase):
+    """The narrower part of a VM decides."""
+
+    def test_table(self):
+        for cores, link, capacity in (
+            (1.074, 1000.0, 10),
+            (2.0, 11.0, 1),
+            (0.25, 100.0, 2),
+            (0.0, 0.0, 1),
+        ):
+            self.assertEqual(capacity, get_capacity(cores, link))
+
+
 class ChooseActiveTests(testtools.TestCase):
     """VMs near the replicas are used alone while they are enough."""
 
--- a/tests/forwarding/played_load.py
+++ b/tests/forwarding/played_load.py
@@ -22,6 +22,7 @@
 from sesameplank.core.target_table import TargetPhase, TargetRecord
 
 LINGER_S = 0.25
+SLOTS = 2
 HOP_S = 0.0003
 QUEUE = 12
 
@@ -90,7 +91,7 @@
     def get_report(self) -> LoadReport:
         """Return the load that an answer reports."""
         stretch = self.get_noise(self.world.now)
-        return LoadReport(self.running, len(self.queue), 2, stretch)
+        return LoadReport(self.running, len(self.queue), SLOTS, stretch)
 
     def get_pause_end(self, now: float) -> float:
         """Return when the target goes on, which is now unless it pauses."""
@@ -104,15 +105,13 @@
             return
         if self.sheds and self.rng.random() < self.scenario.shed_rate:
             job.done(False)
-        elif self.running < self.scenario_slots:
+        elif self.running < SLOTS:
             self.start(job)
         elif len(self.queue) >= QUEUE:
             job.done(False)
         else:
             self.queue.append(job)
 
-    scenario_slots = 2
-
     def start(self, job: Job) -> None:
         """Run a call."""
         self.running += 1
@@ -128,7 +127,7 @@
         self.running -= 1
         if not job.is_dropped:
             job.done(True)
-        while self.queue and self.running < self.scenario_slots:
+        while self.queue and self.running < SLOTS:
             waiting = self.queue.popleft()
             if not waiting.is_dropped:
                 self.start(waiting)
@@ -306,7 +305,12 @@
                 data_centre = f"dc{(number + copy) % scenario.data_centres}"
                 self.replicas[shard].append(
                     TargetRecord(
-                        name, shard, "10.0.0.1:80", data_centre, 2, TargetPhase.READY
+                        name,
+                        shard,
+                        "10.0.0.1:80",
+                        data_centre,
+                        SLOTS,
+                        TargetPhase.READY,
                     )
                 )
                 self.targets[name] = PlayedTarget(self.world, scenario, self.rng)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -42,17 +42,13 @@
         self.assertEqual(2, len(settings.peers))
         self.assertEqual(56.0, settings.extra_load.slack)
 
-    def test_capacity_is_that_of_the_narrower_part(self):
-        for share, cores, link, capacity in (
-            ("0.537", "2", "1000.0", 10),
-            ("1", "2", "11", 1),
-            ("0.25", "2", "100", 5),
-            (None, None, None, 1),
-        ):
-            text = make_text(
-                limits__cpu_share=share, limits__cores=cores, limits__link_mbps=link
-            )
-            self.assertEqual(capacity, parse_settings(text).capacity)
+    def test_processor_and_link(self):
+        text = make_text(
+            limits__cpu_share="0.5", limits__cores="2", limits__link_mbps="11.0"
+        )
+        settings = parse_settings(text)
+        self.assertEqual((1.0, 11.0), (settings.cores, settings.link_mbps))
+        self.assertEqual(0.0, parse_settings(make_text()).cores)
 
     def test_no_peers(self):
         self.assertEqual((), parse_settings(make_text(seeds="")).peers)
