Open first connections to sharded targets before requests need them

Change: eight cold targets a round of housekeeping get a connection, on VMs that callers are sent to. A retry from a scarce budget waits only for shards that are still open; answered ones with a copy in flight counted.

--- a/sesameplank/core/fanout.py
+++ b/sesameplank/core/fanout.py
@@ -268,16 +268,20 @@
         not before it is known how many parts are missing.
         """
         is_needed = self.answered < self.plan.required and now < self.plan.goal_at
-        reserve = 0.0 if is_needed else SPARE_RESERVE
-        if is_needed and self.budget.get_fill(shard.service, now) < SCARCE_FILL:
-            waits = sum(bool(item.calls) for item in self.shards.values())
-            missing = self.plan.required - self.answered - waits
-            retrying = sum(
-                item.is_open and not item.calls for item in self.shards.values()
-            )
-            if waits and missing < retrying:
-                return False
-        return self.budget.take(shard.service, now, reserve)
+        if not is_needed:
+            return self.budget.take(shard.service, now, SPARE_RESERVE)
+        is_scarce = self.budget.get_fill(shard.service, now) < SCARCE_FILL
+        if is_scarce and self.may_need_fewer_retries():
+            return False
+        return self.budget.take(shard.service, now)
+
+    def may_need_fewer_retries(self) -> bool:
+        """Tell whether calls in flight can make some of the retries needless."""
+        opened = [shard for shard in self.shards.values() if shard.is_open]
+        in_flight = sum(bool(shard.calls) for shard in opened)
+        waiting = len(opened) - in_flight
+        needed = self.plan.required - self.answered - in_flight
+        return in_flight > 0 and needed < waiting
 
     def may_run(self, shard: ShardState, target: TargetId) -> bool:
         """Tell whether the route allows the shard to run on one more target."""
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -126,6 +126,29 @@
         slots = max((record.slots for record in ready), default=DEFAULT_SLOTS)
         return slots + SPARE_CONNECTIONS
 
+    def find_cold_targets(self, most: int) -> list[TargetRecord]:
+        """Return a few targets of sharded services without any connection."""
+        cold: list[TargetRecord] = []
+        for shard in self.get_shards():
+            for record in self.table.get_ready(shard):
+                pool = self.pools.pools.get(record.id)
+                if pool is None or pool.is_cold:
+                    cold.append(record)
+                if len(cold) >= most:
+                    return cold
+        return cold
+
+    def warm_connections(self, most: int) -> None:
+        """Open first connections to a few targets, before requests need them."""
+        for record in self.find_cold_targets(most):
+            limit = self.get_connection_limit(self.routing, record)
+            self.pools.get(record, limit).warm()
+
+    def get_shards(self) -> set[ServiceName]:
+        """Return the sharded services of the configuration in force."""
+        routes = self.routing.routes if self.routing else ()
+        return {shard for route in routes for shard in route.shards}
+
     def get_connection_limit(
         self, routing: RoutingConfiguration, record: TargetRecord
     ) -> int:
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -42,6 +42,7 @@
 STOP_MARGIN_S = 0.9
 LAST_ANSWER_MARGIN_S = 0.3
 PULSE_S = 0.5
+WARM_TARGETS = 8  # Of each round of housekeeping, so that a start is no stampede.
 COUNTS_INTERVAL_S = 10.0
 
 
@@ -227,6 +228,8 @@
             self.check_pause()
             self.follow_table()
             self.forwarder.set_fleet_size(self.get_fleet_size())
+            if any(member.id == self.settings.vm for member in self.get_active()):
+                self.forwarder.warm_connections(WARM_TARGETS)
             self.log_counts()
             gevent.sleep(HOUSEKEEPING_S)
 
@@ -342,14 +345,8 @@
 
     def count_replicas(self) -> dict[DataCentre, int]:
         """Return how many targets of sharded services each data centre holds."""
-        routing = self.forwarder.routing
-        shards = {
-            shard
-            for route in (routing.routes if routing else ())
-            for shard in route.shards
-        }
         counts: dict[DataCentre, int] = {}
-        for shard in shards:
+        for shard in self.forwarder.get_shards():
             for record in self.table.get_ready(shard):
                 counts[record.data_centre] = counts.get(record.data_centre, 0) + 1
         return counts
--- a/sesameplank/forwarding/target_connections.py
+++ b/sesameplank/forwarding/target_connections.py
@@ -31,6 +31,7 @@
 IDLE_FRESH_S = 1.0
 DEFAULT_IDLE_S = 20.0
 IDLE_MARGIN_S = 0.5
+WARM_RETRY_S = 5.0
 
 
 OnDone = Callable[["Exchange", Response | Failure], None]
@@ -215,6 +216,7 @@
         self.dialling = 0
         self.waiting: deque[Exchange] = deque()
         self.opened = 0
+        self.warm_at = float("-inf")
 
     @property
     def size(self) -> int:
@@ -232,6 +234,17 @@
             self.dialling += 1
             gevent.spawn(self.dial)
 
+    @property
+    def is_cold(self) -> bool:
+        """Tell whether there is no connection, and none was tried of late."""
+        return not self.size and self.clock.now() >= self.warm_at
+
+    def warm(self) -> None:
+        """Open a first connection before a call needs it."""
+        self.warm_at = self.clock.now() + WARM_RETRY_S
+        self.dialling += 1
+        gevent.spawn(self.dial)
+
     def take_idle(self, exchange: Exchange) -> TargetConnection | None:
         """Return an idle connection that fits the call, or None."""
         idle_limit_s = DEFAULT_IDLE_S if exchange.is_repeatable else IDLE_FRESH_S
--- a/tests/integration/test_forwarding.py
+++ b/tests/integration/test_forwarding.py
@@ -248,3 +248,17 @@
         for number in range(20):
             self.ask(make_request("/one/x", f"d{number}"))
         self.assertEqual(before, len(self.targets["singlea"].runs))
+
+
+class WarmConnectionTests(FrontTestCase):
+    """Sharded targets have a connection before the first request."""
+
+    def test_each_sharded_target_has_one(self):
+        sharded = [name for name in self.targets if name not in SINGLES]
+        self.wait_for(
+            lambda: all(self.targets[name].open_now == 1 for name in sharded),
+            "one connection each",
+        )
+        self.assertEqual(0, sum(self.targets[name].open_now for name in SINGLES))
+        self.assertEqual(200, self.ask(make_request("/all/x", "w1")).status)
+        self.assertEqual({1}, {self.targets[name].most_open for name in sharded})
