Let a silent target notice that its caller closed

Cause: test_caller_that_leaves_ends_the_work failed beside load. The stand-in slept 30 s whatever happened, and the test waited 30 s, so it passed by a hair and without checking the close. Ruled out: the process; its log shows the request ended 21 ms after its start. Change: a silent target ends when the other side closes. Shown: with the closing of given-up calls taken out, the test now fails.

--- a/sesameplank/standins/front_targets.py
+++ b/sesameplank/standins/front_targets.py
@@ -112,8 +112,10 @@
         trouble = self.trouble
         whole = self.make_answer(request_id)
         if trouble is TargetTrouble.SILENT:
-            gevent.sleep(LATE_S * 100)
-        elif trouble is TargetTrouble.LATE:
+            while sock.recv(READ_BYTES):  # Ends when the other side closes.
+                pass
+            return False
+        if trouble is TargetTrouble.LATE:
             gevent.sleep(LATE_S)
             sock.sendall(whole)
         elif trouble is TargetTrouble.CUT:
