Close idle connections and the listener before the last requests of a stop end

The listener stayed open until the exit as well. Callers that keep addresses for 5 s made it likelier. Change: 1.5 s before the grace ends the listener closes, idle connections are closed, again and again until none is left, and only then the process goes. Shown: the new test of an idle connection fails with the old stop, passes now.

--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -122,7 +122,17 @@
 
     def stop_accepting(self) -> None:
         """Take no further connections."""
-        self.server.stop_accepting()
+        self.server.close()
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is read or served.
+
+        A request that crosses the close is not passed on, so its caller may
+        send it elsewhere.
+        """
+        for connection in list(self.connections):
+            if connection.is_idle:
+                connection.close()
 
 
 class CallerConnection:
@@ -138,18 +148,26 @@
         self.is_finishing = False
         self.served = 0
         self.round_trip_s = 0.0
+        self.reader: RequestReader | None = None
 
     @property
     def in_flight(self) -> int:
         """Requests that were read and are not answered."""
         return len(self.queue) + (self.current is not None)
 
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request is being read or served."""
+        reading = self.reader is not None and self.reader.in_message
+        return not reading and not self.in_flight and self.worker is None
+
     def run(self) -> None:
         """Read requests until the caller or this side closes."""
         set_no_delay(self.sock)
         self.round_trip_s = get_round_trip_s(self.sock)
         limits = self.server.get_limits()
         reader = RequestReader(limits.max_header_bytes, limits.max_body_bytes)
+        self.reader = reader
         try:
             while self.is_open and not self.is_finishing:
                 data = self.receive(reader, limits)
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -39,7 +39,8 @@
 
 HOUSEKEEPING_S = 0.1
 FLEET_MEMORY_S = 60.0
-STOP_MARGIN_S = 0.9
+STOP_MARGIN_S = 1.5  # Time for the last requests to end.
+STOP_CHECK_S = 0.02
 LAST_ANSWER_MARGIN_S = 0.3
 PULSE_S = 0.5
 WARM_TARGETS = 8  # Of each round of housekeeping, so that a start is no stampede.
@@ -366,10 +367,12 @@
         gevent.sleep(max(0.0, stop_at - STOP_MARGIN_S - time.monotonic()))
         self.callers.stop_accepting()
         last_at = stop_at - LAST_ANSWER_MARGIN_S
-        while self.callers.in_flight and time.monotonic() < last_at:
-            gevent.sleep(0.02)
+        self.callers.close_idle()
+        while self.callers.connections and time.monotonic() < last_at:
+            gevent.sleep(STOP_CHECK_S)
+            self.callers.close_idle()
         self.service.leave(Phase.LEFT)
-        gevent.sleep(0.02)
+        gevent.sleep(STOP_CHECK_S)
         self.stopped.set()
 
     def wait(self) -> None:
--- a/sesameplank/standins/front_targets.py
+++ b/sesameplank/standins/front_targets.py
@@ -62,6 +62,7 @@
         self.address = address
         self.body = body
         self.trouble = TargetTrouble.NONE
+        self.delay_s = 0.0
         self.runs: list[str] = []
         self.requests: list[Request] = []
         self.open_now = 0
@@ -110,6 +111,7 @@
     def send(self, sock: gevent.socket.socket, request_id: str) -> bool:
         """Send the answer of a run in the manner of the trouble."""
         trouble = self.trouble
+        gevent.sleep(self.delay_s)
         whole = self.make_answer(request_id)
         if trouble is TargetTrouble.SILENT:
             while sock.recv(READ_BYTES):  # Ends when the other side closes.
--- a/tests/integration/test_fronts.py
+++ b/tests/integration/test_fronts.py
@@ -104,3 +104,70 @@
         self.wait_for(lambda: "event=reloaded" in front.log.read_text(), "reloaded")
         gevent.sleep(0.1)
         self.assertEqual(200, self.ask(make_request("/one/x")).status)
+
+
+class StopUnderLoadTests(FrontTestCase):
+    """Callers that keep coming until the process is gone."""
+
+    grace_s = 4.0
+
+    def is_refusing(self) -> bool:
+        try:
+            with Client(self.fronts[0].front):
+                return False
+        except ConnectionRefusedError:
+            return True
+
+    def test_idle_connection_takes_no_request_that_would_be_cut_off(self):
+        with (
+            Client(self.fronts[0].front) as idle,
+            Client(self.fronts[0].front) as busy,
+        ):
+            idle.ask(make_request("/one/x", "first"))
+            self.end(self.fronts[0])
+            gevent.sleep(1.0)
+            for name in ("singlea", "singleb"):
+                self.targets[name].delay_s = 2.2
+            busy.sock.sendall(make_request("/one/x", "busy", 2900))
+            self.wait_for(self.is_refusing, "no new connections")
+            answered = {"first"}
+            try:
+                idle.ask(make_request("/one/x", "late", 2900))
+                answered.add("late")
+            except OSError:
+                pass  # The connection was closed, which is what is wanted.
+            self.assertEqual(200, busy.read().status)
+            answered.add("busy")
+        self.assertEqual(0, self.fronts[0].process.wait())
+        runs = set(self.targets["singlea"].runs) | set(self.targets["singleb"].runs)
+        self.assertEqual(set(), runs - answered)
+
+    def test_no_request_that_reached_a_target_is_cut_off(self):
+        for name in ("singlea", "singleb"):
+            self.targets[name].delay_s = 0.03
+        answered: set[str] = set()
+        sent = 0
+
+        def call_again_and_again(caller: int) -> None:
+            nonlocal sent
+            number = 0
+            while self.fronts[0].process.poll() is None:
+                try:
+                    with Client(self.fronts[0].front) as client:
+                        while True:
+                            number += 1
+                            sent += 1
+                            request_id = f"c{caller}-{number}"
+                            client.ask(make_request("/one/x", request_id))
+                            answered.add(request_id)
+                except OSError:
+                    gevent.sleep(0.002)
+
+        callers = [gevent.spawn(call_again_and_again, n) for n in range(8)]
+        self.wait_for(lambda: len(answered) > 20, "answers")
+        self.end(self.fronts[0])
+        gevent.joinall(callers)
+        self.assertEqual(0, self.fronts[0].process.wait())
+        runs = set(self.targets["singlea"].runs) | set(self.targets["singleb"].runs)
+        self.assertEqual(set(), runs - answered)
+        self.assertGreater(sent, len(answered) - 1)
