Wait for a first age before the service goes down in its test

Ruled out: the change of confirmations by pulses, which entries do not use (they relay no list of targets, so the new condition is always true for them). Change: the test first waits until an age is known; its check is unchanged.

--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -60,6 +60,9 @@
     def test_service_down_shows_its_age_and_serving_goes_on(self):
         self.start_fleet(3)
         entry = self.fleet.entries[0]
+        self.wait_for(
+            lambda: get_state(entry)["config_age_s"] is not None, "an age is known"
+        )
         self.world.platform.set_down(True)
         before = get_state(entry)["config_age_s"]
         self.wait_for(
