Name a target's warm-up in our own words; take out cold starts that nothing noted

The record keeps the figure; placement had a factor for it that no one set, so its choices are unchanged.

--- a/sesameplank/core/placement.py
+++ b/sesameplank/core/placement.py
@@ -23,7 +23,6 @@
 OVERDUE_FACTOR = 2.5
 OVERDUE_FLOOR_S = 0.015
 MIN_PAUSE_S = 0.03
-COLD_FACTOR = 1.6
 COST_JITTER = 0.05
 FAILING_MIN_S = 0.25
 FAILING_MAX_S = 2.0
@@ -58,7 +57,6 @@
         self.shedding = DecayingShare(SHED_WEIGHT, SHED_HALF_LIFE_S)
         self.report: LoadReport | None = None
         self.reported_at = float("-inf")
-        self.cold_until = 0.0
 
     def get_oldest_age_s(self, now: float) -> float:
         """Return how long the oldest call in flight has been silent, or 0."""
@@ -131,8 +129,6 @@
         """Return the expected time of a call, and what it costs besides."""
         view = self.get(record.id)
         expected_s = call_s * view.slowness.get(now) * view.get_stretch(now)
-        if now < view.cold_until:
-            expected_s *= COLD_FACTOR
         cost_s = expected_s * (1.0 + view.get_queue(now, record.slots))
         cost_s += self.get_pause_s(view, expected_s, now)
         cost_s += SHED_COST_S * view.shedding.get(now)
@@ -204,7 +200,3 @@
         view = self.get(target)
         view.report = report
         view.reported_at = now
-
-    def note_cold(self, target: TargetId, until: float) -> None:
-        """Note until when a target is slow after its start."""
-        self.get(target).cold_until = until
--- a/sesameplank/core/target_table.py
+++ b/sesameplank/core/target_table.py
@@ -25,7 +25,7 @@
 class TargetRecord(msgspec.Struct, frozen=True):
     """One listed target.
 
-    `cold_left_ms` is how much longer it is slow after its start; `started_ms`
+    `warm_up_ms` is how much longer it is slow after its start; `started_ms`
     is the Unix time of its start, 0 if unknown; `revision` that of its entry.
     """
 
@@ -35,7 +35,7 @@
     data_centre: DataCentre
     slots: int
     phase: TargetPhase
-    cold_left_ms: int = 0
+    warm_up_ms: int = 0
     started_ms: int = 0
     revision: int = 0
 
--- a/sesameplank/platform/items.py
+++ b/sesameplank/platform/items.py
@@ -176,7 +176,7 @@
         data_centre=DataCentre(wire.zone),
         slots=max(1, wire.slots),
         phase=phase,
-        cold_left_ms=int(wire.cold_left_ms),
+        warm_up_ms=int(wire.cold_left_ms),
         started_ms=wire.born,
         revision=revision,
     )
