Order the list of targets by the era of the store, then by revision

Cause: the platform's store may come back from a copy some seconds old. Its revisions then go back and are given out again. The list was ordered by the revision alone, so a restored list was dropped until its number had climbed past the old one: draining targets stayed in use and new ones were not seen.

Change: each response names the store's era. The list, the changes between processes, announcements and requests are ordered by era, then revision. A process that has heard of a later era takes nothing of an earlier one; a missing or unreadable era counts as the earliest, so its response is refused once an era is known. The first list of an era is a complete one. A target that was draining, or has started again since, stays out of use until its entry changes; one that had only been removed waits 5 s, since its entry may have lapsed. Entries that the copy lacks have the grace of an outage. The configuration in force stays.

Fields between processes are added at the end with defaults, so old and new builds understand each other; an old build counts as era 0.

--- a/sesameplank/core/peer_messages.py
+++ b/sesameplank/core/peer_messages.py
@@ -81,7 +81,7 @@
     `config_age_ms` is the time since the configuration service last confirmed
     the configuration, to this process or to one that relayed the confirmation; it
     is -1 if there was none. `refused` is the highest refused version above `config`,
-    or 0. `targets` is the revision of the target list.
+    or 0. `targets` is the revision of the target list in the era `targets_era`.
     """
 
     config: ConfigVersion = ConfigVersion(0)
@@ -89,6 +89,7 @@
     vms: int = 0
     config_age_ms: int = -1
     targets: int = 0
+    targets_era: int = 0
 
 
 class Heartbeat(PeerMessage, frozen=True):
@@ -163,11 +164,12 @@
 
 
 class DocumentRequest(PeerMessage, frozen=True):
-    """A request for a document if its version is higher than `after`."""
+    """A request for a document if its version is above `after` in `after_era`."""
 
     reply_type: ClassVar = Document
     kind: DocumentKind
     after: int
+    after_era: int = 0
 
 
 class TargetLeaving(PeerMessage, frozen=True):
--- a/sesameplank/core/target_table.py
+++ b/sesameplank/core/target_table.py
@@ -3,17 +3,28 @@
 A target may still be used, as a last resort, during a grace period after its entry
 is removed from the list, or after it starts draining. Entries also expire while the
 store that publishes the list is unavailable; they return soon after the store does.
+
+A store that is restored from a copy loses its latest writes and assigns their
+revisions again. Each restore begins an era, and a list of a later era replaces any
+list of an earlier one. An entry that the copy lacks may still be written again, and a
+target that the copy shows as ready may already have left.
 """
 
+import math
 from enum import Enum
 
 import msgspec
 
 from ..ids import DataCentre, ServiceName, TargetId
+from .document_version import DocumentVersion
 
 REMOVAL_GRACE_S = 1.0
 OUTAGE_GRACE_S = 2.3  # Used after an outage of the store that publishes the list.
+# Time for a target that had left the list, and that a restored store lists again, to
+# write its entry or for the entry to expire.
+RESTORED_HOLD_S = 5.0
 MAX_TOMBSTONES = 2_000
+MAX_GAPS = 16
 
 
 class TargetPhase(Enum):
@@ -44,7 +55,7 @@
 
 
 class TargetChanges(msgspec.Struct, frozen=True):
-    """Changes of the list up to a revision.
+    """Changes of the list up to a revision of an era.
 
     `removed` holds the ids of removed targets with the revision of their removal. If
     `is_whole`, `records` is the complete list and replaces the earlier one.
@@ -54,6 +65,12 @@
     records: tuple[TargetRecord, ...] = ()
     removed: tuple[tuple[TargetId, int], ...] = ()
     is_whole: bool = False
+    era: int = 0
+
+    @property
+    def version(self) -> DocumentVersion:
+        """The era and the revision."""
+        return DocumentVersion(self.era, self.revision)
 
 
 class TargetTable:
@@ -61,18 +78,36 @@
 
     `leaving` holds draining or removed targets that may be used as a last resort
     until the time in `use_until`. `tombstones` maps removed targets to the revision
-    of their removal. Changes since a revision before `history_floor` are not known.
+    of their removal, and `removed_records` to their last record, if known. Changes
+    since a revision before `history_floor`, or inside one of the `gaps`, are not
+    known. `held_until` holds the listed targets that get no calls until a time,
+    because they had left before the store was restored. `known_era` is the highest
+    era that this process has heard of.
     """
 
     def __init__(self) -> None:
+        self.era = 0
+        self.known_era = 0
         self.revision = 0
         self.records: dict[TargetId, TargetRecord] = {}
         self.tombstones: dict[TargetId, int] = {}
+        self.removed_records: dict[TargetId, TargetRecord] = {}
         self.history_floor = 0
+        self.gaps: list[tuple[int, int]] = []
+        self.held_until: dict[TargetId, float] = {}
         self.use_until: dict[TargetId, float] = {}
         self.leaving: dict[TargetId, TargetRecord] = {}
         self.by_service: dict[ServiceName, list[TargetRecord]] = {}
 
+    @property
+    def version(self) -> DocumentVersion:
+        """The era and the revision of the list."""
+        return DocumentVersion(self.era, self.revision)
+
+    def note_era(self, era: int) -> None:
+        """Record that the store has reached an era; lists of lower ones are refused."""
+        self.known_era = max(self.known_era, era)
+
     def apply(
         self, changes: TargetChanges, now: float, source_was_unavailable: bool
     ) -> bool:
@@ -80,28 +115,101 @@
 
         `now` is in seconds. If `source_was_unavailable`, the store that publishes
         the list was unavailable recently, so an entry that is missing from the
-        list may merely have expired there while its target still runs.
+        list may merely have expired there while its target still runs. The first
+        list of an era has to be a complete one.
         """
-        if changes.revision <= self.revision:
+        if changes.version <= self.version or changes.era < self.known_era:
+            return False
+        is_restored = changes.era > self.era
+        if is_restored and not changes.is_whole:
             return False
-        grace_s = OUTAGE_GRACE_S if source_was_unavailable else REMOVAL_GRACE_S
+        held_until = self.begin_era(changes, now) if is_restored else {}
+        was_unavailable = source_was_unavailable or is_restored
+        grace_s = OUTAGE_GRACE_S if was_unavailable else REMOVAL_GRACE_S
         for record in changes.records:
             self.put(record, now)
         for target, revision in changes.removed:
             known = self.records.get(target)
-            if known is not None and known.revision < revision:
+            if known is None or known.revision < revision:
                 self.remove(target, revision, now + grace_s)
         if changes.is_whole:
             listed = {record.id for record in changes.records}
             for target in [item for item in self.records if item not in listed]:
                 self.remove(target, changes.revision, now + grace_s)
-            if not self.revision:  # Earlier removals are unknown.
-                self.history_floor = changes.revision
+            self.note_gap(changes.revision)
+        self.held_until.update(held_until)
         self.revision = changes.revision
         self.expire(now)
         self.index()
         return True
 
+    def begin_era(self, changes: TargetChanges, now: float) -> dict[TargetId, float]:
+        """Prepare the table for the first complete list of a later era.
+
+        The revisions of the earlier era are dropped, so that each entry of the list
+        replaces the known one. A target that was draining or removed, and that the
+        list shows as ready, is held: one that was draining or has started again
+        until its entry changes, one that was only removed for RESTORED_HOLD_S,
+        because its entry may have lapsed. Return the times at which holds end.
+        """
+        held: dict[TargetId, float] = {}
+        for record in changes.records:
+            if record.phase is not TargetPhase.READY:
+                continue
+            hold_s = self.get_hold_s(record, now)
+            if hold_s > 0.0:
+                held[record.id] = now + hold_s
+        self.records = {
+            target: msgspec.structs.replace(self.get_latest(record), revision=0)
+            for target, record in self.records.items()
+        }
+        self.held_until.clear()
+        listed = {record.id for record in changes.records}
+        self.tombstones = {
+            target: changes.revision
+            for target in self.tombstones
+            if target not in listed
+        }
+        self.gaps.clear()
+        self.history_floor = changes.revision
+        self.era = changes.era
+        self.note_era(changes.era)
+        self.revision = 0
+        return held
+
+    def get_hold_s(self, restored: TargetRecord, now: float) -> float:
+        """Return for how many seconds a restored entry gets no calls, 0 if it may."""
+        known = self.records.get(restored.id) or self.removed_records.get(restored.id)
+        if known is None:
+            return RESTORED_HOLD_S if restored.id in self.tombstones else 0.0
+        if known.started_ms < restored.started_ms:
+            return 0.0
+        was_replaced = known.started_ms > restored.started_ms
+        if was_replaced or known.phase is TargetPhase.DRAINING:
+            return math.inf
+        if restored.id in self.removed_records:
+            return RESTORED_HOLD_S
+        return max(0.0, self.held_until.get(restored.id, now) - now)
+
+    def get_latest(self, record: TargetRecord) -> TargetRecord:
+        """Return a record as draining if the target was before the last restore."""
+        if self.held_until.get(record.id) != math.inf:
+            return record
+        return msgspec.structs.replace(record, phase=TargetPhase.DRAINING)
+
+    def note_gap(self, revision: int) -> None:
+        """Record that a complete list skipped the changes up to a revision.
+
+        Entries that were added and removed in between are unknown, so a peer that
+        has a list from in between needs the complete one too.
+        """
+        if not self.revision:
+            self.history_floor = revision
+            return
+        self.gaps.append((self.revision, revision))
+        if len(self.gaps) > MAX_GAPS:
+            self.history_floor = max(self.history_floor, self.gaps.pop(0)[1])
+
     def put(self, record: TargetRecord, now: float) -> None:
         """Store the record of a target unless a newer record or removal is known."""
         known = self.records.get(record.id)
@@ -110,23 +218,36 @@
         if self.tombstones.get(record.id, 0) >= record.revision:
             return
         self.tombstones.pop(record.id, None)
+        self.removed_records.pop(record.id, None)
         self.use_until.pop(record.id, None)
         self.leaving.pop(record.id, None)
+        was_held = known is not None and self.release(record.id)
         if record.phase is TargetPhase.DRAINING:
             was_ready = known is not None and known.phase is TargetPhase.READY
-            if was_ready:
+            if was_ready and not was_held:
                 self.leaving[record.id] = record
                 self.use_until[record.id] = now + REMOVAL_GRACE_S
         self.records[record.id] = record
 
+    def release(self, target: TargetId) -> bool:
+        """End the hold of a target, and return whether there was one."""
+        return self.held_until.pop(target, None) is not None
+
     def remove(self, target: TargetId, revision: int, use_until: float) -> None:
-        """Remove a target; if it was ready, it is a last resort until `use_until`."""
-        record = self.records.pop(target)
-        self.tombstones[target] = revision
+        """Remove a target; if it was ready, it is a last resort until `use_until`.
+
+        The removal of a target that is not listed is recorded for peers that list it.
+        """
+        record = self.records.pop(target, None)
+        self.tombstones[target] = max(revision, self.tombstones.get(target, 0))
+        if record is not None:
+            self.removed_records[target] = self.get_latest(record)
+        was_held = self.release(target)
         if len(self.tombstones) > MAX_TOMBSTONES:
             oldest = min(self.tombstones, key=self.tombstones.get)
             self.history_floor = max(self.history_floor, self.tombstones.pop(oldest))
-        if record.phase is TargetPhase.READY:
+            self.removed_records.pop(oldest, None)
+        if record is not None and record.phase is TargetPhase.READY and not was_held:
             self.leaving[target] = record
             self.use_until[target] = use_until
 
@@ -137,16 +258,22 @@
         self.index()
 
     def expire(self, now: float) -> None:
-        """Discard the last-resort targets whose grace period has expired."""
+        """End the holds and the grace periods of last-resort targets that are over."""
         for target in [item for item, at in self.use_until.items() if at <= now]:
             del self.use_until[target]
             self.leaving.pop(target, None)
+        ended_holds = [item for item, at in self.held_until.items() if at <= now]
+        for target in ended_holds:
+            self.release(target)
+        if ended_holds:
+            self.index()
 
     def index(self) -> None:
-        """Group the ready targets by service."""
+        """Group the ready targets that may get calls by service."""
         self.by_service = {}
         for record in self.records.values():
-            if record.phase is TargetPhase.READY:
+            is_held = record.id in self.held_until
+            if record.phase is TargetPhase.READY and not is_held:
                 self.by_service.setdefault(record.service, []).append(record)
 
     def get_ready(self, service: ServiceName) -> list[TargetRecord]:
@@ -165,19 +292,31 @@
         """Return whether the target is listed or may be used as a last resort."""
         return target in self.records or target in self.leaving
 
-    def get_changes(self, after: int) -> TargetChanges | None:
-        """Return the changes since revision `after`, or None if there are none.
+    def get_changes(self, after: DocumentVersion) -> TargetChanges | None:
+        """Return the changes since a version, or None if there are none.
 
         Return the complete list if not all changes since then are known.
         """
-        if after >= self.revision:
+        if after >= self.version:
             return None
-        if after < self.history_floor:
+        if not self.has_history(after):
             return TargetChanges(
-                self.revision, tuple(self.records.values()), (), is_whole=True
+                self.revision,
+                tuple(self.records.values()),
+                (),
+                is_whole=True,
+                era=self.era,
             )
+        number = after.number
         return TargetChanges(
             self.revision,
-            tuple(item for item in self.records.values() if item.revision > after),
-            tuple(item for item in self.tombstones.items() if item[1] > after),
+            tuple(item for item in self.records.values() if item.revision > number),
+            tuple(item for item in self.tombstones.items() if item[1] > number),
+            era=self.era,
         )
+
+    def has_history(self, after: DocumentVersion) -> bool:
+        """Return whether all changes since a version are known."""
+        if after.era != self.era or after.number < self.history_floor:
+            return False
+        return not any(start < after.number < end for start, end in self.gaps)
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -142,7 +142,7 @@
         self.store.listeners.append(self.on_accepted)
         self.pauses = PauseDetector(BootClock())
         self.fleet_sizes: list[tuple[float, int]] = []
-        self.applied_revision = 0
+        self.applied_targets = self.table.version
         self.started_at = self.logged_at = clock.now()
         self.seed_ids = {EntryId(peer.host) for peer in settings.peers}
         self.active: list[Member] = []
@@ -263,9 +263,9 @@
         """Expire targets, and release the state of those that are gone."""
         now = self.clock.now()
         self.table.expire(now)
-        if self.applied_revision == self.table.revision:
+        if self.applied_targets == self.table.version:
             return
-        self.applied_revision = self.table.revision
+        self.applied_targets = self.table.version
         self.pools.keep_only(self.table.is_listed)
         self.placement.keep_only([*self.table.records, *self.table.leaving])
 
@@ -284,6 +284,7 @@
             "fleet_size": self.connection_shares.fleet_size,
             "config_version": self.store.version,
             "config_age_s": -1.0 if age_s is None else age_s,
+            "targets_era": self.table.era,
             "targets_revision": self.table.revision,
             "targets": len(self.table.records),
             "in_flight": self.caller_server.in_flight,
@@ -359,7 +360,7 @@
         state = (
             self.membership.last_change_at,
             self.store.version,
-            self.table.revision,
+            self.table.version,
         )
         if state != self.active_state:
             self.active_state = state
--- a/sesameplank/peers/document_relay.py
+++ b/sesameplank/peers/document_relay.py
@@ -8,6 +8,7 @@
 from gevent.event import Event
 
 from ..core.clock import Clock
+from ..core.document_version import DocumentVersion
 from ..core.outcomes import Failure
 from ..core.peer_messages import (
     Announcement,
@@ -62,7 +63,7 @@
         self.get_neighbours = get_neighbours
         self.clock = clock
         self.rng = rng
-        self.offered_versions: dict[DocumentKind, dict[EntryId, int]] = {
+        self.offered_versions: dict[DocumentKind, dict[EntryId, DocumentVersion]] = {
             kind: {} for kind in DocumentKind
         }
         self.wake = Event()
@@ -74,18 +75,20 @@
     def get_versions(self) -> Versions:
         """Return the versions of the documents that this process has."""
         age_s = self.store.age_s
+        targets = self.get_version(DocumentKind.TARGETS)
         return Versions(
-            ConfigVersion(self.get_version(DocumentKind.CONFIG)),
-            ConfigVersion(self.get_version(DocumentKind.REFUSED)),
-            self.get_version(DocumentKind.VMS),
+            ConfigVersion(self.get_version(DocumentKind.CONFIG).number),
+            ConfigVersion(self.get_version(DocumentKind.REFUSED).number),
+            self.get_version(DocumentKind.VMS).number,
             -1 if age_s is None else int(age_s * 1_000),
-            self.get_version(DocumentKind.TARGETS),
+            targets.number,
+            targets.era,
         )
 
-    def get_version(self, kind: DocumentKind) -> int:
-        """Return the version that this process has of one document, or 0."""
+    def get_version(self, kind: DocumentKind) -> DocumentVersion:
+        """Return the version that this process has of one document."""
         document = self.documents.get(kind)
-        return document.version if document else 0
+        return document.version if document else DocumentVersion()
 
     def run(self) -> None:
         """Fetch newer documents and announce newer versions, until killed."""
@@ -137,27 +140,32 @@
         """Record the newer documents that a peer offers, and apply its confirmation."""
         self.apply_confirmation(versions)
         offered = {
-            DocumentKind.CONFIG: versions.config,
-            DocumentKind.VMS: versions.vms,
-            DocumentKind.TARGETS: versions.targets,
+            DocumentKind.CONFIG: DocumentVersion(number=versions.config),
+            DocumentKind.VMS: DocumentVersion(number=versions.vms),
+            DocumentKind.TARGETS: get_targets_version(versions),
         }
         if versions.refused > max(versions.config, self.store.version):
-            offered[DocumentKind.REFUSED] = versions.refused
+            offered[DocumentKind.REFUSED] = DocumentVersion(number=versions.refused)
         for kind, version in offered.items():
             if kind in self.documents and version > self.get_version(kind):
+                self.documents[kind].note_offered(version)
                 self.offered_versions[kind][sender] = version
                 self.wake.set()
 
     def apply_confirmation(self, versions: Versions) -> None:
         """Record a confirmation by the configuration service that a peer relayed.
 
-        It applies only if the peer has the same configuration and no newer targets.
+        It applies only if the peer has the same configuration, no newer targets, and
+        targets of the same era: a peer of an earlier era may still read the store as
+        it was before it was restored.
         """
+        own_targets = self.get_version(DocumentKind.TARGETS)
         has_same_configuration = versions.config == self.store.version
-        has_newer_targets = versions.targets > self.get_version(DocumentKind.TARGETS)
+        has_newer_targets = get_targets_version(versions) > own_targets
         if (
             not has_same_configuration
             or has_newer_targets
+            or versions.targets_era < own_targets.era
             or versions.config_age_ms < 0
         ):
             return
@@ -176,7 +184,8 @@
 
     def fetch(self, kind: DocumentKind, peer: EntryId) -> None:
         """Fetch one document from one peer and offer it to its store."""
-        request = DocumentRequest(kind, self.get_version(kind))
+        known = self.get_version(kind)
+        request = DocumentRequest(kind, known.number, known.era)
         deadline_at = self.clock.now() + FETCH_TIMEOUT_S
         outcome = self.links.call(peer, request, deadline_at)
         if isinstance(outcome, Failure):
@@ -198,9 +207,10 @@
     ) -> Document:
         """Return a document to a peer, empty if it is not newer than the peer's."""
         document = self.documents.get(message.kind)
-        if document is None or document.version <= message.after:
+        after = DocumentVersion(message.after_era, message.after)
+        if document is None or document.version <= after:
             return Document(b"")
-        return Document(document.encode(message.after))
+        return Document(document.encode(after))
 
     def on_version_question(
         self, message: VersionQuestion, context: PeerContext
@@ -234,3 +244,8 @@
             return None
         self.on_versions(peer, outcome.versions)
         return outcome.versions
+
+
+def get_targets_version(versions: Versions) -> DocumentVersion:
+    """Return the version of the target list that a peer has."""
+    return DocumentVersion(versions.targets_era, versions.targets)
--- a/sesameplank/peers/relayed_documents.py
+++ b/sesameplank/peers/relayed_documents.py
@@ -6,6 +6,7 @@
 
 from ..conf import PublishedConfiguration, PublishedVms
 from ..core.clock import Clock
+from ..core.document_version import DocumentVersion
 from ..core.peer_messages import DocumentKind
 from ..core.target_table import TargetChanges, TargetTable
 from ..core.versions import ConfigurationStore, OfferResult, VmStore
@@ -16,11 +17,15 @@
 
     @property
     @abstractmethod
-    def version(self) -> int:
-        """The version that this process has, or 0 if there is none."""
+    def version(self) -> DocumentVersion:
+        """The version that this process has; its number is 0 if there is none."""
+
+    def note_offered(self, version: DocumentVersion) -> None:
+        """Record that a peer has a version; by default, do nothing."""
+        return
 
     @abstractmethod
-    def encode(self, after: int) -> bytes:
+    def encode(self, after: DocumentVersion) -> bytes:
         """Return the encoded document for a peer that has the version `after`."""
 
     @abstractmethod
@@ -35,11 +40,11 @@
         self.store = store
 
     @property
-    def version(self) -> int:
+    def version(self) -> DocumentVersion:
         """The version in force."""
-        return self.store.version
+        return DocumentVersion(number=self.store.version)
 
-    def encode(self, after: int) -> bytes:
+    def encode(self, after: DocumentVersion) -> bytes:
         """Return the configuration as it was published."""
         return msgspec.json.encode(self.store.current.published)
 
@@ -56,11 +61,11 @@
     """The newest refused configuration, relayed so that every entry can report it."""
 
     @property
-    def version(self) -> int:
+    def version(self) -> DocumentVersion:
         """The refused version."""
-        return self.store.refused_version
+        return DocumentVersion(number=self.store.refused_version)
 
-    def encode(self, after: int) -> bytes:
+    def encode(self, after: DocumentVersion) -> bytes:
         """Return the configuration as it was published."""
         return msgspec.json.encode(self.store.refused.published)
 
@@ -72,11 +77,11 @@
         self.vms = vms
 
     @property
-    def version(self) -> int:
+    def version(self) -> DocumentVersion:
         """The version of the list."""
-        return self.vms.version
+        return DocumentVersion(number=self.vms.version)
 
-    def encode(self, after: int) -> bytes:
+    def encode(self, after: DocumentVersion) -> bytes:
         """Return the list as it was published."""
         return msgspec.json.encode(self.vms.current)
 
@@ -96,12 +101,16 @@
         self.clock = clock
 
     @property
-    def version(self) -> int:
-        """The revision of the list."""
-        return self.table.revision
+    def version(self) -> DocumentVersion:
+        """The era and the revision of the list."""
+        return self.table.version
+
+    def note_offered(self, version: DocumentVersion) -> None:
+        """Record the era, so that lists of earlier ones are refused from now on."""
+        self.table.note_era(version.era)
 
-    def encode(self, after: int) -> bytes:
-        """Return the changes after a revision."""
+    def encode(self, after: DocumentVersion) -> bytes:
+        """Return the changes after a version."""
         return msgspec.msgpack.encode(self.table.get_changes(after))
 
     def offer(self, payload: bytes) -> OfferResult:
--- a/sesameplank/platform/source.py
+++ b/sesameplank/platform/source.py
@@ -5,8 +5,9 @@
 import msgspec
 
 from ..conf import PublishedConfiguration
+from ..core.document_version import DocumentVersion
 from ..core.target_table import TargetChanges, TargetRecord
-from ..exceptions import ConfigurationError
+from ..exceptions import ConfigurationError, PlatformError
 from ..ids import ConfigVersion, TargetId
 from ..logs import log_event
 from ..published.follower import Publication, PublicationSource
@@ -32,24 +33,30 @@
         """Return everything that is published, with the revision of the first page.
 
         Later pages may contain newer changes. A watch after that revision returns
-        them again.
+        them again. Raises PlatformError if the store was restored between two pages.
         """
-        page = self.client.read_page(ALL_KEYS)
-        revision = page.as_of
+        page = first = self.client.read_page(ALL_KEYS)
         items = list(page.items)
         while page.has_more and page.items:
             page = self.client.read_page(ALL_KEYS, page.items[-1].key)
+            if page.era != first.era:
+                raise PlatformError(
+                    f"the store's era changed from {first.era} to {page.era} between "
+                    "two pages; read all items again"
+                )
             items += page.items
-        return make_publication(items, revision, is_whole=True)
+        version = DocumentVersion(first.era, first.as_of)
+        return make_publication(items, version, is_whole=True)
 
     def watch(self, after: int, wait_s: float) -> Publication:
         """Wait up to `wait_s` seconds for changes after a revision, and return them."""
         events = self.client.watch(ALL_KEYS, after, wait_s)
-        return make_publication(events.events, events.as_of, is_whole=False)
+        version = DocumentVersion(events.era, events.as_of)
+        return make_publication(events.events, version, is_whole=False)
 
 
 def make_publication(
-    items: list[WireItem], revision: int, *, is_whole: bool
+    items: list[WireItem], version: DocumentVersion, *, is_whole: bool
 ) -> Publication:
     """Return the items as typed values.
 
@@ -72,7 +79,11 @@
         elif item.key == CONFIG_KEY and not item.deleted:
             configuration = read_configuration(item) or configuration
     changes = TargetChanges(
-        revision, tuple(records.values()), tuple(removed.items()), is_whole
+        version.number,
+        tuple(records.values()),
+        tuple(removed.items()),
+        is_whole,
+        version.era,
     )
     return Publication(changes, configuration)
 
--- a/sesameplank/platform/store.py
+++ b/sesameplank/platform/store.py
@@ -1,11 +1,15 @@
 """The client of the platform's store, which reads pages and watches for changes."""
 
+import re
+from urllib.parse import quote
+
 import gevent
 import gevent.socket
 import msgspec
 
 from ..exceptions import HistoryGoneError, PlatformError
 from ..forwarding.http_messages import Response, ResponseReader, encode_request
+from ..logs import log_event
 from ..net import Address, set_no_delay
 
 CONNECT_TIMEOUT_S = 1.0
@@ -15,6 +19,10 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 RANGE_PATH = "/kv-range"
 WATCH_PATH = "/kv-watch"
+ERA = b"Store-Era"
+UNKNOWN_ERA = 0
+ERA_PATTERN = re.compile("[0-9]{1,18}")
+MAX_LOGGED_CHARACTERS = 100
 OK = 200
 HISTORY_GONE = 410
 
@@ -32,18 +40,26 @@
 
 
 class WirePage(msgspec.Struct):
-    """A page of items. `as_of` is the store's revision when it was read."""
+    """A page of items. `as_of` is the store's revision when it was read.
+
+    `era` is not part of the body; it counts the restores of the store from a copy.
+    """
 
     items: list[WireItem]
     has_more: bool
     as_of: int
+    era: int = UNKNOWN_ERA
 
 
 class WireEvents(msgspec.Struct):
-    """The changes after a requested revision, up to the revision `as_of`."""
+    """The changes after a requested revision, up to the revision `as_of`.
+
+    `era` is not part of the body, as in WirePage.
+    """
 
     events: list[WireItem]
     as_of: int
+    era: int = UNKNOWN_ERA
 
 
 class StoreClient:
@@ -55,15 +71,16 @@
         self.sock: gevent.socket.socket | None = None
         self.reader = ResponseReader(MAX_HEADER_BYTES, MAX_BODY_BYTES)
         self.calls = 0
+        self.refused_era: str | None = None
 
     def read_page(self, prefix: str, after: str = "") -> WirePage:
         """Return one page of the items under a prefix, in the order of their keys.
 
         Only keys greater than `after` are returned. Raises PlatformError.
         """
-        path = f"{RANGE_PATH}?prefix={prefix}"
+        path = f"{RANGE_PATH}?prefix={quote(prefix)}"
         if after:
-            path += f"&after={after}"
+            path += f"&after={quote(after)}"
         return self.decode(self.get(path, CALL_TIMEOUT_S), WirePage)
 
     def watch(self, prefix: str, after: int, wait_s: float) -> WireEvents:
@@ -73,11 +90,11 @@
         everything has to be read again, and PlatformError on any other failure.
         """
         wait_ms = int(wait_s * 1_000)
-        path = f"{WATCH_PATH}?prefix={prefix}&after={after}&wait_ms={wait_ms}"
+        path = f"{WATCH_PATH}?prefix={quote(prefix)}&after={after}&wait_ms={wait_ms}"
         return self.decode(self.get(path, wait_s + CALL_TIMEOUT_S), WireEvents)
 
-    def get(self, path: str, timeout_s: float) -> bytes:
-        """Return the body of a 200 response.
+    def get(self, path: str, timeout_s: float) -> Response:
+        """Return a 200 response.
 
         Raises HistoryGoneError on status 410, and PlatformError on any other
         response or if there is none within `timeout_s` seconds.
@@ -100,7 +117,7 @@
             raise PlatformError(
                 f"the store answered {response.status} to GET {path}; check its health"
             )
-        return bytes(response.body)
+        return response
 
     def exchange(self, path: str) -> Response:
         """Send one request and return its response, or raise OSError."""
@@ -136,11 +153,28 @@
         if sock is not None:
             sock.close()
 
-    def decode(self, body: bytes, kind: type) -> WirePage | WireEvents:
-        """Return the typed body, or raise PlatformError."""
+    def decode(self, response: Response, kind: type) -> WirePage | WireEvents:
+        """Return the typed body with the store's era, or raise PlatformError."""
         try:
-            return msgspec.json.decode(body, type=kind)
+            decoded = msgspec.json.decode(bytes(response.body), type=kind)
         except msgspec.DecodeError as error:
             raise PlatformError(
                 f"the store's answer is malformed: {error}; check its version"
             ) from error
+        decoded.era = self.read_era(response)
+        return decoded
+
+    def read_era(self, response: Response) -> int:
+        """Return the store's era, or UNKNOWN_ERA if it is missing or unreadable.
+
+        An unreadable value is logged once until another one arrives.
+        """
+        text = response.get(ERA.lower())
+        if text is not None and ERA_PATTERN.fullmatch(text):
+            self.refused_era = None
+            return int(text)
+        refused = "" if text is None else text
+        if refused != self.refused_era:
+            self.refused_era = refused
+            log_event("store_era_refused", value=refused[:MAX_LOGGED_CHARACTERS])
+        return UNKNOWN_ERA
--- a/sesameplank/published/follower.py
+++ b/sesameplank/published/follower.py
@@ -9,6 +9,7 @@
 
 from ..conf import PublishedConfiguration
 from ..core.clock import Clock
+from ..core.document_version import DocumentVersion
 from ..core.target_table import TargetChanges, TargetTable
 from ..core.versions import ConfigurationStore
 from ..exceptions import HistoryGoneError, PlatformError
@@ -47,6 +48,9 @@
     def watch(self, after: int, wait_s: float) -> Publication:
         """Wait up to `wait_s` seconds for changes after a revision, and return them.
 
+        If the store was restored, they are changes after that revision in a later
+        era, which the version of the targets names.
+
         Raises HistoryGoneError if the store no longer holds these changes, and
         PlatformError on any other failure.
         """
@@ -82,7 +86,7 @@
         self.on_response = on_response
         self.is_elected_reader = is_elected_reader
         self.set_store_unavailable = set_store_unavailable
-        self.revision: int | None = None
+        self.version: DocumentVersion | None = None
         self.failed_at = float("-inf")
         self.is_failing = False
 
@@ -95,8 +99,8 @@
             try:
                 self.step()
             except HistoryGoneError:
-                log_event("store_history_gone", revision=self.revision)
-                self.revision = None
+                log_event("store_history_gone", **describe(self.version))
+                self.request_full_read()
             except PlatformError as error:
                 self.note_failure(error)
                 gevent.sleep(self.rng.uniform(RETRY_DELAY_MIN_S, RETRY_DELAY_MAX_S))
@@ -115,15 +119,21 @@
     def step(self) -> None:
         """Make one call to the store and apply its response."""
         sent_at = self.clock.now()
-        if self.revision is None:
+        if self.version is None:
             publication = self.source.read()
         else:
-            publication = self.source.watch(self.revision, WATCH_WAIT_S)
+            publication = self.source.watch(self.version.number, WATCH_WAIT_S)
+        version = publication.targets.version
+        self.check_era(version.era)
         if self.is_failing:
-            log_event("store_regained", revision=publication.targets.revision)
+            log_event("store_regained", **describe(version))
             self.is_failing = False
             self.set_store_unavailable(False)
-        has_changes = self.revision not in (None, publication.targets.revision)
+        if self.version is not None and version.era > self.version.era:
+            log_event("store_restored", **describe(version))
+            self.request_full_read()
+            return
+        has_changes = self.version not in (None, version)
         self.apply(publication)
         self.configuration_store.confirm(
             min(MAX_RESPONSE_AGE_S, self.clock.now() - sent_at)
@@ -132,10 +142,23 @@
         if has_changes:
             gevent.sleep(BATCH_DELAY_S)
 
+    def check_era(self, era: int) -> None:
+        """Record the era of a response.
+
+        Raises PlatformError if it is lower than one that this process has heard of.
+        Such a response may come from a store that has not been restored yet.
+        """
+        if era < self.table.known_era:
+            raise PlatformError(
+                f"the store answered in era {era} after era {self.table.known_era}; "
+                "check that it sends its era and that no old instance still runs"
+            )
+        self.table.note_era(era)
+
     def apply(self, publication: Publication) -> None:
         """Apply a publication to the table of targets and the configuration store."""
         now = self.clock.now()
-        self.revision = publication.targets.revision
+        self.version = publication.targets.version
         has_failed_recently = now - self.failed_at < RECENT_FAILURE_S
         self.table.apply(publication.targets, now, has_failed_recently)
         if publication.configuration is not None:
@@ -156,4 +179,10 @@
 
     def request_full_read(self) -> None:
         """Make the next call a full read instead of a watch."""
-        self.revision = None
+        self.version = None
+
+
+def describe(version: DocumentVersion | None) -> dict[str, int]:
+    """Return a version of the store as the fields of a log event."""
+    known = version or DocumentVersion()
+    return {"era": known.era, "revision": known.number}
--- a/sesameplank/standins/front_store.py
+++ b/sesameplank/standins/front_store.py
@@ -14,6 +14,7 @@
 from ..net import Address
 from ..platform.items import CONFIG_KEY, TARGET_PREFIX
 from ..platform.store import (
+    ERA,
     HISTORY_GONE,
     RANGE_PATH,
     WATCH_PATH,
@@ -43,7 +44,7 @@
     As a context manager, it serves the store over HTTP.
 
     `compacted_revision` is the revision up to which the event history has been
-    discarded.
+    discarded. `era` counts the restores from a copy.
     """
 
     def __init__(self, address: Address, now) -> None:
@@ -51,6 +52,9 @@
         self.events: list[WireItem] = []
         self.revision = 1
         self.compacted_revision = 0
+        self.era = 1
+        self.copied_items: dict[str, WireItem] = {}
+        self.copied_revision = 1
         self.fault_mode = StoreFaultMode.NONE
         self.refused_hosts: set[str] = set()
         self.changed = Event()
@@ -99,7 +103,25 @@
         self.changed.set()
         self.changed.clear()
 
+    def copy(self) -> None:
+        """Keep a copy of the content, to which `restore` returns."""
+        self.copied_items = dict(self.items)
+        self.copied_revision = self.revision
+
+    def restore(self) -> None:
+        """Return to the copy: later writes are lost and a new era begins."""
+        self.items = dict(self.copied_items)
+        self.revision = self.copied_revision
+        self.era += 1
+        self.compact()
+
     def serve(self, request: Request, context: RequestContext) -> Reply:
+        """Respond to a call, and name the era in the response."""
+        reply = self.answer(request)
+        reply.headers.append((ERA, b"%d" % self.era))
+        return reply
+
+    def answer(self, request: Request) -> Reply:
         """Respond to a read or a watch, after injecting the fault in force."""
         self.calls += 1
         if self.fault_mode is StoreFaultMode.SILENT:
@@ -130,15 +152,17 @@
         Responds with HISTORY_GONE if the events after the revision have been discarded.
         """
         with gevent.Timeout(wait_s, exception=False):
-            while after >= self.compacted_revision and not self.find_events(
-                prefix, after
-            ):
+            while self.has_history(after) and not self.find_events(prefix, after):
                 self.changed.wait()
-        if after < self.compacted_revision:
+        if not self.has_history(after):
             return Reply(HISTORY_GONE)
         events = self.find_events(prefix, after)
         return Reply(200, body=msgspec.json.encode(WireEvents(events, self.revision)))
 
+    def has_history(self, after: int) -> bool:
+        """Return whether the store knows a revision and all events after it."""
+        return self.compacted_revision <= after <= self.revision
+
     def find_events(self, prefix: str, after: int) -> list[WireItem]:
         """Return the events after a revision whose key has the prefix."""
         return [
--- a/tests/integration/test_fronts.py
+++ b/tests/integration/test_fronts.py
@@ -3,6 +3,7 @@
 import gevent
 import msgspec
 
+from sesameplank.net import Address
 from sesameplank.standins.front_store import StoreFaultMode
 from sesameplank.standins.front_targets import TargetFaultMode
 
@@ -71,6 +72,39 @@
                     f"version {version} at {front}",
                 )
 
+    def test_store_restored_from_a_copy_is_followed_by_every_process(self):
+        self.wait_for_addresses(0, 1, 2)
+        self.store.copy()
+        self.list_target("shard0a", "shard0", "draining", 2)
+        self.store.put_config(make_config(8))
+        for _ in range(20):  # Revisions of the next era stay below these.
+            self.list_target("shard1a", "shard1")
+        for front in range(3):
+            self.wait_for_state(front, lambda state: self.is_phase(state, "draining"))
+        self.store.restore()
+        self.add_target("new", "single")
+        for front in range(3):
+            self.wait_for_state(front, lambda state: "new" in state["targets"])
+            state = self.get_state(front)
+            self.assertEqual(2, state["gauges"]["targets_era"])
+            self.assertEqual(8, state["gauges"]["config_version"])
+        runs = self.get_runs("shard0a")
+        for number in range(12):
+            answer = self.request(make_request("/all/x", f"n{number}"), number % 3)
+            self.assertEqual(200, answer.status)
+        self.assertEqual(runs, self.get_runs("shard0a"))
+
+    def get_state(self, front: int) -> dict:
+        address = Address(self.fronts[front].host, 9180)
+        body = self.fronts[front].get(address, "/state").body
+        return msgspec.json.decode(bytes(body))
+
+    def wait_for_state(self, front: int, condition) -> None:
+        self.wait_for(lambda: condition(self.get_state(front)), f"state of {front}")
+
+    def is_phase(self, state: dict, phase: str) -> bool:
+        return state["targets"]["shard0a"]["phase"] == phase
+
     def test_process_that_starts_without_the_store_reads_from_its_peers(self):
         self.wait_for_addresses(0, 1, 2)
         self.fronts[2].process.kill()
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from sesameplank.core.document_version import DocumentVersion
 from sesameplank.core.target_table import TargetPhase
 from sesameplank.exceptions import ConfigurationError
 from sesameplank.platform.items import decode_routing, decode_target
@@ -133,7 +134,7 @@
             WireItem("servers/d", 7, deleted=True),
             self.make("another/key", b"x", 8),
         ]
-        publication = make_publication(items, 8, is_whole=False)
+        publication = make_publication(items, DocumentVersion(1, 8), is_whole=False)
         self.assertEqual(7, publication.configuration.version)
         self.assertEqual(["a"], [item.id for item in publication.targets.records])
         removed = dict(publication.targets.removed)
@@ -146,6 +147,6 @@
             self.make("servers/b", b"\x00", 6),
             self.make("servers/b", encode(TARGET), 7),
         ]
-        publication = make_publication(items, 7, is_whole=False)
+        publication = make_publication(items, DocumentVersion(1, 7), is_whole=False)
         self.assertEqual(["b"], [item.id for item in publication.targets.records])
         self.assertEqual((("a", 5),), publication.targets.removed)
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,74 @@
+"""Tests of the client of the platform's store and of the source built on it."""
+
+import time
+
+import testtools
+
+from sesameplank.core.document_version import DocumentVersion
+from sesameplank.exceptions import PlatformError
+from sesameplank.forwarding.http_messages import Response
+from sesameplank.net import Address
+from sesameplank.platform.source import StoreSource
+from sesameplank.platform.store import UNKNOWN_ERA, StoreClient
+from sesameplank.standins.fleet import reserve_block
+from sesameplank.standins.front_store import PAGE_ITEMS, StoreStandin
+
+
+class EraTests(testtools.TestCase):
+    """The era is read from every response; an unreadable one counts as unknown."""
+
+    def read_era(self, value: bytes | None) -> int:
+        response = Response()
+        if value is not None:
+            response.add(b"Store-Era", value)
+        return StoreClient(Address("127.0.0.1", 1), "127.0.0.1").read_era(response)
+
+    def test_eras(self):
+        cases = (
+            (b"1", 1),
+            (b"17", 17),
+            (None, UNKNOWN_ERA),
+            (b"", UNKNOWN_ERA),
+            (b"-3", UNKNOWN_ERA),
+            (b"two", UNKNOWN_ERA),
+            (b"1.5", UNKNOWN_ERA),
+            ("²".encode("latin-1"), UNKNOWN_ERA),
+            (b"9" * 400, UNKNOWN_ERA),
+        )
+        for value, era in cases:
+            self.assertEqual(era, self.read_era(value), value)
+
+
+class SourceTests(testtools.TestCase):
+    """Reads and watches of a store that is restored from a copy."""
+
+    def setUp(self):
+        super().setUp()
+        block = self.enterContext(reserve_block())
+        address = Address(f"{block}.200.1", 8102)
+        self.store = self.enterContext(StoreStandin(address, time.monotonic))
+        self.client = StoreClient(address, f"{block}.1.1")
+        self.addCleanup(self.client.close)
+        self.source = StoreSource(self.client)
+
+    def test_version_has_the_era_of_the_response(self):
+        self.store.copy()
+        self.store.put("servers/a", b"x")
+        version = self.source.read().targets.version
+        self.assertEqual(DocumentVersion(1, 2), version)
+        self.store.restore()
+        self.assertEqual(DocumentVersion(2, 1), self.source.read().targets.version)
+
+    def test_restore_between_two_pages_fails_the_read(self):
+        for number in range(PAGE_ITEMS + 1):
+            self.store.put(f"servers/a{number}", b"x")
+        self.store.copy()
+        read_page = self.client.read_page
+
+        def restore_and_read(prefix: str, after: str = ""):
+            if after:
+                self.store.restore()
+            return read_page(prefix, after)
+
+        self.client.read_page = restore_and_read
+        self.assertRaises(PlatformError, self.source.read)
--- /dev/null
+++ b/tests/published/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of reading what the platform publishes."""
