Refuse unreadable time limits, and find the log lines of entries

A deadline header of 400 digits raised OverflowError, one of 5,000 ValueError; sesameplank-story looked for request= only, where entries write request_id=. Change: numbers in headers have at most 15 digits; a time limit that is not a number is refused with 400 and the remedy. Both fields name a request. Tests: tables of header values, a request through a real process, a timeline of an entry's line; all failed before.

--- a/sesameplank/forwarding/dialect.py
+++ b/sesameplank/forwarding/dialect.py
@@ -19,11 +19,13 @@
     """The id and the time limit that a caller sent with its request.
 
     `request_id` is None if the caller sent no id, and `timeout_s`, in seconds, is
-    None if it set no time limit.
+    None if it set no time limit. `error` says what is wrong with a header that cannot
+    be read, and how to correct it; it is None if there is none.
     """
 
     request_id: RequestId | None
     timeout_s: float | None
+    error: str | None = None
 
 
 class ResponseMetadata(msgspec.Struct, frozen=True):
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -97,6 +97,8 @@
             return self.refuse_and_log(metadata, 404, "no route")
         if metadata.request_id is None:
             return self.refuse_and_log(metadata, 400, "no request id")
+        if metadata.error is not None:
+            return self.refuse_and_log(metadata, 400, metadata.error)
         forwarded = ForwardedRequest(
             self, self.routing, route, request, metadata, context
         )
--- a/sesameplank/monitoring/timeline.py
+++ b/sesameplank/monitoring/timeline.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+# Forwarding processes write the first field, entries the second.
+REQUEST_FIELDS = ("request", "request_id")
 CONTEXT_EVENTS = frozenset(
     {
         "started",
@@ -36,6 +38,10 @@
         """The name of the event, or an empty string."""
         return self.fields.get("event", "")
 
+    def is_about(self, request_id: str) -> bool:
+        """Return whether the line is about a request."""
+        return any(self.fields.get(name) == request_id for name in REQUEST_FIELDS)
+
 
 def parse_line(source: str, text: str) -> LogLine | None:
     """Return the parsed line, or None if it is malformed or has no time."""
@@ -68,9 +74,7 @@
     of the request and ends with the last one.
     """
     all_lines = list(lines)
-    request_lines = [
-        line for line in all_lines if line.fields.get("request") == request_id
-    ]
+    request_lines = [line for line in all_lines if line.is_about(request_id)]
     if not request_lines:
         return []
     sources = {line.source for line in request_lines}
--- a/sesameplank/platform/headers.py
+++ b/sesameplank/platform/headers.py
@@ -27,6 +27,7 @@
 SLOWDOWN_SCALE = 100.0  # Targets report the slowdown in hundredths.
 MIN_LOAD_FIELDS = 3
 PARSE_CACHE_SIZE = 512
+MAX_DIGITS = 15
 
 
 class PlatformDialect(Dialect):
@@ -35,10 +36,15 @@
     def read_request_metadata(self, request: Request) -> RequestMetadata:
         """Return the request id and the time limit that the caller gave, if any."""
         request_id = request.get(REQUEST_ID.lower())
-        timeout_ms = parse_non_negative_int(request.get(DEADLINE.lower()))
+        deadline = request.get(DEADLINE.lower())
+        timeout_ms = parse_non_negative_int(deadline)
+        error = None
+        if deadline is not None and timeout_ms is None:
+            error = f"{DEADLINE.decode()} is not a number of milliseconds; send digits"
         return RequestMetadata(
             RequestId(request_id) if request_id else None,
             None if timeout_ms is None else timeout_ms / 1_000,
+            error,
         )
 
     def get_forwarded_headers(self, request: Request) -> Headers:
@@ -97,10 +103,14 @@
 
 
 def parse_non_negative_int(text: str | None) -> int | None:
-    """Return the non-negative integer that the text holds, or None."""
-    if text is None or not text.strip().isdecimal():
+    """Return the non-negative integer that the text holds, or None.
+
+    A number of more than MAX_DIGITS digits is not accepted.
+    """
+    digits = (text or "").strip()
+    if len(digits) > MAX_DIGITS or not digits.isdecimal():
         return None
-    return int(text)
+    return int(digits)
 
 
 @lru_cache(PARSE_CACHE_SIZE)
--- a/tests/integration/test_forwarding.py
+++ b/tests/integration/test_forwarding.py
@@ -97,6 +97,7 @@
         ),
         (make_request("/one/x", deadline_ms=0), 504),
         (make_request("/one/x", extra="Content-Length: -4\r\n"), 400),
+        (make_request("/one/x", deadline_ms="9" * 400), 400),
         (b"GET /one/x HTTP/1.1\r\nHost: orders.example\r\nX-Request-Id: s", 408),
     )
 
--- a/tests/monitoring/test_timeline.py
+++ b/tests/monitoring/test_timeline.py
@@ -53,6 +53,11 @@
             [(line.time, line.source, line.event) for line in timeline],
         )
 
+    def test_lines_of_entries_name_the_request_in_another_field(self):
+        log = [make_line(20.0, "request_refused", request_id="r1", status=503)]
+        timeline = find_timeline(parse_lines("entry", log), "r1", 5.0)
+        self.assertEqual(["request_refused"], [line.event for line in timeline])
+
     def test_unknown_request_has_an_empty_timeline(self):
         self.assertEqual([], find_timeline(self.read_lines(), "r9", 5.0))
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -23,6 +23,9 @@
             ("", None),
             (None, None),
             ("x", None),
+            ("9" * 15, 999_999_999_999_999),
+            ("9" * 400, None),
+            ("9" * 5_000, None),
         ):
             self.assertEqual(value, parse_non_negative_int(text), text)
 
@@ -46,6 +49,22 @@
 class PlatformDialectTests(testtools.TestCase):
     """Headers are translated from and to the forwarder's types."""
 
+    def test_unreadable_time_limit_is_an_error(self):
+        for value, timeout_s, is_error in (
+            (None, None, False),
+            (b"900", 0.9, False),
+            (b"9" * 400, None, True),
+            (b"9" * 5_000, None, True),
+            (b"soon", None, True),
+        ):
+            request = Request()
+            request.add(b"X-Request-Id", b"r")
+            if value is not None:
+                request.add(b"X-Deadline-Ms", value)
+            metadata = PlatformDialect().read_request_metadata(request)
+            self.assertEqual(timeout_s, metadata.timeout_s, value)
+            self.assertEqual(is_error, metadata.error is not None, value)
+
     def test_hop_by_hop_headers_are_not_forwarded(self):
         request = Request()
         for name, value in [
