--- a/sesameplank/core/outcomes.py
+++ b/sesameplank/core/outcomes.py
@@ -36,6 +36,17 @@
     RELAY = "relay"
 
 
+SCATTERED_REASONS = frozenset(
+    {
+        FailureReason.RESET,
+        FailureReason.TRUNCATED,
+        FailureReason.FOREIGN,
+        FailureReason.REFUSED,
+        FailureReason.BAD_ANSWER,
+    }
+)
+
+
 class Failure(msgspec.Struct, frozen=True):
     """A call without an answer: the reason, whether it was executed, and details."""
 
@@ -46,3 +57,8 @@
     def __bool__(self) -> bool:
         """Return False, so that a failure is never mistaken for an answer."""
         return False
+
+    @property
+    def is_scattered(self) -> bool:
+        """Return whether the target worked on the call, so that others may succeed."""
+        return self.ran is not Ran.NOT_RUN and self.reason in SCATTERED_REASONS
--- a/sesameplank/core/placement.py
+++ b/sesameplank/core/placement.py
@@ -26,6 +26,10 @@
 MIN_OVERDUE_S = 0.015
 MIN_REMAINING_PAUSE_S = 0.03
 COST_JITTER = 0.05
+FAILING_WEIGHT = 0.3
+FAILING_HALF_LIFE_S = 2.0
+FAILURE_COST_S = 0.05  # A retry costs time and extra load.
+MAX_SCATTERED_FAILURES = 3  # This many in a row are no longer scattered ones.
 MIN_AVOID_S = 0.25
 MAX_AVOID_S = 2.0
 ABANDONED_FAILURE_S = 0.15
@@ -54,13 +58,15 @@
     """The state of one target as this process has observed it.
 
     `in_flight` holds the time at which each call was sent, in that order.
-    `slowness` is the average relative latency of the calls, and `shedding` the
-    share of recent calls that the target refused.
+    `slowness` is the average relative latency of the calls, `shedding` the share of
+    recent calls that the target refused, and `failing` the share that failed.
+    `failures` is the number of failed calls since the last answer.
     """
 
     def __init__(self) -> None:
         self.in_flight: dict[AttemptId, float] = {}
         self.slowness = DecayingAverage(SLOWNESS_WEIGHT, SLOWNESS_HALF_LIFE_S)
+        self.failing = ZeroBaselineAverage(FAILING_WEIGHT, FAILING_HALF_LIFE_S)
         self.failures = 0
         self.avoid_until = 0.0
         self.shedding = ZeroBaselineAverage(SHED_WEIGHT, SHED_HALF_LIFE_S)
@@ -142,8 +148,9 @@
     ) -> float:
         """Return the expected latency of a call plus its penalties, in seconds.
 
-        A target costs more if it sheds load or is in another data centre. Random
-        jitter varies the choice among targets of about the same cost.
+        A target costs more if it sheds load, fails some of its calls or is in
+        another data centre. Random jitter varies the choice among targets of about
+        the same cost.
         """
         view = self.get(record.id)
         expected_s = usual_call_s * view.slowness.get(now) * view.get_slowdown(now)
@@ -151,6 +158,7 @@
         if view.in_flight:
             cost_s += self.get_remaining_pause_s(view, expected_s, now)
         cost_s += SHED_COST_S * view.shedding.get(now)
+        cost_s += (expected_s + FAILURE_COST_S) * view.failing.get(now)
         if record.data_centre != self.data_centre:
             cost_s = cost_s * REMOTE_FACTOR + REMOTE_COST_S
         return cost_s * (1.0 + COST_JITTER * self.rng.random())
@@ -183,6 +191,7 @@
         view.failures = 0
         view.avoid_until = 0.0
         view.shedding.add(0.0, now)
+        view.failing.add(0.0, now)
         sent_at = view.in_flight.pop(attempt, None)
         return None if sent_at is None else max(0.0, now - sent_at)
 
@@ -198,12 +207,28 @@
         own_relative_latency = relative_latency / view.get_slowdown(now)
         view.slowness.add(min(MAX_SLOWNESS, own_relative_latency), now)
 
-    def note_failure(self, target: TargetId, attempt: AttemptId, now: float) -> None:
-        """Record a failed call; avoid the target with exponential backoff."""
+    def note_failure(
+        self,
+        target: TargetId,
+        attempt: AttemptId,
+        now: float,
+        *,
+        is_scattered: bool = False,
+    ) -> None:
+        """Record a failed call; avoid the target with exponential backoff.
+
+        A scattered failure, such as an answer that was lost on the way, says little
+        about the next call. It makes the target costlier, and only several in a row
+        make it avoided: its other replicas may be much slower than a second try.
+        """
         view = self.get(target)
         view.in_flight.pop(attempt, None)
+        view.failing.add(1.0, now)
         view.failures += 1
-        avoid_s = MIN_AVOID_S * 2 ** min(view.failures - 1, 4)
+        tolerated = MAX_SCATTERED_FAILURES if is_scattered else 1
+        if view.failures < tolerated:
+            return
+        avoid_s = MIN_AVOID_S * 2 ** min(view.failures - tolerated, 4)
         view.avoid_until = now + min(MAX_AVOID_S, avoid_s)
 
     def note_shed(self, target: TargetId, attempt: AttemptId, now: float) -> None:
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -385,7 +385,9 @@
     def process_failure(self, call: Call, failure: Failure) -> None:
         """Process a failed call, and send the retry, if any."""
         now = self.clock.now()
-        self.forwarder.placement.note_failure(call.target.id, call.id, now)
+        self.forwarder.placement.note_failure(
+            call.target.id, call.id, now, is_scattered=failure.is_scattered
+        )
         self.forwarder.count(f"call_{failure.reason.value}")
         self.forwarder.log.note_failure(
             "call_failed",
--- a/tests/core/test_placement.py
+++ b/tests/core/test_placement.py
@@ -6,6 +6,7 @@
 
 from sesameplank.core.placement import (
     ABANDONED_FAILURE_S,
+    MAX_SCATTERED_FAILURES,
     MIN_AVOID_S,
     LoadReport,
     Placement,
@@ -71,6 +72,22 @@
         self.assertEqual("a", self.choose(records=self.records[:1]))
         self.assertFalse(self.placement.is_avoided("a", MIN_AVOID_S))
 
+    def test_target_that_lost_an_answer_is_preferred_to_a_much_slower_one(self):
+        for _ in range(6):
+            self.placement.note_relative_latency("b", 8.0, 0.0)
+        for lost in range(MAX_SCATTERED_FAILURES - 1):
+            attempt = self.send("a")
+            self.placement.note_failure("a", attempt, 0.0, is_scattered=True)
+            self.assertEqual("a", self.choose(), lost)
+            self.assertFalse(self.placement.is_avoided("a", 0.0))
+        self.placement.note_failure("a", self.send("a"), 0.0, is_scattered=True)
+        self.assertTrue(self.placement.is_avoided("a", 0.0))
+
+    def test_target_that_lost_an_answer_is_costlier_than_an_equal_one(self):
+        self.placement.note_failure("a", self.send("a"), 0.0, is_scattered=True)
+        self.assertEqual({"b"}, {self.choose() for _ in range(50)})
+        self.assertEqual({"a", "b"}, {self.choose(60.0) for _ in range(50)})
+
     def test_call_abandoned_late_counts_as_failure(self):
         attempt = self.send("a", 0.0)
         self.placement.note_abandoned("a", attempt, ABANDONED_FAILURE_S)
