--- a/sesameplank/core/reader_election.py
+++ b/sesameplank/core/reader_election.py
@@ -14,7 +14,8 @@
 READERS = 2
 MAX_VIEW_AGE_S = 2.3  # A change must be in force within 3 s.
 ELECTION_KEY = "reader"
-START_GRACE_PERIOD_S = 1.0  # Links to the contacts are open before it ends.
+# Contacts that run answer a starting process well before it ends.
+START_WINDOW_S = 0.3
 
 
 def elect_readers(members: Iterable[Member]) -> list[EntryId]:
@@ -29,17 +30,17 @@
     members: Iterable[Member],
     view_age_s: float | None,
     contacts: Container[EntryId] = (),
-    running_s: float = START_GRACE_PERIOD_S,
+    has_waited: bool = True,
 ) -> bool:
     """Return whether this process has to read the configuration service.
 
     `view_age_s` is the time since its view was known to be current, None if it
-    never was. `running_s` is the time since its start. A starting process waits
-    up to `START_GRACE_PERIOD_S` for an update from its `contacts`, the VMs that it
-    connects to first. The contacts read at once, in case all VMs start together.
+    never was. A starting process first waits for an update from its `contacts`, the
+    VMs that it connects to first; `has_waited` states whether it has. The contacts
+    read at once, in case all VMs start together.
     """
     if view_age_s is None:
-        return not contacts or own_id in contacts or running_s >= START_GRACE_PERIOD_S
+        return not contacts or own_id in contacts or has_waited
     if view_age_s > MAX_VIEW_AGE_S:
         return True
     return own_id in elect_readers(members)
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -18,7 +18,8 @@
 from ..core.pauses import BootClock, PauseDetector
 from ..core.peer_messages import Member, Phase
 from ..core.placement import Placement
-from ..core.reader_election import is_elected_reader
+from ..core.reader_election import START_WINDOW_S, is_elected_reader
+from ..core.readers import draw_start_delay
 from ..core.routes import RequestLimits, RoutingConfiguration
 from ..core.target_table import TargetTable
 from ..core.versions import AcceptedConfiguration, ConfigurationStore
@@ -144,6 +145,7 @@
         self.fleet_sizes: list[tuple[float, int]] = []
         self.applied_targets = self.table.version
         self.started_at = self.logged_at = clock.now()
+        self.first_read_at = self.started_at + draw_start_delay(START_WINDOW_S, rng)
         self.seed_ids = {EntryId(peer.host) for peer in settings.peers}
         self.active: list[Member] = []
         self.active_state: tuple | None = None
@@ -203,7 +205,7 @@
             self.get_serving(),
             view_age_s,
             self.seed_ids,
-            self.clock.now() - self.started_at,
+            self.clock.now() >= self.first_read_at,
         )
 
     def get_serving(self) -> list[Member]:
--- a/sesameplank/peers/framed_transport.py
+++ b/sesameplank/peers/framed_transport.py
@@ -18,7 +18,6 @@
 from ..ids import EntryId
 from ..net import Address, set_no_delay
 from .transport import (
-    DIAL_TIMEOUT_S,
     LISTEN_BACKLOG,
     MAX_FRAME_BYTES,
     ConnectionHandler,
@@ -112,11 +111,16 @@
     """
 
     def open_connection(
-        self, own_id: EntryId, own_address: Address, peer: EntryId, address: Address
+        self,
+        own_id: EntryId,
+        own_address: Address,
+        peer: EntryId,
+        address: Address,
+        timeout_s: float,
     ) -> PeerConnection:
         """Return a connection to a peer, opened from the host of `own_address`."""
         sock = gevent.socket.create_connection(
-            tuple(address), DIAL_TIMEOUT_S, source_address=(own_address.host, 0)
+            tuple(address), timeout_s, source_address=(own_address.host, 0)
         )
         connection = FramedConnection(sock)
         connection.send(HELLO_SEPARATOR.join((own_id.encode(), peer.encode())))
--- a/sesameplank/peers/links.py
+++ b/sesameplank/peers/links.py
@@ -223,7 +223,11 @@
         try:
             address = self.addresses[peer]
             connection = self.transport.open_connection(
-                self.entry_id, self.address, peer, address
+                self.entry_id,
+                self.address,
+                peer,
+                address,
+                self.backoff.get_dial_timeout_s(peer),
             )
         except (OSError, LookupError) as error:
             self.backoff.note_failure(peer, self.clock.now())
--- a/sesameplank/peers/transport.py
+++ b/sesameplank/peers/transport.py
@@ -11,7 +11,6 @@
 from ..ids import EntryId
 from ..net import Address
 
-DIAL_TIMEOUT_S = 1.0
 LISTEN_BACKLOG = 512
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 
@@ -44,9 +43,17 @@
 
     @abstractmethod
     def open_connection(
-        self, own_id: EntryId, own_address: Address, peer: EntryId, address: Address
+        self,
+        own_id: EntryId,
+        own_address: Address,
+        peer: EntryId,
+        address: Address,
+        timeout_s: float,
     ) -> PeerConnection:
-        """Return an open connection to a peer, or raise OSError."""
+        """Return an open connection to a peer, or raise OSError.
+
+        It is raised if the peer does not accept within `timeout_s` seconds.
+        """
 
     @abstractmethod
     def make_server(
--- a/sesameplank/peers/websocket_transport.py
+++ b/sesameplank/peers/websocket_transport.py
@@ -14,7 +14,6 @@
 from ..ids import EntryId
 from ..net import Address, set_no_delay
 from .transport import (
-    DIAL_TIMEOUT_S,
     LISTEN_BACKLOG,
     MAX_FRAME_BYTES,
     ConnectionHandler,
@@ -29,7 +28,6 @@
 SENDER_HEADER = "X-Entry-Id"
 WEBSOCKET_OPTIONS = {
     "compression": None,
-    "open_timeout": DIAL_TIMEOUT_S,
     "ping_interval": PING_INTERVAL_S,
     "ping_timeout": PING_TIMEOUT_S,
     "close_timeout": CLOSE_TIMEOUT_S,
@@ -74,11 +72,16 @@
         logging.getLogger("websockets").setLevel(logging.CRITICAL)
 
     def open_connection(
-        self, own_id: EntryId, own_address: Address, peer: EntryId, address: Address
+        self,
+        own_id: EntryId,
+        own_address: Address,
+        peer: EntryId,
+        address: Address,
+        timeout_s: float,
     ) -> PeerConnection:
         """Return a websocket to a peer, opened from the host of `own_address`."""
         sock = gevent.socket.create_connection(
-            tuple(address), DIAL_TIMEOUT_S, source_address=(own_address.host, 0)
+            tuple(address), timeout_s, source_address=(own_address.host, 0)
         )
         set_no_delay(sock)
         try:
@@ -88,6 +91,7 @@
                     sock=sock,
                     proxy=None,
                     additional_headers={SENDER_HEADER: own_id},
+                    open_timeout=timeout_s,
                     **WEBSOCKET_OPTIONS,
                 )
         except BaseException:
--- a/tests/core/test_reader_election.py
+++ b/tests/core/test_reader_election.py
@@ -6,7 +6,6 @@
 from sesameplank.core.reader_election import (
     MAX_VIEW_AGE_S,
     READERS,
-    START_GRACE_PERIOD_S,
     elect_readers,
     is_elected_reader,
 )
@@ -49,10 +48,10 @@
         self.assertTrue(is_elected_reader(idle, [], None))
 
     def test_starting_process_waits_for_its_contacts(self):
-        for own, running_s, expected in (
-            ("m1", 0.0, True),
-            ("m9", 0.0, False),
-            ("m9", START_GRACE_PERIOD_S, True),
+        for own, has_waited, expected in (
+            ("m1", False, True),
+            ("m9", False, False),
+            ("m9", True, True),
         ):
-            found = is_elected_reader(own, [], None, {"m1", "m2"}, running_s)
-            self.assertEqual(expected, found, (own, running_s))
+            found = is_elected_reader(own, [], None, {"m1", "m2"}, has_waited)
+            self.assertEqual(expected, found, (own, has_waited))
