--- /dev/null
+++ b/sesameplank/core/batch_messages.py
@@ -0,0 +1,99 @@
+"""Messages between processes about batches of calls.
+
+Fields are encoded by position: add new fields at the end, with a default.
+"""
+
+import msgspec
+
+from ..ids import RequestId, TargetId
+from .outcomes import Failure, FailureReason, Ran
+from .peer_messages import PeerMessage
+from .placement import LoadReport
+
+
+class BatchedCalls(PeerMessage, frozen=True):
+    """A request to call targets on behalf of the sender and to merge their answers.
+
+    `batch` identifies the batch among those of the sender. `head` and `tail` are the
+    encoded request without the headers that differ between targets. `top_k` is the
+    number of greatest records to return. `remaining_ms` is the time until the
+    deadline, and `flush_ms` the time from which answers are returned at once.
+    """
+
+    batch: int
+    request_id: RequestId
+    head: bytes
+    tail: bytes
+    top_k: int
+    remaining_ms: int
+    flush_ms: int
+    targets: tuple[TargetId, ...]
+
+
+class BatchedLoad(msgspec.Struct, frozen=True, array_like=True):
+    """A target's load report; `slowdown_percent` is 100 for the usual service time."""
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown_percent: int
+
+    @classmethod
+    def pack(cls, report: LoadReport | None) -> "BatchedLoad | None":
+        """Return a load report as it is sent, or None."""
+        if report is None:
+            return None
+        slowdown_percent = round(report.slowdown * 100)
+        return cls(report.running, report.waiting, report.slots, slowdown_percent)
+
+    def unpack(self) -> LoadReport:
+        """Return the load report."""
+        return LoadReport(
+            self.running, self.waiting, self.slots, self.slowdown_percent / 100
+        )
+
+
+class BatchedAnswer(msgspec.Struct, frozen=True, array_like=True):
+    """A successful answer; its records are part of the merged ones.
+
+    `index` is the position of the target in the batch, and `elapsed_us` the latency
+    of the call in microseconds.
+    """
+
+    index: int
+    signature: str
+    elapsed_us: int
+    load: BatchedLoad | None = None
+
+
+class BatchedFailure(msgspec.Struct, frozen=True, array_like=True):
+    """A call that failed, or that its target refused (`is_refusal`).
+
+    `is_other_target` is true if another target listens at the address now.
+    """
+
+    index: int
+    reason: FailureReason
+    ran: Ran
+    is_refusal: bool = False
+    is_other_target: bool = False
+    load: BatchedLoad | None = None
+
+    def unpack(self) -> Failure:
+        """Return the failure as the sender of the batch processes it."""
+        return Failure(self.reason, self.ran, "reported by the aggregating VM")
+
+
+class BatchedAnswers(PeerMessage, frozen=True):
+    """The answers of a batch since the previous message, and their greatest records."""
+
+    batch: int
+    answers: tuple[BatchedAnswer, ...] = ()
+    failures: tuple[BatchedFailure, ...] = ()
+    records: bytes = b""
+
+
+class BatchCancel(PeerMessage, frozen=True):
+    """A request to cancel the calls of a batch that are still in flight."""
+
+    batch: int
--- a/sesameplank/core/fanout.py
+++ b/sesameplank/core/fanout.py
@@ -13,7 +13,7 @@
 
 import bisect
 import math
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Container, Sequence
 from enum import Enum
 
 import msgspec
@@ -215,10 +215,11 @@
                 calls += self.prepare_hedge(shard, now)
         return calls
 
-    def on_answer(self, call: Call, now: float) -> bool:
+    def on_answer(self, call: Call, now: float, elapsed_s: float | None = None) -> bool:
         """Record a successful answer.
 
-        Return False if the shard needs no answer any more.
+        `elapsed_s` is the latency of the call, if it differs from the time since the
+        call was sent. Return False if the shard needs no answer any more.
         """
         shard = self.shards[call.shard]
         shard.calls.pop(call.id, None)
@@ -230,7 +231,8 @@
         self.answered += 1
         if self.answered == self.plan.required:
             self.due_at = min(self.due_at, self.plan.objective_at)
-        elapsed_s = now - call.sent_at
+        if elapsed_s is None:
+            elapsed_s = now - call.sent_at
         self.answered_calls.append((call, elapsed_s))
         bisect.insort(self.sorted_latencies_s, elapsed_s)
         if len(self.shards) > 1 and self.answered % self.min_siblings == 0:
@@ -266,12 +268,12 @@
                 delay_s = max(MIN_LATE_FACTOR * median_s, min(late_s, latest_delay_s))
                 self.schedule_hedge(shard, call.sent_at + delay_s)
 
-    def finish(self, now: float) -> None:
+    def finish(self, now: float, unobserved: Container[AttemptId] = ()) -> None:
         """Report the relative latency of the request's calls to the placement.
 
-        Failed calls are not reported, and a call that is still in flight only if its
-        time so far is clearly above the median. A single-shard request reports
-        nothing because its call has no siblings.
+        Failed and `unobserved` calls are not reported, and a call that is still in
+        flight only if its time so far is clearly above the median. A single-shard
+        request reports nothing because its call has no siblings.
         """
         median_s = self.median_s
         if median_s is None or len(self.shards) == 1:
@@ -283,7 +285,7 @@
         for shard in self.shards.values():
             for call in shard.calls.values():
                 relative_latency = (now - call.sent_at) / median_s
-                if relative_latency > MIN_LATE_FACTOR:
+                if relative_latency > MIN_LATE_FACTOR and call.id not in unobserved:
                     self.placement.note_relative_latency(
                         call.target.id, relative_latency, now
                     )
--- a/sesameplank/core/placement.py
+++ b/sesameplank/core/placement.py
@@ -251,6 +251,10 @@
         else:
             view.in_flight.pop(attempt)
 
+    def note_withdrawn(self, target: TargetId, attempt: AttemptId) -> None:
+        """Record that a call ended for a reason that says nothing about the target."""
+        self.get(target).in_flight.pop(attempt, None)
+
     def note_report(self, target: TargetId, report: LoadReport, now: float) -> None:
         """Record the load that a target reported."""
         view = self.get(target)
--- /dev/null
+++ b/sesameplank/forwarding/batch_server.py
@@ -0,0 +1,262 @@
+"""Makes batches of calls on behalf of other VMs, and returns the merged answers."""
+
+from collections.abc import Callable
+
+import gevent
+
+from ..core.batch_messages import (
+    BatchCancel,
+    BatchedAnswer,
+    BatchedAnswers,
+    BatchedCalls,
+    BatchedFailure,
+    BatchedLoad,
+)
+from ..core.batches import NEVER, FlushSchedule
+from ..core.clock import Clock
+from ..core.fanout import Call, CallKind
+from ..core.outcomes import Failure, FailureReason, Ran
+from ..core.placement import Placement
+from ..core.record_merge import RecordMerge
+from ..core.target_table import TargetPhase, TargetRecord, TargetTable
+from ..ids import AttemptId, EntryId, TargetId
+from ..peers import PeerContext, PeerLinks
+from .connection_shares import ConnectionShares
+from .dialect import Dialect, TargetAnswer, find_failure
+from .http_messages import Response, encode_headers
+from .target_connections import Exchange
+
+MAX_BATCH_AGE_S = 1.0  # A batch that waited longer is not worth its calls.
+
+
+class BatchServer:
+    """Serves the batches of other VMs; `batches` holds those in progress."""
+
+    def __init__(
+        self,
+        links: PeerLinks,
+        clock: Clock,
+        dialect: Dialect,
+        table: TargetTable,
+        placement: Placement,
+        connection_shares: ConnectionShares,
+        count: Callable[[str], None],
+    ) -> None:
+        self.links = links
+        self.clock = clock
+        self.dialect = dialect
+        self.table = table
+        self.placement = placement
+        self.connection_shares = connection_shares
+        self.count = count
+        self.batches: dict[tuple[EntryId, int], ServedBatch] = {}
+        links.register(BatchedCalls, self.on_calls)
+        links.register(BatchCancel, self.on_cancel)
+
+    def on_calls(self, message: BatchedCalls, context: PeerContext) -> None:
+        """Make the calls of a batch, unless its message is old."""
+        if context.age_s > MAX_BATCH_AGE_S:
+            self.count("batches_overdue")
+            return
+        self.count("batches_served")
+        key = (context.sender, message.batch)
+        batch = self.batches[key] = ServedBatch(self, message, context)
+        batch.start()
+
+    def on_cancel(self, message: BatchCancel, context: PeerContext) -> None:
+        """Cancel the calls of a batch."""
+        batch = self.batches.get((context.sender, message.batch))
+        if batch is not None:
+            batch.cancel()
+
+    def find_target(self, target: TargetId) -> TargetRecord | None:
+        """Return a target that accepts new calls, or None."""
+        record = self.table.records.get(target)
+        if record is None or record.phase is not TargetPhase.READY:
+            return None
+        return record
+
+
+class ServedBatch:
+    """One batch in progress: its calls in flight and the answers to return."""
+
+    def __init__(
+        self, server: BatchServer, message: BatchedCalls, context: PeerContext
+    ) -> None:
+        self.server = server
+        self.message = message
+        self.sender = context.sender
+        now = server.clock.now()
+        self.deadline_at = now + message.remaining_ms / 1_000 - context.age_s
+        objective_at = now + message.flush_ms / 1_000 - context.age_s
+        self.schedule = FlushSchedule(len(message.targets), now, objective_at)
+        self.exchanges: dict[int, Exchange] = {}
+        self.answers: list[BatchedAnswer] = []
+        self.merge = RecordMerge(message.top_k)
+        self.flush_timer: gevent.Greenlet | None = None
+        self.flush_at = NEVER
+        self.deadline_timer: gevent.Greenlet | None = None
+
+    def start(self) -> None:
+        """Submit the calls; fail those whose target is unknown or leaving."""
+        unknown = []
+        for index, target in enumerate(self.message.targets):
+            record = self.server.find_target(target)
+            if record is None:
+                unknown.append(index)
+            else:
+                self.exchanges[index] = self.make_exchange(index, record)
+        remaining_s = max(0.0, self.deadline_at - self.server.clock.now())
+        self.deadline_timer = gevent.spawn_later(remaining_s, self.cancel)
+        for index in unknown:
+            self.fail(index, Failure(FailureReason.REFUSED, Ran.NOT_RUN))
+        for exchange in list(self.exchanges.values()):
+            self.server.connection_shares.get_pool(exchange.call.target).submit(
+                exchange
+            )
+
+    def make_exchange(self, index: int, record: TargetRecord) -> Exchange:
+        """Return the exchange of one call."""
+        placement = self.server.placement
+        now = self.server.clock.now()
+        attempt = AttemptId(next(placement.attempt_ids))
+        call = Call(attempt, CallKind.FIRST, record.service, record, now)
+        placement.note_sent(record.id, attempt, now)
+        return Exchange(
+            call,
+            self.message.request_id,
+            lambda: self.encode(record),
+            lambda call: None,
+            lambda exchange, outcome: self.on_done(index, exchange, outcome),
+            is_idempotent=True,
+        )
+
+    def encode(self, record: TargetRecord) -> bytes:
+        """Return a call as bytes, with the time remaining until the deadline."""
+        remaining_s = self.deadline_at - self.server.clock.now()
+        headers = self.server.dialect.make_call_headers(record.id, remaining_s)
+        return self.message.head + encode_headers(headers) + self.message.tail
+
+    def on_done(
+        self, index: int, exchange: Exchange, outcome: Response | Failure
+    ) -> None:
+        """Process the outcome of a call."""
+        del self.exchanges[index]
+        call = exchange.call
+        if isinstance(outcome, Failure):
+            self.note_failure(call, outcome)
+            self.fail(index, outcome)
+            return
+        now = self.server.clock.now()
+        answer = self.server.dialect.read_answer(outcome)
+        if answer.load is not None:
+            self.server.placement.note_report(call.target.id, answer.load, now)
+        if answer.not_run:
+            self.process_refusal(index, call, answer)
+            return
+        failure = find_failure(answer)
+        if failure is not None:
+            self.note_failure(call, failure)
+            self.fail(index, failure)
+            return
+        elapsed_s = self.server.placement.note_answer(call.target.id, call.id, now)
+        self.merge.add(outcome.body)
+        self.answers.append(
+            BatchedAnswer(
+                index,
+                answer.signature,
+                int((elapsed_s or 0.0) * 1_000_000),
+                BatchedLoad.pack(answer.load),
+            )
+        )
+        self.plan_flush(self.schedule.note_done(now, has_answer=True))
+
+    def note_failure(self, call: Call, failure: Failure) -> None:
+        """Record a failed call of a target."""
+        self.server.placement.note_failure(
+            call.target.id,
+            call.id,
+            self.server.clock.now(),
+            is_scattered=failure.is_scattered,
+        )
+
+    def process_refusal(self, index: int, call: Call, answer: TargetAnswer) -> None:
+        """Process a call that its target did not run."""
+        now = self.server.clock.now()
+        if answer.is_other_target:
+            self.server.placement.note_failure(call.target.id, call.id, now)
+        else:
+            self.server.placement.note_shed(call.target.id, call.id, now)
+        self.report(
+            BatchedFailure(
+                index,
+                FailureReason.REFUSED,
+                Ran.NOT_RUN,
+                is_refusal=True,
+                is_other_target=answer.is_other_target,
+                load=BatchedLoad.pack(answer.load),
+            )
+        )
+
+    def fail(self, index: int, failure: Failure) -> None:
+        """Report a failed call."""
+        self.report(BatchedFailure(index, failure.reason, failure.ran))
+
+    def report(self, failure: BatchedFailure) -> None:
+        """Return a failure at once, so that it can be retried soon."""
+        self.send(BatchedAnswers(self.message.batch, failures=(failure,)))
+        now = self.server.clock.now()
+        self.plan_flush(self.schedule.note_done(now, has_answer=False))
+
+    def plan_flush(self, flush_at: float) -> None:
+        """Return the answers at a time, or now if it has passed."""
+        now = self.server.clock.now()
+        if flush_at <= now:
+            self.flush()
+        elif flush_at < self.flush_at:
+            self.flush_at = flush_at
+            self.stop_flush_timer()
+            self.flush_timer = gevent.spawn_later(flush_at - now, self.flush)
+
+    def flush(self) -> None:
+        """Return the answers that are in; end the batch if all calls have ended."""
+        self.stop_flush_timer()
+        self.flush_at = NEVER
+        self.schedule.note_flushed()
+        if self.answers:
+            answers, self.answers = tuple(self.answers), []
+            records = self.merge.get_body()
+            self.merge = RecordMerge(self.message.top_k)
+            self.send(
+                BatchedAnswers(self.message.batch, answers=answers, records=records)
+            )
+        if not self.exchanges:
+            self.end()
+
+    def send(self, message: BatchedAnswers) -> None:
+        """Send a message to the VM that the batch is served for."""
+        self.server.links.send(self.sender, message)
+
+    def cancel(self) -> None:
+        """Cancel the calls in flight and end the batch."""
+        now = self.server.clock.now()
+        for exchange in self.exchanges.values():
+            call = exchange.call
+            self.server.placement.note_abandoned(call.target.id, call.id, now)
+            self.server.connection_shares.get_pool(call.target).cancel(exchange)
+        self.exchanges.clear()
+        self.end()
+
+    def end(self) -> None:
+        """Stop the timers and forget the batch."""
+        self.stop_flush_timer()
+        timer, self.deadline_timer = self.deadline_timer, None
+        if timer is not None and timer is not gevent.getcurrent():
+            timer.kill(block=False)
+        self.server.batches.pop((self.sender, self.message.batch), None)
+
+    def stop_flush_timer(self) -> None:
+        """Stop the timer of the next flush, if there is one."""
+        timer, self.flush_timer = self.flush_timer, None
+        if timer is not None and timer is not gevent.getcurrent():
+            timer.kill(block=False)
--- a/sesameplank/forwarding/dialect.py
+++ b/sesameplank/forwarding/dialect.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from ..core.outcomes import Failure, FailureReason, Ran
 from ..core.placement import LoadReport
 from ..ids import RequestId, TargetId
 from .http_messages import Headers, Request, Response
@@ -62,6 +63,15 @@
         return 200 <= self.status < 300
 
 
+def find_failure(answer: TargetAnswer) -> Failure | None:
+    """Return why an answer to a call that ran cannot be used, or None if it can."""
+    if answer.signature is None or not answer.is_usable:
+        return Failure(FailureReason.BAD_ANSWER, Ran.UNKNOWN, "unsigned")
+    if not answer.is_success:
+        return Failure(FailureReason.REFUSED, Ran.ANSWERED)
+    return None
+
+
 class Dialect(ABC):
     """A translator between the forwarder's types and one platform's headers."""
 
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -3,22 +3,24 @@
 import msgspec
 from gevent.event import Event
 
+from ..core.batch_messages import BatchedAnswer, BatchedAnswers, BatchedFailure
 from ..core.call_times import CallTimes
 from ..core.clock import Clock
 from ..core.extra_load import ExtraLoadBudget
 from ..core.fanout import Call, CallKind, Fanout, FanoutPlan, Verdict
 from ..core.fanout_plans import make_fanout_plan
-from ..core.outcomes import Failure, FailureReason, Ran
-from ..core.placement import Placement
+from ..core.gathered_parts import GatheredParts
+from ..core.outcomes import Failure, Ran
+from ..core.placement import LoadReport, Placement
 from ..core.queue_admission import QueueAdmission, get_allowed_waits, get_service_names
-from ..core.record_merge import RecordMerge
 from ..core.routes import Route, RoutingConfiguration
 from ..core.target_table import TargetRecord, TargetTable
 from ..core.weighting import WeightedRoundRobin
 from ..ids import AttemptId, RequestId, ServiceName
+from .call_batches import CallBatch, CallBatches
 from .caller_connections import Reply, RequestContext
 from .connection_shares import ConnectionShares
-from .dialect import Dialect, RequestMetadata, TargetAnswer
+from .dialect import Dialect, RequestMetadata, TargetAnswer, find_failure
 from .http_messages import Request, RequestEncoder, Response
 from .metrics import FrontMetrics
 from .request_log import RequestLog
@@ -29,12 +31,11 @@
 
 
 class Part(msgspec.Struct, frozen=True):
-    """A target's answer for one shard, and the response that contained it.
+    """A target's answer and the response that contained it.
 
     The answer is successful, or an error that may be relayed to the caller.
     """
 
-    shard: ServiceName
     answer: TargetAnswer
     response: Response
 
@@ -64,6 +65,7 @@
         self.log = RequestLog(clock)
         self.admission = QueueAdmission(placement.rng)
         self.allowed_waits: dict[str, float] = {}
+        self.batches: CallBatches | None = None
 
     def set_routing(self, routing: RoutingConfiguration) -> None:
         """Use a new routing configuration for all further requests."""
@@ -178,17 +180,19 @@
         self.request = request
         self.metadata = metadata
         self.context = context
-        self.parts: dict[ServiceName, Part] = {}
+        self.parts = GatheredParts(route.top_k)
+        self.answer_part: Part | None = None
         self.error_part: Part | None = None
         self.extra_calls = 0
         self.exchanges: dict[AttemptId, Exchange] = {}
+        self.batches: list[CallBatch] = []
+        self.batched: dict[AttemptId, CallBatch] = {}
         self.encoder = RequestEncoder(
             request.method,
             request.target,
             forwarder.dialect.get_forwarded_headers(request),
             request.body,
         )
-        self.merge = RecordMerge(route.top_k)
         self.wake = Event()
         self.wake_at = 0.0
         self.plan = make_fanout_plan(
@@ -216,9 +220,8 @@
             )
         self.dispatch(self.fanout.start(now))
         verdict = self.wait()
-        self.fanout.finish(self.clock.now())
-        for exchange in list(self.exchanges.values()):
-            self.abandon(exchange)
+        self.fanout.finish(self.clock.now(), self.find_unobserved())
+        self.abandon_all()
         elapsed_s = self.clock.now() - self.context.received_at
         self.forwarder.metrics.observe(self.route.name, elapsed_s)
         reply = self.make_reply(verdict)
@@ -231,7 +234,7 @@
         A complete answer within the latency objective is logged as a success.
         """
         log = self.forwarder.log
-        is_complete = len(self.parts) == len(self.plan.shards)
+        is_complete = self.fanout.answered == len(self.plan.shards)
         is_success = is_complete and self.clock.now() <= self.plan.objective_at
         note = log.note_success if is_success else log.note_failure
         is_answered = verdict is Verdict.ANSWERED
@@ -244,7 +247,7 @@
             targets_revision=self.forwarder.table.revision,
             verdict=verdict.value,
             caller_left=self.context.is_disconnected,
-            parts=len(self.parts),
+            parts=self.fanout.answered,
             shards=len(self.plan.shards),
             required=self.plan.required,
             repeated=self.extra_calls,
@@ -274,8 +277,11 @@
             self.wake.wait(max(0.0, self.wake_at - now))
 
     def dispatch(self, calls: list[Call]) -> None:
-        """Submit calls to the connection pools of their targets."""
+        """Send calls in batches, or submit them to the pools of their targets."""
         for call in calls:
+            self.count_call(call)
+        self.note_late_batches(calls)
+        for call in self.send_batches(calls):
             pool = self.forwarder.connection_shares.get_pool(call.target)
             exchange = Exchange(
                 call,
@@ -284,12 +290,86 @@
                 self.fanout.note_transmitted,
                 self.on_done,
                 is_idempotent=self.route.idempotent,
-                is_head=self.request.method == b"HEAD",
+                is_head=self.is_head,
             )
             self.exchanges[call.id] = exchange
-            self.count_call(call)
             pool.submit(exchange)
 
+    def send_batches(self, calls: list[Call]) -> list[Call]:
+        """Send calls to other data centres in batches, and return the other calls."""
+        batches = self.forwarder.batches
+        if batches is None or not self.route.is_gather or self.is_head:
+            return calls
+        sent = batches.send(
+            calls,
+            self.metadata.request_id,
+            self.encoder,
+            self.route.top_k,
+            self.plan.objective_at,
+            self.plan.deadline_at,
+            self.on_batch_answers,
+        )
+        self.batches += sent
+        for batch in sent:
+            for call in batch.calls:
+                self.batched[call.id] = batch
+                self.fanout.note_transmitted(call)
+                self.forwarder.count("batched_calls")
+        return [call for call in calls if call.id not in self.batched]
+
+    @property
+    def is_head(self) -> bool:
+        """Whether the caller requested only the head of the response."""
+        return self.request.method == b"HEAD"
+
+    def note_late_batches(self, calls: list[Call]) -> None:
+        """Record the batches of which calls are late, as their hedges show."""
+        for call in calls:
+            if call.kind is CallKind.HEDGE:
+                for other in self.fanout.shards[call.shard].calls:
+                    if other in self.batched:
+                        self.forwarder.batches.note_late(self.batched[other])
+
+    def find_unobserved(self) -> set[AttemptId]:
+        """Return the calls of batches of which nothing is known."""
+        return {call for call, batch in self.batched.items() if not batch.has_answered}
+
+    def on_batch_answers(self, batch: CallBatch, message: BatchedAnswers) -> None:
+        """Process answers and failures of a batch; wake `wait` if necessary.
+
+        The records of all answers are merged, so all of them are used or none.
+        """
+        signatures = {
+            batch.calls[item.index].shard: item.signature for item in message.answers
+        }
+        if signatures:
+            self.parts.add_merged(signatures, message.records)
+        for item in message.answers:
+            self.process_batched_answer(batch.calls[item.index], item)
+        for item in message.failures:
+            self.process_batched_failure(batch.calls[item.index], item)
+        self.wake_if_needed()
+
+    def process_batched_answer(self, call: Call, item: BatchedAnswer) -> None:
+        """Process the answer to one call of a batch, whose records are merged."""
+        self.batched.pop(call.id, None)
+        load = None if item.load is None else item.load.unpack()
+        placement = self.forwarder.placement
+        if load is not None:
+            placement.note_report(call.target.id, load, self.clock.now())
+        placement.note_answer(call.target.id, call.id, self.clock.now())
+        self.process_success(call, load, item.elapsed_us / 1_000_000)
+
+    def process_batched_failure(self, call: Call, item: BatchedFailure) -> None:
+        """Process a call of a batch that failed or was refused."""
+        if self.batched.pop(call.id, None) is None:
+            return
+        if item.is_refusal:
+            load = None if item.load is None else item.load.unpack()
+            self.process_refusal(call, load, is_other_target=item.is_other_target)
+        else:
+            self.process_failure(call, item.unpack())
+
     def count_call(self, call: Call) -> None:
         """Count a call by its kind, and again if it goes to another data centre."""
         self.forwarder.count(f"calls_{call.kind.value}")
@@ -328,6 +408,10 @@
             self.process_failure(call, outcome)
         else:
             self.process_response(call, outcome)
+        self.wake_if_needed()
+
+    def wake_if_needed(self) -> None:
+        """Wake `wait` if there is a verdict, or a hedge or retry is due earlier."""
         is_decided = self.fanout.get_verdict(self.clock.now()) is not Verdict.OPEN
         if is_decided or self.fanout.due_at < self.wake_at:
             self.wake.set()
@@ -340,45 +424,59 @@
         if answer.load is not None:
             placement.note_report(call.target.id, answer.load, now)
         if answer.not_run:
-            self.process_refusal(call, answer)
-            return
-        part = Part(call.shard, answer, response)
-        if answer.signature is None or not answer.is_usable:
-            self.process_failure(
-                call, Failure(FailureReason.BAD_ANSWER, Ran.UNKNOWN, "unsigned")
+            self.process_refusal(
+                call, answer.load, is_other_target=answer.is_other_target
             )
             return
-        if not answer.is_success and (self.route.is_gather or self.route.idempotent):
+        part = Part(answer, response)
+        failure = find_failure(answer)
+        is_relayed = failure is not None and failure.ran is Ran.ANSWERED
+        if is_relayed:
             self.error_part = part
-            self.process_failure(call, Failure(FailureReason.REFUSED, Ran.ANSWERED))
+        may_relay = not self.route.is_gather and not self.route.idempotent
+        if failure is not None and not (is_relayed and may_relay):
+            self.process_failure(call, failure)
             return
         elapsed_s = placement.note_answer(call.target.id, call.id, now)
+        if self.process_success(call, answer.load, elapsed_s):
+            self.answer_part = part
+            if self.route.is_gather:
+                self.parts.add(call.shard, answer.signature, response.body)
+
+    def process_success(
+        self, call: Call, load: LoadReport | None, elapsed_s: float | None
+    ) -> bool:
+        """Record a successful call; return whether its shard had no answer yet.
+
+        `elapsed_s` is the latency of the call in seconds, None if it is unknown.
+        """
+        now = self.clock.now()
         if elapsed_s is not None:
             self.forwarder.times.observe(self.route, elapsed_s)
-            if answer.load is not None:
-                self.forwarder.admission.note_answer(
-                    call.shard, answer.load, elapsed_s, now
-                )
+            if load is not None:
+                self.forwarder.admission.note_answer(call.shard, load, elapsed_s, now)
             if not self.route.is_gather:
-                placement.note_relative_latency(
+                self.forwarder.placement.note_relative_latency(
                     call.target.id, elapsed_s / self.plan.usual_call_s, now
                 )
-        if self.fanout.on_answer(call, now):
-            self.parts[call.shard] = part
-            self.merge.add(response.body)
-            self.abandon_other_calls(call.shard)
+        if not self.fanout.on_answer(call, now, elapsed_s):
+            return False
+        self.abandon_other_calls(call.shard)
+        return True
 
-    def process_refusal(self, call: Call, answer: TargetAnswer) -> None:
+    def process_refusal(
+        self, call: Call, load: LoadReport | None, *, is_other_target: bool
+    ) -> None:
         """Process a call that its target did not run, and send the retry, if any."""
         placement = self.forwarder.placement
         now = self.clock.now()
-        if answer.is_other_target:
+        if is_other_target:
             placement.note_failure(call.target.id, call.id, now)
             self.forwarder.table.discard(call.target.id)
         else:
             placement.note_shed(call.target.id, call.id, now)
-            if answer.load is not None:
-                self.forwarder.admission.note_refusal(call.shard, answer.load, now)
+            if load is not None:
+                self.forwarder.admission.note_refusal(call.shard, load, now)
         self.forwarder.count("shed")
         self.dispatch(self.fanout.on_failure(call, Ran.NOT_RUN, now))
 
@@ -403,10 +501,25 @@
 
     def abandon_other_calls(self, shard: ServiceName) -> None:
         """Cancel the remaining calls for a shard that has been answered."""
-        for call in self.fanout.shards[shard].calls:
-            exchange = self.exchanges.get(call)
+        for call in self.fanout.shards[shard].calls.values():
+            exchange = self.exchanges.get(call.id)
             if exchange is not None:
                 self.abandon(exchange)
+            self.withdraw(call)
+
+    def withdraw(self, call: Call) -> None:
+        """Disregard the outcome of a call of a batch from now on."""
+        if self.batched.pop(call.id, None) is not None:
+            self.forwarder.placement.note_withdrawn(call.target.id, call.id)
+
+    def abandon_all(self) -> None:
+        """Cancel all calls that are in flight."""
+        for exchange in list(self.exchanges.values()):
+            self.abandon(exchange)
+        for batch in self.batches:
+            self.forwarder.batches.cancel(batch)
+            for call in batch.calls:
+                self.withdraw(call)
 
     def abandon(self, exchange: Exchange) -> None:
         """Cancel a call whose answer is no longer needed."""
@@ -426,16 +539,16 @@
     def make_answer(self) -> Reply:
         """Return the merged answers of the shards, or the single target's response."""
         if not self.route.is_gather:
-            (part,) = self.parts.values()
-            return self.relay_response(part)
-        missing = len(self.plan.shards) - len(self.parts)
+            return self.relay_response(self.answer_part)
+        signatures = self.parts.signatures
+        missing = len(self.plan.shards) - len(signatures)
         self.forwarder.count("whole" if not missing else "partial")
         headers = self.forwarder.dialect.make_merged_headers(
             self.metadata.request_id,
-            [part.answer.signature for part in self.parts.values()],
+            signatures.values(),
             missing,
         )
-        return Reply(200, headers, self.merge.get_body())
+        return Reply(200, headers, self.parts.get_body())
 
     def relay_response(self, part: Part) -> Reply:
         """Return a target's response unchanged, except for hop-by-hop headers."""
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -10,6 +10,7 @@
 from gevent.event import Event
 
 from ..conf import PublishedVms, Vm
+from ..core.batches import AggregatorChoice
 from ..core.clock import Clock
 from ..core.directory import MAX_ADDRESSES, choose_active
 from ..core.extra_load import ExtraLoadBounds, ExtraLoadBudget
@@ -33,6 +34,8 @@
 from ..peers.membership import MembershipService
 from ..peers.relayed_documents import make_front_documents
 from ..published.follower import PublicationFollower, PublicationSource
+from .batch_server import BatchServer
+from .call_batches import CallBatches
 from .caller_connections import CallerServer
 from .connection_shares import ConnectionShares
 from .dialect import Dialect
@@ -140,6 +143,24 @@
             self.get_limits,
             clock.now,
         )
+        self.batch_server = BatchServer(
+            self.links,
+            clock,
+            dialect,
+            self.table,
+            self.placement,
+            self.connection_shares,
+            self.forwarder.count,
+        )
+        self.aggregator_choice = AggregatorChoice(settings.vm, rng)
+        self.forwarder.batches = CallBatches(
+            self.links,
+            settings.data_centre,
+            clock,
+            self.aggregator_choice,
+            self.get_active,
+            self.forwarder.count,
+        )
         self.store.listeners.append(self.on_accepted)
         self.pauses = PauseDetector(BootClock())
         self.fleet_sizes: list[tuple[float, int]] = []
@@ -270,6 +291,7 @@
         self.applied_targets = self.table.version
         self.pools.keep_only(self.table.is_listed)
         self.placement.keep_only([*self.table.records, *self.table.leaving])
+        self.aggregator_choice.keep_only(self.membership.members)
 
     def log_counts(self) -> None:
         """Log the gauges and the counters since the start every COUNTS_INTERVAL_S."""
