--- a/sesameplank/core/fanout.py
+++ b/sesameplank/core/fanout.py
@@ -40,6 +40,7 @@
 # Time reserved for a hedge, as a multiple of the median latency.
 HEDGE_DURATION_FACTOR = 1.6
 MIN_LATE_FACTOR = 1.3
+BATCH_LATE_FACTOR = 4.0  # Requests differ in work, so their usual latency says less.
 NEVER = float("inf")
 
 FindTargets = Callable[[ServiceName], Sequence[TargetRecord]]
@@ -310,6 +311,19 @@
         self.shards[call.shard].has_transmitted = True
         self.transmitted_calls.add(call.id)
 
+    def note_batched(self, calls: Sequence[Call]) -> None:
+        """Record that another VM makes these calls.
+
+        If it is silent and no other call shows how long the request takes, the calls
+        are late after BATCH_LATE_FACTOR times the usual latency.
+        """
+        for call in calls:
+            self.note_transmitted(call)
+            shard = self.shards[call.shard]
+            if self.plan.idempotent and shard.hedge_at == NEVER:
+                late_s = BATCH_LATE_FACTOR * self.plan.usual_call_s
+                self.schedule_hedge(shard, call.sent_at + late_s)
+
     def prepare_call(self, shard: ShardState, kind: CallKind, now: float) -> list[Call]:
         """Return a call to the best target of a shard, or schedule a retry.
 
--- a/sesameplank/core/peer_messages.py
+++ b/sesameplank/core/peer_messages.py
@@ -178,6 +178,12 @@
     target: TargetId
 
 
+class CallerLookup(PeerMessage, frozen=True):
+    """A notification that a caller, named by its host, has looked up addresses."""
+
+    caller: str
+
+
 class RelayedAnswer(PeerMessage, frozen=True):
     """A target's answer, unchanged."""
 
--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -64,13 +64,17 @@
     `received_at` is the time at which the server began to serve the request, after
     it had read it and had answered the earlier requests on the connection.
     `transit_s` is the estimated time that the network adds to the latency that the
-    caller observes. Both are in seconds. `on_disconnect` is called if the
-    connection ends before the request is answered.
+    caller observes. Both are in seconds. `caller_host` is the address that the
+    caller connected from. `on_disconnect` is called if the connection ends before the
+    request is answered.
     """
 
-    def __init__(self, received_at: float, transit_s: float = 0.0) -> None:
+    def __init__(
+        self, received_at: float, transit_s: float = 0.0, caller_host: str = ""
+    ) -> None:
         self.received_at = received_at
         self.transit_s = transit_s
+        self.caller_host = caller_host
         self.is_disconnected = False
         self.on_disconnect: Callable[[], None] = lambda: None
 
@@ -83,11 +87,18 @@
 Handler = Callable[[Request, RequestContext], Reply]
 
 
+def assume_lookup(caller_host: str) -> bool:
+    """Return True: any request may follow a look-up."""
+    return True
+
+
 class CallerServer:
     """An HTTP server on one address, and a context manager that starts and stops it.
 
-    `get_limits` returns the request limits currently in force. While `is_stopping`
-    is true, the server closes each connection after the next response on it.
+    `get_limits` returns the request limits currently in force, and
+    `may_have_looked_up` whether the next request of a caller may follow a look-up of
+    addresses. While `is_stopping` is true, the server closes each connection after
+    the next response on it.
     """
 
     def __init__(
@@ -96,7 +107,9 @@
         handler: Handler,
         get_limits: Callable[[], RequestLimits],
         now: Callable[[], float],
+        may_have_looked_up: Callable[[str], bool] = assume_lookup,
     ) -> None:
+        self.may_have_looked_up = may_have_looked_up
         self.address = address
         self.handler = handler
         self.get_limits = get_limits
@@ -123,7 +136,7 @@
 
     def accept(self, sock: gevent.socket.socket, source: tuple) -> None:
         """Serve one connection until it is closed."""
-        connection = CallerConnection(self, sock)
+        connection = CallerConnection(self, sock, source[0])
         self.connections.add(connection)
         try:
             connection.run()
@@ -148,9 +161,12 @@
 class CallerConnection:
     """One connection of a caller, with a queue of pipelined requests."""
 
-    def __init__(self, server: CallerServer, sock: gevent.socket.socket) -> None:
+    def __init__(
+        self, server: CallerServer, sock: gevent.socket.socket, caller_host: str
+    ) -> None:
         self.server = server
         self.sock = sock
+        self.caller_host = caller_host
         self.queue: deque[Request] = deque()
         self.current: RequestContext | None = None
         self.worker: gevent.Greenlet | None = None
@@ -241,7 +257,9 @@
         try:
             while self.queue and self.is_open:
                 request = self.queue.popleft()
-                self.current = RequestContext(self.server.now(), self.get_transit_s())
+                self.current = RequestContext(
+                    self.server.now(), self.get_transit_s(), self.caller_host
+                )
                 self.served += 1
                 reply = self.serve(request, self.current)
                 is_disconnected = self.current.is_disconnected
@@ -261,9 +279,11 @@
         looked up addresses first. The first request on a connection also waited
         for the connection to be opened.
         """
-        round_trips = (
-            1 + LOOKUP_ROUND_TRIPS + (0 if self.served else CONNECT_ROUND_TRIPS)
-        )
+        round_trips = 1
+        if not self.served:
+            round_trips += CONNECT_ROUND_TRIPS
+        if self.server.may_have_looked_up(self.caller_host):
+            round_trips += LOOKUP_ROUND_TRIPS
         return self.round_trip_s * round_trips
 
     def serve(self, request: Request, context: RequestContext) -> Reply:
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -311,9 +311,9 @@
         )
         self.batches += sent
         for batch in sent:
+            self.fanout.note_batched(batch.calls)
             for call in batch.calls:
                 self.batched[call.id] = batch
-                self.fanout.note_transmitted(call)
                 self.forwarder.count("batched_calls")
         return [call for call in calls if call.id not in self.batched]
 
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -40,6 +40,7 @@
 from .connection_shares import ConnectionShares
 from .dialect import Dialect
 from .forwarder import Forwarder
+from .lookup_notices import LookupNotices
 from .target_connections import TargetPools
 
 HOUSEKEEPING_INTERVAL_S = 0.1
@@ -137,11 +138,13 @@
             self.is_elected_reader,
             self.membership_service.set_store_unavailable,
         )
+        self.lookups = LookupNotices(settings.vm, self.links, clock, self.get_active)
         self.caller_server = CallerServer(
             settings.caller_address,
             self.forwarder.serve,
             self.get_limits,
             clock.now,
+            self.lookups.may_have_looked_up,
         )
         self.batch_server = BatchServer(
             self.links,
--- a/sesameplank/platform/command.py
+++ b/sesameplank/platform/command.py
@@ -57,6 +57,7 @@
         addresses = self.front.get_addresses()
         if not addresses:
             return Reply(503)
+        self.front.lookups.on_lookup(context.caller_host)
         ttl_s = min(ADDRESS_TTL_S, self.settings.max_address_ttl_s)
         return Reply(200, [JSON_HEADER], encode_addresses(addresses, ttl_s))
 
