--- a/sesameplank/core/fanout.py
+++ b/sesameplank/core/fanout.py
@@ -151,6 +151,7 @@
         self.transmitted_calls: set[AttemptId] = set()
         self.sorted_latencies_s: list[float] = []
         self.answered_calls: list[tuple[Call, float]] = []
+        self.late_calls: list[Call] = []
         self.due_at = plan.deadline_at
         self.min_siblings = max(1, math.ceil(MIN_SIBLING_SHARE * len(plan.shards)))
 
@@ -395,6 +396,11 @@
         used = shard.may_have_run_on | {call.target.id for call in shard.calls.values()}
         return target in used or len(used) < self.plan.max_attempts
 
+    def pop_late_calls(self) -> list[Call]:
+        """Return the calls in flight that were found late since the last time."""
+        late_calls, self.late_calls = self.late_calls, []
+        return late_calls
+
     def prepare_hedge(self, shard: ShardState, now: float) -> list[Call]:
         """Return the hedge of a late call, in a list of at most one call.
 
@@ -404,6 +410,7 @@
         """
         if not shard.calls or not self.plan.idempotent:
             return []
+        self.late_calls += shard.calls.values()
         targets = self.find_targets(shard.service)
         others = [
             item
--- a/sesameplank/core/peer_messages.py
+++ b/sesameplank/core/peer_messages.py
@@ -178,6 +178,12 @@
     target: TargetId
 
 
+class TargetsLate(PeerMessage, frozen=True):
+    """A notification that calls to targets are late, with the age of each in ms."""
+
+    targets: tuple[tuple[TargetId, int], ...]
+
+
 class CallerLookup(PeerMessage, frozen=True):
     """A notification that a caller, named by its host, has looked up addresses."""
 
--- a/sesameplank/core/placement.py
+++ b/sesameplank/core/placement.py
@@ -60,7 +60,9 @@
     `in_flight` holds the time at which each call was sent, in that order.
     `slowness` is the average relative latency of the calls, `shedding` the share of
     recent calls that the target refused, and `failing` the share that failed.
-    `failures` is the number of failed calls since the last answer.
+    `failures` is the number of failed calls since the last answer. Until
+    `late_until`, the target is expected not to answer, because a call of this or
+    another process to it was late.
     """
 
     def __init__(self) -> None:
@@ -68,6 +70,7 @@
         self.slowness = DecayingAverage(SLOWNESS_WEIGHT, SLOWNESS_HALF_LIFE_S)
         self.failing = ZeroBaselineAverage(FAILING_WEIGHT, FAILING_HALF_LIFE_S)
         self.failures = 0
+        self.late_until = 0.0
         self.avoid_until = 0.0
         self.shedding = ZeroBaselineAverage(SHED_WEIGHT, SHED_HALF_LIFE_S)
         self.report: LoadReport | None = None
@@ -155,8 +158,7 @@
         view = self.get(record.id)
         expected_s = usual_call_s * view.slowness.get(now) * view.get_slowdown(now)
         cost_s = expected_s * (1.0 + view.get_queue_per_slot(now, record.slots))
-        if view.in_flight:
-            cost_s += self.get_remaining_pause_s(view, expected_s, now)
+        cost_s += self.get_remaining_pause_s(view, expected_s, now)
         cost_s += SHED_COST_S * view.shedding.get(now)
         cost_s += (expected_s + FAILURE_COST_S) * view.failing.get(now)
         if record.data_centre != self.data_centre:
@@ -168,13 +170,26 @@
     ) -> float:
         """Return the expected remaining time of a target's pause in seconds, or 0.
 
-        A target whose oldest call in flight is overdue is assumed to be paused. A
-        pause is expected to last as long again as it has lasted so far.
+        A target whose oldest call in flight is overdue, or to which a call was late,
+        is assumed to be paused. A pause is expected to last as long again as it has
+        lasted so far.
         """
+        reported_s = max(0.0, view.late_until - now)
         age_s = view.get_oldest_age_s(now)
         if age_s <= max(MIN_OVERDUE_S, OVERDUE_FACTOR * expected_s):
-            return 0.0
-        return max(MIN_REMAINING_PAUSE_S, age_s)
+            return reported_s
+        return max(MIN_REMAINING_PAUSE_S, age_s, reported_s)
+
+    def note_late(self, target: TargetId, age_s: float, now: float) -> bool:
+        """Record that a call to a target is late after `age_s` seconds.
+
+        Return False if the target was known to be late already.
+        """
+        view = self.get(target)
+        is_news = view.late_until <= now
+        late_until = now + max(MIN_REMAINING_PAUSE_S, age_s)
+        view.late_until = max(view.late_until, late_until)
+        return is_news
 
     def note_sent(self, target: TargetId, attempt: AttemptId, now: float) -> None:
         """Record that a call was sent."""
@@ -189,6 +204,7 @@
         """
         view = self.get(target)
         view.failures = 0
+        view.late_until = 0.0
         view.avoid_until = 0.0
         view.shedding.add(0.0, now)
         view.failing.add(0.0, now)
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -22,6 +22,7 @@
 from .connection_shares import ConnectionShares
 from .dialect import Dialect, RequestMetadata, TargetAnswer, find_failure
 from .http_messages import Request, RequestEncoder, Response
+from .late_notices import LateNotices
 from .metrics import FrontMetrics
 from .request_log import RequestLog
 from .target_connections import Exchange
@@ -66,6 +67,7 @@
         self.admission = QueueAdmission(placement.rng)
         self.allowed_waits: dict[str, float] = {}
         self.batches: CallBatches | None = None
+        self.late_notices: LateNotices | None = None
 
     def set_routing(self, routing: RoutingConfiguration) -> None:
         """Use a new routing configuration for all further requests."""
@@ -269,6 +271,7 @@
             if self.context.is_disconnected and self.route.idempotent:
                 return Verdict.EXPIRED
             calls = self.fanout.on_timer(now)
+            self.note_late_calls(now)
             if calls:
                 self.dispatch(calls)
                 continue
@@ -322,6 +325,20 @@
         """Whether the caller requested only the head of the response."""
         return self.request.method == b"HEAD"
 
+    def note_late_calls(self, now: float) -> None:
+        """Record the targets of late calls, and notify other VMs about them.
+
+        Nothing is known of the targets of a batch while its VM is silent.
+        """
+        unobserved = self.find_unobserved()
+        for call in self.fanout.pop_late_calls():
+            age_s = now - call.sent_at
+            if call.id in unobserved:
+                continue
+            is_news = self.forwarder.placement.note_late(call.target.id, age_s, now)
+            if is_news and self.forwarder.late_notices is not None:
+                self.forwarder.late_notices.add(call.target.id, age_s)
+
     def note_late_batches(self, calls: list[Call]) -> None:
         """Record the batches of which calls are late, as their hedges show."""
         for call in calls:
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -40,6 +40,7 @@
 from .connection_shares import ConnectionShares
 from .dialect import Dialect
 from .forwarder import Forwarder
+from .late_notices import LateNotices
 from .lookup_notices import LookupNotices
 from .target_connections import TargetPools
 
@@ -164,6 +165,9 @@
             self.get_active,
             self.forwarder.count,
         )
+        self.forwarder.late_notices = LateNotices(
+            settings.vm, self.links, clock, rng, self.placement, self.get_active
+        )
         self.store.listeners.append(self.on_accepted)
         self.pauses = PauseDetector(BootClock())
         self.fleet_sizes: list[tuple[float, int]] = []
