Keep large fleets of idle processes within the bound of extra load

Tests: 160 idle processes at once, random fleets of 160 and 1,400; the first failed before. At the sizes of the deployments nothing changes, as the part is larger.

--- a/sesameplank/core/extra_load.py
+++ b/sesameplank/core/extra_load.py
@@ -12,6 +12,7 @@
 
 SAFETY_FACTOR = 0.85
 MIN_FLEET_SIZE = 4
+WINDOW_BUCKETS = 20
 
 
 class ExtraLoadBounds(msgspec.Struct, frozen=True):
@@ -26,18 +27,44 @@
     window_s: float = 10.0
 
 
+class WindowCount:
+    """The number of events in the last window, in buckets of equal length."""
+
+    def __init__(self, window_s: float) -> None:
+        self.bucket_s = window_s / WINDOW_BUCKETS
+        self.buckets: dict[int, int] = {}
+
+    def add(self, now: float) -> None:
+        """Count an event."""
+        number = int(now / self.bucket_s)
+        self.buckets[number] = self.buckets.get(number, 0) + 1
+        if len(self.buckets) > 2 * WINDOW_BUCKETS:
+            first = number - WINDOW_BUCKETS
+            self.buckets = {
+                key: count for key, count in self.buckets.items() if key >= first
+            }
+
+    def get(self, now: float, *, with_partial: bool) -> int:
+        """Return the number of events, with or without the oldest, partial bucket."""
+        first = int(now / self.bucket_s) - WINDOW_BUCKETS + (not with_partial)
+        return sum(count for key, count in self.buckets.items() if key >= first)
+
+
 class ServiceBudget:
     """The token bucket of one service in this process.
 
     The bucket holds up to half of the process's part of the slack, but at least one
     token. The other half is earned evenly over a window. In any window, the process
     therefore spends at most the whole part in addition to the tokens that requests
-    earn, unless half of the part is less than one token.
+    earn. If half of the part is less than one token, the calls of the last window
+    are counted too, because many processes could spend a saved token at once.
     """
 
-    def __init__(self, started_at: float) -> None:
+    def __init__(self, started_at: float, window_s: float) -> None:
         self.tokens = 0.0
         self.updated_at = started_at
+        self.requests = WindowCount(window_s)
+        self.extra_calls = WindowCount(window_s)
 
 
 class ExtraLoadBudget:
@@ -74,7 +101,9 @@
         """Return the budget of a service, including the tokens earned by now."""
         budget = self.services.get(service)
         if budget is None:
-            budget = self.services[service] = ServiceBudget(self.started_at)
+            budget = self.services[service] = ServiceBudget(
+                self.started_at, self.bounds.window_s
+            )
         elapsed_s = max(0.0, now - budget.updated_at)
         earned = self.half_slack * elapsed_s / self.bounds.window_s
         budget.tokens = min(self.capacity, budget.tokens + earned)
@@ -86,6 +115,20 @@
         budget = self.get(service, now)
         earned = SAFETY_FACTOR * self.bounds.ratio
         budget.tokens = min(self.capacity, budget.tokens + earned)
+        if self.is_part_small:
+            budget.requests.add(now)
+
+    @property
+    def is_part_small(self) -> bool:
+        """Whether half of this process's part of the slack is less than one token."""
+        return self.half_slack < 1.0
+
+    def fits_window(self, budget: ServiceBudget, now: float) -> bool:
+        """Return whether one more call keeps this process within its part."""
+        requests = budget.requests.get(now, with_partial=False)
+        extra_calls = budget.extra_calls.get(now, with_partial=True)
+        earned = SAFETY_FACTOR * self.bounds.ratio * requests
+        return extra_calls + 1 <= earned + 2.0 * self.half_slack
 
     def get_fill(self, service: ServiceName, now: float) -> float:
         """Return the share of a service's budget that is left, from 0 to 1."""
@@ -98,9 +141,13 @@
         stays untouched.
         """
         budget = self.get(service, now)
-        if budget.tokens < 1.0 + reserve * (self.capacity - 1.0):
+        is_refused = budget.tokens < 1.0 + reserve * (self.capacity - 1.0)
+        if self.is_part_small and not is_refused:
+            is_refused = not self.fits_window(budget, now)
+        if is_refused:
             self.refused += 1
             return False
         budget.tokens -= 1.0
+        budget.extra_calls.add(now)
         self.taken += 1
         return True
--- a/tests/core/test_extra_load.py
+++ b/tests/core/test_extra_load.py
@@ -41,6 +41,24 @@
                 extra = sum(start <= at < start + 10 for at in extras)
                 self.assertLessEqual(extra, 0.2 * requested + 56.0, (fleet, rate))
 
+    def test_large_fleet_of_idle_processes_is_within_the_limit(self):
+        budgets = [ExtraLoadBudget(BOUNDS) for _ in range(160)]
+        for budget in budgets:
+            budget.set_fleet_size(len(budgets))
+            budget.get("s", 100.0)
+            budget.note_request("s", 100.0)
+        taken = sum(budget.take("s", 100.0) for budget in budgets)
+        self.assertLessEqual(taken, 0.2 * len(budgets) + 56.0)
+
+    def test_random_large_fleets_are_within_the_limit_and_use_it(self):
+        for fleet, rate, seed in ((160, 40.0, 1), (160, 800.0, 2), (1_400, 2_000.0, 3)):
+            requests, extras = self.simulate(fleet, rate, 40.0, seed)
+            for start in range(0, 31):
+                requested = sum(start <= at < start + 10 for at in requests)
+                extra = sum(start <= at < start + 10 for at in extras)
+                self.assertLessEqual(extra, 0.2 * requested + 56.0, (fleet, rate))
+        self.assertGreater(len(extras), 0.05 * len(requests))
+
     def test_service_requested_late_has_earned_tokens_since_the_start(self):
         budget = ExtraLoadBudget(BOUNDS, 5.0)
         self.assertFalse(budget.take("s", 5.0))
