Soak a store that returns to a copy

The stand-in store copies itself, returns to the copy under the next era, and writes what it lost again a moment later. `--restores` injects it beside the other faults; the fixed seeds without it draw the same faults as before.

--- a/sesameplank/standins/front_store.py
+++ b/sesameplank/standins/front_store.py
@@ -44,7 +44,8 @@
     As a context manager, it serves the store over HTTP.
 
     `compacted_revision` is the revision up to which the event history has been
-    discarded. `era` counts the restores from a copy.
+    discarded. `era` counts the restores from a copy, and `lost_items` holds the
+    latest items, or deletions, that the last restore lost.
     """
 
     def __init__(self, address: Address, now) -> None:
@@ -55,6 +56,7 @@
         self.era = 1
         self.copied_items: dict[str, WireItem] = {}
         self.copied_revision = 1
+        self.lost_items: dict[str, WireItem] = {}
         self.fault_mode = StoreFaultMode.NONE
         self.refused_hosts: set[str] = set()
         self.changed = Event()
@@ -110,11 +112,32 @@
 
     def restore(self) -> None:
         """Return to the copy: later writes are lost and a new era begins."""
+        self.lost_items = {
+            key: WireItem(key, self.revision, deleted=True)
+            for key in self.copied_items
+            if key not in self.items
+        }
+        self.lost_items |= {
+            key: item
+            for key, item in self.items.items()
+            if item.rev > self.copied_revision
+        }
         self.items = dict(self.copied_items)
         self.revision = self.copied_revision
         self.era += 1
         self.compact()
 
+    def write_lost_items(self) -> None:
+        """Write the lost items again, except those that were written meanwhile."""
+        lost_items, self.lost_items = self.lost_items, {}
+        for item in lost_items.values():
+            known = self.items.get(item.key)
+            is_written = known is not None and known.rev > self.copied_revision
+            if is_written or (item.deleted and known is None):
+                continue
+            self.revision += 1
+            self.record_event(msgspec.structs.replace(item, rev=self.revision))
+
     def serve(self, request: Request, context: RequestContext) -> Reply:
         """Respond to a call, and name the era in the response."""
         reply = self.answer(request)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,6 +1,7 @@
 """Runs the soaks of several seeds, each in a subprocess.
 
-Run as `python -m tests.soak --seeds=1-50 [--seconds=12] [--fronts=4] [--jobs=3]`.
+Run as `python -m tests.soak --seeds=1-50 [--seconds=12] [--fronts=4] [--jobs=3]`,
+with --restores for a store that returns to a copy.
 """
 
 import pickle
@@ -23,6 +24,9 @@
 OUT = flags.DEFINE_string(
     "out", "runs/soak", "folder for the records of soaks with violations"
 )
+RESTORES = flags.DEFINE_bool(
+    "restores", False, "whether the store also returns to a copy from time to time"
+)
 ONE = flags.DEFINE_integer("one", None, "run only this seed, in this process")
 MAX_SHOWN = 10
 
@@ -46,7 +50,8 @@
     """Run a seed in a subprocess, print its output and return whether it passed."""
     command = [sys.executable, "-m", "tests.soak", f"--one={seed}"]
     command += [
-        f"--{name}={FLAGS[name].value}" for name in ("seconds", "fronts", "out")
+        f"--{name}={FLAGS[name].value}"
+        for name in ("seconds", "fronts", "out", "restores")
     ]
     completed = subprocess.run(command, capture_output=True, text=True)
     print(completed.stdout + completed.stderr[-2_000:], end="", flush=True)
@@ -58,7 +63,7 @@
 
     Return the exit code: 1 if there are violations, 0 otherwise.
     """
-    record = run_soak(seed, SECONDS.value, FRONTS.value)
+    record = run_soak(seed, SECONDS.value, FRONTS.value, restores=RESTORES.value)
     violations = find_violations(record, timed=True)
     served = sum(request.status == 200 for request in record.asked)
     print(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -24,6 +24,7 @@
 MAX_FAULTS_IN_SERIES = 4
 STOP_TIMEOUT_S = 8.0
 MAX_SLOWDOWN = 8.0
+MAX_REWRITE_DELAY_S = 2.0
 LINK_FAULTS = (
     Faults(delay_s=0.02, jitter_s=0.1),
     Faults(request_reset_rate=0.2),
@@ -288,6 +289,24 @@
         self.world.store_proxy.reset_all()
 
 
+class StoreRestore(SoakFault):
+    """The store returns to a copy, and what it lost is written again."""
+
+    name = "store_restore"
+
+    def begin(self) -> list[str]:
+        """Copy the store."""
+        self.world.store.copy()
+        return ["store"]
+
+    def end(self) -> None:
+        """Restore the store, and write the lost items a moment later."""
+        self.world.store.restore()
+        self.world.store_proxy.reset_all()
+        gevent.sleep(self.rng.uniform(0.0, MAX_REWRITE_DELAY_S))
+        self.world.store.write_lost_items()
+
+
 class Publish(SoakFault):
     """The configuration changes twice."""
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,7 +8,7 @@
 from ..integration.front_world import RawConnection, make_request
 from .callers import CALLERS, ROUTE_PREFIXES, Caller, note_answer
 from .checks import find_violations
-from .faults import run_series
+from .faults import StoreRestore, run_series
 from .observations import Record
 from .world import SoakFront, SoakWorld
 
@@ -19,8 +19,13 @@
 POLL_INTERVAL_S = 0.1
 
 
-def run_soak(seed: int, seconds: float, fronts: int) -> Record:
-    """Run `fronts` processes under faults for `seconds`, and return the record."""
+def run_soak(
+    seed: int, seconds: float, fronts: int, *, restores: bool = False
+) -> Record:
+    """Run `fronts` processes under faults for `seconds`, and return the record.
+
+    With `restores`, the store also returns to a copy from time to time.
+    """
     rng = random.Random(seed)
     with SoakWorld(rng, fronts) as world:
         world.wait_until_ready()
@@ -28,7 +33,13 @@
             gevent.spawn(Caller(world, number, random.Random(rng.random())).run)
             for number in range(CALLERS)
         ]
-        inject_faults(world, rng, time.monotonic() + seconds)
+        until = time.monotonic() + seconds
+        if restores:
+            restores_rng = random.Random(f"{seed}-restores")
+            restorer = gevent.spawn(run_restores, world, restores_rng, until)
+        inject_faults(world, rng, until)
+        if restores:
+            restorer.get()
         world.record.recovered = wait_for_recovery(world)
         gevent.sleep(FAULT_FREE_LOAD_S)
         gevent.killall(callers)
@@ -54,6 +65,13 @@
     )
 
 
+def run_restores(world: SoakWorld, rng: random.Random, until: float) -> None:
+    """Restore the store from a copy from time to time, until a time."""
+    while time.monotonic() < until:
+        StoreRestore(world, rng).run()
+        gevent.sleep(rng.uniform(0.0, MAX_SERIES_DELAY_S))
+
+
 def wait_for_recovery(world: SoakWorld) -> bool:
     """Wait until every process has served every route again.
 
@@ -90,6 +108,9 @@
             request.left_at = now
 
 
-def run_and_check(seed: int, seconds: float, fronts: int, *, timed: bool) -> list[str]:
+def run_and_check(
+    seed: int, seconds: float, fronts: int, *, timed: bool, restores: bool = False
+) -> list[str]:
     """Run one soak and return its violations."""
-    return find_violations(run_soak(seed, seconds, fronts), timed=timed)
+    record = run_soak(seed, seconds, fronts, restores=restores)
+    return find_violations(record, timed=timed)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -7,6 +7,7 @@
 SECONDS = 5.0
 FRONTS = 3
 SEEDS = (11, 12)
+RESTORE_SEED = 13
 REGRESSIONS: dict[int, str] = {
     107: "a reload signal terminated a process whose interpreter had just started",
     339: "one process stalled for a second; cause unknown, see KNOWN-RED.txt",
@@ -28,3 +29,9 @@
             with self.subTest(seed=seed):
                 violations = run_and_check(seed, SECONDS, FRONTS, timed=False)
                 self.assertEqual([], violations, f"seed {seed}")
+
+    def test_store_that_returns_to_a_copy(self):
+        violations = run_and_check(
+            RESTORE_SEED, SECONDS, FRONTS, timed=False, restores=True
+        )
+        self.assertEqual([], violations)
