Show from logs where callers lose most, and part the forwarder by job

sesameplank-losses prints what was lost by route, cause and moment, the extra calls, the bytes between data centres by cause and the starts of processes.

--- /dev/null
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -0,0 +1,477 @@
+"""Forwarding of one request: calls to targets, their outcomes, and the reply."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import msgspec
+from gevent.event import Event
+
+from ..core.batch_messages import BatchedAnswer, BatchedAnswers, BatchedFailure
+from ..core.fanout import Call, CallKind, Fanout, Verdict
+from ..core.fanout_plans import make_fanout_plan
+from ..core.gathered_parts import GatheredParts
+from ..core.outcomes import Failure, Ran
+from ..core.placement import LoadReport
+from ..core.routes import Route, RoutingConfiguration
+from ..ids import AttemptId, ServiceName
+from .call_batches import CallBatch
+from .caller_connections import Reply, RequestContext
+from .dialect import RequestMetadata, TargetAnswer, find_failure
+from .http_messages import Request, RequestEncoder, Response
+from .target_connections import Exchange
+
+if TYPE_CHECKING:
+    from .forwarder import Forwarder
+
+NOT_RUN_RETRY_AFTER_S = 0.2
+
+
+class Part(msgspec.Struct, frozen=True):
+    """A target's answer and the response that contained it.
+
+    The answer is successful, or an error that may be relayed to the caller.
+    """
+
+    answer: TargetAnswer
+    response: Response
+
+
+class ForwardedRequest:
+    """One request in progress, with its calls and their outcomes."""
+
+    def __init__(
+        self,
+        forwarder: Forwarder,
+        routing: RoutingConfiguration,
+        route: Route,
+        request: Request,
+        metadata: RequestMetadata,
+        context: RequestContext,
+    ) -> None:
+        self.forwarder = forwarder
+        self.clock = forwarder.clock
+        self.routing = routing
+        self.route = route
+        self.request = request
+        self.metadata = metadata
+        self.context = context
+        self.parts = GatheredParts(route.top_k)
+        self.answer_part: Part | None = None
+        self.error_part: Part | None = None
+        self.extra_calls = 0
+        self.exchanges: dict[AttemptId, Exchange] = {}
+        self.batches: list[CallBatch] = []
+        self.batched: dict[AttemptId, CallBatch] = {}
+        self.encoder = RequestEncoder(
+            request.method,
+            request.target,
+            forwarder.dialect.get_forwarded_headers(request),
+            request.body,
+        )
+        self.wake = Event()
+        self.wake_at = 0.0
+        self.plan = make_fanout_plan(
+            route,
+            route.shards or (forwarder.rotation.choose(route),),
+            received_at=context.received_at,
+            transit_s=context.transit_s,
+            caller_timeout_s=metadata.timeout_s,
+            now=self.clock.now(),
+            times=forwarder.times,
+            budget=forwarder.budget,
+        )
+        self.fanout = Fanout(
+            self.plan, forwarder.find_targets, forwarder.placement, forwarder.budget
+        )
+        context.on_disconnect = self.wake.set
+
+    def run(self) -> Reply:
+        """Forward the request, wait for its outcome and return the reply."""
+        self.forwarder.count("requests")
+        now = self.clock.now()
+        if now >= self.plan.deadline_at:
+            return self.forwarder.refuse_and_log(
+                self.metadata, 504, "no time left before the deadline"
+            )
+        self.dispatch(self.fanout.start(now))
+        verdict = self.wait()
+        self.fanout.finish(self.clock.now(), self.find_unobserved())
+        self.abandon_all()
+        elapsed_s = self.clock.now() - self.context.received_at
+        self.forwarder.metrics.observe(self.route.name, elapsed_s)
+        reply = self.make_reply(verdict)
+        self.log_outcome(verdict, reply.status, elapsed_s)
+        return reply
+
+    def log_outcome(self, verdict: Verdict, status: int, elapsed_s: float) -> None:
+        """Log the outcome of the request, with the values that decided it.
+
+        A complete answer within the latency objective is logged as a success.
+        """
+        log = self.forwarder.log
+        is_complete = self.fanout.answered == len(self.plan.shards)
+        is_success = is_complete and self.clock.now() <= self.plan.objective_at
+        note = log.note_success if is_success else log.note_failure
+        is_answered = verdict is Verdict.ANSWERED
+        note(
+            "request_answered" if is_answered else "request_refused",
+            request=self.metadata.request_id,
+            status=status,
+            route=self.route.name,
+            version=self.routing.version,
+            targets_revision=self.forwarder.table.revision,
+            verdict=verdict.value,
+            caller_left=self.context.is_disconnected,
+            parts=self.fanout.answered,
+            shards=len(self.plan.shards),
+            required=self.plan.required,
+            repeated=self.extra_calls,
+            not_run=self.fanout.is_certainly_not_run,
+            after_ms=int(elapsed_s * 1_000),
+            goal_ms=int((self.plan.objective_at - self.context.received_at) * 1_000),
+        )
+
+    def wait(self) -> Verdict:
+        """Send hedges and retries as they fall due, until there is a verdict.
+
+        An idempotent request expires early if its caller disconnects.
+        """
+        while True:
+            now = self.clock.now()
+            verdict = self.fanout.get_verdict(now)
+            if verdict is not Verdict.OPEN:
+                return verdict
+            if self.context.is_disconnected and self.route.idempotent:
+                return Verdict.EXPIRED
+            calls = self.fanout.on_timer(now)
+            self.note_late_calls(now)
+            if calls:
+                self.dispatch(calls)
+                continue
+            self.wake.clear()
+            self.wake_at = self.fanout.get_next_timer()
+            self.wake.wait(max(0.0, self.wake_at - now))
+
+    def dispatch(self, calls: list[Call]) -> None:
+        """Send calls in batches, or submit them to the pools of their targets."""
+        for call in calls:
+            self.count_call(call)
+        self.note_late_batches(calls)
+        for call in self.send_batches(calls):
+            pool = self.forwarder.connection_shares.get_pool(call.target)
+            exchange = Exchange(
+                call,
+                self.metadata.request_id,
+                lambda call=call: self.encode(call),
+                self.fanout.note_transmitted,
+                self.on_done,
+                is_idempotent=self.route.idempotent,
+                is_head=self.is_head,
+            )
+            self.exchanges[call.id] = exchange
+            pool.submit(exchange)
+
+    def send_batches(self, calls: list[Call]) -> list[Call]:
+        """Send calls to other data centres in batches, and return the other calls."""
+        batches = self.forwarder.batches
+        if batches is None or not self.route.is_gather or self.is_head:
+            return calls
+        sent = batches.send(
+            calls,
+            self.metadata.request_id,
+            self.encoder,
+            self.route.top_k,
+            self.plan.objective_at,
+            self.plan.deadline_at,
+            self.on_batch_answers,
+        )
+        self.batches += sent
+        for batch in sent:
+            self.fanout.note_batched(batch.calls)
+            for call in batch.calls:
+                self.batched[call.id] = batch
+                self.forwarder.count("batched_calls")
+        return [call for call in calls if call.id not in self.batched]
+
+    @property
+    def is_head(self) -> bool:
+        """Whether the caller requested only the head of the response."""
+        return self.request.method == b"HEAD"
+
+    def note_late_calls(self, now: float) -> None:
+        """Record the targets of late calls, and notify other VMs about them.
+
+        Nothing is known of the targets of a batch while its VM is silent.
+        """
+        unobserved = self.find_unobserved()
+        for call in self.fanout.pop_late_calls():
+            age_s = now - call.sent_at
+            if call.id in unobserved:
+                continue
+            is_news = self.forwarder.placement.note_late(call.target.id, age_s, now)
+            if is_news and self.forwarder.late_notices is not None:
+                self.forwarder.late_notices.add(call.target.id, age_s)
+
+    def note_late_batches(self, calls: list[Call]) -> None:
+        """Record the batches of which calls are late, as their hedges show."""
+        for call in calls:
+            if call.kind is CallKind.HEDGE:
+                for other in self.fanout.shards[call.shard].calls:
+                    if other in self.batched:
+                        self.forwarder.batches.note_late(self.batched[other])
+
+    def find_unobserved(self) -> set[AttemptId]:
+        """Return the calls of batches of which nothing is known."""
+        return {call for call, batch in self.batched.items() if not batch.has_answered}
+
+    def on_batch_answers(self, batch: CallBatch, message: BatchedAnswers) -> None:
+        """Process answers and failures of a batch; wake `wait` if necessary.
+
+        The records of all answers are merged, so all of them are used or none.
+        """
+        signatures = {
+            batch.calls[item.index].shard: item.signature for item in message.answers
+        }
+        if signatures:
+            self.parts.add_merged(signatures, message.records)
+        for item in message.answers:
+            self.process_batched_answer(batch.calls[item.index], item)
+        for item in message.failures:
+            self.process_batched_failure(batch.calls[item.index], item)
+        self.wake_if_needed()
+
+    def process_batched_answer(self, call: Call, item: BatchedAnswer) -> None:
+        """Process the answer to one call of a batch, whose records are merged."""
+        self.batched.pop(call.id, None)
+        load = None if item.load is None else item.load.unpack()
+        placement = self.forwarder.placement
+        if load is not None:
+            placement.note_report(call.target.id, load, self.clock.now())
+        placement.note_answer(call.target.id, call.id, self.clock.now())
+        self.process_success(call, load, item.elapsed_us / 1_000_000)
+
+    def process_batched_failure(self, call: Call, item: BatchedFailure) -> None:
+        """Process a call of a batch that failed or was refused."""
+        if self.batched.pop(call.id, None) is None:
+            return
+        if item.is_refusal:
+            load = None if item.load is None else item.load.unpack()
+            self.process_refusal(call, load, is_other_target=item.is_other_target)
+        else:
+            self.process_failure(call, item.unpack())
+
+    def count_call(self, call: Call) -> None:
+        """Count a call by its kind, and again if it goes to another data centre."""
+        self.forwarder.count(f"calls_{call.kind.value}")
+        if call.kind is not CallKind.FIRST:
+            self.log_extra_call(call)
+        if call.target.data_centre != self.forwarder.placement.data_centre:
+            self.forwarder.count(f"remote_{call.kind.value}")
+
+    def log_extra_call(self, call: Call) -> None:
+        """Log a hedge or a retry, with the values that decided it."""
+        self.extra_calls += 1
+        now = self.clock.now()
+        budget = self.forwarder.budget
+        self.forwarder.log.note_call(
+            "call_repeated",
+            request=self.metadata.request_id,
+            shard=call.shard,
+            target=call.target.id,
+            kind=call.kind.value,
+            after_ms=int((now - self.context.received_at) * 1_000),
+            typical_ms=int((self.fanout.median_s or self.plan.usual_call_s) * 1_000),
+            budget_left=budget.get_fill(call.shard, now),
+        )
+
+    def encode(self, call: Call) -> bytes:
+        """Return a call as bytes, with the time remaining until the deadline."""
+        remaining_s = self.plan.deadline_at - self.clock.now()
+        headers = self.forwarder.dialect.make_call_headers(call.target.id, remaining_s)
+        data = self.encoder.encode(headers)
+        self.count_bytes(call, len(data))
+        return data
+
+    def count_bytes(self, call: Call, size: int) -> None:
+        """Count bytes of a call that pass between data centres, by its kind."""
+        if call.target.data_centre != self.forwarder.placement.data_centre:
+            self.forwarder.count(f"remote_bytes_{call.kind.value}", size)
+
+    def on_done(self, exchange: Exchange, outcome: Response | Failure) -> None:
+        """Process the outcome of a call; wake `wait` if it has something to do."""
+        call = exchange.call
+        del self.exchanges[call.id]
+        if isinstance(outcome, Failure):
+            self.process_failure(call, outcome)
+        else:
+            self.process_response(call, outcome)
+        self.wake_if_needed()
+
+    def wake_if_needed(self) -> None:
+        """Wake `wait` if there is a verdict, or a hedge or retry is due earlier."""
+        is_decided = self.fanout.get_verdict(self.clock.now()) is not Verdict.OPEN
+        if is_decided or self.fanout.due_at < self.wake_at:
+            self.wake.set()
+
+    def process_response(self, call: Call, response: Response) -> None:
+        """Process a target's response, which may be a refusal or a failure."""
+        now = self.clock.now()
+        self.count_bytes(call, response.size)
+        placement = self.forwarder.placement
+        answer = self.forwarder.dialect.read_answer(response)
+        if answer.load is not None:
+            placement.note_report(call.target.id, answer.load, now)
+        if answer.not_run:
+            self.process_refusal(
+                call, answer.load, is_other_target=answer.is_other_target
+            )
+            return
+        part = Part(answer, response)
+        failure = find_failure(answer)
+        is_relayed = failure is not None and failure.ran is Ran.ANSWERED
+        if is_relayed:
+            self.error_part = part
+        may_relay = not self.route.is_gather and not self.route.idempotent
+        if failure is not None and not (is_relayed and may_relay):
+            self.process_failure(call, failure)
+            return
+        elapsed_s = placement.note_answer(call.target.id, call.id, now)
+        if self.process_success(call, answer.load, elapsed_s):
+            self.answer_part = part
+            if self.route.is_gather:
+                self.parts.add(call.shard, answer.signature, response.body)
+
+    def process_success(
+        self, call: Call, load: LoadReport | None, elapsed_s: float | None
+    ) -> bool:
+        """Record a successful call; return whether its shard had no answer yet.
+
+        `elapsed_s` is the latency of the call in seconds, None if it is unknown.
+        """
+        now = self.clock.now()
+        if elapsed_s is not None:
+            self.forwarder.times.observe(self.route, elapsed_s)
+            if load is not None:
+                self.forwarder.admission.note_answer(call.shard, load, elapsed_s, now)
+            if not self.route.is_gather:
+                self.forwarder.placement.note_relative_latency(
+                    call.target.id, elapsed_s / self.plan.usual_call_s, now
+                )
+        if not self.fanout.on_answer(call, now, elapsed_s):
+            return False
+        self.abandon_other_calls(call.shard)
+        return True
+
+    def process_refusal(
+        self, call: Call, load: LoadReport | None, *, is_other_target: bool
+    ) -> None:
+        """Process a call that its target did not run, and send the retry, if any."""
+        placement = self.forwarder.placement
+        now = self.clock.now()
+        if is_other_target:
+            placement.note_failure(call.target.id, call.id, now)
+            self.forwarder.table.discard(call.target.id)
+        else:
+            placement.note_shed(call.target.id, call.id, now)
+            if load is not None:
+                self.forwarder.admission.note_refusal(call.shard, load, now)
+        self.forwarder.count("shed")
+        self.dispatch(self.fanout.on_failure(call, Ran.NOT_RUN, now))
+
+    def process_failure(self, call: Call, failure: Failure) -> None:
+        """Process a failed call, and send the retry, if any."""
+        now = self.clock.now()
+        self.forwarder.placement.note_failure(
+            call.target.id, call.id, now, is_scattered=failure.is_scattered
+        )
+        self.forwarder.count(f"call_{failure.reason.value}")
+        self.forwarder.log.note_call(
+            "call_failed",
+            request=self.metadata.request_id,
+            target=call.target.id,
+            shard=call.shard,
+            kind=call.kind.value,
+            reason=failure.reason.value,
+            ran=failure.ran.value,
+            after_ms=int((now - call.sent_at) * 1_000),
+        )
+        self.dispatch(self.fanout.on_failure(call, failure.ran, now))
+
+    def abandon_other_calls(self, shard: ServiceName) -> None:
+        """Cancel the remaining calls for a shard that has been answered."""
+        for call in self.fanout.shards[shard].calls.values():
+            exchange = self.exchanges.get(call.id)
+            if exchange is not None:
+                self.abandon(exchange)
+            self.withdraw(call)
+
+    def withdraw(self, call: Call) -> None:
+        """Disregard the outcome of a call of a batch from now on."""
+        if self.batched.pop(call.id, None) is not None:
+            self.forwarder.placement.note_withdrawn(call.target.id, call.id)
+
+    def abandon_all(self) -> None:
+        """Cancel all calls that are in flight."""
+        for exchange in list(self.exchanges.values()):
+            self.abandon(exchange)
+        for batch in self.batches:
+            self.forwarder.batches.cancel(batch)
+            for call in batch.calls:
+                self.withdraw(call)
+
+    def abandon(self, exchange: Exchange) -> None:
+        """Cancel a call whose answer is no longer needed."""
+        call = exchange.call
+        self.exchanges.pop(call.id, None)
+        self.forwarder.placement.note_abandoned(
+            call.target.id, call.id, self.clock.now()
+        )
+        self.forwarder.connection_shares.get_pool(call.target).cancel(exchange)
+
+    def make_reply(self, verdict: Verdict) -> Reply:
+        """Return the reply for a verdict."""
+        if verdict is Verdict.ANSWERED:
+            return self.make_answer()
+        return self.make_error_reply(verdict)
+
+    def make_answer(self) -> Reply:
+        """Return the merged answers of the shards, or the single target's response."""
+        if not self.route.is_gather:
+            return self.relay_response(self.answer_part)
+        signatures = self.parts.signatures
+        missing = len(self.plan.shards) - len(signatures)
+        self.forwarder.count("whole" if not missing else "partial")
+        headers = self.forwarder.dialect.make_merged_headers(
+            self.metadata.request_id,
+            signatures.values(),
+            missing,
+        )
+        return Reply(200, headers, self.parts.get_body())
+
+    def relay_response(self, part: Part) -> Reply:
+        """Return a target's response unchanged, except for hop-by-hop headers."""
+        response = part.response
+        headers = response.get_end_to_end()
+        if self.request.method != b"HEAD":
+            return Reply(response.status, headers, bytes(response.body))
+        length = response.get(b"content-length")
+        if length is not None:
+            headers.append((b"Content-Length", length.encode()))
+        return Reply(response.status, headers, None)
+
+    def make_error_reply(self, verdict: Verdict) -> Reply:
+        """Return the reply to a request that was not answered.
+
+        Relay a target's error response, if there is one, unless the route merges
+        shards. Reply 503 only if certainly no target has run or will run the
+        request, otherwise 502 or 504.
+        """
+        if not self.route.is_gather and self.error_part is not None:
+            return self.relay_response(self.error_part)
+        if self.fanout.is_certainly_not_run:
+            return self.forwarder.refuse(
+                self.metadata.request_id, 503, NOT_RUN_RETRY_AFTER_S
+            )
+        status = 504 if verdict is Verdict.EXPIRED else 502
+        return self.forwarder.refuse(self.metadata.request_id, status)
--- a/sesameplank/forwarding/http_messages.py
+++ b/sesameplank/forwarding/http_messages.py
@@ -57,6 +57,13 @@
         value = self.first_values.get(name)
         return None if value is None else value.decode("latin-1")
 
+    @property
+    def size(self) -> int:
+        """The size of the headers and the body in bytes."""
+        return len(self.body) + sum(
+            len(name) + len(value) for name, value in self.headers
+        )
+
     def get_end_to_end(self, without: frozenset[bytes] = frozenset()) -> Headers:
         """Return the end-to-end headers, except those named in `without`.
 
--- a/sesameplank/forwarding/metrics.py
+++ b/sesameplank/forwarding/metrics.py
@@ -17,9 +17,9 @@
         self.counts: dict[str, int] = {}
         self.latencies: dict[str, HdrHistogram] = {}
 
-    def count(self, event: str) -> None:
-        """Increment the counter of an event."""
-        self.counts[event] = self.counts.get(event, 0) + 1
+    def count(self, event: str, number: int = 1) -> None:
+        """Increase the counter of an event."""
+        self.counts[event] = self.counts.get(event, 0) + number
 
     def observe(self, route: str, latency_s: float) -> None:
         """Record the latency of an answer, for the first MAX_ROUTES routes seen."""
--- a/sesameplank/forwarding/request_log.py
+++ b/sesameplank/forwarding/request_log.py
@@ -1,4 +1,8 @@
-"""Rate-limited log lines about requests, with a higher limit for failures."""
+"""Rate-limited log lines about requests, with a higher limit for failures.
+
+Outcomes of requests and calls have separate limits, so that many hedges do not
+suppress the lines on the requests that failed.
+"""
 
 from ..core.clock import Clock
 from ..logs import LogLimiter, log_event
@@ -17,12 +21,17 @@
 
     def __init__(self, clock: Clock) -> None:
         self.failures = LogLimiter(clock, FAILURES_PER_S, FAILURES_BURST)
+        self.calls = LogLimiter(clock, FAILURES_PER_S, FAILURES_BURST)
         self.successes = LogLimiter(clock, SUCCESSES_PER_S, SUCCESSES_BURST)
 
     def note_failure(self, event: str, **fields: object) -> None:
-        """Log a failure, a hedge, a retry, or a late, incomplete or missing answer."""
+        """Log a refused or failed request, or a late or incomplete answer."""
         self.write(self.failures, event, fields)
 
+    def note_call(self, event: str, **fields: object) -> None:
+        """Log a hedge, a retry or a failed call."""
+        self.write(self.calls, event, fields)
+
     def note_success(self, event: str, **fields: object) -> None:
         """Log a complete answer that was in time; only a sample of them is logged."""
         self.write(self.successes, event, fields)
--- a/sesameplank/peers/traffic.py
+++ b/sesameplank/peers/traffic.py
@@ -26,6 +26,11 @@
         """Count a received message of `size` bytes."""
         self.count(self.received, name, size)
 
+    @property
+    def bytes_sent(self) -> int:
+        """The size of all messages sent, before compression."""
+        return sum(entry.bytes for entry in self.sent.values())
+
     def count_dropped(self, reason: str) -> None:
         """Count a message that was discarded, by the reason."""
         self.dropped[reason] = self.dropped.get(reason, 0) + 1
--- a/tests/docs/test_reference.py
+++ b/tests/docs/test_reference.py
@@ -13,6 +13,7 @@
 from sesameplank.commands.demo import DemoCommand
 from sesameplank.commands.entry import EntryCommand
 from sesameplank.commands.load import LoadCommand
+from sesameplank.commands.losses import LossesCommand
 from sesameplank.commands.query import QueryCommand
 from sesameplank.commands.standin import StandinCommand
 from sesameplank.commands.state import StateCommand
@@ -32,6 +33,7 @@
     "sesameplank-query": QueryCommand,
     "sesameplank-check": CheckCommand,
     "sesameplank-state": StateCommand,
+    "sesameplank-losses": LossesCommand,
     "sesameplank-story": StoryCommand,
     "sesameplank-standin": StandinCommand,
     "sesameplank-load": LoadCommand,
