Tell batches of two incarnations apart, and notice silent VMs without a hedge

A restarted VM numbers its batches anew, so the end of an old batch could remove a new one with the same number. A silent VM was noticed only when a hedge was sent, which an exhausted budget prevents; now when a call is late. Targets that a restored list holds back get no batched calls either.

--- a/sesameplank/core/target_table.py
+++ b/sesameplank/core/target_table.py
@@ -280,6 +280,13 @@
         """Return the targets of a service that accept new calls."""
         return self.by_service.get(service, [])
 
+    def find_ready(self, target: TargetId) -> TargetRecord | None:
+        """Return a target if it accepts new calls, else None."""
+        record = self.records.get(target)
+        if record is None or target in self.held_until:
+            return None
+        return record if record.phase is TargetPhase.READY else None
+
     def get_last_resort(self, service: ServiceName, now: float) -> list[TargetRecord]:
         """Return draining or removed targets that may still accept calls."""
         return [
--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -18,8 +18,8 @@
 from ..core.outcomes import Failure, FailureReason, Ran
 from ..core.placement import Placement
 from ..core.record_merge import RecordMerge
-from ..core.target_table import TargetPhase, TargetRecord, TargetTable
-from ..ids import AttemptId, EntryId, TargetId
+from ..core.target_table import TargetRecord, TargetTable
+from ..ids import AttemptId, EntryId, Incarnation
 from ..peers import PeerContext, PeerLinks
 from .connection_shares import ConnectionShares
 from .dialect import Dialect, TargetAnswer, find_failure
@@ -28,6 +28,14 @@
 
 MAX_BATCH_AGE_S = 1.0  # A batch that waited longer is not worth its calls.
 
+# The sender, its incarnation and the number of the batch.
+BatchKey = tuple[EntryId, Incarnation, int]
+
+
+def make_key(batch: int, context: PeerContext) -> BatchKey:
+    """Return the key of a batch that the sender of a message numbers."""
+    return context.sender, context.incarnation, batch
+
 
 class BatchServer:
     """Serves the batches of other VMs; `batches` holds those in progress."""
@@ -49,7 +57,7 @@
         self.placement = placement
         self.connection_shares = connection_shares
         self.count = count
-        self.batches: dict[tuple[EntryId, int], ServedBatch] = {}
+        self.batches: dict[BatchKey, ServedBatch] = {}
         links.register(BatchedCalls, self.on_calls)
         links.register(BatchCancel, self.on_cancel)
 
@@ -59,23 +67,16 @@
             self.count("batches_overdue")
             return
         self.count("batches_served")
-        key = (context.sender, message.batch)
-        batch = self.batches[key] = ServedBatch(self, message, context)
+        batch = ServedBatch(self, message, context)
+        self.batches[batch.key] = batch
         batch.start()
 
     def on_cancel(self, message: BatchCancel, context: PeerContext) -> None:
         """Cancel the calls of a batch."""
-        batch = self.batches.get((context.sender, message.batch))
+        batch = self.batches.get(make_key(message.batch, context))
         if batch is not None:
             batch.cancel()
 
-    def find_target(self, target: TargetId) -> TargetRecord | None:
-        """Return a target that accepts new calls, or None."""
-        record = self.table.records.get(target)
-        if record is None or record.phase is not TargetPhase.READY:
-            return None
-        return record
-
 
 class ServedBatch:
     """One batch in progress: its calls in flight and the answers to return."""
@@ -86,6 +87,7 @@
         self.server = server
         self.message = message
         self.sender = context.sender
+        self.key = make_key(message.batch, context)
         now = server.clock.now()
         self.deadline_at = now + message.remaining_ms / 1_000 - context.age_s
         objective_at = now + message.flush_ms / 1_000 - context.age_s
@@ -101,7 +103,7 @@
         """Submit the calls; fail those whose target is unknown or leaving."""
         unknown = []
         for index, target in enumerate(self.message.targets):
-            record = self.server.find_target(target)
+            record = self.server.table.find_ready(target)
             if record is None:
                 unknown.append(index)
             else:
@@ -253,7 +255,7 @@
         timer, self.deadline_timer = self.deadline_timer, None
         if timer is not None and timer is not gevent.getcurrent():
             timer.kill(block=False)
-        self.server.batches.pop((self.sender, self.message.batch), None)
+        self.server.batches.pop(self.key, None)
 
     def stop_flush_timer(self) -> None:
         """Stop the timer of the next flush, if there is one."""
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -157,7 +157,6 @@
         """Send calls in batches, or submit them to the pools of their targets."""
         for call in calls:
             self.count_call(call)
-        self.note_late_batches(calls)
         for call in self.send_batches(calls):
             pool = self.forwarder.connection_shares.get_pool(call.target)
             exchange = Exchange(
@@ -204,23 +203,16 @@
 
         Nothing is known of the targets of a batch while its VM is silent.
         """
-        unobserved = self.find_unobserved()
         for call in self.fanout.pop_late_calls():
             age_s = now - call.sent_at
-            if call.id in unobserved:
+            batch = self.batched.get(call.id)
+            if batch is not None and not batch.has_answered:
+                self.forwarder.batches.note_late(batch)
                 continue
             is_news = self.forwarder.placement.note_late(call.target.id, age_s, now)
             if is_news and self.forwarder.late_notices is not None:
                 self.forwarder.late_notices.add(call.target.id, age_s)
 
-    def note_late_batches(self, calls: list[Call]) -> None:
-        """Record the batches of which calls are late, as their hedges show."""
-        for call in calls:
-            if call.kind is CallKind.HEDGE:
-                for other in self.fanout.shards[call.shard].calls:
-                    if other in self.batched:
-                        self.forwarder.batches.note_late(self.batched[other])
-
     def find_unobserved(self) -> set[AttemptId]:
         """Return the calls of batches of which nothing is known."""
         return {call for call, batch in self.batched.items() if not batch.has_answered}
--- a/tests/core/test_target_table.py
+++ b/tests/core/test_target_table.py
@@ -218,10 +218,12 @@
         self.apply(11, removed=[("a", 11)])
         self.restore(make_started("a", 1), now=20.0)
         self.assertEqual([], self.get_ready())
+        self.assertIsNone(self.table.find_ready("a"))
         self.table.expire(20.0 + RESTORED_HOLD_S - 0.01)
         self.assertEqual([], self.get_ready())
         self.table.expire(20.0 + RESTORED_HOLD_S)
         self.assertEqual(["a"], self.get_ready())
+        self.assertIsNotNone(self.table.find_ready("a"))
 
     def test_target_that_started_again_is_ready_at_once(self):
         self.apply(11, [make_started("b", 11, TargetPhase.DRAINING)], [("a", 11)])
