Give the websocket handshake its second again

Change: the TCP connect keeps the short time, the handshake has 1 s as before. The platform's processes use framed links and don't change.

--- a/sesameplank/peers/websocket_transport.py
+++ b/sesameplank/peers/websocket_transport.py
@@ -22,12 +22,14 @@
     PeerTransport,
 )
 
+HANDSHAKE_TIMEOUT_S = 1.0  # The peer may be busy, unlike one without power.
 PING_INTERVAL_S = 5.0
 PING_TIMEOUT_S = 10.0
 CLOSE_TIMEOUT_S = 1.0
 SENDER_HEADER = "X-Entry-Id"
 WEBSOCKET_OPTIONS = {
     "compression": None,
+    "open_timeout": HANDSHAKE_TIMEOUT_S,
     "ping_interval": PING_INTERVAL_S,
     "ping_timeout": PING_TIMEOUT_S,
     "close_timeout": CLOSE_TIMEOUT_S,
@@ -91,7 +93,6 @@
                     sock=sock,
                     proxy=None,
                     additional_headers={SENDER_HEADER: own_id},
-                    open_timeout=timeout_s,
                     **WEBSOCKET_OPTIONS,
                 )
         except BaseException:
