Log and count calls that targets refuse, those meant for another target apart

Now: call_refused with address and other_target; misdirected beside shed, both also for batches; calls_transmitted, batch_calls_transmitted and copies_taken, which together show calls that didn't ask the budget. No decision changes.

--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -128,7 +128,7 @@
             call,
             self.message.request_id,
             lambda: self.encode(record),
-            lambda call: None,
+            lambda call: self.server.count("batch_calls_transmitted"),
             lambda exchange, outcome: self.on_done(index, exchange, outcome),
             is_idempotent=True,
         )
@@ -186,8 +186,10 @@
         """Process a call that its target did not run."""
         now = self.server.clock.now()
         if answer.is_other_target:
+            self.server.count("batch_misdirected")
             self.server.placement.note_failure(call.target.id, call.id, now)
         else:
+            self.server.count("batch_shed")
             self.server.placement.note_shed(call.target.id, call.id, now)
         self.report(
             BatchedFailure(
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -163,7 +163,7 @@
                 call,
                 self.metadata.request_id,
                 lambda call=call: self.encode(call),
-                self.fanout.note_transmitted,
+                self.note_transmitted,
                 self.on_done,
                 is_idempotent=self.route.idempotent,
                 is_head=self.is_head,
@@ -285,6 +285,11 @@
         self.count_bytes(call, len(data))
         return data
 
+    def note_transmitted(self, call: Call) -> None:
+        """Record that a call is being transmitted."""
+        self.forwarder.count("calls_transmitted")
+        self.fanout.note_transmitted(call)
+
     def count_bytes(self, call: Call, size: int) -> None:
         """Count bytes of a call that pass between data centres, by its kind."""
         if call.target.data_centre != self.forwarder.placement.data_centre:
@@ -368,7 +373,17 @@
             placement.note_shed(call.target.id, call.id, now)
             if load is not None:
                 self.forwarder.admission.note_refusal(call.shard, load, now)
-        self.forwarder.count("shed")
+        self.forwarder.count("misdirected" if is_other_target else "shed")
+        self.forwarder.log.note_call(
+            "call_refused",
+            request=self.metadata.request_id,
+            target=call.target.id,
+            address=call.target.address,
+            shard=call.shard,
+            kind=call.kind.value,
+            other_target=is_other_target,
+            after_ms=int((now - call.sent_at) * 1_000),
+        )
         self.dispatch(self.fanout.on_failure(call, Ran.NOT_RUN, now))
 
     def process_failure(self, call: Call, failure: Failure) -> None:
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -321,6 +321,7 @@
             "in_flight": self.caller_server.in_flight,
             "connections_opened": self.pools.opened,
             "copies_refused": self.budget.refused,
+            "copies_taken": self.budget.taken,
             "peer_bytes_sent": self.links.counters.bytes_sent,
         }
 
