--- a/sesameplank/standins/front_targets.py
+++ b/sesameplank/standins/front_targets.py
@@ -74,7 +74,8 @@
     `fault_mode` changes this. As a context manager, the target accepts connections
     on its address.
 
-    `executed_ids` holds the IDs of the executed requests in order.
+    `executed_ids` holds the IDs of the executed requests in order, and
+    `misdirected_ids` those of requests that were meant for another target.
     """
 
     def __init__(self, name: str, address: Address, body: bytes) -> None:
@@ -84,6 +85,7 @@
         self.fault_mode = TargetFaultMode.NONE
         self.delay_s = 0.0
         self.executed_ids: list[str] = []
+        self.misdirected_ids: list[str] = []
         self.requests: list[Request] = []
         self.open_connections = 0
         self.peak_connections = 0
@@ -118,6 +120,7 @@
         """Answer a request; return whether to keep the connection open."""
         expected = request.get(EXPECTED_TARGET.lower())
         if expected not in (None, self.name):
+            self.misdirected_ids.append(request.get(REQUEST_ID.lower()) or "")
             sock.sendall(self.encode(MISDIRECTED, [(NOT_RUN, b"1")], b""))
             return True
         if self.fault_mode is TargetFaultMode.SHED:
--- a/tests/integration/front_world.py
+++ b/tests/integration/front_world.py
@@ -10,6 +10,7 @@
 
 import gevent
 import gevent.socket
+import msgspec
 import testtools
 
 from sesameplank.forwarding.http_messages import Response, ResponseReader
@@ -23,6 +24,7 @@
 SHARDS = 4
 SHARD_SERVICES = tuple(f"shard{number}" for number in range(SHARDS))
 HOST = "orders.example"
+METRICS_PORT = 9180
 
 
 def make_config(version: int, **changes) -> dict:
@@ -206,6 +208,7 @@
 
     front_count = 1
     grace_s = 3.0
+    retry_slack = 4000
 
     def setUp(self):
         super().setUp()
@@ -222,7 +225,11 @@
         self.store.put("servers/other", b'{"service":5,"addr":"x"}')
         self.store.put_config(make_config(3))
         self.fronts = [
-            self.enterContext(FrontProcess(self.block, number, self.grace_s))
+            self.enterContext(
+                FrontProcess(
+                    self.block, number, self.grace_s, retry_slack=self.retry_slack
+                )
+            )
             for number in range(1, self.front_count + 1)
         ]
         for front in self.fronts:
@@ -270,6 +277,16 @@
             while not condition():
                 gevent.sleep(0.02)
 
+    def get_state(self, front: int) -> dict:
+        """Return the state dump of a process."""
+        address = Address(self.fronts[front].host, METRICS_PORT)
+        body = self.fronts[front].get(address, "/state").body
+        return msgspec.json.decode(bytes(body))
+
+    def wait_for_state(self, front: int, condition) -> None:
+        """Return once the condition holds for the state of a process."""
+        self.wait_for(lambda: condition(self.get_state(front)), f"state of {front}")
+
     def request(self, data: bytes, front: int = 0) -> Response:
         """Send a request to a process on a new connection and return the response."""
         with RawConnection(self.fronts[front].caller_address) as client:
--- a/tests/integration/test_fronts.py
+++ b/tests/integration/test_fronts.py
@@ -3,7 +3,6 @@
 import gevent
 import msgspec
 
-from sesameplank.net import Address
 from sesameplank.standins.front_store import StoreFaultMode
 from sesameplank.standins.front_targets import TargetFaultMode
 
@@ -94,14 +93,6 @@
             self.assertEqual(200, answer.status)
         self.assertEqual(runs, self.get_runs("shard0a"))
 
-    def get_state(self, front: int) -> dict:
-        address = Address(self.fronts[front].host, 9180)
-        body = self.fronts[front].get(address, "/state").body
-        return msgspec.json.decode(bytes(body))
-
-    def wait_for_state(self, front: int, condition) -> None:
-        self.wait_for(lambda: condition(self.get_state(front)), f"state of {front}")
-
     def is_phase(self, state: dict, phase: str) -> bool:
         return state["targets"]["shard0a"]["phase"] == phase
 
