Stop calls to a target whose address another one has taken over

Callers saw nothing; the users saw repeats beyond the bound at services whose targets got the addresses of lost ones. Cause: a call refused by the next owner of an address made its target avoided for a moment, while the list kept it ready for as long as the store was away. Each VM found out again and again, the arrivals at the owner's service were charged to nobody, and the retry to the shard that the call had never reached.

Now such a target gets no calls until its entry changes (10 s at most), its VM tells the other ones, and its idle connections are closed. The call is charged to the service that got it, or to every service if that is unknown; the retry costs its shard nothing, since no call has arrived there. Batches report who answered.

Before: tests.integration.test_reused_addresses failed (63, 67, 70 arrivals, 32 allowed).

--- a/sesameplank/core/batch_messages.py
+++ b/sesameplank/core/batch_messages.py
@@ -69,7 +69,8 @@
 class BatchedFailure(msgspec.Struct, frozen=True, array_like=True):
     """A call that failed, or that its target refused (`is_refusal`).
 
-    `is_other_target` is true if another target listens at the address now.
+    `is_other_target` is true if another target listens at the address now, and
+    `answered_by` is its id, None if unknown.
     """
 
     index: int
@@ -78,6 +79,7 @@
     is_refusal: bool = False
     is_other_target: bool = False
     load: BatchedLoad | None = None
+    answered_by: TargetId | None = None
 
     def unpack(self) -> Failure:
         """Return the failure as the sender of the batch processes it."""
--- a/sesameplank/core/extra_load.py
+++ b/sesameplank/core/extra_load.py
@@ -132,7 +132,19 @@
 
     def get_fill(self, service: ServiceName, now: float) -> float:
         """Return the share of a service's budget that is left, from 0 to 1."""
-        return self.get(service, now).tokens / self.capacity
+        return max(0.0, self.get(service, now).tokens / self.capacity)
+
+    def note_misdirected(self, service: ServiceName | None, now: float) -> None:
+        """Charge a call that arrived at a service for which it was not meant.
+
+        If the service is None, it is unknown, and the call is charged to every service
+        that has a budget. The tokens may fall below 0.
+        """
+        services = [service] if service is not None else list(self.services)
+        for item in services:
+            budget = self.get(item, now)
+            budget.tokens -= 1.0
+            budget.extra_calls.add(now)
 
     def take(self, service: ServiceName, now: float, reserve: float = 0.0) -> bool:
         """Take a token and return True, or return False if too few are left.
--- a/sesameplank/core/fanout.py
+++ b/sesameplank/core/fanout.py
@@ -102,8 +102,8 @@
 
     `tried_targets` holds the targets of the calls so far; it is cleared once every
     allowed target is in it. `may_have_run_on` holds the targets at which a failed
-    call ran or may have run. `has_transmitted` is set once any call to the
-    shard was transmitted.
+    call ran or may have run. `arrived_calls` holds the calls that were transmitted,
+    except those that arrived at a target of another service.
     """
 
     def __init__(self, service: ServiceName) -> None:
@@ -111,7 +111,7 @@
         self.calls: dict[AttemptId, Call] = {}
         self.tried_targets: list[TargetId] = []
         self.may_have_run_on: set[TargetId] = set()
-        self.has_transmitted = False
+        self.arrived_calls: set[AttemptId] = set()
         self.failures = 0
         self.is_answered = False
         self.is_abandoned = False
@@ -307,9 +307,22 @@
             return []
         return self.prepare_call(shard, CallKind.RETRY, now)
 
+    def on_misdirected(
+        self, call: Call, service: ServiceName | None, now: float
+    ) -> list[Call]:
+        """Record a call that arrived at another target, which refused it.
+
+        `service` is the service of that target, None if it is unknown. The call is
+        extra load there, instead of at its shard. Return the retry, if one is sent at
+        once.
+        """
+        self.shards[call.shard].arrived_calls.discard(call.id)
+        self.budget.note_misdirected(service, now)
+        return self.on_failure(call, Ran.NOT_RUN, now)
+
     def note_transmitted(self, call: Call) -> None:
         """Record that a call was transmitted: further calls are extra load."""
-        self.shards[call.shard].has_transmitted = True
+        self.shards[call.shard].arrived_calls.add(call.id)
         self.transmitted_calls.add(call.id)
 
     def note_batched(self, calls: Sequence[Call]) -> None:
@@ -346,7 +359,7 @@
             backoff_s = RETRY_BACKOFF_S * 2 ** min(shard.failures, 4)
             self.schedule_retry(shard, now + min(MAX_RETRY_BACKOFF_S, backoff_s))
             return []
-        if shard.has_transmitted and not self.take_retry_token(shard, now):
+        if shard.arrived_calls and not self.take_retry_token(shard, now):
             self.schedule_retry(shard, now + BUDGET_RECHECK_S)
             return []
         return [self.make_call(shard, kind, untried, now)]
--- a/sesameplank/core/peer_messages.py
+++ b/sesameplank/core/peer_messages.py
@@ -184,6 +184,13 @@
     targets: tuple[tuple[TargetId, int], ...]
 
 
+class TargetReplaced(PeerMessage, frozen=True):
+    """A notification that another target has answered at a target's address."""
+
+    target: TargetId
+    address: str
+
+
 class CallerLookup(PeerMessage, frozen=True):
     """A notification that a caller, named by its host, has looked up addresses."""
 
--- a/sesameplank/core/target_table.py
+++ b/sesameplank/core/target_table.py
@@ -23,6 +23,8 @@
 # Time for a target that had left the list, and that a restored store lists again, to
 # write its entry or for the entry to expire.
 RESTORED_HOLD_S = 5.0
+# Time until a target is tried again although another one answered at its address.
+REPLACED_HOLD_S = 10.0
 MAX_TOMBSTONES = 2_000
 MAX_GAPS = 16
 
@@ -81,7 +83,8 @@
     of their removal, and `removed_records` to their last record, if known. Changes
     since a revision before `history_floor`, or inside one of the `gaps`, are not
     known. `held_until` holds the listed targets that get no calls until a time,
-    because they had left before the store was restored. `known_era` is the highest
+    because they had left before the store was restored, or because another target
+    has taken over their address. `known_era` is the highest
     era that this process has heard of.
     """
 
@@ -251,11 +254,24 @@
             self.leaving[target] = record
             self.use_until[target] = use_until
 
-    def discard(self, target: TargetId) -> None:
-        """Discard a leaving target whose address another target has taken over."""
-        self.leaving.pop(target, None)
+    def note_replaced(self, target: TargetId, address: str, now: float) -> bool:
+        """Record that another target has answered at the address of a target.
+
+        The list may show a lost target for long, for example while the store is
+        unavailable. It gets no calls until its entry changes, for REPLACED_HOLD_S
+        at most. Return False if this was known already, or if the target has another
+        address now.
+        """
+        record = self.records.get(target) or self.leaving.get(target)
+        if record is None or record.address != address:
+            return False
+        is_news = self.leaving.pop(target, None) is not None
         self.use_until.pop(target, None)
-        self.index()
+        if self.find_ready(target) is not None:
+            is_news = True
+            self.held_until[target] = now + REPLACED_HOLD_S
+            self.index()
+        return is_news
 
     def expire(self, now: float) -> None:
         """End the holds and the grace periods of last-resort targets that are over."""
--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -24,6 +24,7 @@
 from .connection_shares import ConnectionShares
 from .dialect import Dialect, TargetAnswer, find_failure
 from .http_messages import Response, encode_headers
+from .replaced_targets import ReplacedTargets
 from .target_connections import Exchange
 
 MAX_BATCH_AGE_S = 1.0  # A batch that waited longer is not worth its calls.
@@ -48,6 +49,7 @@
         table: TargetTable,
         placement: Placement,
         connection_shares: ConnectionShares,
+        replaced_targets: ReplacedTargets,
         count: Callable[[str], None],
     ) -> None:
         self.links = links
@@ -56,6 +58,7 @@
         self.table = table
         self.placement = placement
         self.connection_shares = connection_shares
+        self.replaced_targets = replaced_targets
         self.count = count
         self.batches: dict[BatchKey, ServedBatch] = {}
         links.register(BatchedCalls, self.on_calls)
@@ -187,6 +190,7 @@
         now = self.server.clock.now()
         if answer.is_other_target:
             self.server.count("batch_misdirected")
+            self.server.replaced_targets.add(call.target)
             self.server.placement.note_failure(call.target.id, call.id, now)
         else:
             self.server.count("batch_shed")
@@ -199,6 +203,7 @@
                 is_refusal=True,
                 is_other_target=answer.is_other_target,
                 load=BatchedLoad.pack(answer.load),
+                answered_by=answer.answered_by,
             )
         )
 
--- a/sesameplank/forwarding/dialect.py
+++ b/sesameplank/forwarding/dialect.py
@@ -44,7 +44,8 @@
     """The result of a call, as a target's response reports it.
 
     `not_run` is true if the target reports that it did not run the request, and
-    `is_other_target` if a different target now listens at the address.
+    `is_other_target` if a different target now listens at the address; `answered_by`
+    is the id of the target that answered, None if the response does not name it.
     `signature` shows that the target itself produced the body, and is None if
     absent. `is_usable` is false if the body has an encoding that was not requested.
     `load` is None if the target reports no load.
@@ -56,6 +57,7 @@
     signature: str | None
     is_usable: bool
     load: LoadReport | None
+    answered_by: TargetId | None = None
 
     @property
     def is_success(self) -> bool:
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -14,7 +14,7 @@
 from ..core.outcomes import Failure, Ran
 from ..core.placement import LoadReport
 from ..core.routes import Route, RoutingConfiguration
-from ..ids import AttemptId, ServiceName
+from ..ids import AttemptId, ServiceName, TargetId
 from .call_batches import CallBatch
 from .caller_connections import Reply, RequestContext
 from .dialect import RequestMetadata, TargetAnswer, find_failure
@@ -247,9 +247,11 @@
         """Process a call of a batch that failed or was refused."""
         if self.batched.pop(call.id, None) is None:
             return
-        if item.is_refusal:
+        if item.is_other_target:
+            self.process_misdirected(call, item.answered_by)
+        elif item.is_refusal:
             load = None if item.load is None else item.load.unpack()
-            self.process_refusal(call, load, is_other_target=item.is_other_target)
+            self.process_refusal(call, load)
         else:
             self.process_failure(call, item.unpack())
 
@@ -319,10 +321,11 @@
         answer = self.forwarder.dialect.read_answer(response)
         if answer.load is not None:
             placement.note_report(call.target.id, answer.load, now)
+        if answer.is_other_target:
+            self.process_misdirected(call, answer.answered_by)
+            return
         if answer.not_run:
-            self.process_refusal(
-                call, answer.load, is_other_target=answer.is_other_target
-            )
+            self.process_refusal(call, answer.load)
             return
         part = Part(answer, response)
         failure = find_failure(answer)
@@ -360,20 +363,31 @@
         self.abandon_other_calls(call.shard)
         return True
 
-    def process_refusal(
-        self, call: Call, load: LoadReport | None, *, is_other_target: bool
-    ) -> None:
+    def process_refusal(self, call: Call, load: LoadReport | None) -> None:
         """Process a call that its target did not run, and send the retry, if any."""
-        placement = self.forwarder.placement
         now = self.clock.now()
-        if is_other_target:
-            placement.note_failure(call.target.id, call.id, now)
-            self.forwarder.table.discard(call.target.id)
-        else:
-            placement.note_shed(call.target.id, call.id, now)
-            if load is not None:
-                self.forwarder.admission.note_refusal(call.shard, load, now)
-        self.forwarder.count("misdirected" if is_other_target else "shed")
+        self.forwarder.placement.note_shed(call.target.id, call.id, now)
+        if load is not None:
+            self.forwarder.admission.note_refusal(call.shard, load, now)
+        self.forwarder.count("shed")
+        self.log_refused_call(call, now, is_other_target=False)
+        self.dispatch(self.fanout.on_failure(call, Ran.NOT_RUN, now))
+
+    def process_misdirected(self, call: Call, answered_by: TargetId | None) -> None:
+        """Process a call that arrived at another target, and send the retry, if any."""
+        now = self.clock.now()
+        self.forwarder.placement.note_failure(call.target.id, call.id, now)
+        replaced_targets = self.forwarder.replaced_targets
+        replaced_targets.add(call.target)
+        self.forwarder.count("misdirected")
+        self.log_refused_call(call, now, is_other_target=True)
+        service = replaced_targets.find_service(answered_by)
+        self.dispatch(self.fanout.on_misdirected(call, service, now))
+
+    def log_refused_call(
+        self, call: Call, now: float, *, is_other_target: bool
+    ) -> None:
+        """Log a call that the target at its address did not run."""
         self.forwarder.log.note_call(
             "call_refused",
             request=self.metadata.request_id,
@@ -384,7 +398,6 @@
             other_target=is_other_target,
             after_ms=int((now - call.sent_at) * 1_000),
         )
-        self.dispatch(self.fanout.on_failure(call, Ran.NOT_RUN, now))
 
     def process_failure(self, call: Call, failure: Failure) -> None:
         """Process a failed call, and send the retry, if any."""
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -18,6 +18,7 @@
 from .http_messages import Request
 from .late_notices import LateNotices
 from .metrics import FrontMetrics
+from .replaced_targets import ReplacedTargets
 from .request_log import RequestLog
 
 STARTING_RETRY_AFTER_S = 0.3
@@ -50,6 +51,7 @@
         self.allowed_waits: dict[str, float] = {}
         self.batches: CallBatches | None = None
         self.late_notices: LateNotices | None = None
+        self.replaced_targets: ReplacedTargets | None = None
 
     def set_routing(self, routing: RoutingConfiguration) -> None:
         """Use a new routing configuration for all further requests."""
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -42,6 +42,7 @@
 from .forwarder import Forwarder
 from .late_notices import LateNotices
 from .lookup_notices import LookupNotices
+from .replaced_targets import ReplacedTargets
 from .target_connections import TargetPools
 
 HOUSEKEEPING_INTERVAL_S = 0.1
@@ -147,6 +148,10 @@
             clock.now,
             self.lookups.may_have_looked_up,
         )
+        self.replaced_targets = ReplacedTargets(
+            settings.vm, self.links, clock, self.table, self.pools, self.get_active
+        )
+        self.forwarder.replaced_targets = self.replaced_targets
         self.batch_server = BatchServer(
             self.links,
             clock,
@@ -154,6 +159,7 @@
             self.table,
             self.placement,
             self.connection_shares,
+            self.replaced_targets,
             self.forwarder.count,
         )
         self.aggregator_choice = AggregatorChoice(settings.vm, rng)
--- a/sesameplank/forwarding/target_connections.py
+++ b/sesameplank/forwarding/target_connections.py
@@ -406,6 +406,12 @@
         pool.limit = limit
         return pool
 
+    def close_idle(self, target: TargetId) -> None:
+        """Close the idle connections to a target."""
+        pool = self.pools.get(target)
+        if pool is not None:
+            pool.close()
+
     def keep_only(self, is_listed: Callable[[TargetId], bool]) -> None:
         """Remove the pools of targets that are no longer listed.
 
--- a/sesameplank/platform/headers.py
+++ b/sesameplank/platform/headers.py
@@ -17,6 +17,7 @@
 DEADLINE = b"X-Deadline-Ms"
 SIGNATURE = b"X-Server-Stamp"
 EXPECTED_TARGET = b"X-Expect-Instance"
+ANSWERING_TARGET = b"X-Instance-Id"
 TARGET_LOAD = b"X-Server-Load"
 NOT_RUN = b"X-Not-Executed"
 RETRY_AFTER = b"Retry-After"
@@ -71,6 +72,7 @@
         """Return the target's answer as its status and headers describe it."""
         is_misdirected = response.status == MISDIRECTED
         encoding = response.get(b"content-encoding")
+        answered_by = response.get(ANSWERING_TARGET.lower())
         return TargetAnswer(
             status=response.status,
             not_run=is_misdirected or response.get(NOT_RUN.lower()) is not None,
@@ -78,6 +80,7 @@
             signature=response.get(SIGNATURE.lower()),
             is_usable=encoding in (None, "identity"),
             load=parse_load(response.get(TARGET_LOAD.lower())),
+            answered_by=TargetId(answered_by) if answered_by else None,
         )
 
     def make_merged_headers(
--- a/sesameplank/standins/front_targets.py
+++ b/sesameplank/standins/front_targets.py
@@ -18,6 +18,7 @@
 )
 from ..net import Address
 from ..platform.headers import (
+    ANSWERING_TARGET,
     EXPECTED_TARGET,
     MISDIRECTED,
     NOT_RUN,
@@ -121,7 +122,8 @@
         expected = request.get(EXPECTED_TARGET.lower())
         if expected not in (None, self.name):
             self.misdirected_ids.append(request.get(REQUEST_ID.lower()) or "")
-            sock.sendall(self.encode(MISDIRECTED, [(NOT_RUN, b"1")], b""))
+            headers = [(ANSWERING_TARGET, self.name.encode())]
+            sock.sendall(self.encode(MISDIRECTED, headers, b""))
             return True
         if self.fault_mode is TargetFaultMode.SHED:
             sock.sendall(self.encode(503, [(NOT_RUN, b"1")], b""))
--- a/tests/core/test_extra_load.py
+++ b/tests/core/test_extra_load.py
@@ -85,3 +85,29 @@
             taken += 1
         self.assertTrue(budget.take("s", 100.0))
         self.assertGreater(taken, 0)
+
+    def test_misdirected_calls_are_charged_to_the_service_that_gets_them(self):
+        for service, charged in (("s", {"s"}), (None, {"s", "t"})):
+            budget = ExtraLoadBudget(BOUNDS)
+            left = {name: self.count_tokens(budget, name) for name in "st"}
+            budget = ExtraLoadBudget(BOUNDS)
+            for name in "st":
+                budget.get(name, 100.0)
+            budget.note_misdirected(service, 100.0)
+            for name in "st":
+                expected = left[name] - (name in charged)
+                self.assertEqual(expected, self.count_tokens(budget, name), service)
+
+    def count_tokens(self, budget: ExtraLoadBudget, service: str) -> int:
+        count = 0
+        while budget.take(service, 100.0):
+            count += 1
+        return count
+
+    def test_misdirected_calls_beyond_the_tokens_are_earned_first(self):
+        budget = ExtraLoadBudget(BOUNDS)
+        for _ in range(20):
+            budget.note_misdirected("s", 0.0)
+        self.assertEqual(0.0, budget.get_fill("s", 10.0))
+        self.assertFalse(budget.take("s", 30.0))
+        self.assertTrue(budget.take("s", 60.0))
--- a/tests/core/test_fanout.py
+++ b/tests/core/test_fanout.py
@@ -192,6 +192,24 @@
         (call,) = self.fanout.start(100.0)
         self.assertEqual(1, len(self.fanout.on_failure(call, Ran.NOT_RUN, 100.01)))
 
+    def test_retry_of_a_misdirected_call_costs_its_shard_no_budget(self):
+        for service in (None, "other"):
+            (call,) = self.start(shards=1, required=1)
+            left = self.budget.get_fill("s0", 100.01)
+            (retry,) = self.fanout.on_misdirected(call, service, 100.01)
+            self.assertIs(CallKind.RETRY, retry.kind)
+            is_charged = self.budget.get_fill("s0", 100.01) < left
+            self.assertEqual(service is None, is_charged)
+            self.assertTrue(self.fanout.is_certainly_not_run)
+
+    def test_misdirected_call_leaves_the_charge_for_others_that_arrived(self):
+        (call,) = self.start(shards=1, required=1)
+        (hedge,) = self.fanout.prepare_hedge(self.fanout.shards["s0"], 100.03)
+        self.fanout.note_transmitted(hedge)
+        self.fanout.on_failure(call, Ran.UNKNOWN, 100.04)
+        self.budget.get("s0", 100.04).tokens = 0.0
+        self.assertEqual([], self.fanout.on_misdirected(hedge, "other", 100.05))
+
     def test_not_run_is_reported_only_when_it_is_certain(self):
         self.make(shards=1, required=1, idempotent=False)
         (call,) = self.fanout.start(100.0)
--- a/tests/core/test_target_table.py
+++ b/tests/core/test_target_table.py
@@ -8,6 +8,7 @@
 from sesameplank.core.target_table import (
     OUTAGE_GRACE_S,
     REMOVAL_GRACE_S,
+    REPLACED_HOLD_S,
     RESTORED_HOLD_S,
     TargetChanges,
     TargetPhase,
@@ -72,6 +73,34 @@
         self.apply(3, [make_record("c", 3, TargetPhase.DRAINING)])
         self.assertEqual([], self.get_last_resort(0.0))
 
+    def test_replaced_target_gets_no_calls_until_its_entry_changes(self):
+        self.assertTrue(self.table.note_replaced("a", "10.0.0.1:80", 0.0))
+        self.assertFalse(self.table.note_replaced("a", "10.0.0.1:80", 0.1))
+        self.assertEqual(["b"], self.get_ready())
+        self.assertIsNone(self.table.find_ready("a"))
+        self.apply(3, [make_record("a", 3)], now=1.0)
+        self.assertEqual(["a", "b"], self.get_ready())
+
+    def test_replaced_target_is_tried_again_after_a_time(self):
+        self.table.note_replaced("a", "10.0.0.1:80", 0.0)
+        self.table.expire(0.99 * REPLACED_HOLD_S)
+        self.assertEqual(["b"], self.get_ready())
+        self.table.expire(REPLACED_HOLD_S)
+        self.assertEqual(["a", "b"], self.get_ready())
+
+    def test_target_with_another_address_is_not_replaced(self):
+        self.assertFalse(self.table.note_replaced("a", "10.0.0.9:80", 0.0))
+        self.assertFalse(self.table.note_replaced("unknown", "10.0.0.1:80", 0.0))
+        self.assertEqual(["a", "b"], self.get_ready())
+
+    def test_replaced_target_is_no_last_resort(self):
+        self.apply(3, removed=[("a", 3)], now=1.0)
+        self.assertTrue(self.table.note_replaced("a", "10.0.0.1:80", 1.0))
+        self.assertEqual([], self.get_last_resort(1.0))
+        self.table.note_replaced("b", "10.0.0.1:80", 1.0)
+        self.apply(4, removed=[("b", 4)], now=1.0)
+        self.assertEqual([], self.get_last_resort(1.0))
+
     def test_removed_target_is_a_last_resort_longer_after_an_outage(self):
         for after_outage, grace_s in ((False, REMOVAL_GRACE_S), (True, OUTAGE_GRACE_S)):
             table = TargetTable()
@@ -97,7 +126,7 @@
 
     def test_discarded_target_is_no_last_resort(self):
         self.apply(3, removed=[("a", 3)])
-        self.table.discard("a")
+        self.table.note_replaced("a", "10.0.0.1:80", 1.0)
         self.assertEqual([], self.get_last_resort(0.0))
 
     def test_peers_reach_the_same_table_by_changes_only(self):
--- a/tests/integration/test_reused_addresses.py
+++ b/tests/integration/test_reused_addresses.py
@@ -44,3 +44,17 @@
         self.request_all(REQUESTS)
         allowed = RETRY_RATIO * REQUESTS + self.retry_slack
         self.assertLessEqual(len(owner.misdirected_ids), allowed)
+
+    def test_one_process_tells_the_others_that_a_target_was_replaced(self):
+        self.targets["shard0a"].name = "shard1c"
+        self.request_all(self.front_count * 4)
+        for front in self.fronts:
+            self.wait_for(
+                lambda front=front: (
+                    "event=target_replaced target=shard0a" in front.log_path.read_text()
+                ),
+                "the notice",
+            )
+        before = len(self.targets["shard0a"].misdirected_ids)
+        self.request_all(REQUESTS)
+        self.assertEqual(before, len(self.targets["shard0a"].misdirected_ids))
