--- a/sesameplank/core/latency.py
+++ b/sesameplank/core/latency.py
@@ -107,7 +107,8 @@
 
     def add(self, value: float, now: float) -> None:
         """Add a value that was observed at `now`, in seconds."""
-        self.average += self.weight * (value - self.average)
+        average = self.get(now)
+        self.average = average + self.weight * (value - average)
         self.updated_at = now
 
     def get(self, now: float) -> float:
--- a/tests/core/test_latency.py
+++ b/tests/core/test_latency.py
@@ -60,3 +60,10 @@
         average.add(9.0, now=10.0)
         for now, expected in [(10.0, 5.0), (12.0, 3.0), (14.0, 2.0)]:
             self.assertAlmostEqual(expected, average.get(now))
+
+    def test_value_is_added_to_the_decayed_average(self):
+        average = DecayingAverage(weight=0.3, half_life_s=1.5)
+        for _ in range(20):
+            average.add(12.0, now=0.0)
+        average.add(1.0, now=100.0)
+        self.assertAlmostEqual(1.0, average.get(100.0))
