--- a/sesameplank/exceptions.py
+++ b/sesameplank/exceptions.py
@@ -79,3 +79,7 @@
 
 class LoadError(SesameplankError):
     """The load tool could not complete a run."""
+
+
+class AblationError(SesameplankError):
+    """A study is invalid, or does not fit the code."""
--- /dev/null
+++ b/tests/ablation/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of studies of variants."""
--- a/tests/docs/test_reference.py
+++ b/tests/docs/test_reference.py
@@ -8,6 +8,7 @@
 
 from sesameplank.callers.problems import STATUSES, ProblemKind
 from sesameplank.client.searches import FAILOVER_KINDS, RETRY_LATER_KINDS
+from sesameplank.commands.ablation import AblationCommand
 from sesameplank.commands.base import Command
 from sesameplank.commands.check import CheckCommand
 from sesameplank.commands.demo import DemoCommand
@@ -35,6 +36,7 @@
     "sesameplank-state": StateCommand,
     "sesameplank-losses": LossesCommand,
     "sesameplank-story": StoryCommand,
+    "sesameplank-ablation": AblationCommand,
     "sesameplank-standin": StandinCommand,
     "sesameplank-load": LoadCommand,
     "sesameplank.commands.demo": DemoCommand,
