One copy of the calls that direct and relayed dispatchers make

search, cancel, book, health and the marks of leaving targets stood twice; the dispatchers now differ only in how encoded messages are exchanged. No behaviour changes.

--- a/sesameplank/targets/dispatch.py
+++ b/sesameplank/targets/dispatch.py
@@ -65,11 +65,80 @@
         """
 
 
-class DirectDispatcher(Dispatcher):
+class MessageDispatcher(Dispatcher):
+    """Encodes the messages of calls, decodes the answers, and notes leaving targets.
+
+    Subclasses set `leaving` and implement `exchange`. A leaving target gets health
+    polls and cancellations, but no search calls or bookings.
+    """
+
+    leaving: LeavingTargets
+
+    @abstractmethod
+    def exchange(self, target, path, body, deadline_at, decode, answer_by=None):
+        """Send one encoded message and return the decoded answer, or a Failure.
+
+        Times are in seconds of the process's clock: nothing is sent to the target
+        after `deadline_at`, and the answer is awaited until `answer_by`, which is
+        `deadline_at` if it is None.
+        """
+
+    def search(
+        self, target: TargetId, message: TargetSearch, deadline_at: float
+    ) -> TargetSearchAnswer | Failure:
+        """Return the target's answer to a search call, or a Failure."""
+        return self.call(target, "/search", message, TargetSearchAnswer, deadline_at)
+
+    def cancel(
+        self, target: TargetId, request_id: RequestId, deadline_at: float
+    ) -> None:
+        """Request that a target cancel the search call with a request id."""
+        message = CancelRequest(request_id)
+        self.call(target, "/cancel", message, CancelRequest, deadline_at)
+
+    def book(
+        self,
+        target: TargetId,
+        message: TargetBooking,
+        deadline_at: float,
+        answer_by: float,
+    ) -> TargetBookingAnswer | Failure:
+        """Return the target's answer to a booking, or a Failure."""
+        return self.call(
+            target, "/book", message, TargetBookingAnswer, deadline_at, answer_by
+        )
+
+    def get_health(
+        self, target: TargetId, deadline_at: float
+    ) -> TargetHealth | Failure:
+        """Return the target's health report, or a Failure."""
+        return self.exchange(
+            target,
+            HEALTH_PATH,
+            b"",
+            deadline_at,
+            lambda payload: decode_answer(payload, TargetHealth),
+        )
+
+    def call(self, target, path, message, answer_type, deadline_at, answer_by=None):
+        """Send one message and return the decoded answer, or a Failure."""
+        if path in NEW_WORK_PATHS and self.leaving.is_leaving(target):
+            return TARGET_LEAVING
+
+        def decode(payload: bytes):
+            return decode_matching_answer(payload, answer_type, message.request_id)
+
+        body = msgspec.json.encode(message)
+        answer = self.exchange(target, path, body, deadline_at, decode, answer_by)
+        if getattr(answer, "draining", False):
+            self.leaving.mark(target, LeavingSource.ANSWER)
+        return answer
+
+
+class DirectDispatcher(MessageDispatcher):
     """Calls targets on connections of this process.
 
-    The connection plan limits the connections to each target. A leaving target
-    gets health polls and cancellations, but no search calls or bookings.
+    The connection plan limits the connections to each target.
     """
 
     def __init__(
@@ -155,57 +224,6 @@
             for target_id, target in targets.items()
         )
 
-    def search(
-        self, target: TargetId, message: TargetSearch, deadline_at: float
-    ) -> TargetSearchAnswer | Failure:
-        """Return the target's answer to a search call, or a Failure."""
-        return self.call(target, "/search", message, TargetSearchAnswer, deadline_at)
-
-    def cancel(
-        self, target: TargetId, request_id: RequestId, deadline_at: float
-    ) -> None:
-        """Request that a target cancel the search call with a request id."""
-        message = CancelRequest(request_id)
-        self.call(target, "/cancel", message, CancelRequest, deadline_at)
-
-    def book(
-        self,
-        target: TargetId,
-        message: TargetBooking,
-        deadline_at: float,
-        answer_by: float,
-    ) -> TargetBookingAnswer | Failure:
-        """Return the target's answer to a booking, or a Failure."""
-        return self.call(
-            target, "/book", message, TargetBookingAnswer, deadline_at, answer_by
-        )
-
-    def get_health(
-        self, target: TargetId, deadline_at: float
-    ) -> TargetHealth | Failure:
-        """Return the target's health report, or a Failure."""
-        return self.exchange(
-            target,
-            HEALTH_PATH,
-            b"",
-            deadline_at,
-            lambda payload: decode_answer(payload, TargetHealth),
-        )
-
-    def call(self, target, path, message, answer_type, deadline_at, answer_by=None):
-        """Send one message and return the decoded answer, or a Failure."""
-        if path in NEW_WORK_PATHS and self.leaving.is_leaving(target):
-            return TARGET_LEAVING
-
-        def decode(payload: bytes):
-            return decode_matching_answer(payload, answer_type, message.request_id)
-
-        body = msgspec.json.encode(message)
-        answer = self.exchange(target, path, body, deadline_at, decode, answer_by)
-        if getattr(answer, "draining", False):
-            self.leaving.mark(target, LeavingSource.ANSWER)
-        return answer
-
     def exchange(self, target, path, body, deadline_at, decode, answer_by=None):
         """Send one encoded message and return the decoded answer, or a Failure."""
         pool = self.pools.get(target)
--- a/sesameplank/targets/relay.py
+++ b/sesameplank/targets/relay.py
@@ -5,26 +5,15 @@
 from ..core.clock import Clock
 from ..core.homes import ConnectionPlan
 from ..core.leaving import LeavingSource
-from ..core.messages import (
-    CancelRequest,
-    TargetBooking,
-    TargetBookingAnswer,
-    TargetHealth,
-    TargetSearch,
-    TargetSearchAnswer,
-)
 from ..core.outcomes import Failure, FailureReason, Ran
 from ..core.peer_messages import RelayedAnswer, RelayedCall, TargetLeaving
-from ..ids import RequestId, TargetId
+from ..ids import TargetId
 from ..peers import PeerContext, PeerLinks
 from .dispatch import (
-    HEALTH_PATH,
     NEW_WORK_PATHS,
     TARGET_LEAVING,
     DirectDispatcher,
-    Dispatcher,
-    decode_answer,
-    decode_matching_answer,
+    MessageDispatcher,
 )
 from .pool import TargetPool
 
@@ -32,7 +21,7 @@
 NO_HOME = Failure(FailureReason.RELAY, Ran.NOT_RUN, "no home of the target is known")
 
 
-class RelayDispatcher(Dispatcher):
+class RelayDispatcher(MessageDispatcher):
     """Calls a target directly if this process has a pool, else through its homes.
 
     A call is retried at the next home only if the previous attempt is known not to
@@ -49,6 +38,7 @@
         get_neighbours,
     ) -> None:
         self.direct = direct
+        self.leaving = direct.leaving
         self.plan = plan
         self.links = links
         self.clock = clock
@@ -69,68 +59,15 @@
         configuration = self.direct.configuration
         return list(configuration.targets) if configuration else []
 
-    def get_health(
-        self, target: TargetId, deadline_at: float
-    ) -> TargetHealth | Failure:
-        """Return the target's health report, or a Failure."""
-        if target in self.direct.pools:
-            return self.direct.get_health(target, deadline_at)
-        outcome = self.call_homes(target, HEALTH_PATH, b"", deadline_at, 0.0)
-        if isinstance(outcome, Failure):
-            return outcome
-        return decode_answer(outcome.payload, TargetHealth)
-
-    def search(
-        self, target: TargetId, message: TargetSearch, deadline_at: float
-    ) -> TargetSearchAnswer | Failure:
-        """Return the target's answer to a search call, or a Failure."""
-        if target in self.direct.pools:
-            return self.direct.search(target, message, deadline_at)
-        return self.relay(target, "/search", message, TargetSearchAnswer, deadline_at)
-
-    def cancel(
-        self, target: TargetId, request_id: RequestId, deadline_at: float
-    ) -> None:
-        """Request that a target cancel the search call with a request id."""
-        if target in self.direct.pools:
-            self.direct.cancel(target, request_id, deadline_at)
-            return
-        message = CancelRequest(request_id)
-        self.relay(target, "/cancel", message, CancelRequest, deadline_at)
-
-    def book(
-        self,
-        target: TargetId,
-        message: TargetBooking,
-        deadline_at: float,
-        answer_by: float,
-    ) -> TargetBookingAnswer | Failure:
-        """Return the target's answer to a booking, or a Failure."""
+    def exchange(self, target, path, body, deadline_at, decode, answer_by=None):
+        """Send one encoded message and return the decoded answer, or a Failure."""
         if target in self.direct.pools:
-            return self.direct.book(target, message, deadline_at, answer_by)
-        return self.relay(
-            target, "/book", message, TargetBookingAnswer, deadline_at, answer_by
-        )
-
-    def relay(self, target, path, message, answer_type, deadline_at, answer_by=None):
-        """Send one message through a home and return the decoded answer, or a Failure.
-
-        Times are in seconds of the process's clock: nothing is sent to the target
-        after `deadline_at`, and the answer is awaited until `answer_by`.
-        """
-        if path in NEW_WORK_PATHS and self.direct.leaving.is_leaving(target):
-            return TARGET_LEAVING
-        body = msgspec.json.encode(message)
+            return self.direct.exchange(
+                target, path, body, deadline_at, decode, answer_by
+            )
         answer_grace_s = max(0.0, (answer_by or deadline_at) - deadline_at)
         outcome = self.call_homes(target, path, body, deadline_at, answer_grace_s)
-        if isinstance(outcome, Failure):
-            return outcome
-        answer = decode_matching_answer(
-            outcome.payload, answer_type, message.request_id
-        )
-        if getattr(answer, "draining", False):
-            self.direct.leaving.mark(target, LeavingSource.ANSWER)
-        return answer
+        return outcome if isinstance(outcome, Failure) else decode(outcome.payload)
 
     def call_homes(
         self,
@@ -162,9 +99,7 @@
         self, message: RelayedCall, context: PeerContext
     ) -> RelayedAnswer | Failure:
         """Forward another entry's call to a target on a connection of this process."""
-        if message.path in NEW_WORK_PATHS and self.direct.leaving.is_leaving(
-            message.target
-        ):
+        if message.path in NEW_WORK_PATHS and self.leaving.is_leaving(message.target):
             return TARGET_LEAVING
         self.calls_served_for_peers += 1
         payload = self.direct.exchange(
@@ -189,4 +124,4 @@
         older than MAX_UPDATE_AGE_S is ignored.
         """
         if context.age_s <= MAX_UPDATE_AGE_S:
-            self.direct.leaving.mark(message.target, LeavingSource.PEER)
+            self.leaving.mark(message.target, LeavingSource.PEER)
