--- a/sesameplank/ablation/trials.py
+++ b/sesameplank/ablation/trials.py
@@ -24,37 +24,42 @@
 
 
 def run_trials(
-    study: Study, repository: Path, parent: Path, jobs: int
+    study: Study, repository: Path, parent: Path, jobs: int, timeout_s: float
 ) -> Iterator[list[Trial]]:
     """Play the variants of a study, and yield the trials of each.
 
-    Up to `jobs` trials of a variant run at a time. Checkouts are made below `parent`.
+    Up to `jobs` trials of a variant run at a time, each for `timeout_s` seconds at
+    most. Checkouts are made below `parent`.
     Raises AblationError if a variant's changes don't fit the code.
     """
     for variant in study.with_baseline():
         with Checkout(repository, parent, variant) as checkout:
-            yield run_variant(study, variant, checkout, jobs)
+            yield run_variant(study, variant, checkout, jobs, timeout_s)
 
 
 def run_variant(
-    study: Study, variant: Variant, checkout: Path, jobs: int
+    study: Study, variant: Variant, checkout: Path, jobs: int, timeout_s: float
 ) -> list[Trial]:
     """Play a variant with every seed."""
+
+    def play(seed: int) -> Trial:
+        command = study.make_command(checkout, seed)
+        return run_trial(variant.name, seed, command, checkout, timeout_s)
+
     with ThreadPoolExecutor(jobs) as pool:
-        return list(
-            pool.map(
-                lambda seed: run_trial(
-                    variant.name, seed, study.make_command(checkout, seed), checkout
-                ),
-                study.seeds,
-            )
-        )
+        return list(pool.map(play, study.seeds))
 
 
-def run_trial(name: str, seed: int, command: Sequence[str], folder: Path) -> Trial:
+def run_trial(
+    name: str, seed: int, command: Sequence[str], folder: Path, timeout_s: float
+) -> Trial:
     """Run the runner's command once, and return the figures that it printed."""
     try:
-        done = subprocess.run(command, cwd=folder, capture_output=True, text=True)
+        done = subprocess.run(
+            command, cwd=folder, capture_output=True, text=True, timeout=timeout_s
+        )
+    except subprocess.TimeoutExpired:
+        return Trial(name, seed, {}, f"did not end within {timeout_s} s")
     except OSError as error:
         raise AblationError(
             f"cannot run {command[0]}: {error}; correct the runner"
--- a/sesameplank/commands/ablation.py
+++ b/sesameplank/commands/ablation.py
@@ -25,6 +25,7 @@
         Setting("checkouts", "..", "Folder in which checkouts are made."),
         Setting("runner", "", "Command in place of the study's runner, if not empty."),
         Setting("jobs", 2, "Trials that run at a time."),
+        Setting("timeout_s", 600.0, "Longest duration of a trial in seconds."),
         Setting("figures", "worth", "Figures of the table, separated by commas."),
         Setting("plot", "", "File for a plot of the first figure; none if empty."),
         Setting("trials", "", "File to which each trial is appended; none if empty."),
@@ -38,12 +39,16 @@
         if values["runner"].split():
             study = msgspec.structs.replace(study, runner=values["runner"])
         names = [name for name in values["figures"].split(",") if name]
-        if not names or values["jobs"] < 1:
-            raise SettingsError("set --figures to names and --jobs to 1 or more")
+        if not names or values["jobs"] < 1 or values["timeout_s"] <= 0.0:
+            raise SettingsError(
+                "set --figures to names, --jobs to 1 or more and --timeout_s above 0"
+            )
         trials: list[Trial] = []
         parent = Path(values["checkouts"]).resolve()
         repository = Path(values["repository"]).resolve()
-        for played in run_trials(study, repository, parent, values["jobs"]):
+        for played in run_trials(
+            study, repository, parent, values["jobs"], values["timeout_s"]
+        ):
             trials += played
             report_progress(played, values["trials"])
         print(make_table(trials, names))
--- a/tests/ablation/test_ablation.py
+++ b/tests/ablation/test_ablation.py
@@ -47,8 +47,9 @@
         path.write_text(text)
         return load_study(path)
 
-    def play(self, text: str = STUDY) -> list[Trial]:
-        played = run_trials(self.load(text), self.repository, self.folder, 2)
+    def play(self, text: str = STUDY, timeout_s: float = 60.0) -> list[Trial]:
+        study = self.load(text)
+        played = run_trials(study, self.repository, self.folder, 2, timeout_s)
         return [trial for trials in played for trial in trials]
 
 
@@ -86,6 +87,11 @@
                 self.assertIn(message, trial.error)
                 self.assertEqual({}, trial.figures)
 
+    def test_trial_that_does_not_end_is_stopped(self):
+        self.commit("import time\nFACTOR = 1\ntime.sleep(600)\n")
+        for trial in self.play(timeout_s=0.5):
+            self.assertIn("did not end within 0.5 s", trial.error)
+
     def test_change_that_does_not_fit_is_refused(self):
         for old, message in (("FACTOR = 7", "occurs 0 times"), ("s", "occurs")):
             text = STUDY.replace("FACTOR = 1", old)
