Notices take the other VMs from one place; views are counted when they change

LateNotices, LookupNotices and ReplacedTargets each left out their own VM; Front does it once. The numbers of present and of useful VMs were counted ten times a second since the slack is divided by them, which at 5,700 targets would cost a percent of a core; they are counted with the active VMs, when the members, the configuration or the targets change. The state dump says which targets are held. No decision changes.

--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -142,7 +142,7 @@
             self.is_elected_reader,
             self.membership_service.set_store_unavailable,
         )
-        self.lookups = LookupNotices(settings.vm, self.links, clock, self.get_active)
+        self.lookups = LookupNotices(self.links, clock, self.get_other_active)
         self.caller_server = CallerServer(
             settings.caller_address,
             self.forwarder.serve,
@@ -151,7 +151,7 @@
             self.lookups.may_have_looked_up,
         )
         self.replaced_targets = ReplacedTargets(
-            settings.vm, self.links, clock, self.table, self.pools, self.get_active
+            self.links, clock, self.table, self.pools, self.get_other_active
         )
         self.forwarder.replaced_targets = self.replaced_targets
         self.batch_server = BatchServer(
@@ -174,7 +174,7 @@
             self.forwarder.count,
         )
         self.forwarder.late_notices = LateNotices(
-            settings.vm, self.links, clock, rng, self.placement, self.get_active
+            self.links, clock, rng, self.placement, self.get_other_active
         )
         self.store.listeners.append(self.on_accepted)
         self.pauses = PauseDetector(BootClock())
@@ -186,6 +186,8 @@
         self.seed_ids = {EntryId(peer.host) for peer in settings.peers}
         self.active: list[Member] = []
         self.active_state: tuple | None = None
+        self.useful_vms: int | None = None
+        self.present_vms = 1
         self.is_stopping = False
         self.stopped = Event()
         self.resources = contextlib.ExitStack()
@@ -364,6 +366,7 @@
                     "in_flight": len(self.placement.get(record.id).in_flight),
                     "slowness": self.placement.get(record.id).slowness.get(now),
                     "is_avoided": self.placement.is_avoided(record.id, now),
+                    "is_held": record.id in self.table.held_until,
                 }
                 for record in self.table.records.values()
             },
@@ -388,9 +391,9 @@
         self.connection_shares.set_fleet_size(fleet_size)
         share = self.slack_share.update(
             now,
-            present=len(self.membership.get_present()),
+            present=self.present_vms,
             active=active,
-            useful=self.connection_shares.get_useful_fleet_size() or 0,
+            useful=self.useful_vms or 0,
             is_active=self.is_active,
         )
         self.budget.set_slack_share(share, now)
@@ -402,8 +405,8 @@
     def get_active(self) -> list[Member]:
         """Return the members that callers are sent to.
 
-        They are chosen again only after the members, the configuration or the
-        targets have changed.
+        They are chosen again, and `useful_vms` and `present_vms` are counted, only
+        after the members, the configuration or the targets have changed.
         """
         state = (
             self.membership.last_change_at,
@@ -412,13 +415,18 @@
         )
         if state != self.active_state:
             self.active_state = state
+            self.useful_vms = self.connection_shares.get_useful_fleet_size()
+            self.present_vms = len(self.membership.get_present())
             self.active = choose_active(
-                self.get_serving(),
-                self.count_replicas(),
-                self.connection_shares.get_useful_fleet_size(),
+                self.get_serving(), self.count_replicas(), self.useful_vms
             )
         return self.active
 
+    def get_other_active(self) -> list[EntryId]:
+        """Return the ids of the other VMs that callers are sent to."""
+        own = self.settings.vm
+        return [member.id for member in self.get_active() if member.id != own]
+
     def count_replicas(self) -> dict[DataCentre, int]:
         """Return the number of ready targets of sharded services by data centre."""
         counts: dict[DataCentre, int] = {}
--- a/sesameplank/forwarding/late_notices.py
+++ b/sesameplank/forwarding/late_notices.py
@@ -10,7 +10,7 @@
 import gevent
 
 from ..core.clock import Clock
-from ..core.peer_messages import Member, TargetsLate
+from ..core.peer_messages import TargetsLate
 from ..core.placement import Placement
 from ..ids import EntryId, TargetId
 from ..peers import PeerContext, PeerLinks
@@ -23,24 +23,22 @@
 class LateNotices:
     """Sends and receives the notices of this process.
 
-    `get_active` returns the VMs that callers are sent to.
+    `get_others` returns the other VMs that callers are sent to.
     """
 
     def __init__(
         self,
-        own_id: EntryId,
         links: PeerLinks,
         clock: Clock,
         rng: random.Random,
         placement: Placement,
-        get_active: Callable[[], Sequence[Member]],
+        get_others: Callable[[], Sequence[EntryId]],
     ) -> None:
-        self.own_id = own_id
         self.links = links
         self.clock = clock
         self.rng = rng
         self.placement = placement
-        self.get_active = get_active
+        self.get_others = get_others
         self.collected: dict[TargetId, float] = {}
         links.register(TargetsLate, self.on_notice)
 
@@ -56,7 +54,7 @@
         notice = TargetsLate(
             tuple((target, int(age_s * 1_000)) for target, age_s in collected.items())
         )
-        others = [item.id for item in self.get_active() if item.id != self.own_id]
+        others = self.get_others()
         for entry in self.rng.sample(others, min(MAX_NOTIFIED, len(others))):
             self.links.send(entry, notice)
 
--- a/sesameplank/forwarding/lookup_notices.py
+++ b/sesameplank/forwarding/lookup_notices.py
@@ -9,7 +9,7 @@
 
 from ..core.clock import Clock
 from ..core.lookups import RecentLookups
-from ..core.peer_messages import CallerLookup, Member
+from ..core.peer_messages import CallerLookup
 from ..ids import EntryId
 from ..peers import PeerContext, PeerLinks
 
@@ -19,27 +19,21 @@
 class LookupNotices:
     """Sends and receives the notices of this process.
 
-    `get_active` returns the VMs whose addresses callers receive.
+    `get_others` returns the other VMs to which callers may connect.
     """
 
     def __init__(
         self,
-        own_id: EntryId,
         links: PeerLinks,
         clock: Clock,
-        get_active: Callable[[], Sequence[Member]],
+        get_others: Callable[[], Sequence[EntryId]],
     ) -> None:
-        self.own_id = own_id
         self.links = links
         self.clock = clock
-        self.get_active = get_active
+        self.get_others = get_others
         self.recent = RecentLookups()
         links.register(CallerLookup, self.on_notice)
 
-    def get_others(self) -> list[EntryId]:
-        """Return the other VMs to which callers may connect."""
-        return [item.id for item in self.get_active() if item.id != self.own_id]
-
     def on_lookup(self, caller: str) -> None:
         """Record a look-up that this process answered, and notify the other VMs."""
         self.recent.note(caller, self.clock.now())
--- a/sesameplank/forwarding/replaced_targets.py
+++ b/sesameplank/forwarding/replaced_targets.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Sequence
 
 from ..core.clock import Clock
-from ..core.peer_messages import Member, TargetReplaced
+from ..core.peer_messages import TargetReplaced
 from ..core.target_table import TargetRecord, TargetTable
 from ..ids import EntryId, ServiceName, TargetId
 from ..logs import log_event
@@ -17,47 +17,48 @@
 from .target_connections import TargetPools
 
 MAX_NOTICE_AGE_S = 1.0
+OWN_CALL = "own_call"
 
 
 class ReplacedTargets:
     """Records replaced targets, and sends and receives the notices about them.
 
-    `get_active` returns the VMs that callers are sent to.
+    `get_others` returns the other VMs that callers are sent to.
     """
 
     def __init__(
         self,
-        own_id: EntryId,
         links: PeerLinks,
         clock: Clock,
         table: TargetTable,
         pools: TargetPools,
-        get_active: Callable[[], Sequence[Member]],
+        get_others: Callable[[], Sequence[EntryId]],
     ) -> None:
-        self.own_id = own_id
         self.links = links
         self.clock = clock
         self.table = table
         self.pools = pools
-        self.get_active = get_active
+        self.get_others = get_others
         links.register(TargetReplaced, self.on_notice)
 
     def add(self, record: TargetRecord) -> None:
         """Record that another target answered at an address; notify the other VMs."""
-        if not self.apply(record.id, record.address, self.own_id):
+        if not self.apply(record.id, record.address, OWN_CALL):
             return
         notice = TargetReplaced(record.id, record.address)
-        for member in self.get_active():
-            if member.id != self.own_id:
-                self.links.send(member.id, notice)
+        for entry in self.get_others():
+            self.links.send(entry, notice)
 
     def on_notice(self, message: TargetReplaced, context: PeerContext) -> None:
         """Record a replaced target that another VM reports, unless it is old."""
         if context.age_s <= MAX_NOTICE_AGE_S:
             self.apply(message.target, message.address, context.sender)
 
-    def apply(self, target: TargetId, address: str, source: EntryId) -> bool:
-        """Stop the calls to a target; return False if this was known already."""
+    def apply(self, target: TargetId, address: str, source: str) -> bool:
+        """Stop the calls to a target; return False if this was known already.
+
+        `source` is the VM that reports it, or OWN_CALL.
+        """
         if not self.table.note_replaced(target, address, self.clock.now()):
             return False
         log_event("target_replaced", target=target, address=address, source=source)
--- a/tests/forwarding/test_late_notices.py
+++ b/tests/forwarding/test_late_notices.py
@@ -6,7 +6,7 @@
 import testtools
 
 from sesameplank.core.clock import ManualClock
-from sesameplank.core.peer_messages import Health, Member, Phase, TargetsLate
+from sesameplank.core.peer_messages import TargetsLate
 from sesameplank.core.placement import MIN_REMAINING_PAUSE_S, Placement
 from sesameplank.core.target_table import TargetPhase, TargetRecord
 from sesameplank.forwarding.late_notices import (
@@ -32,24 +32,17 @@
         self.links = FakeLinks()
         self.clock = ManualClock()
         self.placement = Placement("dc", random.Random(1))
-        self.members = self.make_members(3)
+        self.others = ["m1", "m2"]
         self.notices = LateNotices(
-            "m0",
             self.links,
             self.clock,
             random.Random(1),
             self.placement,
-            lambda: self.members,
+            lambda: self.others,
         )
         for record in RECORDS:
             self.placement.get(record.id)
 
-    def make_members(self, size: int) -> list[Member]:
-        return [
-            Member(f"m{n}", 1, 1, Phase.SERVING, Health.ALIVE, "", "", "dc")
-            for n in range(size)
-        ]
-
     def receive(self, target: str, age_ms: int, message_age_s: float = 0.0) -> None:
         context = PeerContext("m1", 1, message_age_s, float("inf"))
         self.notices.on_notice(TargetsLate(((target, age_ms),)), context)
@@ -93,7 +86,7 @@
         self.assertEqual({("m1", notice), ("m2", notice)}, set(self.links.sent))
 
     def test_number_of_notices_is_bounded_in_large_fleets(self):
-        self.members = self.make_members(500)
+        self.others = [f"m{n}" for n in range(1, 500)]
         self.notices.add("a", 0.05)
         gevent.sleep(2 * COLLECT_S)
         self.assertEqual(MAX_NOTIFIED, len(self.links.sent))
--- a/tests/forwarding/test_lookup_notices.py
+++ b/tests/forwarding/test_lookup_notices.py
@@ -4,7 +4,7 @@
 
 from sesameplank.core.clock import ManualClock
 from sesameplank.core.lookups import RECENT_S
-from sesameplank.core.peer_messages import CallerLookup, Health, Member, Phase
+from sesameplank.core.peer_messages import CallerLookup
 from sesameplank.forwarding.lookup_notices import MAX_NOTIFIED, LookupNotices
 from sesameplank.peers import PeerContext
 
@@ -36,15 +36,12 @@
         super().setUp()
         self.links = FakeLinks()
         self.clock = ManualClock()
-        self.members: list[Member] = []
+        self.others: list[str] = []
         self.set_fleet(4)
-        self.notices = LookupNotices("m0", self.links, self.clock, lambda: self.members)
+        self.notices = LookupNotices(self.links, self.clock, lambda: self.others)
 
     def set_fleet(self, size: int) -> None:
-        self.members = [
-            Member(f"m{n}", 1, 1, Phase.SERVING, Health.ALIVE, "", "", "dc")
-            for n in range(size)
-        ]
+        self.others = [f"m{n}" for n in range(1, size)]
 
     def receive(self, caller: str, age_s: float = 0.0) -> None:
         context = PeerContext("m1", 1, age_s, float("inf"))
--- a/tests/forwarding/test_replaced_targets.py
+++ b/tests/forwarding/test_replaced_targets.py
@@ -3,7 +3,7 @@
 import testtools
 
 from sesameplank.core.clock import ManualClock
-from sesameplank.core.peer_messages import Health, Member, Phase, TargetReplaced
+from sesameplank.core.peer_messages import TargetReplaced
 from sesameplank.core.target_table import (
     TargetChanges,
     TargetPhase,
@@ -42,12 +42,8 @@
         self.table = TargetTable()
         self.table.apply(TargetChanges(1, tuple(RECORDS)), 0.0, False)
         self.pools = FakePools()
-        members = [
-            Member(f"m{n}", 1, 1, Phase.SERVING, Health.ALIVE, "", "", "dc")
-            for n in range(3)
-        ]
         self.replaced = ReplacedTargets(
-            "m0", self.links, ManualClock(), self.table, self.pools, lambda: members
+            self.links, ManualClock(), self.table, self.pools, lambda: ["m1", "m2"]
         )
 
     def receive(self, target: str, address: str, age_s: float = 0.0) -> None:
--- a/tests/integration/test_reused_addresses.py
+++ b/tests/integration/test_reused_addresses.py
@@ -55,6 +55,8 @@
                 ),
                 "the notice",
             )
+        target = self.get_state(0)["targets"]["shard0a"]
+        self.assertTrue(target["is_held"])
         before = len(self.targets["shard0a"].misdirected_ids)
         self.request_all(REQUESTS)
         self.assertEqual(before, len(self.targets["shard0a"].misdirected_ids))
