--- a/tests/integration/test_forwarding.py
+++ b/tests/integration/test_forwarding.py
@@ -236,6 +236,8 @@
         answer = self.request(make_request("/book/x", "moved", 500, "POST", b"1"))
         self.assertEqual(503, answer.status)
         self.assertEqual(0, self.get_runs(*SINGLE_TARGETS))
+        for name in SINGLE_TARGETS:
+            self.assertEqual(["moved"], self.targets[name].misdirected_ids)
 
 
 class ConfigurationTests(FrontTestCase):
