--- /dev/null
+++ b/tests/forwarding/test_stops.py
@@ -0,0 +1,51 @@
+"""Tests of requests that are cut off when the server of callers stops."""
+
+import gevent
+
+from sesameplank.forwarding.caller_connections import Reply
+
+from ..integration.front_world import make_request
+from .caller_world import CallerServerTestCase
+
+LARGE_BYTES = 300_000
+SMALL_BUFFER_BYTES = 4_096
+PIPELINED = (b"/a", b"/b", b"/c")
+
+
+def make_pipelined() -> bytes:
+    """Return several requests in a row."""
+    return b"".join(make_request(path.decode()) for path in PIPELINED)
+
+
+class PipelinedRequestTests(CallerServerTestCase):
+    """Requests that were read behind another one on the same connection."""
+
+    def test_each_pipelined_request_is_answered_during_a_stop(self):
+        client = self.connect()
+        self.server.is_stopping = True
+        client.sock.sendall(make_pipelined())
+        self.assertEqual(list(PIPELINED), self.read_paths(client, len(PIPELINED)))
+
+    def test_only_the_last_pipelined_answer_announces_the_end(self):
+        client = self.connect()
+        self.server.is_stopping = True
+        client.sock.sendall(make_pipelined())
+        endings = [client.read().get(b"connection") for _ in PIPELINED]
+        self.assertEqual([None, None, "close"], endings)
+
+
+class LargeAnswerTests(CallerServerTestCase):
+    """Answers that the caller has not read yet when its connection is closed."""
+
+    def handle(self, request, context):
+        if request.path == "/large":
+            return Reply(200, body=b"x" * LARGE_BYTES)
+        return super().handle(request, context)
+
+    def test_answer_arrives_whole_although_its_caller_sends_more_first(self):
+        client = self.connect(SMALL_BUFFER_BYTES)
+        self.server.is_stopping = True
+        client.sock.sendall(make_request("/large"))
+        gevent.sleep(0.2)
+        client.sock.sendall(make_request("/next"))
+        self.assertEqual(LARGE_BYTES, len(client.read().body))
