Report each request that was read and ended without an answer

Change: each request that was read completely is counted as answered, or reported by event=request_unanswered with its stage, the cause of the close, the time since it was read and the bytes not written. Connections closed by the process while bytes of the caller wait in the socket are reported as well. A stop writes its steps (leaving, stop_accepting, left, stopped) with the time since SIGTERM, the delay of the event loop, and what became of the requests read meanwhile.

--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -17,7 +17,15 @@
 
 from ..core.routes import RequestLimits
 from ..logs import log_event
-from ..net import Address, get_round_trip_s, set_no_delay
+from ..net import (
+    Address,
+    count_unaccepted,
+    count_unacknowledged_bytes,
+    count_unread_bytes,
+    get_round_trip_s,
+    set_no_delay,
+)
+from .answer_accounts import AnswerAccounts, AnswerStage, CloseCause, PendingRequest
 from .http_messages import (
     Headers,
     MessageError,
@@ -98,7 +106,8 @@
     `get_limits` returns the request limits currently in force, and
     `may_have_looked_up` whether the next request of a caller may follow a look-up of
     addresses. While `is_stopping` is true, the server closes each connection after
-    the next response on it.
+    the next response on it. `accounts` counts the requests and reports those that
+    end without an answer; by default, they are not reported.
     """
 
     def __init__(
@@ -108,7 +117,9 @@
         get_limits: Callable[[], RequestLimits],
         now: Callable[[], float],
         may_have_looked_up: Callable[[str], bool] = assume_lookup,
+        accounts: AnswerAccounts | None = None,
     ) -> None:
+        self.accounts = accounts or AnswerAccounts()
         self.may_have_looked_up = may_have_looked_up
         self.address = address
         self.handler = handler
@@ -127,13 +138,22 @@
     def __exit__(self, *exc_info: object) -> None:
         self.stream_server.stop(timeout=0)
         for connection in list(self.connections):
-            connection.close()
+            connection.close(CloseCause.PROCESS_ENDED)
 
     @property
     def in_flight(self) -> int:
         """The number of requests that have been read but not answered yet."""
         return sum(connection.in_flight for connection in self.connections)
 
+    @property
+    def pending(self) -> int:
+        """The number of requests read that are neither answered nor reported."""
+        return sum(len(connection.get_pending()) for connection in self.connections)
+
+    def count_unaccepted(self) -> int:
+        """Return how many connections of callers wait to be accepted."""
+        return count_unaccepted(self.stream_server.socket)
+
     def accept(self, sock: gevent.socket.socket, source: tuple) -> None:
         """Serve one connection until it is closed."""
         connection = CallerConnection(self, sock, source[0])
@@ -155,7 +175,7 @@
         """
         for connection in list(self.connections):
             if connection.is_idle:
-                connection.close()
+                connection.close(CloseCause.CONNECTION_CLOSED)
 
 
 class CallerConnection:
@@ -167,10 +187,13 @@
         self.server = server
         self.sock = sock
         self.caller_host = caller_host
-        self.queue: deque[Request] = deque()
+        self.accounts = server.accounts
+        self.queue: deque[PendingRequest] = deque()
+        self.last: PendingRequest | None = None
         self.current: RequestContext | None = None
         self.worker: gevent.Greenlet | None = None
         self.is_open = True
+        self.close_cause = CloseCause.CALLER_LEFT
         self.is_finishing = False
         self.served = 0
         self.round_trip_s = 0.0
@@ -225,6 +248,7 @@
                 raise MessageError(
                     "the request took too long; send it at once", 408
                 ) from None
+            self.close(CloseCause.CONNECTION_CLOSED)
             return b""
 
     def get_timeout_s(
@@ -241,12 +265,17 @@
             reader.feed(data)
         finally:
             complete, reader.complete = reader.complete, []
-            self.queue.extend(complete)
+            self.queue.extend(map(self.note_read, complete))
             self.start_worker()
         if reader.expects_continue and not reader.in_headers and reader.in_message:
             reader.expects_continue = False
             self.send(CONTINUE)
 
+    def note_read(self, request: Request) -> PendingRequest:
+        """Record that a request has been read completely."""
+        server = self.server
+        return self.accounts.note_read(request, server.now(), server.is_stopping)
+
     def start_worker(self) -> None:
         """Start a greenlet that serves the queue, unless one is running."""
         if self.queue and self.worker is None:
@@ -256,19 +285,21 @@
         """Answer the queued requests in order until the queue is empty."""
         try:
             while self.queue and self.is_open:
-                request = self.queue.popleft()
+                pending = self.last = self.queue.popleft()
+                pending.stage = AnswerStage.SERVED
                 self.current = RequestContext(
                     self.server.now(), self.get_transit_s(), self.caller_host
                 )
                 self.served += 1
-                reply = self.serve(request, self.current)
+                reply = self.serve(pending.request, self.current)
                 is_disconnected = self.current.is_disconnected
                 self.current = None
-                close = self.server.is_stopping or not request.keep_alive
+                close = self.server.is_stopping or not pending.request.keep_alive
                 if not is_disconnected:
-                    self.send(reply.encode(close))
+                    self.answer(pending, reply, close)
+                self.last = None
                 if close or reply.close or is_disconnected:
-                    self.close()
+                    self.close(CloseCause.CONNECTION_CLOSED)
         finally:
             self.worker = None
 
@@ -295,34 +326,94 @@
             return Reply(500, close=True)
 
     def refuse(self, error: MessageError) -> None:
-        """Send an error response once all earlier requests are answered."""
+        """Send an error response once all earlier requests are answered, and close."""
         self.is_finishing = True
         if self.worker is not None:
             self.worker.join()
         if self.is_open:
             self.send(Reply(error.status, body=str(error).encode()).encode(True))
+        self.close(CloseCause.CONNECTION_CLOSED)
+
+    def answer(self, pending: PendingRequest, reply: Reply, close: bool) -> None:
+        """Write the reply to a request."""
+        pending.stage = AnswerStage.ANSWERED
+        self.send(reply.encode(close), pending)
+        if self.is_open:
+            self.accounts.note_answered(pending, reply.status)
 
-    def send(self, data: bytes) -> None:
-        """Write bytes, and close the connection if that fails or times out."""
+    def send(self, data: bytes, pending: PendingRequest | None = None) -> None:
+        """Write bytes, and close the connection if that fails or times out.
+
+        `pending` is the request that the bytes are the reply to, if any.
+        """
         if not self.is_open:
             return
         try:
             with gevent.Timeout(WRITE_TIMEOUT_S, TimeoutError):
-                self.sock.sendall(data)
+                self.write(data, pending)
+        except TimeoutError:
+            self.close(CloseCause.WRITE_TIMEOUT)
         except OSError:
-            self.close()
+            self.close(CloseCause.WRITE_FAILED)
+
+    def write(self, data: bytes, pending: PendingRequest | None) -> None:
+        """Write bytes, and record how many of a reply are not written yet.
+
+        As in `sendall`, the timeout of the socket applies to all bytes together.
+        """
+        timeout_s = self.sock.gettimeout()
+        end_at = None if timeout_s is None else self.server.now() + timeout_s
+        unwritten = memoryview(data)
+        while unwritten:
+            if pending is not None:
+                pending.unwritten = len(unwritten)
+            if end_at is not None and self.server.now() >= end_at:
+                raise TimeoutError
+            unwritten = unwritten[self.sock.send(unwritten) :]
 
     def disconnect(self) -> None:
         """Notify the handler of the request in progress, if any, and close."""
         if self.current is not None:
             self.current.mark_disconnected()
-        self.close()
-
-    def close(self) -> None:
-        """Close the connection immediately."""
+        self.close(CloseCause.CALLER_LEFT)
+        self.report_pending()
+
+    def get_pending(self) -> list[PendingRequest]:
+        """Return the requests that are neither answered nor reported."""
+        requests = [*self.queue] if self.last is None else [self.last, *self.queue]
+        return [pending for pending in requests if not pending.has_ended]
+
+    def report_pending(self) -> None:
+        """Report the requests that the closed connection leaves without an answer."""
+        server = self.server
+        for pending in self.get_pending():
+            self.accounts.note_unanswered(
+                pending,
+                self.close_cause,
+                server.now(),
+                server.is_stopping,
+                str(server.address),
+            )
+
+    def report_unread(self) -> None:
+        """Report received bytes that are lost because this process closes first."""
+        unread = count_unread_bytes(self.sock)
+        if unread:
+            self.accounts.note_unread(
+                self.close_cause,
+                unread,
+                count_unacknowledged_bytes(self.sock),
+                self.server.is_stopping,
+            )
+
+    def close(self, cause: CloseCause) -> None:
+        """Close the connection immediately, and report what is lost by that."""
         if not self.is_open:
             return
         self.is_open = False
+        self.close_cause = cause
+        self.report_pending()
+        self.report_unread()
         with contextlib.suppress(OSError):
             self.sock.shutdown(gevent.socket.SHUT_RDWR)
         self.sock.close()
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -26,7 +26,7 @@
 from ..core.slack_share import SlackShare
 from ..core.target_table import TargetTable
 from ..core.versions import AcceptedConfiguration, ConfigurationStore
-from ..ids import DataCentre, EntryId
+from ..ids import DataCentre, EntryId, RequestId
 from ..logs import log_event
 from ..net import Address
 from ..peers import PeerLinks
@@ -36,14 +36,17 @@
 from ..peers.membership import MembershipService
 from ..peers.relayed_documents import make_front_documents
 from ..published.follower import PublicationFollower, PublicationSource
+from .answer_accounts import AnswerAccounts
 from .batch_server import BatchServer
 from .call_batches import CallBatches
 from .caller_connections import CallerServer
 from .connection_shares import ConnectionShares
 from .dialect import Dialect
 from .forwarder import Forwarder
+from .http_messages import Request
 from .late_notices import LateNotices
 from .lookup_notices import LookupNotices
+from .loop_delay import LoopDelay
 from .replaced_targets import ReplacedTargets
 from .target_connections import TargetPools
 
@@ -149,6 +152,9 @@
             self.get_limits,
             clock.now,
             self.lookups.may_have_looked_up,
+            AnswerAccounts(
+                self.forwarder.log, self.forwarder.count, self.get_request_id
+            ),
         )
         self.replaced_targets = ReplacedTargets(
             self.links, clock, self.table, self.pools, self.get_other_active
@@ -189,6 +195,8 @@
         self.useful_vms: int | None = None
         self.present_vms = 1
         self.is_stopping = False
+        self.stop_requested_at: float | None = None
+        self.housekeeping = LoopDelay(HOUSEKEEPING_INTERVAL_S)
         self.stopped = Event()
         self.resources = contextlib.ExitStack()
 
@@ -222,7 +230,7 @@
 
     def __exit__(self, *exc_info: object) -> None:
         self.resources.close()
-        log_event("stopped", in_flight=self.caller_server.in_flight)
+        self.log_stop_step("stopped", **self.get_stop_totals())
 
     @property
     def is_ready(self) -> bool:
@@ -282,6 +290,7 @@
     def run_housekeeping(self) -> None:
         """Run the periodic tasks of the process until killed."""
         while True:
+            self.housekeeping.note_round(self.clock.now())
             self.check_pause()
             self.apply_table_changes()
             self.update_shares()
@@ -330,6 +339,9 @@
             "targets_revision": self.table.revision,
             "targets": len(self.table.records),
             "in_flight": self.caller_server.in_flight,
+            "requests_pending": self.caller_server.pending,
+            "caller_connections": len(self.caller_server.connections),
+            "loop_delay_s": self.housekeeping.get_delay_s(self.clock.now()),
             "connections_opened": self.pools.opened,
             "copies_refused": self.budget.refused,
             "copies_taken": self.budget.taken,
@@ -439,6 +451,7 @@
         """Start a graceful shutdown, which ends before the platform's stop timeout."""
         if not self.is_stopping:
             self.is_stopping = True
+            self.stop_requested_at = self.clock.now()
             gevent.spawn(self.stop)
 
     def stop(self) -> None:
@@ -449,10 +462,18 @@
         accepting connections and waits for the last requests to finish.
         """
         stop_at = time.monotonic() + self.settings.stop_timeout_s
-        log_event("leaving", in_flight=self.caller_server.in_flight)
+        loop_delay_s = self.housekeeping.get_delay_s(self.clock.now())
+        self.log_stop_step(
+            "leaving",
+            stop_timeout_ms=int(self.settings.stop_timeout_s * 1_000),
+            loop_delay_ms=int(loop_delay_s * 1_000),
+        )
         self.caller_server.is_stopping = True
         self.membership_service.leave(Phase.LEAVING)
         gevent.sleep(max(0.0, stop_at - STOP_MARGIN_S - time.monotonic()))
+        self.log_stop_step(
+            "stop_accepting", unaccepted=self.caller_server.count_unaccepted()
+        )
         self.caller_server.stop_accepting()
         last_at = stop_at - LAST_ANSWER_MARGIN_S
         self.caller_server.close_idle()
@@ -461,8 +482,31 @@
             self.caller_server.close_idle()
         self.membership_service.leave(Phase.LEFT)
         gevent.sleep(STOP_CHECK_INTERVAL_S)
+        self.log_stop_step("left", **self.get_stop_totals())
         self.stopped.set()
 
+    def log_stop_step(self, event: str, **fields: object) -> None:
+        """Log a step of the shutdown with the time since it was requested."""
+        requested_at = self.stop_requested_at
+        if requested_at is not None:
+            fields["after_ms"] = int((self.clock.now() - requested_at) * 1_000)
+        server = self.caller_server
+        log_event(
+            event,
+            in_flight=server.in_flight,
+            pending=server.pending,
+            connections=len(server.connections),
+            **fields,
+        )
+
+    def get_stop_totals(self) -> dict[str, int]:
+        """Return what became of the requests read since the shutdown began."""
+        return msgspec.structs.asdict(self.caller_server.accounts.stop_totals)
+
+    def get_request_id(self, request: Request) -> RequestId | None:
+        """Return the id that the caller sent with a request, or None."""
+        return self.forwarder.dialect.read_request_metadata(request).request_id
+
     def wait(self) -> None:
         """Block until the shutdown is complete."""
         self.stopped.wait()
--- /dev/null
+++ b/sesameplank/forwarding/loop_delay.py
@@ -0,0 +1,25 @@
+"""Measurement of how late the event loop runs."""
+
+
+class LoopDelay:
+    """The delay of a task that the event loop runs at an interval, in seconds."""
+
+    def __init__(self, interval_s: float) -> None:
+        self.interval_s = interval_s
+        self.last_round_at: float | None = None
+        self.last_delay_s = 0.0
+
+    def note_round(self, now: float) -> None:
+        """Record that a round of the task begins."""
+        self.last_delay_s = self.get_overdue_s(now)
+        self.last_round_at = now
+
+    def get_delay_s(self, now: float) -> float:
+        """Return the delay of the last round, or of the next one if it is longer."""
+        return max(self.last_delay_s, self.get_overdue_s(now))
+
+    def get_overdue_s(self, now: float) -> float:
+        """Return for how long the next round has been due."""
+        if self.last_round_at is None:
+            return 0.0
+        return max(0.0, now - self.last_round_at - self.interval_s)
--- a/sesameplank/net.py
+++ b/sesameplank/net.py
@@ -1,12 +1,15 @@
 """Addresses, and the socket options that all processes of the project use."""
 
+import fcntl
 import socket
 import struct
+import termios
 
 import gevent.socket
 
 # Layout of `struct tcp_info` of Linux; the offsets are in bytes.
 TCP_INFO_BYTES = 104
+UNACCEPTED_OFFSET = 24
 LAST_DATA_RECEIVED_MS_OFFSET = 52
 ROUND_TRIP_US_OFFSET = 68
 
@@ -71,6 +74,28 @@
     return value
 
 
+def count_unaccepted(listener: socket.socket) -> int:
+    """Return how many connections wait in the kernel's queue of a listening socket."""
+    return read_tcp_info(listener, UNACCEPTED_OFFSET)
+
+
+def count_unread_bytes(sock: socket.socket) -> int:
+    """Return how many received bytes wait in the kernel to be read."""
+    return read_queue_bytes(sock, termios.FIONREAD)
+
+
+def count_unacknowledged_bytes(sock: socket.socket) -> int:
+    """Return how many written bytes the peer's kernel has not acknowledged."""
+    return read_queue_bytes(sock, termios.TIOCOUTQ)
+
+
+def read_queue_bytes(sock: socket.socket, request: int) -> int:
+    """Return the number of bytes that an ioctl request reports for a socket."""
+    data = fcntl.ioctl(sock.fileno(), request, b"\0" * struct.calcsize("=i"))
+    (value,) = struct.unpack("=i", data)
+    return value
+
+
 def open_connection(
     address: Address, timeout_s: float, source_host: str | None = None
 ) -> gevent.socket.socket:
--- a/sesameplank/platform/command.py
+++ b/sesameplank/platform/command.py
@@ -10,6 +10,7 @@
 from ..core.clock import BootTimeClock
 from ..core.directory import ADDRESS_TTL_S, get_capacity
 from ..exceptions import SesameplankError
+from ..forwarding.answer_accounts import AnswerAccounts
 from ..forwarding.caller_connections import CallerServer, Reply, RequestContext
 from ..forwarding.front import Front, FrontSettings
 from ..forwarding.http_messages import Request
@@ -72,8 +73,13 @@
 
     def make_server(self, address, handler) -> CallerServer:
         """Return an HTTP server that passes the requests at an address to a handler."""
+        front = self.front
         return CallerServer(
-            address, handler, self.front.get_limits, self.front.clock.now
+            address,
+            handler,
+            front.get_limits,
+            front.clock.now,
+            accounts=AnswerAccounts(front.forwarder.log),
         )
 
     def run(self) -> None:
--- a/tests/integration/test_front_operations.py
+++ b/tests/integration/test_front_operations.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from sesameplank.monitoring.timeline import LogLine, parse_lines
 from sesameplank.net import Address
 from sesameplank.standins.front_targets import TargetFaultMode
 
@@ -76,3 +77,30 @@
         failed = self.run_command("--check", "--settings_file=/nowhere")
         self.assertEqual(2, failed.returncode)
         self.assertIn("cannot be read", failed.stderr)
+
+    def test_stop_logs_its_steps_in_order(self):
+        front = self.fronts[0]
+        self.request(make_request("/one/x", "before"))
+        self.terminate(front)
+        self.wait_for(lambda: self.get_stop_steps(), "the first step")
+        self.assertEqual(200, self.request(make_request("/one/x", "during")).status)
+        self.assertEqual(0, front.process.wait())
+        steps = self.get_stop_steps()
+        self.assertEqual(
+            ["leaving", "stop_accepting", "left", "stopped"],
+            [step.event for step in steps],
+        )
+        times_ms = [int(step.fields["after_ms"]) for step in steps]
+        self.assertEqual(sorted(times_ms), times_ms)
+        self.assertEqual("3000", steps[0].fields["stop_timeout_ms"])
+        self.assertIn("loop_delay_ms", steps[0].fields)
+        totals = ("read", "answered", "refused", "unanswered", "pending")
+        for step in steps[2:]:
+            self.assertEqual(
+                ["1", "1", "0", "0", "0"], [step.fields[name] for name in totals]
+            )
+
+    def get_stop_steps(self) -> list[LogLine]:
+        lines = self.fronts[0].log_path.read_text().splitlines()
+        steps = {"leaving", "stop_accepting", "left", "stopped"}
+        return [line for line in parse_lines("", lines) if line.event in steps]
