Stop: answer every request by the end of the stop, and refuse those that can't end

What callers saw: requests that a stopping process had read ended with a closed connection, about 2.7 s after SIGTERM of a grace time of 3 s, when their target was slow or silent; bookings too, and searches that had enough parts.

Cause: the time of a request followed from its caller and its route only. The stop took new requests until 1.5 s and closed all connections 0.3 s before the kill, with whatever was in flight. No bound connected the two.

Change: StopSchedule gives the steps. A new request that is not likely to end by then is refused at once as not run; how long a route's requests take is learnt from its calls. The steps have a module of their own, and a step that fails no longer prevents the exit.

--- a/sesameplank/core/call_times.py
+++ b/sesameplank/core/call_times.py
@@ -6,6 +6,7 @@
 USUAL_QUANTILE = 0.5
 EARLY_HEDGE_QUANTILE = 0.85  # With a full extra-load budget.
 LATE_HEDGE_QUANTILE = 0.97  # With an exhausted budget.
+COMPLETION_QUANTILE = 0.97
 MIN_HEDGE_DELAY_S = 0.003
 # Shares of the latency objective.
 MAX_HEDGE_DELAY_SHARE = 0.4
@@ -36,6 +37,17 @@
         value = self.get_quantile(route, USUAL_QUANTILE)
         return DEFAULT_CALL_SHARE * route.objective_s if value is None else value
 
+    def get_completion_s(self, route: Route) -> float:
+        """Return the time in seconds in which nearly all requests of a route end.
+
+        It is at least the latency objective, at which a request over shards ends even
+        if some of its calls take longer.
+        """
+        if route.is_gather:
+            return route.objective_s
+        value = self.get_quantile(route, COMPLETION_QUANTILE)
+        return max(route.objective_s, value or 0.0)
+
     def get_hedge_delay_s(self, route: Route, fill: float) -> float:
         """Return the delay in seconds after which a call is hedged.
 
--- a/sesameplank/core/fanout.py
+++ b/sesameplank/core/fanout.py
@@ -178,6 +178,15 @@
             return Verdict.EXPIRED
         return Verdict.OPEN
 
+    def end_by(self, at: float) -> None:
+        """Move the latency objective and the deadline to a time if they are later."""
+        self.plan = msgspec.structs.replace(
+            self.plan,
+            objective_at=min(self.plan.objective_at, at),
+            deadline_at=min(self.plan.deadline_at, at),
+        )
+        self.due_at = min(self.due_at, at)
+
     def get_next_timer(self) -> float:
         """Return the time at which `on_timer` has to be called next, in seconds.
 
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -8,7 +8,7 @@
 from gevent.event import Event
 
 from ..core.batch_messages import BatchedAnswer, BatchedAnswers, BatchedFailure
-from ..core.fanout import Call, CallKind, Fanout, Verdict
+from ..core.fanout import Call, CallKind, Fanout, FanoutPlan, Verdict
 from ..core.fanout_plans import make_fanout_plan
 from ..core.gathered_parts import GatheredParts
 from ..core.outcomes import Failure, Ran
@@ -71,7 +71,7 @@
         )
         self.wake = Event()
         self.wake_at = 0.0
-        self.plan = make_fanout_plan(
+        plan = make_fanout_plan(
             route,
             route.shards or (forwarder.rotation.choose(route),),
             received_at=context.received_at,
@@ -82,10 +82,20 @@
             budget=forwarder.budget,
         )
         self.fanout = Fanout(
-            self.plan, forwarder.find_targets, forwarder.placement, forwarder.budget
+            plan, forwarder.find_targets, forwarder.placement, forwarder.budget
         )
         context.on_disconnect = self.wake.set
 
+    @property
+    def plan(self) -> FanoutPlan:
+        """The limits on the calls and the time of this request."""
+        return self.fanout.plan
+
+    def end_by(self, at: float) -> None:
+        """Answer or refuse this request by a time, even if its caller waits longer."""
+        self.fanout.end_by(at)
+        self.wake.set()
+
     def run(self) -> Reply:
         """Forward the request, wait for its outcome and return the reply."""
         self.forwarder.count("requests")
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -7,6 +7,7 @@
 from ..core.placement import Placement
 from ..core.queue_admission import QueueAdmission, get_allowed_waits, get_service_names
 from ..core.routes import Route, RoutingConfiguration
+from ..core.stop_schedule import StopSchedule
 from ..core.target_table import TargetRecord, TargetTable
 from ..core.weighting import WeightedRoundRobin
 from ..ids import RequestId, ServiceName
@@ -22,6 +23,7 @@
 from .request_log import RequestLog
 
 STARTING_RETRY_AFTER_S = 0.3
+STOPPING_RETRY_AFTER_S = 0.0  # Another process can take the request at once.
 
 
 class Forwarder:
@@ -52,6 +54,14 @@
         self.batches: CallBatches | None = None
         self.late_notices: LateNotices | None = None
         self.replaced_targets: ReplacedTargets | None = None
+        self.in_progress: set[ForwardedRequest] = set()
+        self.stop: StopSchedule | None = None
+
+    def begin_stop(self, stop: StopSchedule) -> None:
+        """Bound the time of all requests, those in progress included, by a stop."""
+        self.stop = stop
+        for forwarded in self.in_progress:
+            forwarded.end_by(stop.answer_by)
 
     def set_routing(self, routing: RoutingConfiguration) -> None:
         """Use a new routing configuration for all further requests."""
@@ -82,6 +92,10 @@
             return self.refuse_and_log(metadata, 400, "no request id")
         if metadata.error is not None:
             return self.refuse_and_log(metadata, 400, metadata.error)
+        if not self.can_finish(route):
+            return self.refuse_and_log(
+                metadata, 503, "stopping", STOPPING_RETRY_AFTER_S
+            )
         forwarded = ForwardedRequest(
             self, self.routing, route, request, metadata, context
         )
@@ -90,7 +104,24 @@
             return self.refuse_and_log(
                 metadata, 503, "target queues are too long", retry_after_s
             )
-        return forwarded.run()
+        return self.run(forwarded)
+
+    def can_finish(self, route: Route) -> bool:
+        """Return whether a new request can end before this process does."""
+        if self.stop is None:
+            return True
+        completion_s = self.times.get_completion_s(route)
+        return self.stop.can_finish(self.clock.now(), completion_s, route.idempotent)
+
+    def run(self, forwarded: ForwardedRequest) -> Reply:
+        """Run an admitted request, which a stop may end early."""
+        if self.stop is not None:
+            forwarded.end_by(self.stop.answer_by)
+        self.in_progress.add(forwarded)
+        try:
+            return forwarded.run()
+        finally:
+            self.in_progress.discard(forwarded)
 
     def get_retry_after_s(self, plan: FanoutPlan, route: Route) -> float | None:
         """Return the delay before a retry in seconds, or None to admit a request."""
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -2,12 +2,10 @@
 
 import contextlib
 import random
-import time
 from collections.abc import Callable, Iterable
 
 import gevent
 import msgspec
-from gevent.event import Event
 
 from ..conf import PublishedVms, Vm
 from ..core.batches import AggregatorChoice
@@ -17,7 +15,7 @@
 from ..core.members import make_own_record
 from ..core.membership import Membership
 from ..core.pauses import BootClock, PauseDetector
-from ..core.peer_messages import Member, Phase
+from ..core.peer_messages import Member
 from ..core.placement import Placement
 from ..core.reader_election import START_WINDOW_S, is_elected_reader
 from ..core.readers import draw_start_delay
@@ -48,13 +46,11 @@
 from .lookup_notices import LookupNotices
 from .loop_delay import LoopDelay
 from .replaced_targets import ReplacedTargets
+from .shutdown import Shutdown
 from .target_connections import TargetPools
 
 HOUSEKEEPING_INTERVAL_S = 0.1
 FLEET_SIZE_WINDOW_S = 60.0
-STOP_MARGIN_S = 1.5  # Time for the last requests to finish.
-STOP_CHECK_INTERVAL_S = 0.02
-LAST_ANSWER_MARGIN_S = 0.3  # Time to announce that the process has left.
 RELAY_CONFIRMATION_INTERVAL_S = 0.5  # To announce that the view is still current.
 # Over a few hops, this adds little to the seconds that an update may take.
 RELAY_ANNOUNCEMENT_INTERVAL_S = 0.1
@@ -194,10 +190,15 @@
         self.active_state: tuple | None = None
         self.useful_vms: int | None = None
         self.present_vms = 1
-        self.is_stopping = False
-        self.stop_requested_at: float | None = None
         self.housekeeping = LoopDelay(HOUSEKEEPING_INTERVAL_S)
-        self.stopped = Event()
+        self.shutdown = Shutdown(
+            clock,
+            settings.stop_timeout_s,
+            self.caller_server,
+            self.forwarder,
+            self.membership_service,
+            self.housekeeping,
+        )
         self.resources = contextlib.ExitStack()
 
     def make_own_member(self) -> Member:
@@ -230,13 +231,13 @@
 
     def __exit__(self, *exc_info: object) -> None:
         self.resources.close()
-        self.log_stop_step("stopped", **self.get_stop_totals())
+        self.shutdown.log_step("stopped", **self.shutdown.get_totals())
 
     @property
     def is_ready(self) -> bool:
         """Return whether callers should be sent to this process."""
         return (
-            not self.is_stopping
+            not self.shutdown.is_requested
             and self.store.current is not None
             and self.table.revision > 0
         )
@@ -359,7 +360,7 @@
         return {
             "vm": self.settings.vm,
             "is_ready": self.is_ready,
-            "is_stopping": self.is_stopping,
+            "is_stopping": self.shutdown.is_requested,
             "gauges": self.get_gauges(),
             "members": {
                 member.id: {
@@ -449,59 +450,7 @@
 
     def request_stop(self) -> None:
         """Start a graceful shutdown, which ends before the platform's stop timeout."""
-        if not self.is_stopping:
-            self.is_stopping = True
-            self.stop_requested_at = self.clock.now()
-            gevent.spawn(self.stop)
-
-    def stop(self) -> None:
-        """Drain this process, then stop it.
-
-        It announces that it is leaving and keeps serving, because callers may
-        still use its address. Shortly before the stop timeout it stops
-        accepting connections and waits for the last requests to finish.
-        """
-        stop_at = time.monotonic() + self.settings.stop_timeout_s
-        loop_delay_s = self.housekeeping.get_delay_s(self.clock.now())
-        self.log_stop_step(
-            "leaving",
-            stop_timeout_ms=int(self.settings.stop_timeout_s * 1_000),
-            loop_delay_ms=int(loop_delay_s * 1_000),
-        )
-        self.caller_server.is_stopping = True
-        self.membership_service.leave(Phase.LEAVING)
-        gevent.sleep(max(0.0, stop_at - STOP_MARGIN_S - time.monotonic()))
-        self.log_stop_step(
-            "stop_accepting", unaccepted=self.caller_server.count_unaccepted()
-        )
-        self.caller_server.stop_accepting()
-        last_at = stop_at - LAST_ANSWER_MARGIN_S
-        self.caller_server.close_idle()
-        while self.caller_server.connections and time.monotonic() < last_at:
-            gevent.sleep(STOP_CHECK_INTERVAL_S)
-            self.caller_server.close_idle()
-        self.membership_service.leave(Phase.LEFT)
-        gevent.sleep(STOP_CHECK_INTERVAL_S)
-        self.log_stop_step("left", **self.get_stop_totals())
-        self.stopped.set()
-
-    def log_stop_step(self, event: str, **fields: object) -> None:
-        """Log a step of the shutdown with the time since it was requested."""
-        requested_at = self.stop_requested_at
-        if requested_at is not None:
-            fields["after_ms"] = int((self.clock.now() - requested_at) * 1_000)
-        server = self.caller_server
-        log_event(
-            event,
-            in_flight=server.in_flight,
-            pending=server.pending,
-            connections=len(server.connections),
-            **fields,
-        )
-
-    def get_stop_totals(self) -> dict[str, int]:
-        """Return what became of the requests read since the shutdown began."""
-        return msgspec.structs.asdict(self.caller_server.accounts.stop_totals)
+        self.shutdown.request()
 
     def get_request_id(self, request: Request) -> RequestId | None:
         """Return the id that the caller sent with a request, or None."""
@@ -509,4 +458,4 @@
 
     def wait(self) -> None:
         """Block until the shutdown is complete."""
-        self.stopped.wait()
+        self.shutdown.wait()
--- /dev/null
+++ b/sesameplank/forwarding/shutdown.py
@@ -0,0 +1,125 @@
+"""The graceful shutdown of a forwarding process."""
+
+import gevent
+import msgspec
+from gevent.event import Event
+
+from ..core.clock import Clock
+from ..core.peer_messages import Phase
+from ..core.stop_schedule import StopSchedule, make_stop_schedule
+from ..logs import log_event
+from ..peers.membership import MembershipService
+from .caller_connections import CallerServer
+from .forwarder import Forwarder
+from .loop_delay import LoopDelay
+
+CHECK_INTERVAL_S = 0.02
+# The event loop's timers don't count the time while the VM is suspended.
+MAX_SLEEP_S = 0.1
+
+
+class Shutdown:
+    """The steps of a graceful shutdown, from its request to the end of the process.
+
+    `timeout_s` is the time after which the process is killed, counted from the stop
+    request. `housekeeping` tells when the event loop last ran, and `finished` is set
+    when the process may exit.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        timeout_s: float,
+        server: CallerServer,
+        forwarder: Forwarder,
+        membership_service: MembershipService,
+        housekeeping: LoopDelay,
+    ) -> None:
+        self.clock = clock
+        self.timeout_s = timeout_s
+        self.server = server
+        self.forwarder = forwarder
+        self.membership_service = membership_service
+        self.housekeeping = housekeeping
+        self.schedule: StopSchedule | None = None
+        self.finished = Event()
+
+    @property
+    def is_requested(self) -> bool:
+        """Whether the process has begun to stop."""
+        return self.schedule is not None
+
+    def request(self) -> None:
+        """Start the shutdown, unless it has been requested before.
+
+        The request may be as old as the last time at which the event loop ran.
+        """
+        if self.is_requested:
+            return
+        now = self.clock.now()
+        last_round_at = self.housekeeping.last_round_at
+        requested_at = now if last_round_at is None else last_round_at
+        self.schedule = make_stop_schedule(requested_at, self.timeout_s, now)
+        gevent.spawn(self.run, self.schedule)
+
+    def run(self, schedule: StopSchedule) -> None:
+        """Drain the process, then let it exit, even if a step fails."""
+        try:
+            self.drain(schedule)
+        finally:
+            self.finished.set()
+
+    def drain(self, schedule: StopSchedule) -> None:
+        """Announce that the process is leaving, and answer what it has read.
+
+        It keeps serving, because callers may still use its address, until it stops
+        accepting connections and waits for the last requests to finish.
+        """
+        self.log_step(
+            "leaving",
+            stop_timeout_ms=int(self.timeout_s * 1_000),
+            loop_delay_ms=int(self.housekeeping.get_delay_s(self.clock.now()) * 1_000),
+        )
+        self.server.is_stopping = True
+        self.forwarder.begin_stop(schedule)
+        self.membership_service.leave(Phase.LEAVING)
+        self.wait_until(schedule.stop_accepting_at)
+        self.log_step("stop_accepting", unaccepted=self.server.count_unaccepted())
+        self.server.stop_accepting()
+        self.close_connections(schedule.exit_by)
+        self.membership_service.leave(Phase.LEFT)
+        gevent.sleep(CHECK_INTERVAL_S)
+        self.log_step("left", **self.get_totals())
+
+    def wait_until(self, at: float) -> None:
+        """Block until a time of the clock."""
+        while (remaining_s := at - self.clock.now()) > 0:
+            gevent.sleep(min(remaining_s, MAX_SLEEP_S))
+
+    def close_connections(self, until: float) -> None:
+        """Close connections as they become idle, until none is left or a time."""
+        self.server.close_idle()
+        while self.server.connections and self.clock.now() < until:
+            gevent.sleep(CHECK_INTERVAL_S)
+            self.server.close_idle()
+
+    def log_step(self, event: str, **fields: object) -> None:
+        """Log a step with the time since the shutdown was requested."""
+        if self.schedule is not None:
+            elapsed_s = self.clock.now() - self.schedule.requested_at
+            fields["after_ms"] = int(elapsed_s * 1_000)
+        log_event(
+            event,
+            in_flight=self.server.in_flight,
+            pending=self.server.pending,
+            connections=len(self.server.connections),
+            **fields,
+        )
+
+    def get_totals(self) -> dict[str, int]:
+        """Return what became of the requests read since the shutdown began."""
+        return msgspec.structs.asdict(self.server.accounts.stop_totals)
+
+    def wait(self) -> None:
+        """Block until the shutdown is complete."""
+        self.finished.wait()
--- a/tests/core/test_fanout.py
+++ b/tests/core/test_fanout.py
@@ -94,6 +94,28 @@
         self.assertIs(Verdict.OPEN, self.fanout.get_verdict(100.5))
         self.assertIs(Verdict.EXPIRED, self.fanout.get_verdict(101.0))
 
+    def test_request_cut_short_is_answered_with_the_parts_that_are_in(self):
+        calls = self.start()
+        for call in calls[:2]:
+            self.fanout.on_answer(call, 100.01)
+        self.fanout.end_by(100.05)
+        self.fanout.on_timer(100.04)
+        self.assertLessEqual(self.fanout.get_next_timer(), 100.05)
+        self.assertIs(Verdict.OPEN, self.fanout.get_verdict(100.04))
+        self.assertIs(Verdict.ANSWERED, self.fanout.get_verdict(100.05))
+
+    def test_request_cut_short_without_enough_parts_expires(self):
+        calls = self.start()
+        self.fanout.on_answer(calls[0], 100.01)
+        self.fanout.end_by(100.05)
+        self.assertIs(Verdict.EXPIRED, self.fanout.get_verdict(100.05))
+
+    def test_later_end_does_not_extend_a_request(self):
+        self.start()
+        self.fanout.end_by(200.0)
+        self.assertEqual(101.0, self.fanout.plan.deadline_at)
+        self.assertEqual(100.1, self.fanout.plan.objective_at)
+
     def test_request_is_hopeless_if_too_many_shards_have_no_target(self):
         fanout = self.make()
         self.targets.update(s0=[], s1=[])
--- a/tests/integration/test_front_stops.py
+++ b/tests/integration/test_front_stops.py
@@ -106,3 +106,19 @@
         answer = client.read()
         self.assertEqual((200, "1"), (answer.status, answer.get(b"x-missing-parts")))
         self.assert_stopped_in_time(self.fronts[0], killed_at)
+
+
+class LateRequestTests(StopTestCase):
+    """Requests that come too late to be served before the process ends."""
+
+    def test_request_that_cannot_end_in_time_is_refused_at_once_and_never_runs(self):
+        killed_at = self.terminate_timed(self.fronts[0])
+        self.wait_for(lambda: not self.fronts[0].is_ready(), "the stop")
+        for path, method in (("/one/x", "GET"), ("/book/x", "POST"), ("/all/x", "GET")):
+            client = self.send(path, f"late{method}", method)
+            answer = client.read()
+            self.assertEqual(503, answer.status)
+            self.assertEqual("close", answer.get(b"connection"))
+            self.assertEqual(0.0, float(answer.get(b"retry-after")))
+        self.assertEqual(0, self.get_runs(*self.targets))
+        self.assert_stopped_in_time(self.fronts[0], killed_at)
