Failing tests: requests that wait in a socket or in the listener's queue

What callers see: a request that they sent before the process decided to close ends without an answer. The process closes what it has read nothing from; it doesn't look whether bytes wait in the socket (close_idle), and closes the listener with the connections in its queue (stop_accepting), which the kernel then resets.

Trigger, without a race: a request is sent, and close_idle or stop_accepting is called before the event loop has run.

No product code is changed.

--- a/tests/forwarding/test_stops.py
+++ b/tests/forwarding/test_stops.py
@@ -1,11 +1,12 @@
 """Tests of requests that are cut off when the server of callers stops."""
 
 import gevent
+import msgspec
 
 from sesameplank.forwarding.caller_connections import Reply
 
 from ..integration.front_world import make_request
-from .caller_world import CallerServerTestCase
+from .caller_world import CallerServerTestCase, KernelConnection, block_loop
 
 LARGE_BYTES = 300_000
 SMALL_BUFFER_BYTES = 4_096
@@ -49,3 +50,28 @@
         gevent.sleep(0.2)
         client.sock.sendall(make_request("/next"))
         self.assertEqual(LARGE_BYTES, len(client.read().body))
+
+
+class WaitingRequestTests(CallerServerTestCase):
+    """Requests that wait in a socket when their connection is closed."""
+
+    def test_request_in_the_socket_is_answered_when_idle_connections_close(self):
+        client = self.connect()
+        self.server.is_stopping = True
+        client.sock.sendall(make_request("/waiting"))
+        self.server.close_idle()
+        self.assertEqual([b"/waiting"], self.read_paths(client, 1))
+
+    def test_request_in_the_socket_is_answered_when_the_idle_timeout_is_late(self):
+        self.limits = msgspec.structs.replace(self.limits, idle_timeout_s=1.0)
+        client = self.enterContext(KernelConnection(self.address))
+        self.wait_until_accepted()
+        client.sock.sendall(make_request("/waiting"))
+        block_loop(1.2)  # Request and timeout are then due at once.
+        self.assertEqual([b"/waiting"], self.read_paths(client, 1))
+
+    def test_request_in_the_listeners_queue_is_answered_when_accepting_ends(self):
+        client = self.enterContext(KernelConnection(self.address))
+        client.sock.sendall(make_request("/queued"))
+        self.server.stop_accepting()
+        self.assertEqual([b"/queued"], self.read_paths(client, 1))
