Stop: answer each pipelined request that has arrived before closing

Cause: the reply to the next request announced the end of the connection and closed it, whatever was queued behind.

Change: while the server stops, the reply to the last request of which bytes have arrived announces the end: queued, read in part, or still unread in the socket.

--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -106,8 +106,9 @@
     `get_limits` returns the request limits currently in force, and
     `may_have_looked_up` whether the next request of a caller may follow a look-up of
     addresses. While `is_stopping` is true, the server closes each connection after
-    the next response on it. `accounts` counts the requests and reports those that
-    end without an answer; by default, they are not reported.
+    the response to the last request that has arrived on it. `accounts` counts the
+    requests and reports those that end without an answer; by default, they are not
+    reported.
     """
 
     def __init__(
@@ -294,15 +295,31 @@
                 reply = self.serve(pending.request, self.current)
                 is_disconnected = self.current.is_disconnected
                 self.current = None
-                close = self.server.is_stopping or not pending.request.keep_alive
+                close = self.is_last(pending.request, reply)
                 if not is_disconnected:
                     self.answer(pending, reply, close)
                 self.last = None
-                if close or reply.close or is_disconnected:
+                if close or is_disconnected:
                     self.close(CloseCause.CONNECTION_CLOSED)
         finally:
             self.worker = None
 
+    def is_last(self, request: Request, reply: Reply) -> bool:
+        """Return whether the connection is closed after the reply to a request.
+
+        While the server is stopping, that is the reply to the last request of which
+        any bytes have arrived.
+        """
+        if reply.close or not request.keep_alive:
+            return True
+        return self.server.is_stopping and not self.has_more
+
+    @property
+    def has_more(self) -> bool:
+        """Whether bytes of further requests have arrived on the connection."""
+        is_reading = self.reader is not None and self.reader.in_message
+        return bool(self.queue) or is_reading or count_unread_bytes(self.sock) > 0
+
     def get_transit_s(self) -> float:
         """Return the time that the network adds to a request's latency, in seconds.
 
