End connections by shutting down the write side, so that no reply is reset

What callers saw: the rest of a large answer was lost with a reset when they had sent something more on the connection that a process closed after its reply.

Cause: the process closed the socket at once. With bytes of the caller unread, the kernel resets the connection and drops what is in the send buffer. What was closed followed from what the process had read.

Change: after its last reply a connection's write side is shut down, and what the caller still sends is discarded until it closes, for 2 s at most. Discarded bytes are logged and counted like unread ones (connection_closed_unread). Replies to requests that can't be read (too large, too slow) are ended in the same way.

The test of an unread request at a close now ends the server, since an idle connection is no longer closed at once; a second one checks the report of a request that crosses the end of its connection.

--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -36,6 +36,7 @@
 
 READ_BYTES = 65_536
 WRITE_TIMEOUT_S = 10.0
+LINGER_TIMEOUT_S = 2.0
 MAX_PIPELINED = 8
 CONNECT_ROUND_TRIPS = 1
 LOOKUP_ROUND_TRIPS = 2  # One to connect to the directory, one for the look-up.
@@ -169,14 +170,14 @@
         self.stream_server.close()
 
     def close_idle(self) -> None:
-        """Close the connections on which no request is being read or served.
+        """End the connections on which no request is being read or served.
 
         A request that arrives while its connection is being closed is not
         forwarded, so its caller can safely send it to another address.
         """
         for connection in list(self.connections):
             if connection.is_idle:
-                connection.close(CloseCause.CONNECTION_CLOSED)
+                connection.finish()
 
 
 class CallerConnection:
@@ -196,6 +197,8 @@
         self.is_open = True
         self.close_cause = CloseCause.CALLER_LEFT
         self.is_finishing = False
+        self.linger_timer: gevent.Greenlet | None = None
+        self.discarded_bytes = 0
         self.served = 0
         self.round_trip_s = 0.0
         self.reader: RequestReader | None = None
@@ -218,18 +221,33 @@
         limits = self.server.get_limits()
         reader = RequestReader(limits.max_header_bytes, limits.max_body_bytes)
         self.reader = reader
+        try:
+            self.read_requests(reader, limits)
+            self.discard_rest()
+        except OSError:
+            pass  # A reset is handled like an orderly close by the caller.
+        finally:
+            self.disconnect()
+
+    def read_requests(self, reader: RequestReader, limits: RequestLimits) -> None:
+        """Read requests until the caller closes or this process ends the connection."""
         try:
             while self.is_open and not self.is_finishing:
                 data = self.receive(reader, limits)
                 if not data:
-                    break
-                self.process_data(reader, data)
+                    self.disconnect()
+                elif self.is_finishing:
+                    self.discarded_bytes += len(data)
+                else:
+                    self.process_data(reader, data)
         except MessageError as error:
             self.refuse(error)
-        except OSError:
-            pass  # A reset is handled like an orderly close by the caller.
-        finally:
-            self.disconnect()
+
+    def discard_rest(self) -> None:
+        """Discard what the caller still sends until the connection is closed."""
+        self.sock.settimeout(None)
+        while self.is_open and (data := self.sock.recv(READ_BYTES)):
+            self.discarded_bytes += len(data)
 
     def receive(self, reader: RequestReader, limits: RequestLimits) -> bytes:
         """Return the next bytes, or b"" at the end of the stream or idle timeout.
@@ -285,7 +303,7 @@
     def serve_queue(self) -> None:
         """Answer the queued requests in order until the queue is empty."""
         try:
-            while self.queue and self.is_open:
+            while self.queue and self.is_open and not self.is_finishing:
                 pending = self.last = self.queue.popleft()
                 pending.stage = AnswerStage.SERVED
                 self.current = RequestContext(
@@ -299,8 +317,8 @@
                 if not is_disconnected:
                     self.answer(pending, reply, close)
                 self.last = None
-                if close or is_disconnected:
-                    self.close(CloseCause.CONNECTION_CLOSED)
+                if close:
+                    self.finish()
         finally:
             self.worker = None
 
@@ -344,12 +362,11 @@
 
     def refuse(self, error: MessageError) -> None:
         """Send an error response once all earlier requests are answered, and close."""
-        self.is_finishing = True
         if self.worker is not None:
             self.worker.join()
-        if self.is_open:
+        if not self.is_finishing:
             self.send(Reply(error.status, body=str(error).encode()).encode(True))
-        self.close(CloseCause.CONNECTION_CLOSED)
+        self.finish()
 
     def answer(self, pending: PendingRequest, reply: Reply, close: bool) -> None:
         """Write the reply to a request."""
@@ -388,6 +405,24 @@
                 raise TimeoutError
             unwritten = unwritten[self.sock.send(unwritten) :]
 
+    def finish(self) -> None:
+        """End the connection in a way that lets the caller receive all replies.
+
+        To close it while bytes of the caller are unread would reset it, and drop the
+        replies that the caller has not received. Therefore only the write side is shut
+        down, until the caller closes or LINGER_TIMEOUT_S have passed.
+        """
+        if not self.is_open or self.is_finishing:
+            return
+        self.is_finishing = True
+        self.close_cause = CloseCause.CONNECTION_CLOSED
+        self.report_pending()
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(gevent.socket.SHUT_WR)
+        self.linger_timer = gevent.spawn_later(
+            LINGER_TIMEOUT_S, self.close, CloseCause.CONNECTION_CLOSED
+        )
+
     def disconnect(self) -> None:
         """Notify the handler of the request in progress, if any, and close."""
         if self.current is not None:
@@ -414,7 +449,7 @@
 
     def report_unread(self) -> None:
         """Report received bytes that are lost because this process closes first."""
-        unread = count_unread_bytes(self.sock)
+        unread = self.discarded_bytes + count_unread_bytes(self.sock)
         if unread:
             self.accounts.note_unread(
                 self.close_cause,
@@ -428,7 +463,10 @@
         if not self.is_open:
             return
         self.is_open = False
-        self.close_cause = cause
+        if not self.is_finishing:
+            self.close_cause = cause
+        if self.linger_timer not in (None, gevent.getcurrent()):
+            self.linger_timer.kill(block=False)
         self.report_pending()
         self.report_unread()
         with contextlib.suppress(OSError):
--- a/tests/forwarding/test_caller_connections.py
+++ b/tests/forwarding/test_caller_connections.py
@@ -305,8 +305,22 @@
         self.wait_for(lambda: not self.server.in_flight, "the answer")
         gevent.sleep(0.05)
         self.client.sendall(make_requests("b"))
-        self.server.close_idle()
+        self.end_server()
+        self.check_unread("process_ended")
+
+    def test_request_that_crosses_the_end_of_its_connection_is_reported(self):
+        self.send("a")
+        self.reply = Reply(200, close=True)
+        self.may_reply.set()
+        self.wait_for(lambda: not self.server.in_flight, "the answer")
+        self.client.sendall(make_requests("b"))
+        self.client.shutdown(socket.SHUT_WR)
+        self.wait_for(lambda: not self.server.connections, "the end")
+        self.check_unread("connection_closed")
+
+    def check_unread(self, cause: str) -> None:
+        """Check that the bytes of the request "b" are reported as lost."""
         (fields,) = self.get_lines("connection_closed_unread")
         self.assertEqual(len(make_requests("b")), int(fields["unread_bytes"]))
-        self.assertEqual("connection_closed", fields["cause"])
+        self.assertEqual(cause, fields["cause"])
         self.assertEqual(1, self.get_count("closed_unread"))
