Stop: don't close an idle connection while a request waits in its socket

What callers saw: a request that had been sent before the process closed its kept connection ended without an answer. On a busy or just resumed process, that can be long before.

Cause: a connection counted as idle if nothing had been read from it; bytes that had arrived were not looked at.

Change: a connection is idle only if no bytes wait in its socket either; they are read, and the request is answered or refused.

--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -176,7 +176,7 @@
         forwarded, so its caller can safely send it to another address.
         """
         for connection in list(self.connections):
-            if connection.is_idle:
+            if connection.is_open and connection.is_idle:
                 connection.finish()
 
 
@@ -210,9 +210,8 @@
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request is being read, queued or served."""
-        is_reading = self.reader is not None and self.reader.in_message
-        return not is_reading and not self.in_flight and self.worker is None
+        """Return whether no request is arriving, queued or served."""
+        return not self.has_more and not self.in_flight and self.worker is None
 
     def run(self) -> None:
         """Read requests until the caller or this process closes the connection."""
