Stop: accept the connections in the listener's queue before closing it

What callers saw: connections reset although the kernel had accepted them and the request had been sent, when a stopping process closed its listener. The longer the process takes to accept, the more there are.

Cause: closing a listener resets what waits in its queue.

Change: these connections are accepted before the listener is closed, and get an answer or a refusal. The end of a stop also waits for connections that were accepted last, and gives a caller that has just connected 0.2 s to send its request before the connection counts as idle.

--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -37,6 +37,7 @@
 READ_BYTES = 65_536
 WRITE_TIMEOUT_S = 10.0
 LINGER_TIMEOUT_S = 2.0
+FIRST_REQUEST_TIMEOUT_S = 0.2  # Callers connect when they have a request to send.
 MAX_PIPELINED = 8
 CONNECT_ROUND_TRIPS = 1
 LOOKUP_ROUND_TRIPS = 2  # One to connect to the directory, one for the look-up.
@@ -166,8 +167,16 @@
             self.connections.discard(connection)
 
     def stop_accepting(self) -> None:
-        """Stop accepting connections; open ones are still served."""
-        self.stream_server.close()
+        """Stop accepting connections; open ones are still served.
+
+        Those in the listener's queue are accepted first: the kernel would reset them,
+        and their callers may have sent requests.
+        """
+        listener = self.stream_server
+        listener.stop_accepting()
+        while (accepted := listener.do_read()) is not None:
+            listener.do_handle(*accepted)
+        listener.close()
 
     def close_idle(self) -> None:
         """End the connections on which no request is being read or served.
@@ -189,6 +198,7 @@
         self.server = server
         self.sock = sock
         self.caller_host = caller_host
+        self.accepted_at = server.now()
         self.accounts = server.accounts
         self.queue: deque[PendingRequest] = deque()
         self.last: PendingRequest | None = None
@@ -210,8 +220,11 @@
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request is arriving, queued or served."""
-        return not self.has_more and not self.in_flight and self.worker is None
+        """Return whether no request is expected, arriving, queued or served."""
+        if self.has_more or self.in_flight or self.worker is not None:
+            return False
+        age_s = self.server.now() - self.accepted_at
+        return self.served > 0 or age_s >= FIRST_REQUEST_TIMEOUT_S
 
     def run(self) -> None:
         """Read requests until the caller or this process closes the connection."""
--- a/sesameplank/forwarding/shutdown.py
+++ b/sesameplank/forwarding/shutdown.py
@@ -97,11 +97,16 @@
             gevent.sleep(min(remaining_s, MAX_SLEEP_S))
 
     def close_connections(self, until: float) -> None:
-        """Close connections as they become idle, until none is left or a time."""
-        self.server.close_idle()
-        while self.server.connections and self.clock.now() < until:
+        """Close connections as they become idle, until none is left or a time.
+
+        The loop runs at least once: connections that were accepted last are not
+        counted before.
+        """
+        while True:
             gevent.sleep(CHECK_INTERVAL_S)
             self.server.close_idle()
+            if not self.server.connections or self.clock.now() >= until:
+                return
 
     def log_step(self, event: str, **fields: object) -> None:
         """Log a step with the time since the shutdown was requested."""
--- a/tests/forwarding/caller_world.py
+++ b/tests/forwarding/caller_world.py
@@ -53,8 +53,9 @@
         block = self.enterContext(reserve_block())
         self.address = Address(f"{block}.1.1", 8104)
         self.limits = RequestLimits()
+        self.time_s = 0.0
         self.server = CallerServer(
-            self.address, self.handle, lambda: self.limits, lambda: 0.0
+            self.address, self.handle, lambda: self.limits, lambda: self.time_s
         )
         self.enterContext(self.server)
 
--- a/tests/forwarding/test_stops.py
+++ b/tests/forwarding/test_stops.py
@@ -3,7 +3,10 @@
 import gevent
 import msgspec
 
-from sesameplank.forwarding.caller_connections import Reply
+from sesameplank.forwarding.caller_connections import (
+    FIRST_REQUEST_TIMEOUT_S,
+    Reply,
+)
 
 from ..integration.front_world import make_request
 from .caller_world import CallerServerTestCase, KernelConnection, block_loop
@@ -75,3 +78,18 @@
         client.sock.sendall(make_request("/queued"))
         self.server.stop_accepting()
         self.assertEqual([b"/queued"], self.read_paths(client, 1))
+
+    def test_first_request_is_answered_although_it_comes_after_accepting_ends(self):
+        client = self.enterContext(KernelConnection(self.address))
+        self.server.is_stopping = True
+        self.server.stop_accepting()
+        self.wait_until_accepted()
+        self.server.close_idle()
+        self.assertEqual(200, client.request(make_request("/first")).status)
+
+    def test_connection_without_a_request_is_closed_in_the_end(self):
+        client = self.enterContext(KernelConnection(self.address))
+        self.wait_until_accepted()
+        self.time_s = FIRST_REQUEST_TIMEOUT_S
+        self.server.close_idle()
+        self.assertTrue(client.is_closed())
