Failing test: a large answer is lost when its idle connection is closed

What callers see: a reset in the middle of an answer. As soon as the kernel has taken over an answer, its connection counts as idle, and the end of the drain closes it. The caller, which was not told of the end, sends its next request; the closed socket answers with a reset, and what the caller hasn't received yet is dropped.

Trigger: an answer of 300,000 bytes to a receive buffer of 4 KiB, close_idle, a further request, and only then the read. No product code is changed.

--- a/tests/forwarding/test_stops.py
+++ b/tests/forwarding/test_stops.py
@@ -51,6 +51,16 @@
         client.sock.sendall(make_request("/next"))
         self.assertEqual(LARGE_BYTES, len(client.read().body))
 
+    def test_answer_on_an_idle_connection_arrives_whole_although_it_is_closed(self):
+        client = self.connect(SMALL_BUFFER_BYTES)
+        client.sock.sendall(make_request("/large"))
+        gevent.sleep(0.2)
+        self.server.is_stopping = True
+        self.server.close_idle()
+        gevent.sleep(0.2)
+        client.sock.sendall(make_request("/next"))
+        self.assertEqual(LARGE_BYTES, len(client.read().body))
+
 
 class WaitingRequestTests(CallerServerTestCase):
     """Requests that wait in a socket when their connection is closed."""
