Soak: record which start of a process exited, and which requests logs name

A scenario of stops needs to relate requests to the stop of the process that read them. An exit names the start it belongs to, the record holds the request ids in the logs, and a world can have targets and a configuration of its own.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -258,11 +258,8 @@
         faults = self.rng.choice(LINK_FAULTS)
         for front in self.affected:
             self.world.store_proxy.set_faults(faults, front.name)
-        return ["store"] if len(self.affected) == len(fronts) else self.get_names()
-
-    def get_names(self) -> list[str]:
-        """Return the names of the affected processes."""
-        return [front.name for front in self.affected]
+        names = [front.name for front in self.affected]
+        return ["store"] if len(names) == len(fronts) else names
 
     def end(self) -> None:
         """Remove the faults and reset all connections to the store."""
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -32,6 +32,10 @@
     is the time when the caller abandoned the request. `status` is 0 without an
     answer. `missing` is the number of missing parts that the answer reports.
     `extra_bytes` is true if bytes followed the answer.
+
+    In the scenario "stops", `sent_at` is the time of the last byte, `copies` the
+    number of copies of a target's body that were asked for, and `paced_until` the
+    time at which a slow reader has read the answer at its own pace.
     """
 
     id: str
@@ -50,6 +54,10 @@
     body: bytes = b""
     answer_id: str = ""
     extra_bytes: bool = False
+    caller_kind: str = ""
+    copies: int = 1
+    is_truncated: bool = False
+    paced_until: float = 0.0
 
 
 class FaultPeriod(msgspec.Struct):
@@ -71,6 +79,7 @@
     at: float
     code: int
     asked_at: float | None = None
+    incarnation: int = 0
 
 
 class Record(msgspec.Struct):
@@ -83,6 +92,7 @@
     `bodies` and `services` map each target to its answer body and to its service.
     `log_faults` holds the beginnings of tracebacks in the logs of processes.
     `recovered` is true if every process served every route after the last fault.
+    `logged_ids` holds the ids of the requests that the logs name.
     """
 
     asked: list[CallerRequest] = []
@@ -94,3 +104,4 @@
     services: dict[str, str] = {}
     log_faults: list[str] = []
     recovered: bool = False
+    logged_ids: set[str] = set()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -6,8 +6,10 @@
 
 import contextlib
 import random
+import re
 import signal
 import time
+from typing import ClassVar
 
 import gevent
 import gevent.socket
@@ -45,6 +47,7 @@
 RECOVERY_REQUEST_DEADLINE_S = 2.0
 MEAN_SERVICE_TIME_S = 0.02
 LISTENING = "event=listening"
+LOGGED_ID = re.compile(r" request=(\S+)")
 LOG_EXCERPT_CHARS = 2_000
 SERVICES = tuple(
     [f"shard{number}" for number in range(SHARDS)]
@@ -153,6 +156,11 @@
                 self.front_process.process.kill()
                 self.front_process.process.wait()
 
+    def remove(self) -> None:
+        """Kill the process, suspended or not, and remove its files."""
+        self.kill()
+        self.front_process.folder.cleanup()
+
     def send_signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
         with self.lock:
@@ -171,7 +179,7 @@
         self.is_expected_down = True
         code = self.front_process.process.returncode
         process_exit = ProcessExit(
-            self.name, time.monotonic(), code, self.stop_requested_at
+            self.name, time.monotonic(), code, self.stop_requested_at, self.incarnation
         )
         self.world.record.ended.append(process_exit)
 
@@ -188,6 +196,8 @@
     `slowdowns` holds the factors by which current faults slow the targets down.
     """
 
+    target_class: ClassVar[type[SoakTarget]] = SoakTarget
+
     def __init__(self, rng: random.Random, fronts: int) -> None:
         self.rng = rng
         self.front_count = fronts
@@ -239,14 +249,14 @@
         proxy = self.make_proxy(host, PEER_PORT, upstream)
         self.peer_proxies[front.name] = stack.enter_context(proxy)
         front.start()
-        stack.enter_context(contextlib.closing(FrontCleanup(front)))
+        stack.callback(front.remove)
 
     def add_target(self, service: str, stack: contextlib.ExitStack) -> SoakTarget:
         """Start a target and its proxy, and list the target in the store."""
         number = len(self.targets) + 1
         name = f"{service}-{number}"
         address = Address(f"{self.block}.2.{number}", TARGET_PORT)
-        target = stack.enter_context(SoakTarget(name, address, service, self))
+        target = stack.enter_context(self.target_class(name, address, service, self))
         proxy = self.make_proxy(f"3.{number}", TARGET_PORT, address)
         self.proxies[name] = stack.enter_context(proxy)
         self.targets[name] = target
@@ -273,18 +283,22 @@
         )
 
     def publish(self) -> None:
-        """Publish the next configuration.
+        """Publish the next configuration."""
+        self.version += 1
+        self.store.put_config(self.make_config())
+        self.record.published.append(PublishedConfig(self.version, time.monotonic()))
+
+    def make_config(self) -> dict:
+        """Return the current version of the configuration.
 
         Each version sends the plain and booking routes to another service.
         """
-        self.version += 1
         config = make_config(self.version)
         for route in config["routes"]:
             if "service" in route:
                 route["service"] = f"single{self.version % SINGLE_SERVICE_COUNT}"
         config["services"] = [{"name": name, "max_conns": 60} for name in SERVICES]
-        self.store.put_config(config)
-        self.record.published.append(PublishedConfig(self.version, time.monotonic()))
+        return config
 
     def note_recovery_request(
         self, front: SoakFront, route: str, request_id: str, path: str
@@ -342,22 +356,11 @@
                 gevent.sleep(POLL_INTERVAL_S)
 
     def read_logs(self) -> None:
-        """Record the first traceback in the log of each process."""
+        """Record the first traceback of each log, and the request ids in all logs."""
         for front in self.fronts:
             text = front.front_process.log_path.read_text(errors="replace")
+            self.record.logged_ids.update(LOGGED_ID.findall(text))
             at = text.find("Traceback")
             if at >= 0:
                 fault = f"{front.name}: {text[at : at + LOG_EXCERPT_CHARS]}"
                 self.record.log_faults.append(fault)
-
-
-class FrontCleanup:
-    """Kills a process and removes its files."""
-
-    def __init__(self, front: SoakFront) -> None:
-        self.front = front
-
-    def close(self) -> None:
-        """Kill the process, paused or not, and remove its files."""
-        self.front.kill()
-        self.front.front_process.folder.cleanup()
