--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,7 +1,7 @@
 """Runs the soaks of several seeds, each in a subprocess.
 
 Run as `python -m tests.soak --seeds=1-50 [--seconds=12] [--fronts=4] [--jobs=3]`,
-with --restores for a store that returns to a copy.
+with --restores for a store that returns to a copy, or with --scenario=stops.
 """
 
 import pickle
@@ -13,7 +13,10 @@
 from absl import app, flags
 
 from .checks import find_violations
+from .observations import Record
 from .run import run_soak
+from .stop_checks import count_outcomes, find_stop_violations
+from .stops import run_stops
 
 SEEDS = flags.DEFINE_string("seeds", "1-3", "the first and the last seed")
 SECONDS = flags.DEFINE_float(
@@ -27,6 +30,9 @@
 RESTORES = flags.DEFINE_bool(
     "restores", False, "whether the store also returns to a copy from time to time"
 )
+SCENARIO = flags.DEFINE_enum(
+    "scenario", "faults", ["faults", "stops"], "faults of all kinds, or only stops"
+)
 ONE = flags.DEFINE_integer("one", None, "run only this seed, in this process")
 MAX_SHOWN = 10
 
@@ -51,7 +57,7 @@
     command = [sys.executable, "-m", "tests.soak", f"--one={seed}"]
     command += [
         f"--{name}={FLAGS[name].value}"
-        for name in ("seconds", "fronts", "out", "restores")
+        for name in ("seconds", "fronts", "out", "restores", "scenario")
     ]
     completed = subprocess.run(command, capture_output=True, text=True)
     print(completed.stdout + completed.stderr[-2_000:], end="", flush=True)
@@ -63,8 +69,13 @@
 
     Return the exit code: 1 if there are violations, 0 otherwise.
     """
-    record = run_soak(seed, SECONDS.value, FRONTS.value, restores=RESTORES.value)
-    violations = find_violations(record, timed=True)
+    if SCENARIO.value == "stops":
+        record = run_stops(seed, SECONDS.value, FRONTS.value)
+        violations = find_stop_violations(record)
+        print_stops(record)
+    else:
+        record = run_soak(seed, SECONDS.value, FRONTS.value, restores=RESTORES.value)
+        violations = find_violations(record, timed=True)
     served = sum(request.status == 200 for request in record.asked)
     print(
         f"seed {seed}: {len(record.asked)} asked, {served} served, "
@@ -79,6 +90,14 @@
     return 1 if violations else 0
 
 
+def print_stops(record: Record) -> None:
+    """Print what the requests got that ended in a stop, and the times of the stops."""
+    for (kind, outcome), count in sorted(count_outcomes(record).items()):
+        print(f"  {kind or 'recovery'}: {count} {outcome}")
+    times = [stop.at - stop.asked_at for stop in record.ended if stop.asked_at]
+    print("  stops, in seconds:", *[f"{time_s:.2f}" for time_s in times])
+
+
 FLAGS = flags.FLAGS
 
 if __name__ == "__main__":
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -3,7 +3,7 @@
 import msgspec
 import testtools
 
-from . import checks
+from . import checks, stop_checks
 from .observations import (
     Arrival,
     CallerRequest,
@@ -84,6 +84,14 @@
 
 BOOKING = make_caller_request(idempotent=False, route="booking")
 LATER = make_caller_request(id="r2", sent_at=101.0, ended_at=101.1)
+LOST = make_caller_request(status=0, ended_at=101.0)
+SLOW = make_caller_request(status=0, ended_at=101.0, paced_until=103.3)
+CUT_AT_ONCE = make_caller_request(status=0)
+TRUNCATED = make_caller_request(status=0, is_truncated=True)
+STOPPED = [ProcessExit("f1", 103.0, 0, asked_at=99.9, incarnation=1)]
+SHORT_PAUSE = [FaultPeriod("pause", "f1", 99.0, 103.1)]
+LATER_PAUSE = [FaultPeriod("pause", "f1", 101.1, 104.0)]
+LONG_PAUSE = [FaultPeriod("pause", "f1", 100.5, 103.3)]
 EXTRA = [make_arrival(at=100.0 + number / 10) for number in range(40)]
 # For each check, changes to the correct record that it must report.
 BAD_RECORDS = {
@@ -153,7 +161,31 @@
             "ended": [ProcessExit("f1", 103.0, 0, asked_at=99.9)],
         },
     ),
+    "check_requests": (
+        {"asked": [LOST], "arrivals": []},
+        {"asked": [CUT_AT_ONCE]},
+        {"asked": [CUT_AT_ONCE], "arrivals": [], "logged_ids": {"r1"}},
+        {"asked": [TRUNCATED], "arrivals": []},
+        {"asked": [make_caller_request(status=500)]},
+        {"asked": [SLOW], "ended": STOPPED},
+        {"asked": [LOST], "ended": STOPPED, "troubles": SHORT_PAUSE},
+        {"asked": [LOST], "ended": STOPPED, "troubles": LATER_PAUSE},
+        {"asked": [LOST], "troubles": LONG_PAUSE},
+    ),
+    "check_true_refusals": ({"asked": [make_caller_request(status=503)]},),
+    "check_exits": (
+        {"ended": [ProcessExit("f1", 99.0, 0)]},
+        {"ended": [ProcessExit("f1", 103.0, 1, asked_at=99.9)]},
+        {"ended": [ProcessExit("f1", 104.0, -9, asked_at=99.9)]},
+    ),
 }
+# Outcomes that explain why a request was not answered, with changes to the record.
+EXCUSES = (
+    ("LEFT", {"asked": [make_caller_request(status=0, left_at=100.0)]}),
+    ("UNREAD", {"asked": [CUT_AT_ONCE], "arrivals": []}),
+    ("EXCUSED", {"asked": [make_caller_request(status=0, paced_until=103.5)]}),
+    ("EXCUSED", {"asked": [LOST], "troubles": LONG_PAUSE}),
+)
 
 
 class CheckTests(testtools.TestCase):
@@ -163,13 +195,21 @@
         self.assertEqual([], checks.find_violations(make_record(), timed=True))
 
     def test_each_check_reports_each_of_its_bad_records(self):
-        names = {check.__name__ for check in checks.ALWAYS + checks.TIMED}
-        self.assertEqual(names, set(BAD_RECORDS))
+        every = checks.ALWAYS + checks.TIMED + stop_checks.STOP_CHECKS
+        by_name = {check.__name__: check for check in every}
+        self.assertEqual(set(by_name), set(BAD_RECORDS))
         for name, records in BAD_RECORDS.items():
             for number, changes in enumerate(records):
-                found = list(getattr(checks, name)(make_record(**changes)))
+                found = list(by_name[name](make_record(**changes)))
                 self.assertTrue(found, f"{name} accepts its bad record {number}")
 
+    def test_requests_without_an_answer_are_excused_only_for_their_reasons(self):
+        self.assertEqual([], stop_checks.find_stop_violations(make_record()))
+        for outcome, changes in EXCUSES:
+            record = make_record(ended=STOPPED, **changes)
+            found = stop_checks.Outcomes(record).find(record.asked[0])
+            self.assertEqual(outcome, found.name)
+
     def test_fault_excuses_only_the_process_that_it_affects(self):
         late = make_caller_request(ended_at=101.6)
         for subject, expected in (("f1", []), ("f2", ["r1"])):
