Log how many calls were sent for a request that ends without an answer

Cause: a request whose handler is at work may have reached a target or may still wait for a connection; one of the four in the users' record had reached none.

Change: event=request_unanswered has the field calls for stage=served. Calls in batches count when the batch is sent.

Measured: tests.forwarding.test_caller_connections and tests.integration test_front_operations, test_batches, test_forwarding, test_fronts: 51 passed.

--- a/sesameplank/forwarding/answer_accounts.py
+++ b/sesameplank/forwarding/answer_accounts.py
@@ -42,8 +42,9 @@
     """A request that has been read completely.
 
     `read_at` is in seconds. `unwritten` is the number of bytes of the reply that
-    have not been written, None before there is a reply. `has_ended` is true once the
-    reply is written or its loss is reported.
+    have not been written, None before there is a reply. `calls` is the number of calls
+    sent for the request, None unless the handler is at work. `has_ended` is true once
+    the reply is written or its loss is reported.
     """
 
     def __init__(self, request: Request, read_at: float, while_stopping: bool) -> None:
@@ -52,6 +53,7 @@
         self.while_stopping = while_stopping
         self.stage = AnswerStage.QUEUED
         self.unwritten: int | None = None
+        self.calls: int | None = None
         self.has_ended = False
 
 
@@ -131,9 +133,8 @@
         self.stop_totals.unanswered += pending.while_stopping
         if self.log is None:
             return
-        unwritten = {}
-        if pending.unwritten is not None:
-            unwritten["unwritten_bytes"] = pending.unwritten
+        progress = {"calls": pending.calls, "unwritten_bytes": pending.unwritten}
+        known = {name: value for name, value in progress.items() if value is not None}
         self.log.note_failure(
             "request_unanswered",
             request=self.get_request_id(pending.request),
@@ -142,7 +143,7 @@
             after_ms=int((now - pending.read_at) * 1_000),
             stopping=stopping,
             listener=listener,
-            **unwritten,
+            **known,
         )
 
     def note_unread(
--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -74,7 +74,8 @@
     `transit_s` is the estimated time that the network adds to the latency that the
     caller observes. Both are in seconds. `caller_host` is the address that the
     caller connected from. `on_disconnect` is called if the connection ends before the
-    request is answered.
+    request is answered. `calls` is the number of calls to targets that the handler
+    has sent for the request.
     """
 
     def __init__(
@@ -84,6 +85,7 @@
         self.transit_s = transit_s
         self.caller_host = caller_host
         self.is_disconnected = False
+        self.calls = 0
         self.on_disconnect: Callable[[], None] = lambda: None
 
     def mark_disconnected(self) -> None:
@@ -386,6 +388,8 @@
     def report_pending(self) -> None:
         """Report the requests that the closed connection leaves without an answer."""
         server = self.server
+        if self.current is not None:
+            self.last.calls = self.current.calls
         for pending in self.get_pending():
             self.accounts.note_unanswered(
                 pending,
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -187,6 +187,7 @@
         )
         self.batches += sent
         for batch in sent:
+            self.context.calls += len(batch.calls)
             self.fanout.note_batched(batch.calls)
             for call in batch.calls:
                 self.batched[call.id] = batch
@@ -290,6 +291,7 @@
     def note_transmitted(self, call: Call) -> None:
         """Record that a call is being transmitted."""
         self.forwarder.count("calls_transmitted")
+        self.context.calls += 1
         self.fanout.note_transmitted(call)
 
     def count_bytes(self, call: Call, size: int) -> None:
--- a/tests/forwarding/test_caller_connections.py
+++ b/tests/forwarding/test_caller_connections.py
@@ -29,6 +29,7 @@
 from sesameplank.standins.fleet import reserve_block
 
 WAIT_S = 10.0
+CALLS = 3
 LARGE_BODY = b"x" * 16_000_000  # More than the buffers of both sockets hold.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
@@ -70,6 +71,7 @@
 
     def serve(self, request: Request, context: RequestContext) -> Reply:
         self.served += 1
+        context.calls = CALLS
         self.may_reply.wait()
         return self.reply
 
@@ -255,6 +257,8 @@
         )
         self.check_counts(len(case.ids), case.cause)
         for fields in self.get_lines("request_unanswered"):
+            is_served = fields["stage"] == "served"
+            self.assertEqual(str(CALLS) if is_served else None, fields.get("calls"))
             is_answered = fields["stage"] == "answered"
             self.assertEqual(is_answered, int(fields.get("unwritten_bytes", 0)) > 0)
             self.assertEqual(str(self.address), fields["listener"])
--- a/tests/integration/test_front_operations.py
+++ b/tests/integration/test_front_operations.py
@@ -11,7 +11,7 @@
 from sesameplank.net import Address
 from sesameplank.standins.front_targets import TargetFaultMode
 
-from .front_world import ROOT, FrontTestCase, make_request
+from .front_world import ROOT, FrontTestCase, RawConnection, make_request
 
 
 class OperationsTests(FrontTestCase):
@@ -100,6 +100,19 @@
                 ["1", "1", "0", "0", "0"], [step.fields[name] for name in totals]
             )
 
+    def test_request_whose_caller_leaves_is_logged_with_its_calls(self):
+        for name in ("singlea", "singleb"):
+            self.targets[name].fault_mode = TargetFaultMode.SILENT
+        with RawConnection(self.fronts[0].caller_address) as client:
+            client.sock.sendall(make_request("/book/x", "gone", 900, "POST", b"1"))
+            self.wait_for(lambda: self.get_runs("singlea", "singleb"), "the run")
+        text = "event=request_unanswered request=gone stage=served cause=caller_left"
+        self.wait_for(lambda: text in self.fronts[0].log_path.read_text(), "a line")
+        lines = self.fronts[0].log_path.read_text().splitlines()
+        (line,) = [line for line in lines if "request_unanswered" in line]
+        self.assertIn(" stopping=False", line)
+        self.assertIn(" calls=1", line)
+
     def get_stop_steps(self) -> list[LogLine]:
         lines = self.fronts[0].log_path.read_text().splitlines()
         steps = {"leaving", "stop_accepting", "left", "stopped"}
