Story: show a lost answer between the steps of its process's stop

Cause: sesameplank-story left out the steps of a stop that began more than the context before a request's first line, or that came after its last one; a request that is cut off at the end of a stop often has only the line that says so.

Change: if a process was stopping at its last line about the request, all steps of that stop are printed, and lines of the same time stay in the order of their file.

Measured: the two new tests of lost answers fail without the change; tests.monitoring test_timeline and test_losses: 18 passed.

--- a/sesameplank/monitoring/timeline.py
+++ b/sesameplank/monitoring/timeline.py
@@ -7,11 +7,11 @@
 
 # Forwarding processes write the first field, entries the second.
 REQUEST_FIELDS = ("request", "request_id")
+STOP_EVENTS = ("leaving", "stop_accepting", "left", "stopped")
 CONTEXT_EVENTS = frozenset(
     {
+        *STOP_EVENTS,
         "started",
-        "leaving",
-        "stopped",
         "reloaded",
         "reload_failed",
         "pause_noticed",
@@ -71,23 +71,49 @@
 
     The context consists of the lines with CONTEXT_EVENTS from the processes that
     logged the request. It starts `context_s` seconds before the first line
-    of the request and ends with the last one.
+    of the request and ends with the last one. If a process was stopping at its last
+    line about the request, all steps of that stop belong to the context.
     """
     all_lines = list(lines)
     request_lines = [line for line in all_lines if line.is_about(request_id)]
     if not request_lines:
         return []
-    sources = {line.source for line in request_lines}
+    last_lines = {line.source: line for line in request_lines}
     last = max(line.time for line in request_lines)
     first = min(line.time for line in request_lines) - context_s
-    context = [
+    stops = [
+        step for line in last_lines.values() for step in find_stop(all_lines, line)
+    ]
+    timeline = [
         line
         for line in all_lines
-        if line.source in sources
+        if line.is_about(request_id)
+        or line in stops
+        or line.source in last_lines
         and line.event in CONTEXT_EVENTS
         and first <= line.time <= last
     ]
-    return sorted([*request_lines, *context], key=lambda line: line.time)
+    return sorted(timeline, key=lambda line: line.time)
+
+
+def find_stop(lines: Iterable[LogLine], during: LogLine) -> list[LogLine]:
+    """Return the steps of the stop in which a process wrote a line, or nothing.
+
+    A stop begins with `leaving` and ends before the next `started`.
+    """
+    steps: list[LogLine] = []
+    for line in lines:
+        if line.source != during.source:
+            continue
+        is_restart = line.event == "started"
+        if is_restart and line.time > during.time:
+            break
+        if is_restart:
+            steps.clear()
+        elif line.event in STOP_EVENTS:
+            steps.append(line)
+    is_stopping = steps and steps[0].time <= during.time
+    return steps if is_stopping else []
 
 
 def format_timeline(lines: Iterable[LogLine]) -> list[str]:
--- a/tests/monitoring/test_timeline.py
+++ b/tests/monitoring/test_timeline.py
@@ -30,6 +30,21 @@
     make_line(19.5, "request_refused", request="r1", status=503),
     make_line(19.9, "started", vm="b"),
 ]
+STOPPED = [
+    make_line(1.0, "started", vm="d"),
+    make_line(2.0, "leaving", after_ms=0),
+    make_line(8.0, "stopped", after_ms=6000),
+    make_line(9.0, "started", vm="d"),
+    make_line(20.0, "leaving", after_ms=0),
+    make_line(24.5, "stop_accepting", after_ms=4500),
+    make_line(25.7, "left", after_ms=5700),
+    make_line(25.7, "request_unanswered", request="r4", cause="process_ended"),
+    make_line(25.7, "request_unanswered", request="r5", cause="process_ended"),
+    make_line(25.7, "stopped", after_ms=5701),
+    make_line(27.0, "started", vm="d"),
+    make_line(28.0, "request_refused", request="r6", status=404),
+    make_line(40.0, "leaving", after_ms=0),
+]
 THIRD = [make_line(20.0, "store_lost", reason="other"), 'half a line "\n', "\n"]
 
 
@@ -58,6 +73,20 @@
         timeline = find_timeline(parse_lines("entry", log), "r1", 5.0)
         self.assertEqual(["request_refused"], [line.event for line in timeline])
 
+    def find_events(self, request_id: str, context_s: float = 1.0) -> list[str]:
+        lines = parse_lines("d", STOPPED)
+        timeline = find_timeline(lines, request_id, context_s)
+        return [line.event for line in timeline]
+
+    def test_lost_answer_is_shown_between_the_steps_of_its_stop(self):
+        self.assertEqual(
+            ["leaving", "stop_accepting", "left", "request_unanswered", "stopped"],
+            self.find_events("r4"),
+        )
+
+    def test_steps_of_other_stops_are_left_out(self):
+        self.assertEqual(["started", "request_refused"], self.find_events("r6"))
+
     def test_unknown_request_has_an_empty_timeline(self):
         self.assertEqual([], find_timeline(self.read_lines(), "r9", 5.0))
 
@@ -90,6 +119,14 @@
         self.assertTrue(lines[0].startswith("a: time=17.000 event=store_lost"))
         self.assertEqual((1, []), self.run_command("r9", str(directory / "a.log")))
 
+    def test_lost_answer_is_printed_with_its_stop(self):
+        path = Path(self.enterContext(tempfile.TemporaryDirectory())) / "d.log"
+        path.write_text("".join(STOPPED))
+        code, lines = self.run_command("r5", str(path))
+        self.assertEqual((0, 5), (code, len(lines)))
+        self.assertEqual("d: time=20.000 event=leaving after_ms=0", lines[0])
+        self.assertIn("request=r5 cause=process_ended", lines[3])
+
     def test_error_on_bad_input_names_the_remedy(self):
         for request_id, arguments in (("", ["x"]), ("r1", []), ("r1", ["/not/there"])):
             error = self.assertRaises(
