Operations: from an answer lost at a stop to its cause

Cause: the pages described neither the lines of lost requests and of the steps of a stop nor the counters, and said nothing of a stop whose process is killed.

Two tests keep the lists true.

--- a/tests/docs/test_reference.py
+++ b/tests/docs/test_reference.py
@@ -24,6 +24,7 @@
 from sesameplank.core import messages
 from sesameplank.core.coverage import Coverage, MissingRange, MissingReason
 from sesameplank.core.ranges import KeyRange
+from sesameplank.forwarding.answer_accounts import CloseCause
 from sesameplank.monitoring.dump import EntryDump
 from sesameplank.monitoring.metrics import METRICS
 from sesameplank.monitoring.requests import KNOWN_PATHS
@@ -168,6 +169,15 @@
         ]
         self.assertEqual(expected, rows)
 
+    def test_requests_of_a_forwarding_process(self):
+        names = get_names(
+            read_sections("metrics.md")["Requests of a forwarding process"]
+        )
+        expected = [f"unanswered_{cause.value}" for cause in CloseCause]
+        self.assertEqual(
+            expected, [name for name in names if name.startswith("unanswered_")]
+        )
+
     def test_dump_fields(self):
         rows = read_sections("metrics.md")["State dump"]
         fields = [item.encode_name for item in msgspec.structs.fields(EntryDump)]
--- a/tests/integration/test_front_operations.py
+++ b/tests/integration/test_front_operations.py
@@ -11,6 +11,7 @@
 from sesameplank.net import Address
 from sesameplank.standins.front_targets import TargetFaultMode
 
+from ..docs.test_reference import get_names, read_sections
 from .front_world import ROOT, FrontTestCase, RawConnection, make_request
 
 
@@ -36,6 +37,9 @@
         text = bytes(self.get_from_metrics_address("/metrics").body).decode()
         self.assertIn('events_total{event="requests"} 3', text)
         self.assertIn('latency_ms_count{route="gather"} 3', text)
+        self.assertIn('events_total{event="requests_read"} 3', text)
+        self.assertIn('events_total{event="answers_written"} 3', text)
+        self.assertIn("sesameplank_front_requests_pending 0", text)
         self.assertIn("sesameplank_front_config_version 3", text)
         self.assertEqual(404, self.get_from_metrics_address("/other").status)
 
@@ -45,6 +49,10 @@
         self.assertEqual("single", state["targets"]["singlea"]["service"])
         self.assertIn(self.fronts[0].host, state["members"])
 
+    def test_reference_lists_the_gauges(self):
+        rows = read_sections("metrics.md")["Gauges of a forwarding process"]
+        self.assertEqual(get_names(rows), list(self.get_state(0)["gauges"]))
+
     def test_signal_writes_the_state_to_the_log(self):
         front = self.fronts[0]
         front.process.send_signal(signal.SIGUSR1)
