--- a/tests/integration/test_front_operations.py
+++ b/tests/integration/test_front_operations.py
@@ -11,7 +11,8 @@
 from sesameplank.net import Address
 from sesameplank.standins.front_targets import TargetFaultMode
 
-from .front_world import ROOT, FrontTestCase, make_request
+from ..docs.test_reference import get_names, read_sections
+from .front_world import ROOT, FrontTestCase, RawConnection, make_request
 
 
 class OperationsTests(FrontTestCase):
@@ -36,6 +37,9 @@
         text = bytes(self.get_from_metrics_address("/metrics").body).decode()
         self.assertIn('events_total{event="requests"} 3', text)
         self.assertIn('latency_ms_count{route="gather"} 3', text)
+        self.assertIn('events_total{event="requests_read"} 3', text)
+        self.assertIn('events_total{event="answers_written"} 3', text)
+        self.assertIn("sesameplank_front_requests_pending 0", text)
         self.assertIn("sesameplank_front_config_version 3", text)
         self.assertEqual(404, self.get_from_metrics_address("/other").status)
 
@@ -45,6 +49,10 @@
         self.assertEqual("single", state["targets"]["singlea"]["service"])
         self.assertIn(self.fronts[0].host, state["members"])
 
+    def test_reference_lists_the_gauges(self):
+        rows = read_sections("metrics.md")["Gauges of a forwarding process"]
+        self.assertEqual(get_names(rows), list(self.get_state(0)["gauges"]))
+
     def test_signal_writes_the_state_to_the_log(self):
         front = self.fronts[0]
         front.process.send_signal(signal.SIGUSR1)
@@ -100,6 +108,19 @@
                 ["1", "1", "0", "0", "0"], [step.fields[name] for name in totals]
             )
 
+    def test_request_whose_caller_leaves_is_logged_with_its_calls(self):
+        for name in ("singlea", "singleb"):
+            self.targets[name].fault_mode = TargetFaultMode.SILENT
+        with RawConnection(self.fronts[0].caller_address) as client:
+            client.sock.sendall(make_request("/book/x", "gone", 900, "POST", b"1"))
+            self.wait_for(lambda: self.get_runs("singlea", "singleb"), "the run")
+        text = "event=request_unanswered request=gone stage=served cause=caller_left"
+        self.wait_for(lambda: text in self.fronts[0].log_path.read_text(), "a line")
+        lines = self.fronts[0].log_path.read_text().splitlines()
+        (line,) = [line for line in lines if "request_unanswered" in line]
+        self.assertIn(" stopping=False", line)
+        self.assertIn(" calls=1", line)
+
     def get_stop_steps(self) -> list[LogLine]:
         lines = self.fronts[0].log_path.read_text().splitlines()
         steps = {"leaving", "stop_accepting", "left", "stopped"}
