Stop: don't look for further requests on a connection that is closed

Cause: the socket was asked for unread bytes after the reader had closed it.

Before: the new test fails with EBADF.

--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -325,11 +325,11 @@
                 )
                 self.served += 1
                 reply = self.serve(pending.request, self.current)
-                is_disconnected = self.current.is_disconnected
                 self.current = None
+                if not self.is_open:
+                    return
                 close = self.is_last(pending.request, reply)
-                if not is_disconnected:
-                    self.answer(pending, reply, close)
+                self.answer(pending, reply, close)
                 self.last = None
                 if close:
                     self.finish()
--- a/tests/forwarding/test_stops.py
+++ b/tests/forwarding/test_stops.py
@@ -2,6 +2,7 @@
 
 import gevent
 import msgspec
+from gevent.event import Event
 
 from sesameplank.forwarding.caller_connections import (
     FIRST_REQUEST_TIMEOUT_S,
@@ -9,7 +10,12 @@
 )
 
 from ..integration.front_world import make_request
-from .caller_world import CallerServerTestCase, KernelConnection, block_loop
+from .caller_world import (
+    TIMEOUT_S,
+    CallerServerTestCase,
+    KernelConnection,
+    block_loop,
+)
 
 LARGE_BYTES = 300_000
 SMALL_BUFFER_BYTES = 4_096
@@ -103,3 +109,31 @@
         self.time_s = FIRST_REQUEST_TIMEOUT_S
         self.server.close_idle()
         self.assertTrue(client.is_closed())
+
+
+class LeavingCallerTests(CallerServerTestCase):
+    """Callers that leave while their requests are served during a stop."""
+
+    def setUp(self):
+        super().setUp()
+        self.may_reply = Event()
+
+    def handle(self, request, context):
+        self.may_reply.wait()
+        return super().handle(request, context)
+
+    def test_worker_does_not_fail_on_the_closed_connection(self):
+        client = self.enterContext(KernelConnection(self.address))
+        self.server.is_stopping = True
+        client.sock.sendall(make_request("/left"))
+        self.wait_until_accepted()
+        (connection,) = self.server.connections
+        with gevent.Timeout(TIMEOUT_S):
+            while connection.worker is None:
+                gevent.sleep(0.01)
+            worker = connection.worker
+            client.sock.close()
+            while self.server.connections:
+                gevent.sleep(0.01)
+            self.may_reply.set()
+            self.assertIsNone(worker.get())
