Failing test: a process that goes on just before the end of its stop

What callers see: requests that they sent while the process was suspended end without an answer, if the process goes on after the time at which it would have ended its stop, but before it is killed. It closes everything at once, without a last look at what has arrived.

Trigger: SIGTERM, suspended from 1 to 2.75 s of a grace time of 3 s, three requests on kept connections and three on new ones meanwhile. No product code is changed.

--- a/tests/integration/test_front_stops.py
+++ b/tests/integration/test_front_stops.py
@@ -144,14 +144,23 @@
         gevent.sleep(seconds)
         process.send_signal(signal.SIGCONT)
 
-    def suspend_at_the_end_of_the_drain(self, send) -> list[RawConnection]:
+    def suspend_at_the_end_of_the_drain(
+        self, send, seconds: float = 1.0
+    ) -> list[RawConnection]:
         """Suspend the process when it would close connections, and send meanwhile."""
         self.terminate(self.fronts[0])
         gevent.sleep(1.0)
         sender = gevent.spawn_later(0.1, lambda: [send(n) for n in range(3)])
-        self.suspend(1.0)
+        self.suspend(seconds)
         return sender.get()
 
+    def open_kept(self) -> list[RawConnection]:
+        """Return connections on which a request was answered."""
+        clients = [self.send("/one/x", f"first{n}") for n in range(3)]
+        for client in clients:
+            self.assertEqual(200, client.read().status)
+        return clients
+
     def test_grace_time_includes_the_time_suspended_before_the_signal_is_handled(self):
         self.silence(*SINGLE_TARGETS)
         client = self.send("/one/x", "lookup")
@@ -162,9 +171,7 @@
         self.assertEqual(504, self.read_status(client))
 
     def test_requests_on_kept_connections_sent_during_a_suspension_are_answered(self):
-        clients = [self.send("/one/x", f"first{n}") for n in range(3)]
-        for client in clients:
-            self.assertEqual(200, client.read().status)
+        clients = self.open_kept()
 
         def send(number: int) -> RawConnection:
             client = clients[number]
@@ -179,6 +186,19 @@
         )
         self.assert_answered(clients)
 
+    def test_requests_are_answered_after_a_suspension_until_shortly_before_the_end(
+        self,
+    ):
+        clients = self.open_kept()
+
+        def send(number: int) -> RawConnection:
+            client = clients[number]
+            client.sock.sendall(make_request("/one/x", f"kept{number}", LONG_MS))
+            return self.send("/one/x", f"new{number}")
+
+        new_clients = self.suspend_at_the_end_of_the_drain(send, self.grace_s - 1.25)
+        self.assert_answered([*clients, *new_clients])
+
     def assert_answered(self, clients: list[RawConnection]) -> None:
         """Fail unless each request is served, or refused as not run."""
         statuses = [self.read_status(client) for client in clients]
