Stop: count the time from when the signal can have come

What callers saw: a process that was suspended when SIGTERM was sent ended 4.8 s after it with a grace time of 3 s; on the platform it is killed at 3 s, with whatever is in flight.

Cause: the stop counted from when the signal was handled. The round of housekeeping that was late for the same reason ran just before the handler, so the time of the last round said nothing either.

Change: the stop counts from the round before the last one, which is 0.2 s early at most on a process that runs.

--- a/sesameplank/forwarding/shutdown.py
+++ b/sesameplank/forwarding/shutdown.py
@@ -52,13 +52,12 @@
     def request(self) -> None:
         """Start the shutdown, unless it has been requested before.
 
-        The request may be as old as the last time at which the event loop ran.
+        The process may have been suspended or busy since the signal was sent.
         """
         if self.is_requested:
             return
         now = self.clock.now()
-        last_round_at = self.housekeeping.last_round_at
-        requested_at = now if last_round_at is None else last_round_at
+        requested_at = self.housekeeping.get_earliest_event_at(now)
         self.schedule = make_stop_schedule(requested_at, self.timeout_s, now)
         gevent.spawn(self.run, self.schedule)
 
--- a/tests/forwarding/test_loop_delay.py
+++ b/tests/forwarding/test_loop_delay.py
@@ -27,3 +27,12 @@
         self.assertAlmostEqual(0.9, self.delay.get_delay_s(6.05))
         self.delay.note_round(6.1)
         self.assertAlmostEqual(0.0, self.delay.get_delay_s(6.15))
+
+    def test_event_behind_a_late_round_may_be_as_old_as_the_round_before(self):
+        self.assertEqual(10.0, self.delay.get_earliest_event_at(10.0))
+        self.delay.note_round(10.0)
+        self.assertEqual(10.0, self.delay.get_earliest_event_at(12.0))
+        self.delay.note_round(12.0)
+        self.assertEqual(10.0, self.delay.get_earliest_event_at(12.0))
+        self.delay.note_round(12.1)
+        self.assertEqual(12.0, self.delay.get_earliest_event_at(12.15))
