Stop: a process that resumes near the end of its stop still answers what it reads

What callers saw: a process that was suspended from 1 s after SIGTERM until 0.25 s before its kill closed kept connections and reset new ones, with the requests that had been sent meanwhile.

Cause: the time to close connections had passed, so they were closed at once.

Change: after accepting ends, there are 0.2 s at least to read and refuse what waits.

--- a/sesameplank/forwarding/shutdown.py
+++ b/sesameplank/forwarding/shutdown.py
@@ -6,7 +6,7 @@
 
 from ..core.clock import Clock
 from ..core.peer_messages import Phase
-from ..core.stop_schedule import StopSchedule, make_stop_schedule
+from ..core.stop_schedule import MIN_ANSWER_S, StopSchedule, make_stop_schedule
 from ..logs import log_event
 from ..peers.membership import MembershipService
 from .caller_connections import CallerServer
@@ -85,7 +85,7 @@
         self.wait_until(schedule.stop_accepting_at)
         self.log_step("stop_accepting", unaccepted=self.server.count_unaccepted())
         self.server.stop_accepting()
-        self.close_connections(schedule.exit_by)
+        self.close_connections(max(schedule.exit_by, self.clock.now() + MIN_ANSWER_S))
         self.membership_service.leave(Phase.LEFT)
         gevent.sleep(CHECK_INTERVAL_S)
         self.log_step("left", **self.get_totals())
