Log why a handler's connection ended, not always that the caller left

Cause: request_refused and request_answered said caller_left=True also if this process had closed the connection at its own end.

Change: the handler is told the cause. caller_left is true only if the caller left, and the new field connection says open, or the cause. What is sent is unchanged.

--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -74,8 +74,8 @@
     `transit_s` is the estimated time that the network adds to the latency that the
     caller observes. Both are in seconds. `caller_host` is the address that the
     caller connected from. `on_disconnect` is called if the connection ends before the
-    request is answered. `calls` is the number of calls to targets that the handler
-    has sent for the request.
+    request is answered; `close_cause` then says why, and is None before. `calls` is
+    the number of calls to targets that the handler has sent for the request.
     """
 
     def __init__(
@@ -84,13 +84,18 @@
         self.received_at = received_at
         self.transit_s = transit_s
         self.caller_host = caller_host
-        self.is_disconnected = False
+        self.close_cause: CloseCause | None = None
         self.calls = 0
         self.on_disconnect: Callable[[], None] = lambda: None
 
-    def mark_disconnected(self) -> None:
+    @property
+    def is_disconnected(self) -> bool:
+        """Whether the caller's connection has ended."""
+        return self.close_cause is not None
+
+    def mark_disconnected(self, cause: CloseCause) -> None:
         """Record that the caller's connection has ended, and notify the handler."""
-        self.is_disconnected = True
+        self.close_cause = cause
         self.on_disconnect()
 
 
@@ -376,7 +381,7 @@
     def disconnect(self) -> None:
         """Notify the handler of the request in progress, if any, and close."""
         if self.current is not None:
-            self.current.mark_disconnected()
+            self.current.mark_disconnected(self.close_cause)
         self.close(CloseCause.CALLER_LEFT)
         self.report_pending()
 
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -15,6 +15,7 @@
 from ..core.placement import LoadReport
 from ..core.routes import Route, RoutingConfiguration
 from ..ids import AttemptId, ServiceName, TargetId
+from .answer_accounts import CloseCause
 from .call_batches import CallBatch
 from .caller_connections import Reply, RequestContext
 from .dialect import RequestMetadata, TargetAnswer, find_failure
@@ -114,6 +115,7 @@
         is_success = is_complete and self.clock.now() <= self.plan.objective_at
         note = log.note_success if is_success else log.note_failure
         is_answered = verdict is Verdict.ANSWERED
+        close_cause = self.context.close_cause
         note(
             "request_answered" if is_answered else "request_refused",
             request=self.metadata.request_id,
@@ -122,7 +124,8 @@
             version=self.routing.version,
             targets_revision=self.forwarder.table.revision,
             verdict=verdict.value,
-            caller_left=self.context.is_disconnected,
+            caller_left=close_cause is CloseCause.CALLER_LEFT,
+            connection="open" if close_cause is None else close_cause.value,
             parts=self.fanout.answered,
             shards=len(self.plan.shards),
             required=self.plan.required,
--- a/tests/forwarding/test_caller_connections.py
+++ b/tests/forwarding/test_caller_connections.py
@@ -52,6 +52,7 @@
         self.lines: list[str] = []
         self.patch(output, "write", self.lines.append)
         self.served = 0
+        self.context: RequestContext | None = None
         self.reply = Reply(200)
         self.may_reply = Event()
         self.metrics = FrontMetrics()
@@ -71,6 +72,7 @@
 
     def serve(self, request: Request, context: RequestContext) -> Reply:
         self.served += 1
+        self.context = context
         context.calls = CALLS
         self.may_reply.wait()
         return self.reply
@@ -256,6 +258,9 @@
             self.get_unanswered(),
         )
         self.check_counts(len(case.ids), case.cause)
+        is_first_served = case.first_stage == "served"
+        told = self.context.close_cause
+        self.assertEqual(case.cause if is_first_served else None, told and told.value)
         for fields in self.get_lines("request_unanswered"):
             is_served = fields["stage"] == "served"
             self.assertEqual(str(CALLS) if is_served else None, fields.get("calls"))
