Stop: refuse requests that have arrived only in part

What callers saw: a request of which the body was still on its way when a stop ended was lost with its connection.

Cause: the end of a stop closed connections without a word if nothing was in flight.

Change: from the time at which all answers are due, such a request gets 503: it has not run and never will.

--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -42,6 +42,7 @@
 CONNECT_ROUND_TRIPS = 1
 LOOKUP_ROUND_TRIPS = 2  # One to connect to the directory, one for the look-up.
 LISTEN_BACKLOG = 1_024
+STOPPING = "the process is stopping; send the request to another one"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -195,6 +196,12 @@
             if connection.is_open and connection.is_idle:
                 connection.finish()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse the requests that have arrived only in part, and end connections."""
+        for connection in list(self.connections):
+            if connection.is_receiving and not connection.in_flight:
+                gevent.spawn(connection.refuse, MessageError(STOPPING, 503))
+
 
 class CallerConnection:
     """One connection of a caller, with a queue of pipelined requests."""
@@ -351,11 +358,17 @@
             return True
         return self.server.is_stopping and not self.has_more
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a request has arrived only in part."""
+        return self.reader is not None and self.reader.in_message
+
     @property
     def has_more(self) -> bool:
         """Whether bytes of further requests have arrived on the connection."""
-        is_reading = self.reader is not None and self.reader.in_message
-        return bool(self.queue) or is_reading or count_unread_bytes(self.sock) > 0
+        if self.queue or self.is_receiving:
+            return True
+        return count_unread_bytes(self.sock) > 0
 
     def get_transit_s(self) -> float:
         """Return the time that the network adds to a request's latency, in seconds.
@@ -383,7 +396,7 @@
         """Send an error response once all earlier requests are answered, and close."""
         if self.worker is not None:
             self.worker.join()
-        if not self.is_finishing:
+        if self.is_open and not self.is_finishing:
             self.send(Reply(error.status, body=str(error).encode()).encode(True))
         self.finish()
 
--- a/sesameplank/forwarding/shutdown.py
+++ b/sesameplank/forwarding/shutdown.py
@@ -85,7 +85,7 @@
         self.wait_until(schedule.stop_accepting_at)
         self.log_step("stop_accepting", unaccepted=self.server.count_unaccepted())
         self.server.stop_accepting()
-        self.close_connections(max(schedule.exit_by, self.clock.now() + MIN_ANSWER_S))
+        self.close_connections(schedule)
         self.membership_service.leave(Phase.LEFT)
         gevent.sleep(CHECK_INTERVAL_S)
         self.log_step("left", **self.get_totals())
@@ -95,16 +95,20 @@
         while (remaining_s := at - self.clock.now()) > 0:
             gevent.sleep(min(remaining_s, MAX_SLEEP_S))
 
-    def close_connections(self, until: float) -> None:
-        """Close connections as they become idle, until none is left or a time.
+    def close_connections(self, schedule: StopSchedule) -> None:
+        """Close connections as they become idle, until none is left.
 
-        The loop runs at least once: connections that were accepted last are not
-        counted before.
+        The loop runs at least once, since connections that were accepted last are not
+        counted before, and it ends in time for the process to exit.
         """
+        until = max(schedule.exit_by, self.clock.now() + MIN_ANSWER_S)
         while True:
             gevent.sleep(CHECK_INTERVAL_S)
+            now = self.clock.now()
             self.server.close_idle()
-            if not self.server.connections or self.clock.now() >= until:
+            if now >= schedule.answer_by:
+                self.server.refuse_incomplete()
+            if not self.server.connections or now >= until:
                 return
 
     def log_step(self, event: str, **fields: object) -> None:
