Stop: announce the end on readiness, directory and metrics connections, and exit in time

What callers saw: kept connections to the addresses for readiness, the directory and metrics ended without Connection: close, and a request on them could be lost with it.

Cause: these servers knew nothing of the stop and were closed with the process.

Change: they announce the end from SIGTERM on, serve until the callers' connections are closed, and then close like those. The time reserved for the exit is now 0.5 s, not a twelfth of the timeout: 0.25 s of 3 s was too little.

--- a/sesameplank/core/stop_schedule.py
+++ b/sesameplank/core/stop_schedule.py
@@ -5,7 +5,9 @@
 # Shares of the stop timeout, counted from the stop request.
 STOP_ACCEPTING_SHARE = 3 / 4
 ANSWER_SHARE = 5 / 6
-EXIT_SHARE = 11 / 12  # The rest is for the end of the interpreter.
+# Time for the end of the interpreter, and at most this share of the timeout.
+EXIT_RESERVE_S = 0.5
+MAX_EXIT_RESERVE_SHARE = 1 / 4
 # The least time for the answers of a process that was suspended around the request.
 MIN_ANSWER_S = 0.2
 # The outcome of a non-idempotent request must not remain unknown.
@@ -43,11 +45,14 @@
     `requested_at` is the earliest time at which the stop can have been requested. It
     is before `now` if the process was suspended or busy.
     """
-    answer_by = requested_at + ANSWER_SHARE * timeout_s
-    exit_by = requested_at + EXIT_SHARE * timeout_s
+    reserve_s = min(EXIT_RESERVE_S, MAX_EXIT_RESERVE_SHARE * timeout_s)
+    exit_by = requested_at + timeout_s - reserve_s
+    latest_answer_at = exit_by - min(MIN_ANSWER_S, reserve_s)
+    answer_by = min(requested_at + ANSWER_SHARE * timeout_s, latest_answer_at)
+    stop_accepting_at = requested_at + STOP_ACCEPTING_SHARE * timeout_s
     return StopSchedule(
         requested_at=requested_at,
-        stop_accepting_at=requested_at + STOP_ACCEPTING_SHARE * timeout_s,
+        stop_accepting_at=min(stop_accepting_at, answer_by),
         answer_by=max(answer_by, now + MIN_ANSWER_S),
         exit_by=max(exit_by, now + 2 * MIN_ANSWER_S),
     )
--- a/sesameplank/forwarding/shutdown.py
+++ b/sesameplank/forwarding/shutdown.py
@@ -23,7 +23,8 @@
 
     `timeout_s` is the time after which the process is killed, counted from the stop
     request. `housekeeping` tells when the event loop last ran, and `finished` is set
-    when the process may exit.
+    when the process may exit. `other_servers` serve readiness, addresses and the like
+    until the end.
     """
 
     def __init__(
@@ -41,6 +42,7 @@
         self.forwarder = forwarder
         self.membership_service = membership_service
         self.housekeeping = housekeeping
+        self.other_servers: list[CallerServer] = []
         self.schedule: StopSchedule | None = None
         self.finished = Event()
 
@@ -79,15 +81,18 @@
             stop_timeout_ms=int(self.timeout_s * 1_000),
             loop_delay_ms=int(self.housekeeping.get_delay_s(self.clock.now()) * 1_000),
         )
-        self.server.is_stopping = True
+        for server in (self.server, *self.other_servers):
+            server.is_stopping = True
         self.forwarder.begin_stop(schedule)
         self.membership_service.leave(Phase.LEAVING)
         self.wait_until(schedule.stop_accepting_at)
         self.log_step("stop_accepting", unaccepted=self.server.count_unaccepted())
         self.server.stop_accepting()
-        self.close_connections(schedule)
+        self.close_connections([self.server], schedule)
         self.membership_service.leave(Phase.LEFT)
-        gevent.sleep(CHECK_INTERVAL_S)
+        for server in self.other_servers:
+            server.stop_accepting()
+        self.close_connections(self.other_servers, schedule)
         self.log_step("left", **self.get_totals())
 
     def wait_until(self, at: float) -> None:
@@ -95,7 +100,9 @@
         while (remaining_s := at - self.clock.now()) > 0:
             gevent.sleep(min(remaining_s, MAX_SLEEP_S))
 
-    def close_connections(self, schedule: StopSchedule) -> None:
+    def close_connections(
+        self, servers: list[CallerServer], schedule: StopSchedule
+    ) -> None:
         """Close connections as they become idle, until none is left.
 
         The loop runs at least once, since connections that were accepted last are not
@@ -105,10 +112,11 @@
         while True:
             gevent.sleep(CHECK_INTERVAL_S)
             now = self.clock.now()
-            self.server.close_idle()
-            if now >= schedule.answer_by:
-                self.server.refuse_incomplete()
-            if not self.server.connections or now >= until:
+            for server in servers:
+                server.close_idle()
+                if now >= schedule.answer_by:
+                    server.refuse_incomplete()
+            if now >= until or not any(server.connections for server in servers):
                 return
 
     def log_step(self, event: str, **fields: object) -> None:
--- a/sesameplank/platform/command.py
+++ b/sesameplank/platform/command.py
@@ -1,5 +1,6 @@
 """The forwarding process on a VM of the users' platform."""
 
+import contextlib
 import random
 import signal
 import sys
@@ -90,12 +91,16 @@
         gevent.signal_handler(signal.SIGUSR1, self.dump)
         log_event("listening", metrics=self.settings.metrics_address)
         gevent.spawn(self.watch_settings)
-        with (
-            self.front,
+        servers = [
             self.make_server(self.settings.ready_address, self.serve_ready),
             self.make_server(self.settings.directory_address, self.serve_addresses),
             self.make_server(self.settings.metrics_address, self.serve_metrics),
-        ):
+        ]
+        self.front.shutdown.other_servers += servers
+        with contextlib.ExitStack() as stack:
+            stack.enter_context(self.front)
+            for server in servers:
+                stack.enter_context(server)
             self.front.wait()
 
     def dump(self) -> None:
