--- a/tests/soak/stop_checks.py
+++ b/tests/soak/stop_checks.py
@@ -89,7 +89,7 @@
         if stop is None:
             return False
         last_read_at = stop.asked_at + GRACE_S - SLOW_READER_ALLOWANCE_S
-        return request.paced_until > last_read_at or any(
+        return min(request.paced_until, request.ended_at) > last_read_at or any(
             period.began_at <= request.ended_at
             for period in find_long_suspensions(self.record, stop)
         )
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -85,7 +85,7 @@
 BOOKING = make_caller_request(idempotent=False, route="booking")
 LATER = make_caller_request(id="r2", sent_at=101.0, ended_at=101.1)
 LOST = make_caller_request(status=0, ended_at=101.0)
-SLOW = make_caller_request(status=0, ended_at=101.0, paced_until=103.3)
+SLOW = make_caller_request(status=0, ended_at=103.7, paced_until=103.5)
 CUT_AT_ONCE = make_caller_request(status=0)
 TRUNCATED = make_caller_request(status=0, is_truncated=True)
 STOPPED = [ProcessExit("f1", 103.0, 0, asked_at=99.9, incarnation=1)]
@@ -167,7 +167,8 @@
         {"asked": [CUT_AT_ONCE], "arrivals": [], "logged_ids": {"r1"}},
         {"asked": [TRUNCATED], "arrivals": []},
         {"asked": [make_caller_request(status=500)]},
-        {"asked": [SLOW], "ended": STOPPED},
+        {"asked": [msgspec.structs.replace(SLOW, paced_until=103.3)], "ended": STOPPED},
+        {"asked": [msgspec.structs.replace(SLOW, ended_at=103.3)], "ended": STOPPED},
         {"asked": [LOST], "ended": STOPPED, "troubles": SHORT_PAUSE},
         {"asked": [LOST], "ended": STOPPED, "troubles": LATER_PAUSE},
         {"asked": [LOST], "troubles": LONG_PAUSE},
@@ -183,7 +184,7 @@
 EXCUSES = (
     ("LEFT", {"asked": [make_caller_request(status=0, left_at=100.0)]}),
     ("UNREAD", {"asked": [CUT_AT_ONCE], "arrivals": []}),
-    ("EXCUSED", {"asked": [make_caller_request(status=0, paced_until=103.5)]}),
+    ("EXCUSED", {"asked": [SLOW]}),
     ("EXCUSED", {"asked": [LOST], "troubles": LONG_PAUSE}),
 )
 
