Soak of stops: attribute a request to the process that its connection reached

A caller that idled while a process was replaced noted its next request, sent on the dead connection, under the new process. Such requests end at once and were counted as unread, at the wrong process; no verdict changes.

--- a/tests/soak/stop_callers.py
+++ b/tests/soak/stop_callers.py
@@ -43,6 +43,7 @@
     def __init__(self, world: StopWorld, front: SoakFront) -> None:
         self.world = world
         self.front = front
+        self.incarnation = front.incarnation
         address = tuple(front.front_process.caller_address)
         self.sock = gevent.socket.create_connection(address, CONNECT_TIMEOUT_S)
         self.sock.settimeout(None)
@@ -144,7 +145,6 @@
         self, connection: StopConnection, route: str = "", copies=1, body=b"order"
     ) -> Made:
         """Return the record and the bytes of a new request."""
-        front = connection.front
         route = route or self.rng.choice(("gather", "plain", "plain", "booking"))
         is_booking = route == "booking"
         request_id = f"{self.name}-{next(self.ids)}"
@@ -162,8 +162,8 @@
             request_id,
             route,
             path,
-            front.name,
-            front.incarnation,
+            connection.front.name,
+            connection.incarnation,
             NEVER,
             deadline_s,
             not is_booking,
--- a/tests/soak/stop_checks.py
+++ b/tests/soak/stop_checks.py
@@ -48,11 +48,8 @@
     def __init__(self, record: Record) -> None:
         self.record = record
         self.reached = {arrival.request_id for arrival in record.arrivals}
-        self.stops = {
-            (process_exit.front, process_exit.incarnation): process_exit
-            for process_exit in record.ended
-            if process_exit.asked_at is not None
-        }
+        stops = [item for item in record.ended if item.asked_at is not None]
+        self.stops = {(item.front, item.incarnation): item for item in stops}
 
     def get_stop(self, request: CallerRequest) -> ProcessExit | None:
         """Return the stop of the process that got the request, or None."""
