Soak of stops: measure the pace of a slow reader instead of assuming it

The planned pace was taken as the real one. With a receive buffer of 16 kB the real one was far slower (a read planned to end 1.2 s before SIGTERM went on for 7 s), so that an answer which nobody read in time counted as lost.

--- a/tests/soak/stop_callers.py
+++ b/tests/soak/stop_callers.py
@@ -73,16 +73,18 @@
         Raise OSError if the connection ends first or with this answer.
         """
         size = self.outstanding[0].copies * TARGET_BODY_BYTES
+        began_at = received = 0
         while not self.reader.complete:
             data = self.sock.recv(SLOW_READ_BYTES if read_s else READ_BYTES)
-            is_first = not self.reader.in_message
             self.reader.feed(data)
             if not data or self.reader.is_corrupt:
                 raise ConnectionError("no whole answer")
             if read_s and self.reader.in_message:
-                if is_first:
-                    self.paced_until = time.monotonic() + read_s
+                began_at = began_at or time.monotonic()
+                received += len(data)
                 gevent.sleep(read_s * len(data) / size)
+                elapsed_s = time.monotonic() - began_at
+                self.paced_until = began_at + elapsed_s * size / received
         self.note_answer()
 
     def note_answer(self) -> None:
