Requests in flight at the end of an entry's stop are answered

What callers saw: a search or a booking that was still in flight when drain_timeout_s was over ended with a closed connection, without an answer and without a line in the log; so did a search that was admitted during the stop with a deadline beyond its end.

Cause: the stop waited a fixed time and then ended the process, whatever was in flight. The deadline of a request was not bounded by the stop.

Change: the stop has a schedule (StopSchedule) from its request on. The deadline of a request that is admitted meanwhile is bounded by it, and a new request that can't end in time is refused as leaving, not run. What is in flight at answer_by is cut off by StopReached, raised in its greenlet by the loop, and answered: a search as leaving with `ran` unknown, a booking as outcome-unknown, also one that another entry forwarded. The lines `refusing` and `left` (cut_off, after_s) were added.

--- a/sesameplank/bookings/refusals.py
+++ b/sesameplank/bookings/refusals.py
@@ -4,6 +4,7 @@
 from ..core.bookings import Verdict
 from ..core.outcomes import Failure, Ran
 from ..core.writers import BookingKey
+from ..ids import EntryId
 
 GET_WRITER_REMEDY = (
     "take a writer id with POST /v1/writers and send a key that begins with it"
@@ -42,6 +43,29 @@
     )
 
 
+def make_cut_off(key: BookingKey | None, own_entry: EntryId) -> Refusal:
+    """Return the refusal of a booking that is in flight when the entry has to end.
+
+    The key is None if it has no writer id. A key of this entry is forgotten when it
+    ends; any other key is known to its issuer.
+    """
+    detail = "the entry stops and the booking has not ended in the time left"
+    if key is None or key.writer.entry == own_entry:
+        return Refusal(
+            ProblemKind.OUTCOME_UNKNOWN,
+            detail,
+            "look for it in a search before booking again",
+            ran=Ran.UNKNOWN,
+        )
+    return Refusal(
+        ProblemKind.OUTCOME_UNKNOWN,
+        detail,
+        "ask another entry under the same key, which never runs twice",
+        ran=Ran.UNKNOWN,
+        retry_after_ms=0,
+    )
+
+
 def make_internal_error() -> Refusal:
     """Return the refusal of a booking that failed with an internal error."""
     return Refusal(
--- a/sesameplank/callers/app.py
+++ b/sesameplank/callers/app.py
@@ -18,6 +18,7 @@
 )
 from ..core.outcomes import Ran
 from ..core.versions import AcceptedConfiguration, ConfigurationStore
+from ..exceptions import StopReached
 from ..ids import CallerName, EntryId, IdempotencyKey, RequestId
 from ..logs import log_event
 from ..monitoring import DecisionLog, RequestLedger
@@ -82,7 +83,8 @@
 
     `search` and the methods of `bookings` return a typed answer or raise
     Refusal. `pages` maps the paths of GET requests to callables that return a
-    typed answer, or a pair of content type and bytes.
+    typed answer, or a pair of content type and bytes. `get_latest_deadline`
+    returns the time by which every request has to end, which a stop sets.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         bookings: BookingHandler,
         pages: dict[str, PageHandler],
         ledger: RequestLedger | None = None,
+        get_latest_deadline: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self.entry_id = entry_id
         self.store = store
@@ -102,6 +105,7 @@
         self.bookings = bookings
         self.pages = pages
         self.ledger = ledger or RequestLedger(clock, DecisionLog(clock), math.inf)
+        self.get_latest_deadline = get_latest_deadline
         self.counter = itertools.count(1)
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
@@ -122,6 +126,11 @@
             status, content_type, body = make_refusal_response(refusal, request_id)
             headers = get_refusal_headers(refusal)
             outcome, detail = refusal.kind.value, refusal.detail
+        except StopReached:  # No handler has the request yet.
+            refusal = make_stop_refusal()
+            status, content_type, body = make_refusal_response(refusal, request_id)
+            headers = get_refusal_headers(refusal)
+            outcome, detail = refusal.kind.value, refusal.detail
         except Exception as error:  # Answer the caller even after an internal error.
             log_event("internal_error", request_id=request_id, error=repr(error))
             status, content_type, body = make_refusal_response(
@@ -226,6 +235,7 @@
                 "was read whole",
                 "send the whole request at once, or allow a longer deadline_ms",
             )
+        deadline_at = min(deadline_at, self.get_latest_deadline())
         return CallerContext(request_id, caller, pinned, deadline_at)
 
 
@@ -277,6 +287,17 @@
     return headers
 
 
+def make_stop_refusal() -> Refusal:
+    """Return the refusal of a request that was not read whole before a stop ended."""
+    return Refusal(
+        ProblemKind.LEAVING,
+        "the entry stops and the request was not read whole in time",
+        "ask any other entry of a fresh address list",
+        retry_after_ms=0,
+        ends_connection=True,
+    )
+
+
 def make_internal_refusal() -> Refusal:
     """Return the refusal of a request whose handling raised an unexpected error."""
     return Refusal(
--- a/sesameplank/coordination.py
+++ b/sesameplank/coordination.py
@@ -14,6 +14,7 @@
 from .core.pauses import BootClock, PauseDetector
 from .core.peer_messages import Phase
 from .core.readers import choose_readers
+from .core.stop_schedule import StopSchedule
 from .core.versions import AcceptedConfiguration, ConfigurationStore, VmStore
 from .ids import DataCentre, EntryId
 from .logs import log_event
@@ -28,17 +29,15 @@
 
 PAUSE_CHECK_INTERVAL_S = 0.1
 START_CHECK_INTERVAL_S = 0.02
-ANNOUNCE_MARGIN_S = 0.5  # time for the announcement to reach the other entries
-FINAL_SEND_DELAY_S = 0.2  # time to send the last update before the process exits
+FINAL_SEND_DELAY_S = 0.2  # time to send the last answers and the last update
 MIN_REFRESH_S = 0.2  # requests buffered during a pause are refused meanwhile
 
 
 class CoordinationSettings(msgspec.Struct, frozen=True):
-    """The settings of coordination; times in seconds.
+    """The settings of coordination.
 
-    `start_spread_s` is the window over which processes that start together spread
-    their first reads. `drain_timeout_s` bounds how long a shutdown waits for
-    requests in flight.
+    `start_spread_s` is the window in seconds over which processes that start together
+    spread their first reads.
     """
 
     entry_id: EntryId
@@ -46,9 +45,7 @@
     address: Address
     peer_address: Address
     platform_address: Address
-    address_ttl_s: float
     start_spread_s: float
-    drain_timeout_s: float
 
 
 class ReaderElection:
@@ -228,21 +225,34 @@
             vm.address for vm in listed.values() if vm.state is VmState.LIVE
         ]
 
-    def drain(self) -> None:
-        """Announce that this entry leaves, and drain it.
+    def drain(self, stop: StopSchedule) -> None:
+        """Announce that this entry leaves, and drain it by the schedule of a stop.
 
         The entry serves until the addresses that callers cached have expired. Then
-        it refuses new requests and waits for those in flight. This takes at most
-        `address_ttl_s` + `drain_timeout_s` and about a second.
+        it refuses new requests and waits for those in flight. What is still in
+        flight at `answer_by` is cut off, which answers it.
         """
         log_event("leaving", in_flight=self.gate.in_flight)
         self.membership_service.leave(Phase.LEAVING)
-        gevent.sleep(self.settings.address_ttl_s + ANNOUNCE_MARGIN_S)
+        self.sleep_until(stop.stop_accepting_at)
         self.gate.set_state(ServingState.CLOSED)
-        finished = self.gate.idle.wait(self.settings.drain_timeout_s)
+        log_event("refusing", in_flight=self.gate.in_flight)
+        finished = self.gate.idle.wait(max(0.0, stop.answer_by - self.clock.now()))
+        cut_off = self.gate.in_flight
+        self.gate.cut_off()
         self.membership_service.leave(Phase.LEFT)
         gevent.sleep(FINAL_SEND_DELAY_S)
-        log_event("left", finished=finished, refused=self.gate.refused)
+        log_event(
+            "left",
+            finished=finished,
+            refused=self.gate.refused,
+            cut_off=cut_off,
+            after_s=self.clock.now() - stop.requested_at,
+        )
+
+    def sleep_until(self, time_s: float) -> None:
+        """Sleep until a time of this process's clock, in seconds."""
+        gevent.sleep(max(0.0, time_s - self.clock.now()))
 
     def get_state(self) -> dict:
         """Return the part of the state dump that describes the fleet."""
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -25,6 +25,8 @@
 from .core.admission import AdmissionController, Permit, is_load_sample
 from .core.bookings import BookingLimits, BookingRegistry
 from .core.clock import SystemClock
+from .core.counters import RefusalReason
+from .core.entry_stop import make_entry_stop_schedule
 from .core.homes import ConnectionPlan
 from .core.leaving import LeavingTargets
 from .core.messages import SearchAnswer, SearchRequest
@@ -32,6 +34,7 @@
 from .core.policies import LoadPolicies
 from .core.snapshots import SnapshotTracker
 from .core.versions import AcceptedConfiguration, ConfigurationStore
+from .exceptions import StopReached
 from .ids import DataCentre, EntryId, Incarnation
 from .logs import log_event
 from .monitoring import DecisionLog, RequestLedger
@@ -42,7 +45,13 @@
 from .peers.incarnations import make_incarnation
 from .peers.websocket_transport import WebSocketTransport
 from .queries import QueryRunner
-from .serving import GatedBookings, ServingGate, ServingState, make_refusal
+from .serving import (
+    GatedBookings,
+    ServingGate,
+    ServingState,
+    make_refusal,
+    make_search_cut_off,
+)
 from .targets import DirectDispatcher
 from .targets.health import HealthPoller
 from .targets.relay import RelayDispatcher
@@ -90,7 +99,7 @@
         )
         self.store = ConfigurationStore(self.clock)
         self.snapshots = SnapshotTracker(self.clock)
-        self.gate = ServingGate()
+        self.gate = ServingGate(self.clock)
         self.coordination = self.make_coordination()
         self.connection_plan = ConnectionPlan(
             settings.entry_id,
@@ -188,9 +197,7 @@
                 settings.address,
                 settings.peer_address,
                 settings.platform_address,
-                settings.address_ttl_s,
                 settings.start_spread_s,
-                settings.drain_timeout_s,
             ),
             self.links,
             self.store,
@@ -215,6 +222,7 @@
                 "/metrics": lambda environ: self.metrics.render(),
             },
             self.ledger,
+            self.gate.get_latest_deadline,
         )
 
     def apply_configuration(self, accepted: AcceptedConfiguration) -> None:
@@ -236,8 +244,11 @@
 
     def search(self, call: CallerContext, request: SearchRequest) -> SearchAnswer:
         """Answer a caller's query, or raise Refusal."""
-        with self.gate.admit():
-            return self.run_search(call, request)
+        try:
+            with self.gate.admit():
+                return self.run_search(call, request)
+        except StopReached:
+            raise make_search_cut_off() from None
 
     def run_search(self, call: CallerContext, request: SearchRequest) -> SearchAnswer:
         """Answer an admitted query, or raise Refusal."""
@@ -275,6 +286,9 @@
         )
         if isinstance(admitted, Permit):
             return admitted
+        is_late = admitted.reason is RefusalReason.DEADLINE
+        if is_late and call.deadline_at >= self.gate.get_latest_deadline():
+            raise make_refusal(ServingState.CLOSED)
         raise Refusal(
             ProblemKind.OVERLOADED,
             f"the collection {request.collection!r} is overloaded "
@@ -300,7 +314,13 @@
         return {"status": "ready"}
 
     def request_stop(self) -> None:
-        """Request a graceful shutdown."""
+        """Request a graceful shutdown; a second request has no effect."""
+        if self.gate.stop is not None:
+            return
+        now = self.clock.now()
+        self.gate.stop = make_entry_stop_schedule(
+            now, self.settings.address_ttl_s, self.settings.drain_timeout_s, now
+        )
         self.decisions.note("stop", "requested")
         self.stop_requested.set()
 
@@ -308,4 +328,4 @@
         """Wait for a shutdown request, then drain the entry."""
         self.stop_requested.wait()
         self.bookings.issues_writers = False
-        self.coordination.drain()
+        self.coordination.drain(self.gate.stop)
--- a/sesameplank/exceptions.py
+++ b/sesameplank/exceptions.py
@@ -77,6 +77,13 @@
         self.idempotency_key = idempotency_key
 
 
+class StopReached(BaseException):  # noqa: N818 - it is no error of the request.
+    """Raised in a request that is in flight when the process has to end.
+
+    It is no Exception, so that only code that knows the request's state catches it.
+    """
+
+
 class LoadError(SesameplankError):
     """The load tool could not complete a run."""
 
--- /dev/null
+++ b/tests/integration/test_entry_stops.py
@@ -0,0 +1,105 @@
+"""Tests that a stopping entry answers every request that it has read."""
+
+import signal
+import socket
+import time
+
+import gevent
+import msgspec
+
+from sesameplank.client import Client
+from tests.callers.raw_http import RawResponse, make_head, make_post
+
+from .fleets import FleetTestCase
+
+TTL_S = 0.5
+DRAIN_TIMEOUT_S = 1.0
+BOUND_S = TTL_S + DRAIN_TIMEOUT_S + 1.0  # as docs/topics/stopping.md states
+FLAGS = (f"--address_ttl_s={TTL_S}", f"--drain_timeout_s={DRAIN_TIMEOUT_S}")
+STUCK_FACTOR = 10_000.0
+LONG_SEARCH = b'{"collection": "order-desk", "deadline_ms": 10000}'
+SENT_S = 0.3  # Time for a request to reach a target.
+
+
+class EntryStopTestCase(FleetTestCase):
+    """Sends requests over raw sockets to one entry while it stops."""
+
+    def start_entry(self, *flags: str) -> None:
+        self.start_fleet(1, *FLAGS, *flags)
+        self.entry = self.fleet.entries[0]
+
+    def slow_targets(self) -> None:
+        """Make every call to a target take longer than the test."""
+        for target in self.world.targets.values():
+            target.slow_factor = STUCK_FACTOR
+
+    def connect(self) -> socket.socket:
+        sock = socket.create_connection(self.entry.address, timeout=30.0)
+        self.addCleanup(sock.close)
+        return sock
+
+    def send(self, payload: bytes) -> socket.socket:
+        """Send bytes on a new connection, and return it."""
+        sock = self.connect()
+        sock.sendall(payload)
+        return sock
+
+    def stop_entry(self) -> None:
+        self.stopped_at = time.monotonic()
+        self.entry.signal(signal.SIGTERM)
+
+    def check_exit(self) -> None:
+        """Check that the entry exits with code 0 within the documented bound."""
+        self.assertEqual(0, self.entry.wait(60))
+        self.assertTrue(time.monotonic() - self.stopped_at < BOUND_S)
+
+    def make_key(self) -> str:
+        with Client("order-desk", self.fleet.addresses) as client:
+            return client.make_key(10_000)
+
+    def make_booking(self, key: str) -> bytes:
+        """Return a request to book one item under a key."""
+        record = next(iter(self.world.stores["order-desk"].records))
+        body = msgspec.json.encode(
+            {"collection": "order-desk", "record": record, "deadline_ms": 10_000}
+        )
+        lines = (f"Idempotency-Key: {key}",)
+        return make_head(len(body), *lines, path="/v1/bookings") + body
+
+
+class InFlightTests(EntryStopTestCase):
+    """What is still in flight at the end of the stop gets a truthful answer."""
+
+    def test_search_that_outlasts_the_stop_is_answered(self):
+        self.start_entry()
+        self.slow_targets()
+        sock = self.send(make_post(LONG_SEARCH, "X-Request-Id: cut-short"))
+        gevent.sleep(SENT_S)
+        self.stop_entry()
+        answer = RawResponse(sock.makefile("rb"))
+        self.assertEqual((503, "leaving"), (answer.status, answer.kind))
+        self.assertEqual("unknown", answer.problem["ran"])
+        self.check_exit()
+        self.assertIn("request_id=cut-short", self.entry.log_path.read_text())
+
+    def test_booking_that_outlasts_the_stop_is_answered_as_unknown(self):
+        self.start_entry()
+        key = self.make_key()
+        self.slow_targets()
+        sock = self.send(self.make_booking(key))
+        gevent.sleep(SENT_S)
+        self.stop_entry()
+        answer = RawResponse(sock.makefile("rb"))
+        self.assertEqual((504, "outcome-unknown"), (answer.status, answer.kind))
+        self.assertEqual("unknown", answer.problem["ran"])
+        self.check_exit()
+
+    def test_search_that_is_admitted_during_the_stop_ends_before_it(self):
+        self.start_entry()
+        self.slow_targets()
+        self.stop_entry()
+        gevent.sleep(TTL_S / 2)
+        sock = self.send(make_post(LONG_SEARCH))
+        answer = RawResponse(sock.makefile("rb"))
+        self.assertIn(answer.status, (200, 503))
+        self.check_exit()
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -1,14 +1,22 @@
 """Tests of admission by serving state and of pause detection."""
 
+import contextlib
+import math
+
+import gevent
 import testtools
 
+from sesameplank.bookings.forwarding import ForwardedBooking
+from sesameplank.bookings.refusals import make_cut_off
 from sesameplank.bookings.service import BookingService
 from sesameplank.callers.problems import ProblemKind, Refusal
 from sesameplank.core.bookings import BookingLimits, BookingRegistry
 from sesameplank.core.clock import ManualClock
+from sesameplank.core.entry_stop import make_entry_stop_schedule
 from sesameplank.core.outcomes import Ran
 from sesameplank.core.pauses import PauseDetector
 from sesameplank.core.writers import parse_key
+from sesameplank.exceptions import StopReached
 from sesameplank.serving import GatedBookings, ServingGate, ServingState
 
 
@@ -47,6 +55,84 @@
         gate.before_admission = lambda: gate.set_state(ServingState.REFRESHING)
         self.assertRaises(Refusal, gate.admit().__enter__)
 
+    def test_request_that_cannot_end_before_the_stop_is_refused_as_not_run(self):
+        clock = ManualClock()
+        gate = ServingGate(clock)
+        gate.set_state(ServingState.OPEN)
+        gate.stop = make_entry_stop_schedule(0.0, 1.0, 0.0, 0.0)
+        with gate.admit():
+            clock.advance(gate.stop.answer_by - 0.1)
+            refusal = self.assertRaises(Refusal, gate.admit().__enter__)
+        self.assertEqual(
+            (ProblemKind.LEAVING, Ran.NOT_RUN), (refusal.kind, refusal.ran)
+        )
+        with gate.admit(is_new=False):
+            self.assertEqual(1, gate.in_flight)
+
+    def test_deadlines_are_bounded_by_the_end_of_the_stop(self):
+        gate = ServingGate(ManualClock())
+        self.assertEqual(math.inf, gate.get_latest_deadline())
+        gate.stop = make_entry_stop_schedule(0.0, 1.0, 2.0, 0.0)
+        self.assertTrue(3.0 < gate.get_latest_deadline() < gate.stop.answer_by)
+
+    def test_only_requests_in_flight_are_cut_off(self):
+        gate = ServingGate()
+        gate.set_state(ServingState.OPEN)
+        outcomes = []
+
+        def wait(is_admitted: bool) -> None:
+            with gate.admit() if is_admitted else contextlib.nullcontext():
+                try:
+                    gevent.sleep(0.2)
+                    outcomes.append((is_admitted, "ended"))
+                except StopReached:
+                    outcomes.append((is_admitted, "cut off"))
+
+        greenlets = [gevent.spawn(wait, item) for item in (True, False)]
+        gevent.sleep(0.05)
+        gate.cut_off()
+        gevent.joinall(greenlets, raise_error=True)
+        self.assertEqual([(True, "cut off"), (False, "ended")], outcomes)
+        self.assertEqual((0, set()), (gate.in_flight, gate.admitted))
+
+
+class CutOffBookingTests(testtools.TestCase):
+    """A booking that a stop cuts off is never said to be not run."""
+
+    def test_remedy_by_issuer(self):
+        table = [
+            ("e1~5~1~a", None, "look for it in a search"),
+            ("e2~5~1~a", 0, "ask another entry under the same key"),
+            ("no-writer", None, "look for it in a search"),
+        ]
+        for text, retry_after_ms, remedy in table:
+            refusal = make_cut_off(parse_key(text), "e1")
+            self.assertEqual(
+                (ProblemKind.OUTCOME_UNKNOWN, Ran.UNKNOWN, retry_after_ms),
+                (refusal.kind, refusal.ran, refusal.retry_after_ms),
+                text,
+            )
+            self.assertIn(remedy, refusal.remedy)
+
+    def test_forwarded_booking_in_flight_gets_a_reply(self):
+        gate = ServingGate()
+        service = BookingService(
+            BookingRegistry("e1", 5, BookingLimits()), None, None, ManualClock()
+        )
+        service.handle_forwarded = lambda message, context: gevent.sleep(60)
+        bookings = GatedBookings(service, gate)
+        message = ForwardedBooking("r1", "desk", "e1~4~1~a", None)
+        handler = gevent.spawn(bookings.handle_forwarded_booking, message, None)
+        gevent.sleep(0.05)
+        gate.cut_off()
+        problem = handler.get(timeout=10).problem
+        self.assertEqual(Ran.UNKNOWN, problem.ran)
+        self.assertEqual("r1", problem.request_id)
+
+
+class GatedBookingsTests(testtools.TestCase):
+    """The gate knows which bookings may have run already."""
+
     def test_only_unused_keys_of_this_entry_are_new(self):
         registry = BookingRegistry("e1", 5, BookingLimits())
         clock = ManualClock()
