A stopping entry answers what was sent on a connection before it closes it

What callers saw around a stop: of the requests that waited on one connection (pipelined) only the first was answered once the gate had closed; a request that was not read whole when the stop ended got no answer; and a connection with unread bytes was reset, in normal service too. Nothing was logged.

Cause: the refusal of a stopping entry ended its connection whatever was behind it; the stop counted only admitted requests, and the process ended beside those that were being read or written; pywsgi reads at most 16 KiB of what is unread and closes.

Change: a connection knows its stage (idle, reading, running, writing, closing). A stopping server says Connection: close only when no byte waits on the connection. The stop (draining.Drain, moved out of Coordination) waits for all stages but idle and cuts off the rest; idle connections are closed last. Connections are closed by ending the own side and reading on until the caller closes, within a second. A request whose answer can't be sent whole leaves `request_unanswered` with its id, stage, cause and time.

--- a/sesameplank/callers/app.py
+++ b/sesameplank/callers/app.py
@@ -31,6 +31,7 @@
 MAX_KEY_LENGTH = 200
 BOOKINGS_PATH = "/v1/bookings"
 RECEIVE_AGE_KEY = "sesameplank.receive_age_s"
+REQUEST_ID_KEY = "sesameplank.request_id"
 
 
 class CallerContext(msgspec.Struct, frozen=True):
@@ -114,6 +115,7 @@
         supplied_id = environ.get("HTTP_X_REQUEST_ID", "")
         is_usable = is_printable_ascii(supplied_id, MAX_REQUEST_ID_LENGTH)
         request_id = RequestId(supplied_id) if is_usable else self.make_request_id()
+        environ[REQUEST_ID_KEY] = request_id
         headers = []
         caller = environ.get("HTTP_X_CALLER", "")
         record = self.ledger.begin(request_id, caller, environ["PATH_INFO"])
--- a/sesameplank/callers/server.py
+++ b/sesameplank/callers/server.py
@@ -1,17 +1,21 @@
 """The HTTP server for callers, with limits on connections, sizes and time."""
 
+import contextlib
 import itertools
 import socket
+from enum import Enum
 
 import gevent
 import gevent.pywsgi
 import msgspec
 
+from ..core.clock import Clock, SystemClock
+from ..exceptions import StopReached
 from ..ids import RequestId
-from ..logs import log_event
+from ..logs import LogLimiter, log_event
 from ..net import Address, get_receive_age_s
 from ..wsgi import QuietHandler, WsgiApp
-from .app import RECEIVE_AGE_KEY
+from .app import RECEIVE_AGE_KEY, REQUEST_ID_KEY, make_stop_refusal
 from .problems import PROBLEM_JSON, STATUSES, ProblemKind, Refusal
 
 MAX_HEADER_BYTES = 16_384
@@ -22,6 +26,22 @@
 DISCARD_CHUNK_BYTES = 16_384
 
 
+class Stage(Enum):
+    """How far a connection is with its current request.
+
+    READING is until the headers are read, RUNNING until the answer is known.
+    """
+
+    IDLE = "idle"
+    READING = "reading"
+    RUNNING = "running"
+    WRITING = "writing"
+    CLOSING = "closing"
+
+
+BUSY_STAGES = frozenset({Stage.READING, Stage.RUNNING, Stage.WRITING})
+
+
 class HeadersTooLargeError(ValueError):
     """The headers, without the request line, exceed MAX_HEADER_BYTES."""
 
@@ -83,6 +103,7 @@
     """Handles one connection of a caller, with limits on sizes and time.
 
     `write_buffer` collects the bytes of a response while its headers are written.
+    `read_at` is when the current request began to arrive, in seconds of the clock.
     """
 
     write_buffer: bytearray | None = None
@@ -90,6 +111,102 @@
     def __init__(self, sock, address, server, rfile=None) -> None:
         sock.settimeout(SOCKET_TIMEOUT_S)
         super().__init__(sock, address, server, rfile)
+        self.greenlet = gevent.getcurrent()
+        self.stage = Stage.IDLE
+        self.read_at = 0.0
+
+    def handle(self) -> None:
+        """Answer the requests of the connection one by one, then close it."""
+        self.server.handlers.add(self)
+        try:
+            while self.wait_for_request() and self.answer_next():
+                pass
+        except StopReached:
+            self.send_last(*self._make_refusal(make_stop_refusal()))
+        finally:
+            self.stage = Stage.CLOSING
+            self.close()
+            self.server.handlers.discard(self)
+
+    def wait_for_request(self) -> bool:
+        """Wait for the first byte of a request; return False if none comes."""
+        self.stage = Stage.IDLE
+        if self.server.is_closing:
+            return self.has_unread_bytes()
+        try:
+            return bool(self.rfile.peek(1))
+        except OSError:  # The caller closed the connection or left it unused.
+            return False
+        except StopReached:
+            return self.has_unread_bytes()
+
+    def has_unread_bytes(self) -> bool:
+        """Return whether bytes have arrived that were not read yet."""
+        self.socket.settimeout(0.0)
+        try:
+            return bool(self.rfile.peek(1))
+        except OSError:
+            return False
+        finally:
+            self.socket.settimeout(SOCKET_TIMEOUT_S)
+
+    def answer_next(self) -> bool:
+        """Read and answer one request; return whether the connection stays open."""
+        self.stage = Stage.READING
+        self.environ = None
+        self.read_at = self.server.clock.now()
+        result = self.handle_one_request()
+        if result in (None, True):
+            return result is True
+        self.send_last(*result)
+        return False
+
+    def send_last(self, status: str, response: bytes) -> None:
+        """Send a whole response, after which the connection is closed."""
+        self.stage = Stage.WRITING
+        try:
+            self.socket.sendall(response)
+        except OSError as error:
+            self.log_unanswered(repr(error))
+
+    def close(self) -> None:
+        """Close the connection, without a reset that could destroy the answer."""
+        sock = self.__dict__.pop("socket")
+        self.__dict__.pop("wsgi_input", None)
+        self.__dict__.pop("rfile").close()
+        close_gracefully(sock)
+
+    def log_unanswered(self, cause: str) -> None:
+        """Log that a request ends without a whole answer."""
+        suppressed = self.server.limiter.take()
+        if suppressed is not None:
+            log_event(
+                "request_unanswered",
+                request_id=(self.environ or {}).get(REQUEST_ID_KEY, ""),
+                stage=self.stage.value,
+                cause=cause,
+                after_ms=(self.server.clock.now() - self.read_at) * 1_000,
+                suppressed=suppressed,
+            )
+
+    def start_response(self, status, headers, exc_info=None):
+        """Start a response; the answer is known from now on."""
+        self.stage = Stage.WRITING
+        return super().start_response(status, headers, exc_info)
+
+    def finalize_headers(self) -> None:
+        """Add a header if a stopping server closes the connection after the response.
+
+        The connection stays open while requests wait on it, so that the last of them
+        is answered too.
+        """
+        if self.server.is_stopping and not self.has_unread_bytes():
+            self.close_connection = True
+            self.response_headers = [
+                item for item in self.response_headers if item[0] != b"Connection"
+            ]
+            self.response_headers.append((b"Connection", b"close"))
+        super().finalize_headers()
 
     def MessageClass(self, stream, *args):  # noqa: N802 - the name is gevent's.
         """Parse the headers, or raise HeadersTooLargeError over MAX_HEADER_BYTES."""
@@ -126,6 +243,7 @@
 
     def handle_one_response(self) -> None:
         """Answer one request, and close the connection if its body is not drained."""
+        self.stage = Stage.RUNNING
         super().handle_one_response()
         if not self.wsgi_input.is_drained:
             self.close_connection = True
@@ -139,17 +257,24 @@
 
     def _sendall(self, data: bytes) -> None:
         """Send bytes, or buffer them while the headers are written."""
-        if self.write_buffer is None:
-            super()._sendall(data)
-        else:
+        if self.write_buffer is not None:
             self.write_buffer += data
+            return
+        try:
+            super()._sendall(data)
+        except OSError as error:
+            self.log_unanswered(repr(error))
+            raise
 
     def _handle_client_error(self, error: Exception) -> tuple[str, bytes]:
         """Log the refusal of a request that could not be parsed.
 
         Return its status and the complete HTTP response, headers included.
         """
-        refusal = make_parse_refusal(error)
+        return self._make_refusal(make_parse_refusal(error))
+
+    def _make_refusal(self, refusal: Refusal) -> tuple[str, bytes]:
+        """Log a refusal, and return its status and the complete HTTP response."""
         request_id = self.server.make_request_id()
         log_event(
             "request_refused",
@@ -161,9 +286,19 @@
 
 
 class CallersServer(gevent.pywsgi.WSGIServer):
-    """Serves callers on at most `max_connections` connections at a time."""
+    """Serves callers on at most `max_connections` connections at a time.
 
-    def __init__(self, address: Address, app: WsgiApp, max_connections: int) -> None:
+    While `is_stopping`, connections are closed after the answers to what was sent on
+    them. While `is_closing`, idle connections are closed too.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        app: WsgiApp,
+        max_connections: int,
+        clock: Clock | None = None,
+    ) -> None:
         super().__init__(
             tuple(address),
             app,
@@ -171,6 +306,11 @@
             error_log=None,
             handler_class=CallersHandler,
         )
+        self.clock = clock or SystemClock()
+        self.limiter = LogLimiter(self.clock)
+        self.handlers: set[CallersHandler] = set()
+        self.is_stopping = False
+        self.is_closing = False
         self.max_connections = max_connections
         self.open_connections = 0
         self.refused_connections = 0
@@ -191,6 +331,26 @@
         finally:
             self.open_connections -= 1
 
+    def get_busy(self) -> list[CallersHandler]:
+        """Return the handlers of the connections with an unanswered request."""
+        return [item for item in self.handlers if item.stage in BUSY_STAGES]
+
+    def cut_off(self) -> None:
+        """Raise StopReached in all requests without an answer, which refuses them."""
+        stages = (Stage.READING, Stage.RUNNING)
+        gevent.get_hub().loop.run_callback(self.interrupt, stages)
+
+    def close_idle(self) -> None:
+        """Close the connections on which no byte of a request has arrived."""
+        self.is_closing = True
+        gevent.get_hub().loop.run_callback(self.interrupt, (Stage.IDLE,))
+
+    def interrupt(self, stages: tuple[Stage, ...]) -> None:
+        """Raise StopReached in the handlers in some stages; called in the hub."""
+        for handler in list(self.handlers):
+            if handler.stage in stages:
+                handler.greenlet.throw(StopReached())
+
     def refuse(self, sock: socket.socket) -> None:
         """Send a problem document on a connection over the limit, and close it."""
         self.refused_connections += 1
@@ -201,14 +361,28 @@
             retry_after_ms=1_000,
         )
         sock.settimeout(DISCARD_TIMEOUT_S)
+        request_id = self.make_request_id()
         try:
-            sock.sendall(make_raw_response(refusal, self.make_request_id()))
-            sock.shutdown(socket.SHUT_WR)
-            sock.recv(DISCARD_CHUNK_BYTES)
-        except OSError:
-            pass
-        finally:
-            sock.close()
+            sock.sendall(make_raw_response(refusal, request_id))
+        except OSError as error:
+            log_event(
+                "connection_refusal_lost", request_id=request_id, error=repr(error)
+            )
+        close_gracefully(sock)
+
+
+def close_gracefully(sock: socket.socket) -> None:
+    """Close a connection after its caller has, or after a limit of time and bytes.
+
+    To close it at once while bytes are unread would reset it, and the caller could
+    lose the answer. Errors mean that the caller has closed it.
+    """
+    with contextlib.suppress(OSError), gevent.Timeout(DISCARD_TIMEOUT_S, False):
+        sock.shutdown(socket.SHUT_WR)
+        for _ in range(0, MAX_DISCARD_BYTES, DISCARD_CHUNK_BYTES):
+            if not sock.recv(DISCARD_CHUNK_BYTES):
+                break
+    sock.close()
 
 
 def make_parse_refusal(error: Exception) -> Refusal:
--- a/sesameplank/coordination.py
+++ b/sesameplank/coordination.py
@@ -12,9 +12,7 @@
 from .core.members import make_own_record
 from .core.membership import Membership
 from .core.pauses import BootClock, PauseDetector
-from .core.peer_messages import Phase
 from .core.readers import choose_readers
-from .core.stop_schedule import StopSchedule
 from .core.versions import AcceptedConfiguration, ConfigurationStore, VmStore
 from .ids import DataCentre, EntryId
 from .logs import log_event
@@ -29,7 +27,6 @@
 
 PAUSE_CHECK_INTERVAL_S = 0.1
 START_CHECK_INTERVAL_S = 0.02
-FINAL_SEND_DELAY_S = 0.2  # time to send the last answers and the last update
 MIN_REFRESH_S = 0.2  # requests buffered during a pause are refused meanwhile
 
 
@@ -225,35 +222,6 @@
             vm.address for vm in listed.values() if vm.state is VmState.LIVE
         ]
 
-    def drain(self, stop: StopSchedule) -> None:
-        """Announce that this entry leaves, and drain it by the schedule of a stop.
-
-        The entry serves until the addresses that callers cached have expired. Then
-        it refuses new requests and waits for those in flight. What is still in
-        flight at `answer_by` is cut off, which answers it.
-        """
-        log_event("leaving", in_flight=self.gate.in_flight)
-        self.membership_service.leave(Phase.LEAVING)
-        self.sleep_until(stop.stop_accepting_at)
-        self.gate.set_state(ServingState.CLOSED)
-        log_event("refusing", in_flight=self.gate.in_flight)
-        finished = self.gate.idle.wait(max(0.0, stop.answer_by - self.clock.now()))
-        cut_off = self.gate.in_flight
-        self.gate.cut_off()
-        self.membership_service.leave(Phase.LEFT)
-        gevent.sleep(FINAL_SEND_DELAY_S)
-        log_event(
-            "left",
-            finished=finished,
-            refused=self.gate.refused,
-            cut_off=cut_off,
-            after_s=self.clock.now() - stop.requested_at,
-        )
-
-    def sleep_until(self, time_s: float) -> None:
-        """Sleep until a time of this process's clock, in seconds."""
-        gevent.sleep(max(0.0, time_s - self.clock.now()))
-
     def get_state(self) -> dict:
         """Return the part of the state dump that describes the fleet."""
         counters = self.links.counters
--- a/sesameplank/core/entry_stop.py
+++ b/sesameplank/core/entry_stop.py
@@ -3,7 +3,7 @@
 from .stop_schedule import MIN_ANSWER_S, StopSchedule
 
 ANNOUNCE_MARGIN_S = 0.5  # time for the announcement to reach the other entries
-CLOSING_S = 0.5  # time to write the last answers and to close connections
+CLOSING_S = 0.25  # time to write the last answers and to close connections
 
 
 def make_entry_stop_schedule(
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -34,6 +34,7 @@
 from .core.policies import LoadPolicies
 from .core.snapshots import SnapshotTracker
 from .core.versions import AcceptedConfiguration, ConfigurationStore
+from .draining import Drain
 from .exceptions import StopReached
 from .ids import DataCentre, EntryId, Incarnation
 from .logs import log_event
@@ -158,7 +159,10 @@
         self.stop_requested = Event()
         self.metrics = EntryMetrics(self)
         self.server = CallersServer(
-            settings.address, self.make_app(), settings.max_caller_connections
+            settings.address,
+            self.make_app(),
+            settings.max_caller_connections,
+            self.clock,
         )
         self.resources = contextlib.ExitStack()
         self.greenlets: list[gevent.Greenlet] = []
@@ -328,4 +332,10 @@
         """Wait for a shutdown request, then drain the entry."""
         self.stop_requested.wait()
         self.bookings.issues_writers = False
-        self.coordination.drain(self.gate.stop)
+        Drain(
+            self.gate.stop,
+            self.gate,
+            self.server,
+            self.coordination.membership_service,
+            self.clock,
+        ).run()
--- a/sesameplank/serving.py
+++ b/sesameplank/serving.py
@@ -188,7 +188,6 @@
         "ask any other entry of a fresh address list",
         ran=Ran.UNKNOWN,
         retry_after_ms=0,
-        ends_connection=True,
     )
 
 
@@ -200,7 +199,6 @@
             "the entry is stopping and takes no new requests",
             "ask any other entry of a fresh address list",
             retry_after_ms=0,
-            ends_connection=True,
         )
     if state is ServingState.REFRESHING:
         return Refusal(
--- a/tests/integration/test_entry_stops.py
+++ b/tests/integration/test_entry_stops.py
@@ -51,7 +51,8 @@
     def check_exit(self) -> None:
         """Check that the entry exits with code 0 within the documented bound."""
         self.assertEqual(0, self.entry.wait(60))
-        self.assertTrue(time.monotonic() - self.stopped_at < BOUND_S)
+        took_s = time.monotonic() - self.stopped_at
+        self.assertTrue(took_s < BOUND_S, f"the stop took {took_s:.3f} s")
 
     def make_key(self) -> str:
         with Client("order-desk", self.fleet.addresses) as client:
@@ -103,3 +104,36 @@
         answer = RawResponse(sock.makefile("rb"))
         self.assertIn(answer.status, (200, 503))
         self.check_exit()
+
+
+class ConnectionTests(EntryStopTestCase):
+    """What was sent before the entry closes a connection is answered."""
+
+    def test_pipelined_requests_at_the_closing_gate_are_all_answered(self):
+        self.start_entry()
+        self.slow_targets()
+        self.stop_entry()
+        gevent.sleep(TTL_S)
+        first = b'{"collection": "order-desk", "deadline_ms": 900}'
+        sock = self.send(make_post(first) + 2 * make_post(LONG_SEARCH))
+        stream = sock.makefile("rb")
+        answers = [RawResponse(stream) for _ in range(3)]
+        self.assertEqual(["leaving"] * 2, [item.kind for item in answers[1:]])
+        self.assertEqual("close", answers[2].headers["connection"])
+        self.assertEqual(b"", stream.read())
+        self.check_exit()
+
+    def test_request_that_is_not_read_whole_at_the_end_is_answered(self):
+        self.start_entry()
+        whole = make_post(LONG_SEARCH)
+        head = make_head(len(LONG_SEARCH))
+        partial = [whole[:20], head[:-2], head, whole[:-1]]
+        self.stop_entry()
+        gevent.sleep(TTL_S)
+        for sock in [self.send(payload) for payload in partial]:
+            stream = sock.makefile("rb")
+            answer = RawResponse(stream)
+            self.assertEqual((503, "leaving"), (answer.status, answer.kind))
+            self.assertEqual("not_run", answer.problem["ran"])
+            self.assertEqual(b"", stream.read())
+        self.check_exit()
