Connections in the listener's queue are served when an entry stops

What callers saw: a connection that had been established, and a request that had been sent on it, were reset when the stopping entry closed its listener before it had accepted them; always so after the process had been suspended past its stop.

Cause: the listener was closed with its queue. Change: CallersServer.stop accepts what waits and closes the socket right behind it; the connections are answered like all others of a stopping server. A connection that is established between the last accept and the close is still reset (it can't be told apart from outside).

--- a/sesameplank/callers/server.py
+++ b/sesameplank/callers/server.py
@@ -331,6 +331,25 @@
         finally:
             self.open_connections -= 1
 
+    def stop(self, timeout: float | None = None) -> None:
+        """Stop listening, and serve the connections that wait to be accepted.
+
+        The socket is closed right after the last of them, since any later one is reset.
+        """
+        if not self.closed:
+            self.stop_accepting()
+            self.accept_waiting()
+            self.socket.close()
+        super().stop(timeout)
+
+    def accept_waiting(self) -> None:
+        """Accept the connections in the queue of the listener."""
+        try:
+            while (accepted := self.do_read()) is not None:
+                self.do_handle(*accepted)
+        except OSError as error:
+            log_event("accept_failed", error=repr(error))
+
     def get_busy(self) -> list[CallersHandler]:
         """Return the handlers of the connections with an unanswered request."""
         return [item for item in self.handlers if item.stage in BUSY_STAGES]
--- a/tests/callers/test_closing.py
+++ b/tests/callers/test_closing.py
@@ -63,6 +63,19 @@
         idle.sendall(make_post(GOOD_BODY))
         self.assertEqual(200, RawResponse(idle.makefile("rb")).status)
 
+    def test_connections_in_the_queue_of_the_listener_are_served(self):
+        self.server.stop_accepting()
+        socks = [self.connect() for _ in range(3)]
+        for sock in socks:
+            sock.sendall(make_post(GOOD_BODY))
+        self.server.is_stopping = True
+        self.server.stop()
+        for sock in socks:
+            stream = sock.makefile("rb")
+            self.assertEqual(200, RawResponse(stream).status)
+            self.assertEqual(b"", stream.read())
+        self.assertRaises(ConnectionRefusedError, self.connect)
+
     def test_answer_that_cannot_be_written_is_logged(self):
         lines = []
         self.patch(output, "write", lines.append)
--- a/tests/integration/test_entry_stops.py
+++ b/tests/integration/test_entry_stops.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from sesameplank.client import Client
-from tests.callers.raw_http import RawResponse, make_head, make_post
+from tests.callers.raw_http import GOOD_BODY, RawResponse, make_head, make_post
 
 from .fleets import FleetTestCase
 
@@ -52,7 +52,8 @@
         """Check that the entry exits with code 0 within the documented bound."""
         self.assertEqual(0, self.entry.wait(60))
         took_s = time.monotonic() - self.stopped_at
-        self.assertTrue(took_s < BOUND_S, f"the stop took {took_s:.3f} s")
+        log = self.entry.log_path.read_text()
+        self.assertTrue(took_s < BOUND_S, f"the stop took {took_s:.3f} s:\n{log}")
 
     def make_key(self) -> str:
         with Client("order-desk", self.fleet.addresses) as client:
@@ -137,3 +138,30 @@
             self.assertEqual("not_run", answer.problem["ran"])
             self.assertEqual(b"", stream.read())
         self.check_exit()
+
+    def test_callers_that_never_pause_get_an_answer_to_each_request(self):
+        self.start_entry()
+        self.lost = []
+        self.answers = 0
+        callers = [gevent.spawn(self.send_until_closed) for _ in range(8)]
+        gevent.sleep(SENT_S)
+        self.stop_entry()
+        gevent.joinall(callers, raise_error=True)
+        self.check_exit()
+        self.assertTrue(self.answers > 0)
+        self.assertEqual([], self.lost)
+
+    def send_until_closed(self) -> None:
+        """Send requests on a connection until an answer says that it is closed."""
+        sock = self.connect()
+        stream = sock.makefile("rb")
+        while True:
+            try:
+                sock.sendall(make_post(GOOD_BODY))
+                answer = RawResponse(stream)
+            except (OSError, IndexError) as error:
+                self.lost.append((time.monotonic() - self.stopped_at, repr(error)))
+                return
+            self.answers += 1
+            if answer.headers.get("connection") == "close":
+                return
