An entry's stop counts from when its signal can have come

What callers and the platform saw: an entry that was suspended when SIGTERM was sent ended 2.726 s after it with a bound of 2.5 s, and one that was suspended past its bound served on for the whole address_ttl_s and ended 1.415 s after it was resumed. With longer settings the platform would kill it with whatever is in flight.

Cause: the stop counted from when the signal was handled.

--- a/sesameplank/coordination.py
+++ b/sesameplank/coordination.py
@@ -11,7 +11,7 @@
 from .core.clock import Clock
 from .core.members import make_own_record
 from .core.membership import Membership
-from .core.pauses import BootClock, PauseDetector
+from .core.pauses import BootClock, EventAge, PauseDetector
 from .core.readers import choose_readers
 from .core.versions import AcceptedConfiguration, ConfigurationStore, VmStore
 from .ids import DataCentre, EntryId
@@ -107,6 +107,7 @@
         self.config_reader = PlatformReader(settings.platform_address)
         self.vm_reader = PlatformReader(settings.platform_address)
         self.pause_detector = PauseDetector(BootClock())
+        self.event_age = EventAge(BootClock())
         self.refresh_greenlet: gevent.Greenlet | None = None
         self.warm_up: Callable[[], None] = lambda: None
         gate.before_admission = self.check_pause
@@ -173,6 +174,7 @@
     def watch_pauses(self) -> None:
         """Check periodically for pauses of this process, until killed."""
         while True:
+            self.event_age.note_round()
             self.check_pause()
             gevent.sleep(PAUSE_CHECK_INTERVAL_S)
 
--- a/sesameplank/core/pauses.py
+++ b/sesameplank/core/pauses.py
@@ -22,6 +22,30 @@
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+class EventAge:
+    """Bounds the age of an event that the event loop handles, such as a signal.
+
+    A periodic task notes its rounds. It may be late for the same reason as the event,
+    and run just before it, so the event may be as old as the round before the last.
+    """
+
+    def __init__(self, clock: SuspendAwareClock) -> None:
+        self.clock = clock
+        self.previous_round_at: float | None = None
+        self.last_round_at: float | None = None
+
+    def note_round(self) -> None:
+        """Record that a round of the task begins."""
+        self.previous_round_at = self.last_round_at
+        self.last_round_at = self.clock.now()
+
+    def get_max_age_s(self) -> float:
+        """Return the greatest age in seconds of an event that is handled now."""
+        now = self.clock.now()
+        rounds = (self.previous_round_at, self.last_round_at, now)
+        return now - next(at for at in rounds if at is not None)
+
+
 class PauseDetector:
     """Detects pauses by the time between checks, which must be made often.
 
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -318,12 +318,18 @@
         return {"status": "ready"}
 
     def request_stop(self) -> None:
-        """Request a graceful shutdown; a second request has no effect."""
+        """Request a graceful shutdown; a second request has no effect.
+
+        The process may have been suspended or busy since the signal was sent.
+        """
         if self.gate.stop is not None:
             return
         now = self.clock.now()
         self.gate.stop = make_entry_stop_schedule(
-            now, self.settings.address_ttl_s, self.settings.drain_timeout_s, now
+            now - self.coordination.event_age.get_max_age_s(),
+            self.settings.address_ttl_s,
+            self.settings.drain_timeout_s,
+            now,
         )
         self.decisions.note("stop", "requested")
         self.stop_requested.set()
--- a/tests/integration/test_entry_stops.py
+++ b/tests/integration/test_entry_stops.py
@@ -18,6 +18,7 @@
 FLAGS = (f"--address_ttl_s={TTL_S}", f"--drain_timeout_s={DRAIN_TIMEOUT_S}")
 STUCK_FACTOR = 10_000.0
 LONG_SEARCH = b'{"collection": "order-desk", "deadline_ms": 10000}'
+LATE_BOUND_S = 1.0  # after a process that was suspended past the bound is resumed
 SENT_S = 0.3  # Time for a request to reach a target.
 
 
@@ -165,3 +166,49 @@
             self.answers += 1
             if answer.headers.get("connection") == "close":
                 return
+
+
+class SuspendedEntryTests(EntryStopTestCase):
+    """A stop counts from its signal, also while the process is suspended."""
+
+    def send_while_suspended(self, suspended_s: float, before: bool) -> list:
+        """Stop a suspended entry that has unread requests; return their sockets.
+
+        With `before`, SIGTERM comes before the suspension, else during it.
+        """
+        self.start_entry()
+        self.resume_on_cleanup(self.entry)
+        socks = [self.connect() for _ in range(3)]
+        if before:
+            self.stop_entry()
+            gevent.sleep(SENT_S)
+        self.entry.signal(signal.SIGSTOP)
+        if not before:
+            self.stop_entry()
+        socks += [self.connect() for _ in range(3)]
+        for sock in socks:
+            sock.sendall(make_post(LONG_SEARCH))
+        gevent.sleep(suspended_s)
+        self.entry.signal(signal.SIGCONT)
+        self.resumed_at = time.monotonic()
+        return socks
+
+    def check_answered(self, socks: list) -> None:
+        """Check that each request gets an answer that says that it has not run."""
+        for sock in socks:
+            answer = RawResponse(sock.makefile("rb"))
+            self.assertEqual((503, "not_run"), (answer.status, answer.problem["ran"]))
+
+    def test_time_while_suspended_counts(self):
+        socks = self.send_while_suspended(1.3, before=False)
+        self.check_answered(socks)
+        self.check_exit()
+
+    def test_entry_that_wakes_after_its_bound_answers_and_ends(self):
+        for before in (True, False):
+            with self.subTest(before=before):
+                socks = self.send_while_suspended(BOUND_S + 1.0, before)
+                self.check_answered(socks)
+                self.assertEqual(0, self.entry.wait(60))
+                took_s = time.monotonic() - self.resumed_at
+                self.assertTrue(took_s < LATE_BOUND_S, f"it took {took_s:.3f} s")
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -14,7 +14,7 @@
 from sesameplank.core.clock import ManualClock
 from sesameplank.core.entry_stop import make_entry_stop_schedule
 from sesameplank.core.outcomes import Ran
-from sesameplank.core.pauses import PauseDetector
+from sesameplank.core.pauses import EventAge, PauseDetector
 from sesameplank.core.writers import parse_key
 from sesameplank.exceptions import StopReached
 from sesameplank.serving import GatedBookings, ServingGate, ServingState
@@ -155,6 +155,24 @@
             self.assertEqual(is_new, bookings.is_new(key), key)
 
 
+class EventAgeTests(testtools.TestCase):
+    """An event may be as old as the round before the last one."""
+
+    def test_event_after_a_late_round_may_be_older_than_the_round(self):
+        clock = ManualClock()
+        age = EventAge(clock)
+        self.assertEqual(0.0, age.get_max_age_s())
+        # Seconds until the next round, seconds from it to the event, greatest age.
+        table = [(0.0, 0.1, 0.1), (0.1, 0.0, 0.1), (0.1, 0.05, 0.15), (20.0, 0.0, 20.0)]
+        now = 0.0
+        for round_s, event_s, expected in table:
+            now += round_s
+            clock.time_s = now
+            age.note_round()
+            clock.time_s = now + event_s
+            self.assertAlmostEqual(expected, age.get_max_age_s())
+
+
 class PauseDetectorTests(testtools.TestCase):
     """A long gap between checks counts as one pause."""
 
