Each unanswered request of an entry leaves a line, and a stop logs its steps

What operators saw: nothing told how a request without an answer had ended. The line `request_unanswered` was limited to 50 at once also during a stop, and a request that came after an idle connection had been closed left none.

Change: during a stop the line is not limited; it says `stopping`, and it is also written for bytes that come after the close (`stage=unread`, their number). The metric sesameplank_requests_unanswered_total counts them. The step in which new requests are refused is named `stop_accepting`, as in the forwarding process. A request that a stop cuts off outside a handler is "not run" only while it is read; anywhere else `ran` is unknown, so that it never depends on the handlers.

--- a/sesameplank/callers/app.py
+++ b/sesameplank/callers/app.py
@@ -24,7 +24,13 @@
 from ..monitoring import DecisionLog, RequestLedger
 from ..monitoring.requests import ANSWERED, CANCELLED
 from .bodies import read_body
-from .problems import PROBLEM_JSON, STATUSES, ProblemKind, Refusal
+from .problems import (
+    PROBLEM_JSON,
+    STATUSES,
+    ProblemKind,
+    Refusal,
+    make_stop_refusal,
+)
 
 JSON = "application/json"
 MAX_REQUEST_ID_LENGTH = 100
@@ -128,8 +134,8 @@
             status, content_type, body = make_refusal_response(refusal, request_id)
             headers = get_refusal_headers(refusal)
             outcome, detail = refusal.kind.value, refusal.detail
-        except StopReached:  # No handler has the request yet.
-            refusal = make_stop_refusal()
+        except StopReached:  # The handlers answer it more exactly.
+            refusal = make_stop_refusal(Ran.UNKNOWN)
             status, content_type, body = make_refusal_response(refusal, request_id)
             headers = get_refusal_headers(refusal)
             outcome, detail = refusal.kind.value, refusal.detail
@@ -289,17 +295,6 @@
     return headers
 
 
-def make_stop_refusal() -> Refusal:
-    """Return the refusal of a request that was not read whole before a stop ended."""
-    return Refusal(
-        ProblemKind.LEAVING,
-        "the entry stops and the request was not read whole in time",
-        "ask any other entry of a fresh address list",
-        retry_after_ms=0,
-        ends_connection=True,
-    )
-
-
 def make_internal_refusal() -> Refusal:
     """Return the refusal of a request whose handling raised an unexpected error."""
     return Refusal(
--- a/sesameplank/callers/bodies.py
+++ b/sesameplank/callers/bodies.py
@@ -3,7 +3,8 @@
 import gevent
 import msgspec
 
-from .problems import ProblemKind, Refusal
+from ..exceptions import StopReached
+from .problems import ProblemKind, Refusal, make_stop_refusal
 
 MAX_BODY_BYTES = 65_536
 BODY_TIMEOUT_S = 5.0
@@ -37,6 +38,8 @@
             "send as many bytes as Content-Length states, or whole chunks",
             ends_connection=True,
         ) from error
+    except StopReached:
+        raise make_stop_refusal() from None
     if payload is None:
         raise Refusal(
             ProblemKind.REQUEST_TIMEOUT,
--- a/sesameplank/callers/problems.py
+++ b/sesameplank/callers/problems.py
@@ -133,3 +133,15 @@
             request_id=request_id,
             retry_after_ms=self.retry_after_ms,
         )
+
+
+def make_stop_refusal(ran: Ran = Ran.NOT_RUN) -> Refusal:
+    """Return the refusal of a request that a stop cut off, by default while read."""
+    return Refusal(
+        ProblemKind.LEAVING,
+        "the entry stops and has not finished the request in the time left",
+        "ask any other entry of a fresh address list",
+        ran=ran,
+        retry_after_ms=0,
+        ends_connection=True,
+    )
--- a/sesameplank/callers/server.py
+++ b/sesameplank/callers/server.py
@@ -15,8 +15,14 @@
 from ..logs import LogLimiter, log_event
 from ..net import Address, get_receive_age_s
 from ..wsgi import QuietHandler, WsgiApp
-from .app import RECEIVE_AGE_KEY, REQUEST_ID_KEY, make_stop_refusal
-from .problems import PROBLEM_JSON, STATUSES, ProblemKind, Refusal
+from .app import RECEIVE_AGE_KEY, REQUEST_ID_KEY
+from .problems import (
+    PROBLEM_JSON,
+    STATUSES,
+    ProblemKind,
+    Refusal,
+    make_stop_refusal,
+)
 
 MAX_HEADER_BYTES = 16_384
 HEADER_TIMEOUT_S = 5.0
@@ -104,6 +110,7 @@
 
     `write_buffer` collects the bytes of a response while its headers are written.
     `read_at` is when the current request began to arrive, in seconds of the clock.
+    `was_closed_idle` is whether a stop closed the connection while it was idle.
     """
 
     write_buffer: bytearray | None = None
@@ -114,6 +121,7 @@
         self.greenlet = gevent.getcurrent()
         self.stage = Stage.IDLE
         self.read_at = 0.0
+        self.was_closed_idle = False
 
     def handle(self) -> None:
         """Answer the requests of the connection one by one, then close it."""
@@ -131,14 +139,15 @@
     def wait_for_request(self) -> bool:
         """Wait for the first byte of a request; return False if none comes."""
         self.stage = Stage.IDLE
-        if self.server.is_closing:
-            return self.has_unread_bytes()
         try:
-            return bool(self.rfile.peek(1))
+            if not self.server.is_closing:
+                return bool(self.rfile.peek(1))
         except OSError:  # The caller closed the connection or left it unused.
             return False
         except StopReached:
-            return self.has_unread_bytes()
+            pass
+        self.was_closed_idle = not self.has_unread_bytes()
+        return not self.was_closed_idle
 
     def has_unread_bytes(self) -> bool:
         """Return whether bytes have arrived that were not read yet."""
@@ -174,20 +183,18 @@
         sock = self.__dict__.pop("socket")
         self.__dict__.pop("wsgi_input", None)
         self.__dict__.pop("rfile").close()
-        close_gracefully(sock)
+        unread = close_gracefully(sock)
+        if unread and self.was_closed_idle:
+            self.server.note_unanswered(stage="unread", bytes=unread)
 
     def log_unanswered(self, cause: str) -> None:
-        """Log that a request ends without a whole answer."""
-        suppressed = self.server.limiter.take()
-        if suppressed is not None:
-            log_event(
-                "request_unanswered",
-                request_id=(self.environ or {}).get(REQUEST_ID_KEY, ""),
-                stage=self.stage.value,
-                cause=cause,
-                after_ms=(self.server.clock.now() - self.read_at) * 1_000,
-                suppressed=suppressed,
-            )
+        """Log that the current request ends without a whole answer."""
+        self.server.note_unanswered(
+            request_id=(self.environ or {}).get(REQUEST_ID_KEY, ""),
+            stage=self.stage.value,
+            cause=cause,
+            after_ms=(self.server.clock.now() - self.read_at) * 1_000,
+        )
 
     def start_response(self, status, headers, exc_info=None):
         """Start a response; the answer is known from now on."""
@@ -314,6 +321,7 @@
         self.max_connections = max_connections
         self.open_connections = 0
         self.refused_connections = 0
+        self.unanswered_requests = 0
         self.counter = itertools.count(1)
 
     def make_request_id(self) -> RequestId:
@@ -350,6 +358,18 @@
         except OSError as error:
             log_event("accept_failed", error=repr(error))
 
+    def note_unanswered(self, **fields: object) -> None:
+        """Count and log a request without a whole answer; limited unless stopping."""
+        self.unanswered_requests += 1
+        suppressed = 0 if self.is_stopping else self.limiter.take()
+        if suppressed is not None:
+            log_event(
+                "request_unanswered",
+                **fields,
+                stopping=self.is_stopping,
+                suppressed=suppressed,
+            )
+
     def get_busy(self) -> list[CallersHandler]:
         """Return the handlers of the connections with an unanswered request."""
         return [item for item in self.handlers if item.stage in BUSY_STAGES]
@@ -390,18 +410,23 @@
         close_gracefully(sock)
 
 
-def close_gracefully(sock: socket.socket) -> None:
+def close_gracefully(sock: socket.socket) -> int:
     """Close a connection after its caller has, or after a limit of time and bytes.
 
-    To close it at once while bytes are unread would reset it, and the caller could
-    lose the answer. Errors mean that the caller has closed it.
+    Return the number of bytes that were discarded meanwhile. To close it at once while
+    bytes are unread would reset it, and the caller could lose the answer. Errors mean
+    that the caller has closed it.
     """
+    discarded = 0
     with contextlib.suppress(OSError), gevent.Timeout(DISCARD_TIMEOUT_S, False):
         sock.shutdown(socket.SHUT_WR)
-        for _ in range(0, MAX_DISCARD_BYTES, DISCARD_CHUNK_BYTES):
-            if not sock.recv(DISCARD_CHUNK_BYTES):
+        while discarded < MAX_DISCARD_BYTES:
+            data = sock.recv(DISCARD_CHUNK_BYTES)
+            if not data:
                 break
+            discarded += len(data)
     sock.close()
+    return discarded
 
 
 def make_parse_refusal(error: Exception) -> Refusal:
--- a/sesameplank/draining.py
+++ b/sesameplank/draining.py
@@ -65,7 +65,7 @@
         """Refuse new requests from now on."""
         self.gate.set_state(ServingState.CLOSED)
         self.server.is_stopping = True
-        self.log_step("refusing")
+        self.log_step("stop_accepting")
 
     def is_idle(self) -> bool:
         """Return whether each request that has begun to arrive was answered."""
--- a/sesameplank/monitoring/metrics.py
+++ b/sesameplank/monitoring/metrics.py
@@ -49,6 +49,11 @@
             "counter",
             "Connections of callers refused over the limit.",
         ),
+        (
+            "requests_unanswered_total",
+            "counter",
+            "Requests that ended without a whole answer.",
+        ),
         ("serving", "gauge", "1 for the serving state the entry is in.", ("state",)),
         ("config_version", "gauge", "Version of the configuration in force."),
         (
@@ -186,6 +191,9 @@
         ],
         "caller_connections": make_unlabelled_sample(connections.open),
         "caller_connections_refused_total": make_unlabelled_sample(connections.refused),
+        "requests_unanswered_total": make_unlabelled_sample(
+            entry.server.unanswered_requests
+        ),
         "decisions_total": make_labelled_samples(entry.decisions.counts),
         "booking_writers": make_unlabelled_sample(len(entry.bookings.registry.writers)),
         "booking_keys": make_unlabelled_sample(entry.bookings.registry.key_count),
--- a/tests/callers/test_closing.py
+++ b/tests/callers/test_closing.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from sesameplank.callers.server import CallersHandler
 from sesameplank.logs import output
 
 from .raw_http import GOOD_BODY, RawResponse, make_head, make_post
@@ -76,9 +77,37 @@
             self.assertEqual(b"", stream.read())
         self.assertRaises(ConnectionRefusedError, self.connect)
 
+    def get_lines(self, event: str) -> list[str]:
+        """Return the lines of an event since `record_log` was called."""
+        return [item for item in self.lines if f"event={event}" in item]
+
+    def record_log(self) -> None:
+        self.lines = []
+        self.patch(output, "write", self.lines.append)
+
+    def test_request_that_comes_after_the_close_is_logged(self):
+        self.record_log()
+        sock = self.connect()
+        self.wait_until(lambda: self.server.handlers)
+        self.server.close_idle()
+        self.assertEqual(b"", sock.recv(1))
+        sock.sendall(make_post(GOOD_BODY))
+        sock.close()
+        self.wait_until(lambda: self.server.open_connections == 0)
+        (line,) = self.get_lines("request_unanswered")
+        self.assertIn(f"stage=unread bytes={len(make_post(GOOD_BODY))}", line)
+        self.assertEqual(1, self.server.unanswered_requests)
+
+    def test_each_unanswered_request_of_a_stop_is_logged(self):
+        self.record_log()
+        self.server.is_stopping = True
+        handler = CallersHandler(self.connect(), self.address, self.server)
+        for _ in range(200):
+            handler.log_unanswered("test")
+        self.assertEqual(200, len(self.get_lines("request_unanswered")))
+
     def test_answer_that_cannot_be_written_is_logged(self):
-        lines = []
-        self.patch(output, "write", lines.append)
+        self.record_log()
         self.release.clear()
         sock = self.connect()
         sock.sendall(make_post(GOOD_BODY, "X-Request-Id: gone"))
@@ -88,7 +117,7 @@
         gevent.sleep(PAUSE_S)
         self.release.set()
         self.wait_until(lambda: self.server.open_connections == 0)
-        (line,) = [item for item in lines if "event=request_unanswered" in item]
+        (line,) = self.get_lines("request_unanswered")
         self.assertIn("request_id=gone stage=writing cause=", line)
 
 
