--- a/sesameplank/callers/app.py
+++ b/sesameplank/callers/app.py
@@ -18,18 +18,26 @@
 )
 from ..core.outcomes import Ran
 from ..core.versions import AcceptedConfiguration, ConfigurationStore
+from ..exceptions import StopReached
 from ..ids import CallerName, EntryId, IdempotencyKey, RequestId
 from ..logs import log_event
 from ..monitoring import DecisionLog, RequestLedger
 from ..monitoring.requests import ANSWERED, CANCELLED
 from .bodies import read_body
-from .problems import PROBLEM_JSON, STATUSES, ProblemKind, Refusal
+from .problems import (
+    PROBLEM_JSON,
+    STATUSES,
+    ProblemKind,
+    Refusal,
+    make_stop_refusal,
+)
 
 JSON = "application/json"
 MAX_REQUEST_ID_LENGTH = 100
 MAX_KEY_LENGTH = 200
 BOOKINGS_PATH = "/v1/bookings"
 RECEIVE_AGE_KEY = "sesameplank.receive_age_s"
+REQUEST_ID_KEY = "sesameplank.request_id"
 
 
 class CallerContext(msgspec.Struct, frozen=True):
@@ -82,7 +90,8 @@
 
     `search` and the methods of `bookings` return a typed answer or raise
     Refusal. `pages` maps the paths of GET requests to callables that return a
-    typed answer, or a pair of content type and bytes.
+    typed answer, or a pair of content type and bytes. `get_latest_deadline`
+    returns the time by which every request has to end, which a stop sets.
     """
 
     def __init__(
@@ -94,6 +103,7 @@
         bookings: BookingHandler,
         pages: dict[str, PageHandler],
         ledger: RequestLedger | None = None,
+        get_latest_deadline: Callable[[], float] = lambda: math.inf,
     ) -> None:
         self.entry_id = entry_id
         self.store = store
@@ -102,6 +112,7 @@
         self.bookings = bookings
         self.pages = pages
         self.ledger = ledger or RequestLedger(clock, DecisionLog(clock), math.inf)
+        self.get_latest_deadline = get_latest_deadline
         self.counter = itertools.count(1)
 
     def __call__(self, environ: dict, start_response: Callable) -> Iterable[bytes]:
@@ -110,6 +121,7 @@
         supplied_id = environ.get("HTTP_X_REQUEST_ID", "")
         is_usable = is_printable_ascii(supplied_id, MAX_REQUEST_ID_LENGTH)
         request_id = RequestId(supplied_id) if is_usable else self.make_request_id()
+        environ[REQUEST_ID_KEY] = request_id
         headers = []
         caller = environ.get("HTTP_X_CALLER", "")
         record = self.ledger.begin(request_id, caller, environ["PATH_INFO"])
@@ -122,6 +134,11 @@
             status, content_type, body = make_refusal_response(refusal, request_id)
             headers = get_refusal_headers(refusal)
             outcome, detail = refusal.kind.value, refusal.detail
+        except StopReached:  # The handlers answer it more exactly.
+            refusal = make_stop_refusal(Ran.UNKNOWN)
+            status, content_type, body = make_refusal_response(refusal, request_id)
+            headers = get_refusal_headers(refusal)
+            outcome, detail = refusal.kind.value, refusal.detail
         except Exception as error:  # Answer the caller even after an internal error.
             log_event("internal_error", request_id=request_id, error=repr(error))
             status, content_type, body = make_refusal_response(
@@ -226,6 +243,7 @@
                 "was read whole",
                 "send the whole request at once, or allow a longer deadline_ms",
             )
+        deadline_at = min(deadline_at, self.get_latest_deadline())
         return CallerContext(request_id, caller, pinned, deadline_at)
 
 
--- a/sesameplank/coordination.py
+++ b/sesameplank/coordination.py
@@ -11,8 +11,7 @@
 from .core.clock import Clock
 from .core.members import make_own_record
 from .core.membership import Membership
-from .core.pauses import BootClock, PauseDetector
-from .core.peer_messages import Phase
+from .core.pauses import BootClock, EventAge, PauseDetector
 from .core.readers import choose_readers
 from .core.versions import AcceptedConfiguration, ConfigurationStore, VmStore
 from .ids import DataCentre, EntryId
@@ -28,17 +27,14 @@
 
 PAUSE_CHECK_INTERVAL_S = 0.1
 START_CHECK_INTERVAL_S = 0.02
-ANNOUNCE_MARGIN_S = 0.5  # time for the announcement to reach the other entries
-FINAL_SEND_DELAY_S = 0.2  # time to send the last update before the process exits
 MIN_REFRESH_S = 0.2  # requests buffered during a pause are refused meanwhile
 
 
 class CoordinationSettings(msgspec.Struct, frozen=True):
-    """The settings of coordination; times in seconds.
+    """The settings of coordination.
 
-    `start_spread_s` is the window over which processes that start together spread
-    their first reads. `drain_timeout_s` bounds how long a shutdown waits for
-    requests in flight.
+    `start_spread_s` is the window in seconds over which processes that start together
+    spread their first reads.
     """
 
     entry_id: EntryId
@@ -46,9 +42,7 @@
     address: Address
     peer_address: Address
     platform_address: Address
-    address_ttl_s: float
     start_spread_s: float
-    drain_timeout_s: float
 
 
 class ReaderElection:
@@ -113,6 +107,7 @@
         self.config_reader = PlatformReader(settings.platform_address)
         self.vm_reader = PlatformReader(settings.platform_address)
         self.pause_detector = PauseDetector(BootClock())
+        self.event_age = EventAge(BootClock())
         self.refresh_greenlet: gevent.Greenlet | None = None
         self.warm_up: Callable[[], None] = lambda: None
         gate.before_admission = self.check_pause
@@ -179,6 +174,7 @@
     def watch_pauses(self) -> None:
         """Check periodically for pauses of this process, until killed."""
         while True:
+            self.event_age.note_round()
             self.check_pause()
             gevent.sleep(PAUSE_CHECK_INTERVAL_S)
 
@@ -228,22 +224,6 @@
             vm.address for vm in listed.values() if vm.state is VmState.LIVE
         ]
 
-    def drain(self) -> None:
-        """Announce that this entry leaves, and drain it.
-
-        The entry serves until the addresses that callers cached have expired. Then
-        it refuses new requests and waits for those in flight. This takes at most
-        `address_ttl_s` + `drain_timeout_s` and about a second.
-        """
-        log_event("leaving", in_flight=self.gate.in_flight)
-        self.membership_service.leave(Phase.LEAVING)
-        gevent.sleep(self.settings.address_ttl_s + ANNOUNCE_MARGIN_S)
-        self.gate.set_state(ServingState.CLOSED)
-        finished = self.gate.idle.wait(self.settings.drain_timeout_s)
-        self.membership_service.leave(Phase.LEFT)
-        gevent.sleep(FINAL_SEND_DELAY_S)
-        log_event("left", finished=finished, refused=self.gate.refused)
-
     def get_state(self) -> dict:
         """Return the part of the state dump that describes the fleet."""
         counters = self.links.counters
