Stop: finish the batches of other VMs, or return them

What was seen: a process that made calls for another VM dropped them when it ended, after 1.6 s of a grace time of 3 s in a trial; the other VM found out by itself and made each call again (8 runs of 4 calls).

Cause: a stop waited for the connections of callers only.

Change: it also waits for batches in progress. Those that are unfinished when answers are due, and those that arrive after accepting ended, are returned with what is in; the VM that sent them retries at once, and doesn't blame the targets.

--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -1,6 +1,6 @@
 """Makes batches of calls on behalf of other VMs, and returns the merged answers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import gevent
 
@@ -61,19 +61,33 @@
         self.replaced_targets = replaced_targets
         self.count = count
         self.batches: dict[BatchKey, ServedBatch] = {}
+        self.is_stopping = False
         links.register(BatchedCalls, self.on_calls)
         links.register(BatchCancel, self.on_cancel)
 
     def on_calls(self, message: BatchedCalls, context: PeerContext) -> None:
-        """Make the calls of a batch, unless its message is old."""
+        """Make the calls of a batch, unless its message is old or this process stops.
+
+        A VM stops choosing this process once it knows that the process is leaving.
+        """
         if context.age_s > MAX_BATCH_AGE_S:
             self.count("batches_overdue")
             return
-        self.count("batches_served")
         batch = ServedBatch(self, message, context)
+        if self.is_stopping:
+            self.count("batches_returned")
+            batch.refuse()
+            return
+        self.count("batches_served")
         self.batches[batch.key] = batch
         batch.start()
 
+    def return_all(self) -> None:
+        """Return the batches in progress, with the answers that are in."""
+        for batch in list(self.batches.values()):
+            self.count("batches_returned")
+            batch.give_back()
+
     def on_cancel(self, message: BatchCancel, context: PeerContext) -> None:
         """Cancel the calls of a batch."""
         batch = self.batches.get(make_key(message.batch, context))
@@ -120,6 +134,33 @@
                 exchange
             )
 
+    def refuse(self) -> None:
+        """Return all calls without having made them."""
+        self.return_failures(range(len(self.message.targets)), Ran.NOT_RUN)
+
+    def give_back(self) -> None:
+        """Return the answers that are in and the calls in flight, and end the batch."""
+        self.flush()
+        for ran in (Ran.NOT_RUN, Ran.UNKNOWN):
+            is_transmitted = ran is Ran.UNKNOWN
+            self.return_failures(
+                [
+                    index
+                    for index, exchange in self.exchanges.items()
+                    if exchange.is_transmitted is is_transmitted
+                ],
+                ran,
+            )
+        self.cancel()
+
+    def return_failures(self, indexes: Iterable[int], ran: Ran) -> None:
+        """Return calls as failed because this process is stopping."""
+        failures = tuple(
+            BatchedFailure(index, FailureReason.CANCELLED, ran) for index in indexes
+        )
+        if failures:
+            self.send(BatchedAnswers(self.message.batch, failures=failures))
+
     def make_exchange(self, index: int, record: TargetRecord) -> Exchange:
         """Return the exchange of one call."""
         placement = self.server.placement
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -11,7 +11,7 @@
 from ..core.fanout import Call, CallKind, Fanout, FanoutPlan, Verdict
 from ..core.fanout_plans import make_fanout_plan
 from ..core.gathered_parts import GatheredParts
-from ..core.outcomes import Failure, Ran
+from ..core.outcomes import Failure, FailureReason, Ran
 from ..core.placement import LoadReport
 from ..core.routes import Route, RoutingConfiguration
 from ..ids import AttemptId, ServiceName, TargetId
@@ -266,9 +266,17 @@
         elif item.is_refusal:
             load = None if item.load is None else item.load.unpack()
             self.process_refusal(call, load)
+        elif item.reason is FailureReason.CANCELLED:
+            self.process_returned(call, item.ran)
         else:
             self.process_failure(call, item.unpack())
 
+    def process_returned(self, call: Call, ran: Ran) -> None:
+        """Process a call that the VM of its batch returns because it is stopping."""
+        self.forwarder.count("batched_calls_returned")
+        self.forwarder.placement.note_withdrawn(call.target.id, call.id)
+        self.dispatch(self.fanout.on_failure(call, ran, self.clock.now()))
+
     def count_call(self, call: Call) -> None:
         """Count a call by its kind, and again if it goes to another data centre."""
         self.forwarder.count(f"calls_{call.kind.value}")
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -196,6 +196,7 @@
             settings.stop_timeout_s,
             self.caller_server,
             self.forwarder,
+            self.batch_server,
             self.membership_service,
             self.housekeeping,
         )
--- a/sesameplank/forwarding/shutdown.py
+++ b/sesameplank/forwarding/shutdown.py
@@ -9,6 +9,7 @@
 from ..core.stop_schedule import MIN_ANSWER_S, StopSchedule, make_stop_schedule
 from ..logs import log_event
 from ..peers.membership import MembershipService
+from .batch_server import BatchServer
 from .caller_connections import CallerServer
 from .forwarder import Forwarder
 from .loop_delay import LoopDelay
@@ -33,6 +34,7 @@
         timeout_s: float,
         server: CallerServer,
         forwarder: Forwarder,
+        batch_server: BatchServer,
         membership_service: MembershipService,
         housekeeping: LoopDelay,
     ) -> None:
@@ -40,6 +42,7 @@
         self.timeout_s = timeout_s
         self.server = server
         self.forwarder = forwarder
+        self.batch_server = batch_server
         self.membership_service = membership_service
         self.housekeeping = housekeeping
         self.other_servers: list[CallerServer] = []
@@ -88,6 +91,7 @@
         self.wait_until(schedule.stop_accepting_at)
         self.log_step("stop_accepting", unaccepted=self.server.count_unaccepted())
         self.server.stop_accepting()
+        self.batch_server.is_stopping = True
         self.close_connections([self.server], schedule)
         self.membership_service.leave(Phase.LEFT)
         for server in self.other_servers:
@@ -103,7 +107,7 @@
     def close_connections(
         self, servers: list[CallerServer], schedule: StopSchedule
     ) -> None:
-        """Close connections as they become idle, until none is left.
+        """Close connections as they become idle, until none and no batch is left.
 
         The loop runs at least once, since connections that were accepted last are not
         counted before, and it ends in time for the process to exit.
@@ -114,11 +118,18 @@
             now = self.clock.now()
             for server in servers:
                 server.close_idle()
-                if now >= schedule.answer_by:
-                    server.refuse_incomplete()
-            if now >= until or not any(server.connections for server in servers):
+            if now >= schedule.answer_by:
+                self.end_unfinished(servers)
+            has_connections = any(server.connections for server in servers)
+            if now >= until or not (has_connections or self.batch_server.batches):
                 return
 
+    def end_unfinished(self, servers: list[CallerServer]) -> None:
+        """Refuse what callers have not sent whole, and return batches of other VMs."""
+        for server in servers:
+            server.refuse_incomplete()
+        self.batch_server.return_all()
+
     def log_step(self, event: str, **fields: object) -> None:
         """Log a step with the time since the shutdown was requested."""
         if self.schedule is not None:
--- a/tests/integration/test_front_stops.py
+++ b/tests/integration/test_front_stops.py
@@ -286,6 +286,22 @@
         self.assertEqual(200, client.read().status)
         self.assertEqual(4, self.count_runs("batched", names))
 
+    def test_batch_that_takes_too_long_is_returned_before_its_process_ends(self):
+        self.wait_for(self.has_sent_a_batch, "a batch")
+        names = [shard + letter for shard in SHARD_SERVICES for letter in "ab"]
+        self.silence(*names)
+        client = self.send("/all/x", "returned")
+        self.wait_for(lambda: self.count_runs("returned", names) == 4, "four runs")
+        killed_at = self.terminate_timed(self.fronts[1])
+        for name in names:
+            self.targets[name].fault_mode = TargetFaultMode.NONE
+        self.assert_stopped_in_time(self.fronts[1], killed_at)
+        answer = client.read()
+        self.assertEqual((200, "0"), (answer.status, answer.get(b"x-missing-parts")))
+        address = Address(self.fronts[0].host, METRICS_PORT)
+        metrics = bytes(self.fronts[0].get(address, "/metrics").body)
+        self.assertIn(b'event="batched_calls_returned"} 4', metrics)
+
     def has_sent_a_batch(self) -> bool:
         """Return whether the first process has had calls made by the second one."""
         self.request(make_request("/all/x", "first"))
