Send an interim response only after the replies to earlier requests

What callers saw: the 25 bytes of 100 Continue within the body of the reply to an earlier request on the same connection, which then ended 25 bytes short.

Cause: it was written as soon as the headers of the next request had been read.

Change: it is sent once the earlier requests are answered.

--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -312,7 +312,17 @@
             complete, reader.complete = reader.complete, []
             self.queue.extend(map(self.note_read, complete))
             self.start_worker()
-        if reader.expects_continue and not reader.in_headers and reader.in_message:
+        self.send_interim_response()
+
+    def send_interim_response(self) -> None:
+        """Ask for the body of the request that is being read, if its caller waits.
+
+        The replies to earlier requests on the connection come first.
+        """
+        reader = self.reader
+        if not reader.expects_continue or reader.in_headers or not reader.in_message:
+            return
+        if self.worker is None and not self.is_finishing:
             reader.expects_continue = False
             self.send(CONTINUE)
 
@@ -347,6 +357,7 @@
                     self.finish()
         finally:
             self.worker = None
+        self.send_interim_response()
 
     def is_last(self, request: Request, reply: Reply) -> bool:
         """Return whether the connection is closed after the reply to a request.
