Read the bytes that arrived in time before an idle timeout ends a connection

Cause: a resumed process fires the timers that are due before it polls its sockets: epoll_wait returns EINTR after SIGCONT. So the idle timeout of a connection closed it although a request waited. In one process, without SIGCONT, the read comes first, which is why this looked refuted before.

Change: a timeout of a read counts only if no bytes wait in the socket.

--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -279,22 +279,22 @@
         """Return the next bytes, or b"" at the end of the stream or idle timeout.
 
         Wait while the queue of pipelined requests is full. Raise MessageError if a
-        request has arrived only in part and no bytes follow within the timeout.
+        request has arrived only in part and no bytes follow within the timeout. Bytes
+        that arrived in time are read even if the process is late.
         """
         while len(self.queue) >= MAX_PIPELINED and self.worker is not None:
             self.worker.join()
-        self.sock.settimeout(self.get_timeout_s(reader, limits))
-        try:
-            return self.sock.recv(READ_BYTES)
-        except TimeoutError:
-            if self.in_flight:
-                return self.receive(reader, limits)
-            if reader.in_message:
-                raise MessageError(
-                    "the request took too long; send it at once", 408
-                ) from None
-            self.close(CloseCause.CONNECTION_CLOSED)
-            return b""
+        while True:
+            self.sock.settimeout(self.get_timeout_s(reader, limits))
+            try:
+                return self.sock.recv(READ_BYTES)
+            except TimeoutError:
+                if not self.in_flight and not count_unread_bytes(self.sock):
+                    break
+        if reader.in_message:
+            raise MessageError("the request took too long; send it at once", 408)
+        self.close(CloseCause.CONNECTION_CLOSED)
+        return b""
 
     def get_timeout_s(
         self, reader: RequestReader, limits: RequestLimits
--- a/tests/integration/test_front_stops.py
+++ b/tests/integration/test_front_stops.py
@@ -215,6 +215,29 @@
         new_clients = self.suspend_at_the_end_of_the_drain(send, self.grace_s - 1.25)
         self.assert_answered([*clients, *new_clients])
 
+    def test_requests_sent_before_a_late_idle_timeout_are_answered(self):
+        config = make_slow_config(9)
+        config["limits"]["idle_timeout_ms"] = 1_000
+        self.store.put_config(config)
+        self.wait_for_state(0, lambda state: state["gauges"]["config_version"] == 9)
+        clients = [
+            self.enterContext(RawConnection(self.fronts[0].caller_address))
+            for _ in range(3)
+        ]
+        self.wait_for_state(0, self.has_accepted(clients))
+        sender = gevent.spawn_later(0.3, self.send_all, clients)
+        self.suspend(1.2)
+        sender.get()
+        self.assert_answered(clients)
+
+    def has_accepted(self, clients: list[RawConnection]):
+        """Return a condition on the state: the process has accepted the connections."""
+        return lambda state: state["gauges"]["caller_connections"] == len(clients)
+
+    def send_all(self, clients: list[RawConnection]) -> None:
+        for number, client in enumerate(clients):
+            client.sock.sendall(make_request("/one/x", f"late{number}", LONG_MS))
+
     def assert_answered(self, clients: list[RawConnection]) -> None:
         """Fail unless each request is served, or refused as not run."""
         statuses = [self.read_status(client) for client in clients]
