Read answers that wait in sockets before a late process judges the time

What callers saw: 504 although the target had answered long before the deadline, when the process was suspended meanwhile.

Cause: on resumption the timers of requests run before the sockets are polled.

Change: a request that is woken late lets the event loop read what waits (20 ms at most) before it decides on its time, on hedges and on targets that are late.

--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+import gevent
 import msgspec
 from gevent.event import Event
 
@@ -26,6 +27,8 @@
     from .forwarder import Forwarder
 
 NOT_RUN_RETRY_AFTER_S = 0.2
+LATE_WAKE_S = 0.05
+MAX_READ_S = 0.02
 
 
 class Part(msgspec.Struct, frozen=True):
@@ -164,7 +167,18 @@
                 continue
             self.wake.clear()
             self.wake_at = self.fanout.get_next_timer()
-            self.wake.wait(max(0.0, self.wake_at - now))
+            if not self.wake.wait(max(0.0, self.wake_at - now)):
+                self.read_waiting_answers()
+
+    def read_waiting_answers(self) -> None:
+        """Read the answers that have arrived if this process wakes late.
+
+        After a suspension, timers run before the sockets are polled. The event loop is
+        idle once it has handled what it found in them.
+        """
+        if self.clock.now() - self.wake_at > LATE_WAKE_S:
+            with gevent.Timeout(MAX_READ_S, False):
+                gevent.idle()
 
     def dispatch(self, calls: list[Call]) -> None:
         """Send calls in batches, or submit them to the pools of their targets."""
