A stopping entry lets the calls end that it relays for others

What callers saw: a booking whose target was reached through another entry (its home) ended as outcome-unknown when that entry stopped, though the booking had 7 s left and the target ran it.

Cause: the stop counted only requests of callers and forwarded bookings; the calls that RelayDispatcher serves for other entries were not in flight for it, so the home ended beside them.

Change: GatedRelay counts them as in flight, and refuses new work of other entries as not run once the gate has closed, so that they ask the next home. What is in flight at the end of the stop is reported as unknown.

--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -31,6 +31,7 @@
 from .core.leaving import LeavingTargets
 from .core.messages import SearchAnswer, SearchRequest
 from .core.outcomes import Ran
+from .core.peer_messages import RelayedCall
 from .core.policies import LoadPolicies
 from .core.snapshots import SnapshotTracker
 from .core.versions import AcceptedConfiguration, ConfigurationStore
@@ -48,6 +49,7 @@
 from .queries import QueryRunner
 from .serving import (
     GatedBookings,
+    GatedRelay,
     ServingGate,
     ServingState,
     make_refusal,
@@ -153,6 +155,8 @@
             ForwardedBooking, self.gated_bookings.handle_forwarded_booking
         )
         self.links.register(ForwardedQuestion, self.bookings.handle_forwarded)
+        gated_relay = GatedRelay(self.dispatcher, self.gate)
+        self.links.register(RelayedCall, gated_relay.serve)
         self.store.listeners.append(self.apply_configuration)
         self.coordination.vms.listeners.append(self.apply_vms)
         self.coordination.warm_up = self.direct_dispatcher.wait_until_warm
--- a/sesameplank/serving.py
+++ b/sesameplank/serving.py
@@ -16,13 +16,18 @@
 from .core.bookings import Verdict
 from .core.clock import Clock, SystemClock
 from .core.messages import BookingAnswer, BookingRequest, BookingStatus, WriterAnswer
-from .core.outcomes import Ran
+from .core.outcomes import Failure, FailureReason, Ran
+from .core.peer_messages import RelayedAnswer, RelayedCall
 from .core.stop_schedule import StopSchedule
 from .core.writers import parse_key
 from .exceptions import StopReached
 from .ids import IdempotencyKey
 from .peers import PeerContext
+from .targets.dispatch import NEW_WORK_PATHS
+from .targets.relay import RelayDispatcher
 
+HOME_LEAVING = Failure(FailureReason.RELAY, Ran.NOT_RUN, "the home is stopping")
+CUT_OFF = Failure(FailureReason.RELAY, Ran.UNKNOWN, "the home has stopped")
 STARTING_RETRY_AFTER_MS = 1_000
 REFRESHING_RETRY_AFTER_MS = 200
 COMPLETION_S = 0.1  # The time in which nearly all bookings end.
@@ -180,6 +185,31 @@
             return ForwardedReply(problem=refusal.make_problem(message.request_id))
 
 
+class GatedRelay:
+    """Counts the calls that this process relays for other entries as in flight.
+
+    New work is refused as not run while CLOSED, so that the other entry asks the next
+    home of the target.
+    """
+
+    def __init__(self, dispatcher: RelayDispatcher, gate: ServingGate) -> None:
+        self.dispatcher = dispatcher
+        self.gate = gate
+
+    def serve(
+        self, message: RelayedCall, context: PeerContext
+    ) -> RelayedAnswer | Failure:
+        """Return the target's answer to a call of another entry, or a Failure."""
+        is_new = message.path in NEW_WORK_PATHS
+        if is_new and self.gate.state is ServingState.CLOSED:
+            return HOME_LEAVING
+        try:
+            with self.gate.admit(is_new=False):
+                return self.dispatcher.serve(message, context)
+        except StopReached:
+            return CUT_OFF
+
+
 def make_search_cut_off() -> Refusal:
     """Return the refusal of a search that is in flight when the entry has to end."""
     return Refusal(
--- a/tests/integration/test_entry_stops.py
+++ b/tests/integration/test_entry_stops.py
@@ -8,6 +8,9 @@
 import msgspec
 
 from sesameplank.client import Client
+from sesameplank.core.ranges import get_position
+from sesameplank.standins.fleet import EntryProcess
+from sesameplank.standins.fleetmeter import get_state
 from tests.callers.raw_http import GOOD_BODY, RawResponse, make_head, make_post
 
 from .fleets import FleetTestCase
@@ -19,9 +22,21 @@
 STUCK_FACTOR = 10_000.0
 LONG_SEARCH = b'{"collection": "order-desk", "deadline_ms": 10000}'
 LATE_BOUND_S = 1.0  # after a process that was suspended past the bound is resumed
+RELAY_FLAGS = (
+    f"--address_ttl_s={TTL_S}",
+    "--drain_timeout_s=8",
+    "--connection_homes=1",
+    "--connection_headroom=1",
+)
+RELAYED_FACTOR = 500.0  # A booking takes about 3 s, longer than TTL_S.
 SENT_S = 0.3  # Time for a request to reach a target.
 
 
+def get_pools(entry: EntryProcess) -> dict:
+    """Return the connection pools of an entry by target."""
+    return get_state(entry)["targets"]
+
+
 class EntryStopTestCase(FleetTestCase):
     """Sends requests over raw sockets to one entry while it stops."""
 
@@ -56,8 +71,9 @@
         log = self.entry.log_path.read_text()
         self.assertTrue(took_s < BOUND_S, f"the stop took {took_s:.3f} s:\n{log}")
 
-    def make_key(self) -> str:
-        with Client("order-desk", self.fleet.addresses) as client:
+    def make_key(self, issuer: EntryProcess) -> str:
+        with Client("order-desk", [issuer.address]) as client:
+            client.address_cache.get_addresses = lambda *_: [issuer.address]
             return client.make_key(10_000)
 
     def make_booking(self, key: str) -> bytes:
@@ -87,7 +103,7 @@
 
     def test_booking_that_outlasts_the_stop_is_answered_as_unknown(self):
         self.start_entry()
-        key = self.make_key()
+        key = self.make_key(self.entry)
         self.slow_targets()
         sock = self.send(self.make_booking(key))
         gevent.sleep(SENT_S)
@@ -212,3 +228,29 @@
                 self.assertEqual(0, self.entry.wait(60))
                 took_s = time.monotonic() - self.resumed_at
                 self.assertTrue(took_s < LATE_BOUND_S, f"it took {took_s:.3f} s")
+
+
+class RelayTests(EntryStopTestCase):
+    """An entry whose connections to a target others use lets their calls end."""
+
+    def find_home(self, target: str):
+        """Return the entry that holds the connections to a target, and another one."""
+        homes = [item for item in self.fleet.entries if target in get_pools(item)]
+        others = [item for item in self.fleet.entries if item not in homes]
+        return homes[0], others[0]
+
+    def test_relayed_booking_in_flight_is_answered(self):
+        self.start_fleet(3, *RELAY_FLAGS)
+        record = next(iter(self.world.stores["order-desk"].records))
+        collection = self.world.direct_configuration.collections["order-desk"]
+        target = collection.get_shard(get_position(record)).replicas[0]
+        home, self.entry = self.find_home(target)
+        self.world.targets[target].slow_factor = RELAYED_FACTOR
+        key = self.make_key(self.entry)
+        sock = self.send(self.make_booking(key))
+        gevent.sleep(SENT_S)
+        home.signal(signal.SIGTERM)
+        answer = RawResponse(sock.makefile("rb"))
+        self.assertEqual(200, answer.status, answer.body)
+        self.assertEqual(0, home.wait(60))
+        self.assertEqual({key: 1}, dict(self.world.stores["order-desk"].run_counts))
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -15,9 +15,16 @@
 from sesameplank.core.entry_stop import make_entry_stop_schedule
 from sesameplank.core.outcomes import Ran
 from sesameplank.core.pauses import EventAge, PauseDetector
+from sesameplank.core.peer_messages import RelayedCall
 from sesameplank.core.writers import parse_key
 from sesameplank.exceptions import StopReached
-from sesameplank.serving import GatedBookings, ServingGate, ServingState
+from sesameplank.serving import (
+    GatedBookings,
+    GatedRelay,
+    ServingGate,
+    ServingState,
+)
+from sesameplank.targets.relay import RelayDispatcher
 
 
 class ServingGateTests(testtools.TestCase):
@@ -130,6 +137,36 @@
         self.assertEqual("r1", problem.request_id)
 
 
+class GatedRelayTests(testtools.TestCase):
+    """A home that stops refuses new calls of other entries and lets others end."""
+
+    def serve(self, relay: GatedRelay, path: str):
+        """Return the outcome of a relayed call, in a greenlet of its own."""
+        return gevent.spawn(relay.serve, RelayedCall("t1", path, b"", 0), None)
+
+    def make_relay(self) -> GatedRelay:
+        """Return a relay whose target answers after 60 s."""
+        dispatcher = RelayDispatcher.__new__(RelayDispatcher)
+        dispatcher.serve = lambda message, context: gevent.sleep(60)
+        return GatedRelay(dispatcher, ServingGate())
+
+    def test_new_work_is_refused_as_not_run_only_once_closed(self):
+        relay = self.make_relay()
+        relay.gate.set_state(ServingState.OPEN)
+        in_flight = self.serve(relay, "/book")
+        gevent.sleep(0.01)
+        self.assertEqual(1, relay.gate.in_flight)
+        relay.gate.set_state(ServingState.CLOSED)
+        for path in ("/book", "/search"):
+            self.assertIs(Ran.NOT_RUN, self.serve(relay, path).get(timeout=10).ran)
+        others = [self.serve(relay, path) for path in ("/cancel", "/health")]
+        gevent.sleep(0.01)
+        self.assertEqual(3, relay.gate.in_flight)
+        relay.gate.cut_off()
+        for greenlet in (in_flight, *others):
+            self.assertIs(Ran.UNKNOWN, greenlet.get(timeout=10).ran)
+
+
 class GatedBookingsTests(testtools.TestCase):
     """The gate knows which bookings may have run already."""
 
