An entry can be stopped gracefully from the moment it listens

What callers saw: a request to an entry that was stopped right after its start ended with a reset connection, and the process was killed by SIGTERM.

Cause: the handlers of the signals were set after the entry had begun to listen, and the start waits in between.

Change: the handlers are set before the entry starts. A stop that is requested by then runs as soon as the start is done.

--- a/sesameplank/commands/entry.py
+++ b/sesameplank/commands/entry.py
@@ -51,10 +51,11 @@
             max_caller_connections=values["max_caller_connections"],
             slow_request_s=values["slow_request_s"],
         )
-        with Entry(settings) as entry:
-            for signal_number in (signal.SIGTERM, signal.SIGINT):
-                gevent.signal_handler(signal_number, entry.request_stop)
-            gevent.signal_handler(signal.SIGUSR1, print_dump, entry)
+        entry = Entry(settings)
+        for signal_number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(signal_number, entry.request_stop)
+        gevent.signal_handler(signal.SIGUSR1, print_dump, entry)
+        with entry:  # It listens from here on, so the handlers are in place before.
             entry.wait()
         return 0
 
--- a/tests/integration/test_entry_stops.py
+++ b/tests/integration/test_entry_stops.py
@@ -1,5 +1,6 @@
 """Tests that a stopping entry answers every request that it has read."""
 
+import contextlib
 import signal
 import socket
 import time
@@ -29,6 +30,7 @@
     "--connection_headroom=1",
 )
 RELAYED_FACTOR = 500.0  # A booking takes about 3 s, longer than TTL_S.
+STARTS = 5
 SENT_S = 0.3  # Time for a request to reach a target.
 
 
@@ -254,3 +256,26 @@
         self.assertEqual(200, answer.status, answer.body)
         self.assertEqual(0, home.wait(60))
         self.assertEqual({key: 1}, dict(self.world.stores["order-desk"].run_counts))
+
+
+class StartTests(EntryStopTestCase):
+    """An entry that can be connected to stops gracefully, however early."""
+
+    def test_signal_right_after_the_start(self):
+        self.start_entry()
+        for _ in range(STARTS):
+            self.entry.kill()
+            self.entry.start()
+            self.wait_until_listening()
+            self.stop_entry()
+            sock = self.send(make_post(GOOD_BODY))
+            self.entry.signal(signal.SIGTERM)
+            self.assertEqual(503, RawResponse(sock.makefile("rb")).status)
+            self.check_exit()
+
+    def wait_until_listening(self) -> None:
+        """Return as soon as a connection to the entry is accepted."""
+        while True:
+            with contextlib.suppress(ConnectionRefusedError):
+                self.connect().close()
+                return
