Count a request's time from its arrival, not from when the process gets to it

What was seen: a target got 2,489 of 2,500 ms for a request that had waited 1.2 s in the socket of a suspended process; a pipelined request's time began with its turn.

Cause: the time of arrival was taken when the request was begun.

Change: it is taken when the request is read, less the time that the kernel says the bytes have waited (from 20 ms on).

Before: the new tests failed.

--- a/sesameplank/forwarding/answer_accounts.py
+++ b/sesameplank/forwarding/answer_accounts.py
@@ -41,15 +41,18 @@
 class PendingRequest:
     """A request that has been read completely.
 
-    `read_at` is in seconds. `unwritten` is the number of bytes of the reply that
-    have not been written, None before there is a reply. `calls` is the number of calls
-    sent for the request, None unless the handler is at work. `has_ended` is true once
-    the reply is written or its loss is reported.
+    `received_at` is the time at which it had arrived completely, in seconds.
+    `unwritten` is the number of bytes of the reply that have not been written, None
+    before there is a reply. `calls` is the number of calls sent for the request, None
+    unless the handler is at work. `has_ended` is true once the reply is written or its
+    loss is reported.
     """
 
-    def __init__(self, request: Request, read_at: float, while_stopping: bool) -> None:
+    def __init__(
+        self, request: Request, received_at: float, while_stopping: bool
+    ) -> None:
         self.request = request
-        self.read_at = read_at
+        self.received_at = received_at
         self.while_stopping = while_stopping
         self.stage = AnswerStage.QUEUED
         self.unwritten: int | None = None
@@ -140,7 +143,7 @@
             request=self.get_request_id(pending.request),
             stage=pending.stage.value,
             cause=cause.value,
-            after_ms=int((now - pending.read_at) * 1_000),
+            after_ms=int((now - pending.received_at) * 1_000),
             stopping=stopping,
             listener=listener,
             **known,
--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -22,6 +22,7 @@
     count_unaccepted,
     count_unacknowledged_bytes,
     count_unread_bytes,
+    get_receive_age_s,
     get_round_trip_s,
     set_no_delay,
 )
@@ -37,6 +38,7 @@
 READ_BYTES = 65_536
 WRITE_TIMEOUT_S = 10.0
 LINGER_TIMEOUT_S = 2.0
+MIN_WAIT_S = 0.02
 FIRST_REQUEST_TIMEOUT_S = 0.2  # Callers connect when they have a request to send.
 MAX_PIPELINED = 8
 CONNECT_ROUND_TRIPS = 1
@@ -72,8 +74,8 @@
 class RequestContext:
     """What a handler knows about the caller of one request.
 
-    `received_at` is the time at which the server began to serve the request, after
-    it had read it and had answered the earlier requests on the connection.
+    `received_at` is the time at which the request had arrived completely; it may have
+    waited for the process, and for the earlier requests on the connection, since.
     `transit_s` is the estimated time that the network adds to the latency that the
     caller observes. Both are in seconds. `caller_host` is the address that the
     caller connected from. `on_disconnect` is called if the connection ends before the
@@ -328,8 +330,17 @@
 
     def note_read(self, request: Request) -> PendingRequest:
         """Record that a request has been read completely."""
-        server = self.server
-        return self.accounts.note_read(request, server.now(), server.is_stopping)
+        received_at = self.server.now() - self.get_wait_s()
+        is_stopping = self.server.is_stopping
+        return self.accounts.note_read(request, received_at, is_stopping)
+
+    def get_wait_s(self) -> float:
+        """Return for how long bytes that were just read waited in the socket.
+
+        It is long if the process was suspended or busy. The kernel's clock is coarse.
+        """
+        age_s = get_receive_age_s(self.sock)
+        return age_s if age_s >= MIN_WAIT_S else 0.0
 
     def start_worker(self) -> None:
         """Start a greenlet that serves the queue, unless one is running."""
@@ -343,7 +354,7 @@
                 pending = self.last = self.queue.popleft()
                 pending.stage = AnswerStage.SERVED
                 self.current = RequestContext(
-                    self.server.now(), self.get_transit_s(), self.caller_host
+                    pending.received_at, self.get_transit_s(), self.caller_host
                 )
                 self.served += 1
                 reply = self.serve(pending.request, self.current)
--- a/tests/forwarding/test_pipelining.py
+++ b/tests/forwarding/test_pipelining.py
@@ -5,7 +5,7 @@
 from sesameplank.forwarding.caller_connections import Reply
 
 from ..integration.front_world import make_request
-from .caller_world import CallerServerTestCase
+from .caller_world import CallerServerTestCase, KernelConnection
 
 LARGE_BYTES = 12_000_000  # More than the kernel's buffers hold.
 
@@ -27,3 +27,19 @@
         gevent.sleep(0.2)
         body = bytes(client.read().body)
         self.assertEqual(LARGE_BYTES, body.count(b"x"))
+
+
+class ReceiptTests(CallerServerTestCase):
+    """The time from which the time limits of pipelined requests count."""
+
+    def handle(self, request, context):
+        self.received_at[request.path] = context.received_at
+        self.time_s += 5.0
+        return super().handle(request, context)
+
+    def test_time_limit_counts_from_the_receipt_not_from_the_turn(self):
+        self.received_at = {}
+        client = self.enterContext(KernelConnection(self.address))
+        client.sock.sendall(make_request("/a") + make_request("/b"))
+        self.assertEqual([b"/a", b"/b"], self.read_paths(client, 2))
+        self.assertEqual({"/a": 0.0, "/b": 0.0}, self.received_at)
--- a/tests/integration/test_suspensions.py
+++ b/tests/integration/test_suspensions.py
@@ -8,6 +8,7 @@
 
 ANSWER_DELAY_S = 0.3
 DEADLINE_MS = 800
+LONG_DEADLINE_MS = 2_500
 SUSPENSION_S = 1.2  # Until after the deadline of the request.
 
 
@@ -20,6 +21,23 @@
         statuses = [self.ask_across_a_suspension(number) for number in range(3)]
         self.assertEqual([200, 200, 200], statuses)
 
+    def test_target_gets_the_time_that_is_left_of_a_request_that_waited(self):
+        process = self.fronts[0].process
+        with RawConnection(self.fronts[0].caller_address) as client:
+            self.assertEqual(200, client.request(make_request("/one/x", "r")).status)
+            process.send_signal(signal.SIGSTOP)
+            client.sock.sendall(make_request("/one/x", "waited", LONG_DEADLINE_MS))
+            gevent.sleep(SUSPENSION_S)
+            process.send_signal(signal.SIGCONT)
+            self.assertEqual(200, client.read().status)
+        (left_ms,) = [
+            int(request.get(b"x-deadline-ms"))
+            for target in self.targets.values()
+            for request in target.requests
+            if request.get(b"x-request-id") == "waited"
+        ]
+        self.assertLessEqual(left_ms, LONG_DEADLINE_MS - SUSPENSION_S * 1_000 + 100)
+
     def ask_across_a_suspension(self, number: int) -> int:
         """Send a request whose target answers during a suspension."""
         process = self.fronts[0].process
