Failing tests: a request behind the last answer, a cut answer, an error of accept

The connection is still read while its last answer is being written, the reader's timeout bounds the writer, and an error of accept ends the drain. No change of the product.

--- a/tests/forwarding/test_stops.py
+++ b/tests/forwarding/test_stops.py
@@ -1,9 +1,14 @@
 """Tests of requests that are cut off when the server of callers stops."""
 
+import os
+import resource
+from collections import Counter
+
 import gevent
 import msgspec
 from gevent.event import Event
 
+from sesameplank.forwarding.answer_accounts import AnswerAccounts
 from sesameplank.forwarding.caller_connections import (
     FIRST_REQUEST_TIMEOUT_S,
     Reply,
@@ -18,6 +23,7 @@
 )
 
 LARGE_BYTES = 300_000
+VERY_LARGE_BYTES = 12_000_000  # More than the kernel's buffers hold.
 SMALL_BUFFER_BYTES = 4_096
 PIPELINED = (b"/a", b"/b", b"/c")
 
@@ -71,6 +77,62 @@
         self.assertEqual(LARGE_BYTES, len(client.read().body))
 
 
+class BlockedAnswerTests(CallerServerTestCase):
+    """Answers whose last bytes are written only when the caller has read others."""
+
+    def setUp(self):
+        super().setUp()
+        self.counts = Counter()
+        self.server.accounts = AnswerAccounts(None, lambda event: self.add(event))
+
+    def add(self, event: str) -> None:
+        """Count an event of the accounts."""
+        self.counts[event] += 1
+
+    def handle(self, request, context):
+        return Reply(200, body=b"x" * VERY_LARGE_BYTES)
+
+    def connect_slowly(self) -> KernelConnection:
+        """Return a connection on which answers are not read."""
+        client = KernelConnection(self.address, SMALL_BUFFER_BYTES)
+        return self.enterContext(client)
+
+    def test_no_request_is_read_behind_an_answer_that_announces_the_end(self):
+        self.server.is_stopping = True
+        client = self.connect_slowly()
+        client.sock.sendall(make_request("/last"))
+        gevent.sleep(0.2)
+        client.sock.sendall(make_request("/behind"))
+        gevent.sleep(0.2)
+        self.assertEqual("close", client.read().get(b"connection"))
+        gevent.sleep(0.2)
+        self.assertEqual(0, self.counts["unanswered_connection_closed"])
+
+    def test_answer_is_not_cut_off_because_the_next_request_is_incomplete(self):
+        self.limits = msgspec.structs.replace(self.limits, header_timeout_s=0.5)
+        client = self.connect_slowly()
+        client.sock.sendall(make_request("/first") + b"GET /next")
+        gevent.sleep(0.2)
+        self.time_s = 1.0
+        gevent.sleep(1.0)
+        self.assertEqual(VERY_LARGE_BYTES, len(client.read().body))
+
+
+class ListenerErrorTests(CallerServerTestCase):
+    """Errors of the listener when it is closed."""
+
+    def test_accepting_ends_although_no_descriptor_is_free(self):
+        self.enterContext(KernelConnection(self.address))
+        limits = resource.getrlimit(resource.RLIMIT_NOFILE)
+        in_use = len(os.listdir("/proc/self/fd")) - 1
+        resource.setrlimit(resource.RLIMIT_NOFILE, (in_use, limits[1]))
+        try:
+            self.server.stop_accepting()
+        finally:
+            resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+        self.assertTrue(self.server.stream_server.closed)
+
+
 class WaitingRequestTests(CallerServerTestCase):
     """Requests that wait in a socket when their connection is closed."""
 
