Read no request behind the reply that announces the end of its connection

What callers saw: a request sent while a long last reply was being written was read and dropped.

Cause: reading ended only once the reply had been written.

Change: it ends when the reply that announces the end is begun; what arrives later is counted as discarded.

--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -222,6 +222,7 @@
         self.worker: gevent.Greenlet | None = None
         self.is_open = True
         self.close_cause = CloseCause.CALLER_LEFT
+        self.is_end_announced = False
         self.is_finishing = False
         self.linger_timer: gevent.Greenlet | None = None
         self.discarded_bytes = 0
@@ -264,7 +265,7 @@
                 data = self.receive(reader, limits)
                 if not data:
                     self.disconnect()
-                elif self.is_finishing:
+                elif self.is_end_announced:
                     self.discarded_bytes += len(data)
                 else:
                     self.process_data(reader, data)
@@ -361,10 +362,10 @@
                 self.current = None
                 if not self.is_open:
                     return
-                close = self.is_last(pending.request, reply)
-                self.answer(pending, reply, close)
+                self.is_end_announced = self.is_last(pending.request, reply)
+                self.answer(pending, reply, self.is_end_announced)
                 self.last = None
-                if close:
+                if self.is_end_announced:
                     self.finish()
         finally:
             self.worker = None
@@ -468,7 +469,7 @@
         """
         if not self.is_open or self.is_finishing:
             return
-        self.is_finishing = True
+        self.is_end_announced = self.is_finishing = True
         self.close_cause = CloseCause.CONNECTION_CLOSED
         self.report_pending()
         with contextlib.suppress(OSError):
