Stop: end connections and exit even if a step of the stop fails

What callers would see: an exception in a step (a member's bad address, no descriptor left) ended the stop; the process closed everything at once or was killed with it.

Change: the announcements are guarded, and closing runs whatever happened before.

--- a/sesameplank/forwarding/shutdown.py
+++ b/sesameplank/forwarding/shutdown.py
@@ -67,17 +67,20 @@
         gevent.spawn(self.run, self.schedule)
 
     def run(self, schedule: StopSchedule) -> None:
-        """Drain the process, then let it exit, even if a step fails."""
+        """Serve until it is time to close, then end, even if a step fails."""
         try:
-            self.drain(schedule)
+            self.serve(schedule)
+        except Exception as error:
+            log_event("stop_step_failed", error=repr(error))
+        try:
+            self.end(schedule)
         finally:
             self.finished.set()
 
-    def drain(self, schedule: StopSchedule) -> None:
-        """Announce that the process is leaving, and answer what it has read.
+    def serve(self, schedule: StopSchedule) -> None:
+        """Announce that the process is leaving, and serve as long as it accepts.
 
-        It keeps serving, because callers may still use its address, until it stops
-        accepting connections and waits for the last requests to finish.
+        Callers may still use its address.
         """
         self.log_step(
             "leaving",
@@ -87,18 +90,28 @@
         for server in (self.server, *self.other_servers):
             server.is_stopping = True
         self.forwarder.begin_stop(schedule)
-        self.membership_service.leave(Phase.LEAVING)
+        self.announce(Phase.LEAVING)
         self.wait_until(schedule.stop_accepting_at)
+
+    def end(self, schedule: StopSchedule) -> None:
+        """Stop accepting connections, and wait for the last requests to finish."""
         self.log_step("stop_accepting", unaccepted=self.server.count_unaccepted())
         self.server.stop_accepting()
         self.batch_server.is_stopping = True
         self.close_connections([self.server], schedule)
-        self.membership_service.leave(Phase.LEFT)
+        self.announce(Phase.LEFT)
         for server in self.other_servers:
             server.stop_accepting()
         self.close_connections(self.other_servers, schedule)
         self.log_step("left", **self.get_totals())
 
+    def announce(self, phase: Phase) -> None:
+        """Tell the other VMs; the shutdown goes on if that fails."""
+        try:
+            self.membership_service.leave(phase)
+        except Exception as error:
+            log_event("announcement_failed", phase=phase.name, error=repr(error))
+
     def wait_until(self, at: float) -> None:
         """Block until a time of the clock."""
         while (remaining_s := at - self.clock.now()) > 0:
