Tests of forwarded bookings beside the stop of either entry

Guards the answers to a booking whose issuer is another entry. On the code before these changes both fail: the entry that forwards closes the connection without an answer, and the stop of the issuer is answered with a remedy that no longer holds ("ask again under the same key"), since the issuer is gone then.

--- a/tests/integration/test_entry_stops.py
+++ b/tests/integration/test_entry_stops.py
@@ -258,6 +258,32 @@
         self.assertEqual({key: 1}, dict(self.world.stores["order-desk"].run_counts))
 
 
+class ForwardedBookingTests(EntryStopTestCase):
+    """A booking that is forwarded to its issuer is answered if either entry stops."""
+
+    def check_answered(self, stopped: int, remedy: str) -> None:
+        """Stop an entry during a booking, and check the answer of the other one."""
+        self.start_fleet(2, *FLAGS)
+        issuer, self.entry = self.fleet.entries
+        key = self.make_key(issuer)
+        self.slow_targets()
+        sock = self.send(self.make_booking(key))
+        gevent.sleep(SENT_S)
+        self.entry = self.fleet.entries[stopped]
+        self.stop_entry()
+        answer = RawResponse(sock.makefile("rb"))
+        self.assertEqual((504, "outcome-unknown"), (answer.status, answer.kind))
+        self.assertEqual("unknown", answer.problem["ran"])
+        self.assertIn(remedy, answer.problem["remedy"])
+        self.check_exit()
+
+    def test_stop_of_the_issuer(self):
+        self.check_answered(0, "look for it in a search")
+
+    def test_stop_of_the_entry_that_forwards(self):
+        self.check_answered(1, "ask another entry under the same key")
+
+
 class StartTests(EntryStopTestCase):
     """An entry that can be connected to stops gracefully, however early."""
 
