Stop: end the connection of a caller that always sends more

Cause: the end was announced only when no bytes waited.

Change: once accepting has ended, the reply to the last request that has been read announces it.

--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -139,6 +139,7 @@
         self.get_limits = get_limits
         self.now = now
         self.is_stopping = False
+        self.is_accepting = True
         self.connections: set[CallerConnection] = set()
         self.stream_server = StreamServer(
             tuple(address), self.accept, backlog=LISTEN_BACKLOG
@@ -182,6 +183,7 @@
         Those in the listener's queue are accepted first: the kernel would reset them,
         and their callers may have sent requests.
         """
+        self.is_accepting = False
         listener = self.stream_server
         listener.stop_accepting()
         try:
@@ -379,10 +381,14 @@
         """Return whether the connection is closed after the reply to a request.
 
         While the server is stopping, that is the reply to the last request of which
-        any bytes have arrived.
+        any bytes have arrived. Once it doesn't accept connections any more, it is the
+        reply to the last request that has been read, or a caller that always sends
+        more could delay the end.
         """
         if reply.close or not request.keep_alive:
             return True
+        if not self.server.is_accepting:
+            return not self.queue
         return self.server.is_stopping and not self.has_more
 
     @property
--- a/tests/forwarding/test_stops.py
+++ b/tests/forwarding/test_stops.py
@@ -1,5 +1,6 @@
 """Tests of requests that are cut off when the server of callers stops."""
 
+import contextlib
 import errno
 from collections import Counter
 from unittest import mock
@@ -14,7 +15,7 @@
     Reply,
 )
 
-from ..integration.front_world import make_request
+from ..integration.front_world import RawConnection, make_request
 from .caller_world import (
     TIMEOUT_S,
     CallerServerTestCase,
@@ -50,6 +51,32 @@
         self.assertEqual([None, None, "close"], endings)
 
 
+class EndlessCallerTests(CallerServerTestCase):
+    """Callers that always send the next request before the answer to the last one."""
+
+    def handle(self, request, context):
+        gevent.sleep(0.02)
+        return super().handle(request, context)
+
+    def test_connection_ends_once_accepting_has_ended(self):
+        client = self.connect()
+        self.server.is_stopping = True
+        sender = gevent.spawn(self.send_without_end, client)
+        self.addCleanup(sender.kill)
+        self.assertIsNone(client.read().get(b"connection"))
+        self.server.stop_accepting()
+        with gevent.Timeout(TIMEOUT_S):
+            while client.read().get(b"connection") != "close":
+                pass
+
+    def send_without_end(self, client: RawConnection) -> None:
+        """Send requests faster than they are answered."""
+        with contextlib.suppress(OSError):
+            while True:
+                client.sock.sendall(make_pipelined())
+                gevent.sleep(0.01)
+
+
 class LargeAnswerTests(CallerServerTestCase):
     """Answers that the caller has not read yet when its connection is closed."""
 
