A result that is ready counts although its waiter's timeout is handled first

What callers could see: an outcome reported as unknown although the answer of another entry had arrived, when the process was busy or suspended beyond the deadline.

Cause: AsyncResult.get raises Timeout even if the result is set by then.

Change: calls between processes and bookings that run look once more.

Before: get(timeout=0.05) raised Timeout with the result ready (trial).

--- a/sesameplank/bookings/service.py
+++ b/sesameplank/bookings/service.py
@@ -30,6 +30,7 @@
 from ..ids import CallerName, IdempotencyKey, RequestId
 from ..logs import log_event
 from ..peers import PeerContext
+from ..results import get_result
 from .forwarding import (
     ForwardedBooking,
     ForwardedQuestion,
@@ -149,7 +150,7 @@
         """Return the result of a running booking, or raise Refusal."""
         remaining_s = max(0.0, call.deadline_at - self.clock.now())
         try:
-            run_result = self.running[key.text].get(timeout=remaining_s)
+            run_result = get_result(self.running[key.text], remaining_s)
         except gevent.Timeout:
             raise make_still_running() from None
         if run_result.refusal is not None:
--- a/sesameplank/peers/links.py
+++ b/sesameplank/peers/links.py
@@ -16,6 +16,7 @@
 from ..ids import EntryId, Incarnation
 from ..logs import log_event
 from ..net import Address
+from ..results import get_result
 from .backoff import Backoff
 from .channel import Channel, PendingCall, QueuedMessage
 from .frames import (
@@ -137,7 +138,7 @@
             if not channel.enqueue(queued):
                 return Failure(FailureReason.QUEUE_FULL, Ran.NOT_RUN)
             self.ensure_connected(channel)
-            return pending.result.get(timeout=remaining_s)
+            return get_result(pending.result, remaining_s)
         except gevent.Timeout:
             return Failure(FailureReason.TIMEOUT, pending.ran)
         finally:
