Let connections linger while a slow caller receives, and bound their number

Change: a connection whose caller is still receiving lingers up to the write timeout, in a stop to the exit.

--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -38,6 +38,7 @@
 READ_BYTES = 65_536
 WRITE_TIMEOUT_S = 10.0
 LINGER_TIMEOUT_S = 2.0
+MAX_LINGERING = 256  # Connections of one server, to leave descriptors for others.
 MIN_WAIT_S = 0.02
 FIRST_REQUEST_TIMEOUT_S = 0.2  # Callers connect when they have a request to send.
 MAX_PIPELINED = 8
@@ -140,6 +141,7 @@
         self.now = now
         self.is_stopping = False
         self.is_accepting = True
+        self.lingering = 0
         self.connections: set[CallerConnection] = set()
         self.stream_server = StreamServer(
             tuple(address), self.accept, backlog=LISTEN_BACKLOG
@@ -231,6 +233,7 @@
         self.is_end_announced = False
         self.is_finishing = False
         self.linger_timer: gevent.Greenlet | None = None
+        self.finished_at = 0.0
         self.discarded_bytes = 0
         self.served = 0
         self.round_trip_s = 0.0
@@ -472,18 +475,34 @@
 
         To close it while bytes of the caller are unread would reset it, and drop the
         replies that the caller has not received. Therefore only the write side is shut
-        down, until the caller closes or LINGER_TIMEOUT_S have passed.
+        down, and the connection lingers until the caller closes or for a bounded time.
         """
         if not self.is_open or self.is_finishing:
             return
         self.is_end_announced = self.is_finishing = True
+        self.finished_at = self.server.now()
+        self.server.lingering += 1
         self.close_cause = CloseCause.CONNECTION_CLOSED
         self.report_pending()
         with contextlib.suppress(OSError):
             self.sock.shutdown(gevent.socket.SHUT_WR)
-        self.linger_timer = gevent.spawn_later(
-            LINGER_TIMEOUT_S, self.close, CloseCause.CONNECTION_CLOSED
-        )
+        if self.server.lingering > MAX_LINGERING:
+            self.close(CloseCause.CONNECTION_CLOSED)
+        else:
+            self.linger()
+
+    def linger(self) -> None:
+        """Close the connection after LINGER_TIMEOUT_S, or later for a slow caller."""
+        self.linger_timer = gevent.spawn_later(LINGER_TIMEOUT_S, self.end_lingering)
+
+    def end_lingering(self) -> None:
+        """Close the connection unless its caller is still receiving replies."""
+        lingered_s = self.server.now() - self.finished_at
+        is_receiving = count_unacknowledged_bytes(self.sock) > 0
+        if is_receiving and lingered_s < WRITE_TIMEOUT_S:
+            self.linger()
+        else:
+            self.close(CloseCause.CONNECTION_CLOSED)
 
     def disconnect(self) -> None:
         """Notify the handler of the request in progress, if any, and close."""
@@ -527,7 +546,9 @@
         if not self.is_open:
             return
         self.is_open = False
-        if not self.is_finishing:
+        if self.is_finishing:
+            self.server.lingering -= 1
+        else:
             self.close_cause = cause
         if self.linger_timer not in (None, gevent.getcurrent()):
             self.linger_timer.kill(block=False)
--- a/tests/forwarding/test_stops.py
+++ b/tests/forwarding/test_stops.py
@@ -9,6 +9,7 @@
 import msgspec
 from gevent.event import Event
 
+from sesameplank.forwarding import caller_connections
 from sesameplank.forwarding.answer_accounts import AnswerAccounts
 from sesameplank.forwarding.caller_connections import (
     FIRST_REQUEST_TIMEOUT_S,
@@ -26,6 +27,7 @@
 LARGE_BYTES = 300_000
 VERY_LARGE_BYTES = 12_000_000  # More than the kernel's buffers hold.
 SMALL_BUFFER_BYTES = 4_096
+READ_BYTES = 65_536
 PIPELINED = (b"/a", b"/b", b"/c")
 
 
@@ -51,6 +53,34 @@
         self.assertEqual([None, None, "close"], endings)
 
 
+class LingeringTests(CallerServerTestCase):
+    """Connections whose callers don't close them after the last answer."""
+
+    def handle(self, request, context):
+        return Reply(200, body=b"x" * VERY_LARGE_BYTES, close=True)
+
+    def test_slow_caller_receives_the_rest_although_it_sends_more(self):
+        self.patch(caller_connections, "LINGER_TIMEOUT_S", 0.1)
+        client = self.enterContext(KernelConnection(self.address, SMALL_BUFFER_BYTES))
+        client.sock.sendall(make_request("/large"))
+        while client.reader.message is None or not client.reader.message.body:
+            client.reader.feed(client.sock.recv(READ_BYTES))
+        while len(client.reader.message.body) < VERY_LARGE_BYTES // 2:
+            client.reader.feed(client.sock.recv(READ_BYTES))
+        client.sock.sendall(make_request("/more"))
+        gevent.sleep(0.5)
+        self.assertEqual(VERY_LARGE_BYTES, len(client.read().body))
+
+    def test_number_of_lingering_connections_is_bounded(self):
+        self.patch(caller_connections, "MAX_LINGERING", 1)
+        clients = [self.enterContext(KernelConnection(self.address)) for _ in range(3)]
+        for client in clients:
+            client.request(make_request("/large"))
+        gevent.sleep(0.1)
+        self.assertEqual(1, len(self.server.connections))
+        self.assertEqual(1, self.server.lingering)
+
+
 class EndlessCallerTests(CallerServerTestCase):
     """Callers that always send the next request before the answer to the last one."""
 
--- a/tests/integration/test_front_stops.py
+++ b/tests/integration/test_front_stops.py
@@ -133,7 +133,21 @@
 
 
 class LateRequestTests(StopTestCase):
-    """Requests that come too late to be served before the process ends."""
+    """Requests that come while the process stops."""
+
+    def test_request_accepted_during_the_stop_is_answered_before_its_end(self):
+        config = make_slow_config(9)
+        for route in config["routes"]:
+            route["goal_ms"] = 200
+        self.store.put_config(config)
+        self.wait_for_state(0, lambda state: state["gauges"]["config_version"] == 9)
+        self.silence(*SINGLE_TARGETS)
+        killed_at = self.terminate_timed(self.fronts[0])
+        self.wait_for(lambda: not self.fronts[0].is_ready(), "the stop")
+        lookup = self.send("/one/x", "lookup")
+        self.wait_for(lambda: self.get_runs(*SINGLE_TARGETS) >= 1, "a run")
+        self.assertEqual(504, self.read_status(lookup))
+        self.assert_stopped_in_time(self.fronts[0], killed_at)
 
     def test_request_that_cannot_end_in_time_is_refused_at_once_and_never_runs(self):
         killed_at = self.terminate_timed(self.fronts[0])
