Split caller_connections: the server and the handlers' types in modules of their own

Reply, RequestContext and Handler are now in request_handling.py, CallerServer with its two constants and assume_lookup in caller_server.py, and CallerConnection stays. The code of all is moved unchanged; the server imports the connection, and the connection only the server's type. Events, counters and metrics keep their names.

Tests run: the forwarding modules of callers, stops, shutdown, batches and late notices, test_front_stops, test_fronts, test_front_operations, test_forwarding, tests.platform.*, tests.standins.*, tests.docs.test_reference: all passed.

--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -5,35 +5,30 @@
 that the server notices when the caller disconnects; further requests are queued.
 """
 
+from __future__ import annotations
+
 import contextlib
 from collections import deque
-from collections.abc import Callable
-from http import HTTPStatus
+from typing import TYPE_CHECKING
 
 import gevent
 import gevent.socket
-import msgspec
-from gevent.server import StreamServer
 
 from ..core.routes import RequestLimits
 from ..logs import log_event
 from ..net import (
-    Address,
-    count_unaccepted,
     count_unacknowledged_bytes,
     count_unread_bytes,
     get_receive_age_s,
     get_round_trip_s,
     set_no_delay,
 )
-from .answer_accounts import AnswerAccounts, AnswerStage, CloseCause, PendingRequest
-from .http_messages import (
-    Headers,
-    MessageError,
-    Request,
-    RequestReader,
-    encode_response,
-)
+from .answer_accounts import AnswerStage, CloseCause, PendingRequest
+from .http_messages import MessageError, Request, RequestReader
+from .request_handling import Reply, RequestContext
+
+if TYPE_CHECKING:
+    from .caller_server import CallerServer
 
 READ_BYTES = 65_536
 WRITE_TIMEOUT_S = 10.0
@@ -44,175 +39,9 @@
 MAX_PIPELINED = 8
 CONNECT_ROUND_TRIPS = 1
 LOOKUP_ROUND_TRIPS = 2  # One to connect to the directory, one for the look-up.
-LISTEN_BACKLOG = 1_024
-STOPPING = "the process is stopping; send the request to another one"
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class Reply(msgspec.Struct):
-    """An HTTP response to a caller.
-
-    `body` is None if only the head is sent, as in the response to a HEAD request.
-    If `close` is true, the connection is closed after the response.
-    """
-
-    status: int
-    headers: Headers = []
-    body: bytes | None = b""
-    close: bool = False
-
-    def encode(self, close: bool) -> bytes:
-        """Return the response as bytes; `close` announces the connection's end."""
-        try:
-            reason = HTTPStatus(self.status).phrase
-        except ValueError:
-            reason = "Unknown"
-        return encode_response(
-            self.status, reason, self.headers, self.body, close=close or self.close
-        )
-
-
-class RequestContext:
-    """What a handler knows about the caller of one request.
-
-    `received_at` is the time at which the request had arrived completely; it may have
-    waited for the process, and for the earlier requests on the connection, since.
-    `transit_s` is the estimated time that the network adds to the latency that the
-    caller observes. Both are in seconds. `caller_host` is the address that the
-    caller connected from. `on_disconnect` is called if the connection ends before the
-    request is answered; `close_cause` then says why, and is None before. `calls` is
-    the number of calls to targets that the handler has sent for the request.
-    """
-
-    def __init__(
-        self, received_at: float, transit_s: float = 0.0, caller_host: str = ""
-    ) -> None:
-        self.received_at = received_at
-        self.transit_s = transit_s
-        self.caller_host = caller_host
-        self.close_cause: CloseCause | None = None
-        self.calls = 0
-        self.on_disconnect: Callable[[], None] = lambda: None
-
-    @property
-    def is_disconnected(self) -> bool:
-        """Whether the caller's connection has ended."""
-        return self.close_cause is not None
-
-    def mark_disconnected(self, cause: CloseCause) -> None:
-        """Record that the caller's connection has ended, and notify the handler."""
-        self.close_cause = cause
-        self.on_disconnect()
-
-
-Handler = Callable[[Request, RequestContext], Reply]
-
-
-def assume_lookup(caller_host: str) -> bool:
-    """Return True: any request may follow a look-up."""
-    return True
-
-
-class CallerServer:
-    """An HTTP server on one address, and a context manager that starts and stops it.
-
-    `get_limits` returns the request limits currently in force, and
-    `may_have_looked_up` whether the next request of a caller may follow a look-up of
-    addresses. While `is_stopping` is true, the server closes each connection after
-    the response to the last request that has arrived on it. `accounts` counts the
-    requests and reports those that end without an answer; by default, they are not
-    reported.
-    """
-
-    def __init__(
-        self,
-        address: Address,
-        handler: Handler,
-        get_limits: Callable[[], RequestLimits],
-        now: Callable[[], float],
-        may_have_looked_up: Callable[[str], bool] = assume_lookup,
-        accounts: AnswerAccounts | None = None,
-    ) -> None:
-        self.accounts = accounts or AnswerAccounts()
-        self.may_have_looked_up = may_have_looked_up
-        self.address = address
-        self.handler = handler
-        self.get_limits = get_limits
-        self.now = now
-        self.is_stopping = False
-        self.is_accepting = True
-        self.lingering = 0
-        self.connections: set[CallerConnection] = set()
-        self.stream_server = StreamServer(
-            tuple(address), self.accept, backlog=LISTEN_BACKLOG
-        )
-
-    def __enter__(self) -> "CallerServer":
-        self.stream_server.start()
-        return self
-
-    def __exit__(self, *exc_info: object) -> None:
-        self.stream_server.stop(timeout=0)
-        for connection in list(self.connections):
-            connection.close(CloseCause.PROCESS_ENDED)
-
-    @property
-    def in_flight(self) -> int:
-        """The number of requests that have been read but not answered yet."""
-        return sum(connection.in_flight for connection in self.connections)
-
-    @property
-    def pending(self) -> int:
-        """The number of requests read that are neither answered nor reported."""
-        return sum(len(connection.get_pending()) for connection in self.connections)
-
-    def count_unaccepted(self) -> int:
-        """Return how many connections of callers wait to be accepted."""
-        return count_unaccepted(self.stream_server.socket)
-
-    def accept(self, sock: gevent.socket.socket, source: tuple) -> None:
-        """Serve one connection until it is closed."""
-        connection = CallerConnection(self, sock, source[0])
-        self.connections.add(connection)
-        try:
-            connection.run()
-        finally:
-            self.connections.discard(connection)
-
-    def stop_accepting(self) -> None:
-        """Stop accepting connections; open ones are still served.
-
-        Those in the listener's queue are accepted first: the kernel would reset them,
-        and their callers may have sent requests.
-        """
-        self.is_accepting = False
-        listener = self.stream_server
-        listener.stop_accepting()
-        try:
-            while (accepted := listener.do_read()) is not None:
-                listener.do_handle(*accepted)
-        except OSError as error:
-            log_event("accept_failed", listener=self.address, error=repr(error))
-        finally:
-            listener.close()
-
-    def close_idle(self) -> None:
-        """End the connections on which no request is being read or served.
-
-        A request that arrives while its connection is being closed is not
-        forwarded, so its caller can safely send it to another address.
-        """
-        for connection in list(self.connections):
-            if connection.is_open and connection.is_idle:
-                connection.finish()
-
-    def refuse_incomplete(self) -> None:
-        """Refuse the requests that have arrived only in part, and end connections."""
-        for connection in list(self.connections):
-            if connection.is_receiving and not connection.in_flight:
-                gevent.spawn(connection.refuse, MessageError(STOPPING, 503))
-
-
 class CallerConnection:
     """One connection of a caller, with a queue of pipelined requests."""
 
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -18,9 +18,9 @@
 from ..ids import AttemptId, ServiceName, TargetId
 from .answer_accounts import CloseCause
 from .call_batches import CallBatch
-from .caller_connections import Reply, RequestContext
 from .dialect import RequestMetadata, TargetAnswer, find_failure
 from .http_messages import Request, RequestEncoder, Response
+from .request_handling import Reply, RequestContext
 from .target_connections import Exchange
 
 if TYPE_CHECKING:
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -12,7 +12,6 @@
 from ..core.weighting import WeightedRoundRobin
 from ..ids import RequestId, ServiceName
 from .call_batches import CallBatches
-from .caller_connections import Reply, RequestContext
 from .connection_shares import ConnectionShares
 from .dialect import Dialect, RequestMetadata
 from .forwarded_request import ForwardedRequest
@@ -20,6 +19,7 @@
 from .late_notices import LateNotices
 from .metrics import FrontMetrics
 from .replaced_targets import ReplacedTargets
+from .request_handling import Reply, RequestContext
 from .request_log import RequestLog
 
 STARTING_RETRY_AFTER_S = 0.3
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -37,7 +37,7 @@
 from .answer_accounts import AnswerAccounts
 from .batch_server import BatchServer
 from .call_batches import CallBatches
-from .caller_connections import CallerServer
+from .caller_server import CallerServer
 from .connection_shares import ConnectionShares
 from .dialect import Dialect
 from .forwarder import Forwarder
--- a/sesameplank/forwarding/shutdown.py
+++ b/sesameplank/forwarding/shutdown.py
@@ -10,7 +10,7 @@
 from ..logs import log_event
 from ..peers.membership import MembershipService
 from .batch_server import BatchServer
-from .caller_connections import CallerServer
+from .caller_server import CallerServer
 from .forwarder import Forwarder
 from .loop_delay import LoopDelay
 
--- a/sesameplank/platform/command.py
+++ b/sesameplank/platform/command.py
@@ -12,9 +12,10 @@
 from ..core.directory import ADDRESS_TTL_S, get_capacity
 from ..exceptions import SesameplankError
 from ..forwarding.answer_accounts import AnswerAccounts
-from ..forwarding.caller_connections import CallerServer, Reply, RequestContext
+from ..forwarding.caller_server import CallerServer
 from ..forwarding.front import Front, FrontSettings
 from ..forwarding.http_messages import Request
+from ..forwarding.request_handling import Reply, RequestContext
 from ..logs import log_event, use_line_writer
 from .endpoints import (
     ADDRESSES_PATH,
--- a/sesameplank/standins/front_store.py
+++ b/sesameplank/standins/front_store.py
@@ -9,8 +9,9 @@
 from gevent.event import Event
 
 from ..core.routes import RequestLimits
-from ..forwarding.caller_connections import CallerServer, Reply, RequestContext
+from ..forwarding.caller_server import CallerServer
 from ..forwarding.http_messages import Request
+from ..forwarding.request_handling import Reply, RequestContext
 from ..net import Address
 from ..platform.items import CONFIG_KEY, TARGET_PREFIX
 from ..platform.store import (
--- a/tests/forwarding/caller_world.py
+++ b/tests/forwarding/caller_world.py
@@ -8,12 +8,9 @@
 from gevent import monkey
 
 from sesameplank.core.routes import RequestLimits
-from sesameplank.forwarding.caller_connections import (
-    CallerServer,
-    Reply,
-    RequestContext,
-)
+from sesameplank.forwarding.caller_server import CallerServer
 from sesameplank.forwarding.http_messages import Request, ResponseReader
+from sesameplank.forwarding.request_handling import Reply, RequestContext
 from sesameplank.net import Address
 from sesameplank.standins.fleet import reserve_block
 
--- a/tests/forwarding/test_caller_connections.py
+++ b/tests/forwarding/test_caller_connections.py
@@ -15,14 +15,11 @@
 from sesameplank.core.routes import RequestLimits
 from sesameplank.forwarding import caller_connections
 from sesameplank.forwarding.answer_accounts import AnswerAccounts, StopTotals
-from sesameplank.forwarding.caller_connections import (
-    MAX_PIPELINED,
-    CallerServer,
-    Reply,
-    RequestContext,
-)
+from sesameplank.forwarding.caller_connections import MAX_PIPELINED
+from sesameplank.forwarding.caller_server import CallerServer
 from sesameplank.forwarding.http_messages import Request
 from sesameplank.forwarding.metrics import FrontMetrics
+from sesameplank.forwarding.request_handling import Reply, RequestContext
 from sesameplank.forwarding.request_log import RequestLog
 from sesameplank.logs import output
 from sesameplank.net import Address
--- a/tests/forwarding/test_pipelining.py
+++ b/tests/forwarding/test_pipelining.py
@@ -2,7 +2,7 @@
 
 import gevent
 
-from sesameplank.forwarding.caller_connections import Reply
+from sesameplank.forwarding.request_handling import Reply
 
 from ..integration.front_world import make_request
 from .caller_world import CallerServerTestCase, KernelConnection
--- a/tests/forwarding/test_stops.py
+++ b/tests/forwarding/test_stops.py
@@ -11,10 +11,8 @@
 
 from sesameplank.forwarding import caller_connections
 from sesameplank.forwarding.answer_accounts import AnswerAccounts
-from sesameplank.forwarding.caller_connections import (
-    FIRST_REQUEST_TIMEOUT_S,
-    Reply,
-)
+from sesameplank.forwarding.caller_connections import FIRST_REQUEST_TIMEOUT_S
+from sesameplank.forwarding.request_handling import Reply
 
 from ..integration.front_world import RawConnection, make_request
 from .caller_world import (
