End the entry's process without tearing down the interpreter either

Cause, as in the forwarding process: the teardown of the interpreter.

Change: both processes end by sesameplank.exits.end_process.

--- a/sesameplank/commands/entry.py
+++ b/sesameplank/commands/entry.py
@@ -6,6 +6,7 @@
 
 from ..conf.settings import Setting
 from ..entry import Entry, EntrySettings
+from ..exits import end_process
 from ..ids import DataCentre, EntryId
 from ..monitoring.dump import print_dump
 from ..net import Address
@@ -34,7 +35,7 @@
     )
 
     def handle(self, arguments: list[str], values: dict) -> int:
-        """Run the entry until SIGTERM or SIGINT."""
+        """Run the entry until SIGTERM or SIGINT, and end the process."""
         settings = EntrySettings(
             entry_id=EntryId(values["entry_id"]),
             data_centre=DataCentre(values["data_centre"]),
@@ -57,7 +58,7 @@
         gevent.signal_handler(signal.SIGUSR1, print_dump, entry)
         with entry:  # It listens from here on, so the handlers are in place before.
             entry.wait()
-        return 0
+        end_process(0)
 
 
 def main() -> None:
--- a/sesameplank/platform/__main__.py
+++ b/sesameplank/platform/__main__.py
@@ -1,8 +1,6 @@
 """Entry point of the forwarding process: `python3 -m sesameplank.platform`."""
 
-import os
 import signal
-import sys
 
 
 def ignore_reloads() -> None:
@@ -22,15 +20,11 @@
 
 
 def run() -> None:
-    """Run the forwarding process and end without tearing down the interpreter.
-
-    Nothing needs the teardown, and it takes long on a busy machine, where the
-    process may be killed meanwhile.
-    """
+    """Run the forwarding process, and end it."""
     code = start()
-    sys.stdout.flush()
-    sys.stderr.flush()
-    os._exit(code)
+    from ..exits import end_process
+
+    end_process(code)
 
 
 if __name__ == "__main__":
