Log and count the rate limits that targets name

Cause: nothing reads the header, so no log line says that a target named a limit, and no counter says which calls go to such a target.

Change: answers carry what they say of the limit; core/target_limits keeps it; lines target_limit_named, _changed, _lifted and _unreadable; counters limited_calls_first, _hedge, _retry and _batch; gauge targets_limited; limit in the state dump. Values that are no decimal number, or stand twice, say nothing and are logged. No call is decided differently. The target stand-in names limits and records arrivals.

--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -51,6 +51,7 @@
         connection_shares: ConnectionShares,
         replaced_targets: ReplacedTargets,
         count: Callable[[str], None],
+        on_transmit: Callable[[Call], None],
     ) -> None:
         self.links = links
         self.clock = clock
@@ -60,6 +61,7 @@
         self.connection_shares = connection_shares
         self.replaced_targets = replaced_targets
         self.count = count
+        self.on_transmit = on_transmit
         self.batches: dict[BatchKey, ServedBatch] = {}
         self.is_stopping = False
         links.register(BatchedCalls, self.on_calls)
@@ -172,7 +174,7 @@
             call,
             self.message.request_id,
             lambda: self.encode(record),
-            lambda call: self.server.count("batch_calls_transmitted"),
+            self.server.on_transmit,
             lambda exchange, outcome: self.on_done(index, exchange, outcome),
             is_idempotent=True,
         )
--- a/sesameplank/forwarding/dialect.py
+++ b/sesameplank/forwarding/dialect.py
@@ -12,6 +12,7 @@
 
 from ..core.outcomes import Failure, FailureReason, Ran
 from ..core.placement import LoadReport
+from ..core.target_limits import LimitNews
 from ..ids import RequestId, TargetId
 from .http_messages import Headers, Request, Response
 
@@ -30,14 +31,18 @@
 
 
 class ResponseMetadata(msgspec.Struct, frozen=True):
-    """The id of the request that a response belongs to, and the idle timeout.
+    """What a response says besides its answer.
 
-    `idle_timeout_s` is how long the target keeps an idle connection open, in
-    seconds. Each field is None if the response does not contain it.
+    `request_id` is the id of the request that it belongs to, and `idle_timeout_s` how
+    long the target keeps an idle connection open, in seconds; each is None if the
+    response does not contain it. `limit` is what it says of the target's rate limit,
+    None if it comes from another target or can't be read; `limit_error` says why not.
     """
 
     request_id: RequestId | None
     idle_timeout_s: float | None
+    limit: LimitNews | None = None
+    limit_error: str | None = None
 
 
 class TargetAnswer(msgspec.Struct, frozen=True):
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -325,7 +325,7 @@
 
     def note_transmitted(self, call: Call) -> None:
         """Record that a call is being transmitted."""
-        self.forwarder.count("calls_transmitted")
+        self.forwarder.count_transmitted(call, call.kind.value)
         self.context.calls += 1
         self.fanout.note_transmitted(call)
 
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -3,11 +3,12 @@
 from ..core.call_times import CallTimes
 from ..core.clock import Clock
 from ..core.extra_load import ExtraLoadBudget
-from ..core.fanout import FanoutPlan
+from ..core.fanout import Call, FanoutPlan
 from ..core.placement import Placement
 from ..core.queue_admission import QueueAdmission, get_allowed_waits, get_service_names
 from ..core.routes import Route, RoutingConfiguration
 from ..core.stop_schedule import StopSchedule
+from ..core.target_limits import TargetLimits
 from ..core.target_table import TargetRecord, TargetTable
 from ..core.weighting import WeightedRoundRobin
 from ..ids import RequestId, ServiceName
@@ -22,6 +23,7 @@
 from .request_handling import Reply, RequestContext
 from .request_log import RequestLog
 
+BATCH = "batch"  # The origin of a call that is made for another VM.
 STARTING_RETRY_AFTER_S = 0.3
 STOPPING_RETRY_AFTER_S = 0.0  # Another process can take the request at once.
 
@@ -37,6 +39,7 @@
         placement: Placement,
         budget: ExtraLoadBudget,
         connection_shares: ConnectionShares,
+        limits: TargetLimits,
     ) -> None:
         self.clock = clock
         self.dialect = dialect
@@ -44,6 +47,7 @@
         self.placement = placement
         self.budget = budget
         self.connection_shares = connection_shares
+        self.limits = limits
         self.times = CallTimes()
         self.rotation = WeightedRoundRobin()
         self.routing: RoutingConfiguration | None = None
@@ -77,6 +81,17 @@
         """Increase the counter of an event in the metrics."""
         self.metrics.count(event, number)
 
+    def count_transmitted(self, call: Call, origin: str) -> None:
+        """Count a call that is transmitted, and again if its target is limited.
+
+        `origin` is the kind of a call for a caller's request, or "batch".
+        """
+        self.count(
+            "batch_calls_transmitted" if origin == BATCH else "calls_transmitted"
+        )
+        if self.limits.is_limited(call.target.id):
+            self.count(f"limited_calls_{origin}")
+
     def serve(self, request: Request, context: RequestContext) -> Reply:
         """Forward a caller's request, or refuse it, and return the reply."""
         metadata = self.dialect.read_request_metadata(request)
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -22,6 +22,7 @@
 from ..core.recent_maximum import RecentMaximum
 from ..core.routes import RequestLimits, RoutingConfiguration
 from ..core.slack_share import SlackShare
+from ..core.target_limits import TargetLimits
 from ..core.target_table import TargetTable
 from ..core.versions import AcceptedConfiguration, ConfigurationStore
 from ..ids import DataCentre, EntryId, RequestId
@@ -40,9 +41,10 @@
 from .caller_server import CallerServer
 from .connection_shares import ConnectionShares
 from .dialect import Dialect
-from .forwarder import Forwarder
+from .forwarder import BATCH, Forwarder
 from .http_messages import Request
 from .late_notices import LateNotices
+from .limit_log import LimitLog
 from .lookup_notices import LookupNotices
 from .loop_delay import LoopDelay
 from .replaced_targets import ReplacedTargets
@@ -95,7 +97,9 @@
         self.store = ConfigurationStore(clock, decode)
         self.placement = Placement(settings.data_centre, rng)
         self.budget = ExtraLoadBudget(settings.extra_load, clock.now())
-        self.pools = TargetPools(clock, dialect, settings.vm)
+        self.limits = TargetLimits()
+        self.limits.listeners.append(LimitLog(clock, self.table))
+        self.pools = TargetPools(clock, dialect, settings.vm, self.limits)
         self.connection_shares = ConnectionShares(self.table, self.pools)
         self.forwarder = Forwarder(
             clock,
@@ -104,6 +108,7 @@
             self.placement,
             self.budget,
             self.connection_shares,
+            self.limits,
         )
         self.links = PeerLinks(
             settings.vm,
@@ -165,6 +170,7 @@
             self.connection_shares,
             self.replaced_targets,
             self.forwarder.count,
+            lambda call: self.forwarder.count_transmitted(call, BATCH),
         )
         self.aggregator_choice = AggregatorChoice(settings.vm, rng)
         self.forwarder.batches = CallBatches(
@@ -320,6 +326,7 @@
         self.applied_targets = self.table.version
         self.pools.keep_only(self.table.is_listed)
         self.placement.keep_only([*self.table.records, *self.table.leaving])
+        self.limits.keep_only(self.table.is_listed)
         self.aggregator_choice.keep_only(self.membership.members)
 
     def log_counts(self) -> None:
@@ -340,6 +347,7 @@
             "targets_era": self.table.era,
             "targets_revision": self.table.revision,
             "targets": len(self.table.records),
+            "targets_limited": len(self.limits.limits),
             "in_flight": self.caller_server.in_flight,
             "requests_pending": self.caller_server.pending,
             "caller_connections": len(self.caller_server.connections),
@@ -381,6 +389,7 @@
                     "slowness": self.placement.get(record.id).slowness.get(now),
                     "is_avoided": self.placement.is_avoided(record.id, now),
                     "is_held": record.id in self.table.held_until,
+                    "limit": self.limits.describe(record.id, now),
                 }
                 for record in self.table.records.values()
             },
--- a/sesameplank/forwarding/target_connections.py
+++ b/sesameplank/forwarding/target_connections.py
@@ -14,10 +14,12 @@
 from ..core.clock import Clock
 from ..core.fanout import Call
 from ..core.outcomes import Failure, FailureReason, Ran
+from ..core.target_limits import TargetLimits
 from ..core.target_table import TargetRecord
 from ..ids import RequestId, TargetId
+from ..logs import log_event
 from ..net import Address, set_no_delay
-from .dialect import Dialect
+from .dialect import Dialect, ResponseMetadata
 from .http_messages import Response, ResponseReader
 
 CONNECT_TIMEOUT_S = 1.0
@@ -93,6 +95,7 @@
         self.mismatched = 0
         self.served = 0
         self.idle_since = pool.clock.now()
+        self.sent_at = self.idle_since
         self.idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self.is_open = True
         self.sender: gevent.Greenlet | None = None
@@ -103,6 +106,7 @@
     def send(self, exchange: Exchange) -> None:
         """Send a call; its outcome is reported when the connection is read."""
         self.exchange = exchange
+        self.sent_at = self.pool.clock.now()
         self.reader.is_head = exchange.is_head
         data = exchange.encode()
         exchange.is_transmitted = True
@@ -175,6 +179,7 @@
             return
         self.exchange = None
         self.served += 1
+        self.pool.note_limit(metadata, self.sent_at)
         if metadata.idle_timeout_s is not None:
             self.idle_timeout_s = metadata.idle_timeout_s
         is_reusable = response.keep_alive and self.reader.has_length
@@ -248,9 +253,11 @@
         clock: Clock,
         dialect: Dialect,
         source_host: str,
+        limits: TargetLimits,
     ) -> None:
         self.record = record
         self.limit = limit
+        self.limits = limits
         self.clock = clock
         self.dialect = dialect
         self.source_host = source_host
@@ -352,6 +359,19 @@
                 return
         self.idle.append(connection)
 
+    def note_limit(self, metadata: ResponseMetadata, sent_at: float) -> None:
+        """Record what the answer to a call sent at `sent_at` says of the rate limit."""
+        if metadata.limit_error is not None:
+            log_event(
+                "target_limit_unreadable",
+                target=self.record.id,
+                reason=metadata.limit_error,
+            )
+        if metadata.limit is not None:
+            self.limits.note_answer(
+                self.record.id, metadata.limit, sent_at, self.clock.now()
+            )
+
     def remove(self, connection: TargetConnection) -> None:
         """Remove a closed connection; open a new one if a waiting call needs one."""
         self.connections.discard(connection)
@@ -386,10 +406,17 @@
 class TargetPools:
     """The connection pools of all targets, shared by all requests."""
 
-    def __init__(self, clock: Clock, dialect: Dialect, source_host: str) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        dialect: Dialect,
+        source_host: str,
+        limits: TargetLimits,
+    ) -> None:
         self.clock = clock
         self.dialect = dialect
         self.source_host = source_host
+        self.limits = limits
         self.pools: dict[TargetId, TargetPool] = {}
 
     def get(self, record: TargetRecord, limit: int) -> TargetPool:
@@ -401,7 +428,14 @@
         if pool is None or pool.record.address != record.address:
             if pool is not None:
                 pool.close()
-            pool = TargetPool(record, limit, self.clock, self.dialect, self.source_host)
+            pool = TargetPool(
+                record,
+                limit,
+                self.clock,
+                self.dialect,
+                self.source_host,
+                self.limits,
+            )
             self.pools[record.id] = pool
         pool.limit = limit
         return pool
--- a/sesameplank/platform/headers.py
+++ b/sesameplank/platform/headers.py
@@ -1,9 +1,11 @@
 """Translation between the platform's HTTP headers and the forwarder's types."""
 
+import re
 from collections.abc import Iterable
 from functools import lru_cache
 
 from ..core.placement import LoadReport
+from ..core.target_limits import LimitNews
 from ..forwarding.dialect import (
     Dialect,
     RequestMetadata,
@@ -19,6 +21,7 @@
 EXPECTED_TARGET = b"X-Expect-Instance"
 ANSWERING_TARGET = b"X-Instance-Id"
 TARGET_LOAD = b"X-Server-Load"
+TARGET_LIMIT = b"Server-Limit"
 NOT_RUN = b"X-Not-Executed"
 RETRY_AFTER = b"Retry-After"
 PART_SIGNATURES = b"X-Part-Stamps"
@@ -29,6 +32,7 @@
 MIN_LOAD_FIELDS = 3
 PARSE_CACHE_SIZE = 512
 MAX_DIGITS = 15
+DECIMAL_NUMBER = re.compile(r"[0-9]{1,15}(\.[0-9]{1,15})?", re.ASCII)
 
 
 class PlatformDialect(Dialect):
@@ -61,11 +65,14 @@
         ]
 
     def read_response_metadata(self, response: Response) -> ResponseMetadata:
-        """Return the request id and the idle timeout given by `Keep-Alive`."""
+        """Return the request id, the idle timeout and the target's rate limit."""
         request_id = response.get(REQUEST_ID.lower())
+        limit, limit_error = read_limit(response)
         return ResponseMetadata(
             RequestId(request_id) if request_id else None,
             parse_idle_timeout_s(response.get(b"keep-alive")),
+            limit,
+            limit_error,
         )
 
     def read_answer(self, response: Response) -> TargetAnswer:
@@ -140,3 +147,22 @@
         return None
     slowdown = fields[3] / SLOWDOWN_SCALE if len(fields) > MIN_LOAD_FIELDS else 1.0
     return LoadReport(fields[0], fields[1], fields[2], slowdown)
+
+
+def read_limit(response: Response) -> tuple[LimitNews | None, str | None]:
+    """Return what a response says of the target's rate limit, and why it can't be read.
+
+    Another target's response says nothing of it.
+    """
+    name = TARGET_LIMIT.lower()
+    if response.status == MISDIRECTED:
+        return None, None
+    if name not in response.first_values:
+        return LimitNews(None), None
+    values = [value for key, value in response.headers if key.lower() == name]
+    if len(values) > 1:
+        return None, "stated more than once"
+    text = values[0].decode("latin-1").strip()
+    if not DECIMAL_NUMBER.fullmatch(text):
+        return None, "not a decimal number"
+    return LimitNews(float(text)), None
--- a/sesameplank/standins/front_targets.py
+++ b/sesameplank/standins/front_targets.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 import struct
+import time
 from enum import Enum
 
 import gevent
@@ -24,6 +25,7 @@
     NOT_RUN,
     REQUEST_ID,
     SIGNATURE,
+    TARGET_LIMIT,
 )
 
 READ_BYTES = 65_536
@@ -75,6 +77,9 @@
     `fault_mode` changes this. As a context manager, the target accepts connections
     on its address.
 
+    `stated_limit` is the rate limit that its answers name, None for none, and
+    `arrived_at` the time of arrival of every request.
+
     `executed_ids` holds the IDs of the executed requests in order, and
     `misdirected_ids` those of requests that were meant for another target.
     """
@@ -85,6 +90,8 @@
         self.body = body
         self.fault_mode = TargetFaultMode.NONE
         self.delay_s = 0.0
+        self.stated_limit: bytes | None = None
+        self.arrived_at: list[float] = []
         self.executed_ids: list[str] = []
         self.misdirected_ids: list[str] = []
         self.requests: list[Request] = []
@@ -119,6 +126,7 @@
 
     def answer(self, sock: gevent.socket.socket, request: Request) -> bool:
         """Answer a request; return whether to keep the connection open."""
+        self.arrived_at.append(time.monotonic())
         expected = request.get(EXPECTED_TARGET.lower())
         if expected not in (None, self.name):
             self.misdirected_ids.append(request.get(REQUEST_ID.lower()) or "")
@@ -195,6 +203,8 @@
             headers.append((SIGNATURE, signature.encode()))
         if self.fault_mode is TargetFaultMode.ENCODED:
             headers.append((b"Content-Encoding", b"gzip"))
+        if self.stated_limit is not None:
+            headers.append((TARGET_LIMIT, self.stated_limit))
         return headers
 
     def make_answer(self, request_id: str) -> bytes:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from sesameplank.core.target_limits import LimitNews
 from sesameplank.forwarding.http_messages import Request, Response
 from sesameplank.platform.headers import (
     PlatformDialect,
@@ -113,3 +114,50 @@
     def test_refusal_has_retry_after_in_seconds(self):
         headers = dict(PlatformDialect().make_refusal_headers("r", 0.25))
         self.assertEqual(b"0.250", headers[b"Retry-After"])
+
+
+class TargetLimitTests(testtools.TestCase):
+    """The rate limit that a target names is read, and an unreadable one is reported."""
+
+    def read(self, *values: bytes, status: int = 200):
+        response = Response()
+        response.status = status
+        for value in values:
+            response.add(b"Server-Limit", value)
+        return PlatformDialect().read_response_metadata(response)
+
+    def test_decimal_numbers(self):
+        for value, per_s in (
+            (b"11.8", 11.8),
+            (b"0", 0.0),
+            (b"0.25", 0.25),
+            (b" 7 ", 7),
+        ):
+            self.assertEqual(LimitNews(per_s), self.read(value).limit, value)
+
+    def test_answer_without_a_limit_lifts_it(self):
+        self.assertEqual(LimitNews(None), self.read().limit)
+
+    def test_other_values_say_nothing_and_are_reported(self):
+        for values in (
+            (b"",),
+            (b"-1",),
+            (b"nan",),
+            (b"inf",),
+            (b"1e3",),
+            (b"1,5",),
+            (b"9" * 400,),
+            (b"1." + b"9" * 400,),
+            ("\u0661".encode(),),
+            (b"5", b"5"),
+        ):
+            metadata = self.read(*values)
+            self.assertIsNone(metadata.limit, values)
+            self.assertIsNotNone(metadata.limit_error, values)
+
+    def test_another_target_says_nothing_of_the_limit(self):
+        for values in ((), (b"5",)):
+            metadata = self.read(*values, status=421)
+            self.assertEqual(
+                (None, None), (metadata.limit, metadata.limit_error), values
+            )
