--- /dev/null
+++ b/tests/integration/test_target_limits.py
@@ -0,0 +1,73 @@
+"""Tests of targets that name a rate limit, with several processes in front of them."""
+
+import time
+
+import gevent
+import gevent.pool
+
+from .front_world import FrontTestCase, make_request
+
+SETTLING_S = 4.0
+WINDOW_S = 4.0
+TOLERANCE = 1.5
+SPARE_CALLS = 5
+LIMIT_PER_S = 2.0
+REQUESTS = 300
+REQUEST_GAP_S = 0.03
+CONCURRENCY = 12
+
+
+class TargetLimitTests(FrontTestCase):
+    """A limit holds for the sum over all processes, and callers are still answered."""
+
+    front_count = 3
+
+    def setUp(self):
+        super().setUp()
+        for front in range(self.front_count):
+            self.wait_for_state(
+                front, lambda state: len(state["members"]) == self.front_count
+            )
+        self.statuses: dict[int, int] = {}
+
+    def send(self, number: int, path: str, method: str) -> None:
+        """Send one request and count the status of its answer."""
+        data = make_request(path, f"r{number}", method=method)
+        status = self.request(data, number % self.front_count).status
+        self.statuses[status] = self.statuses.get(status, 0) + 1
+
+    def play(self, path: str, limited: tuple[str, ...], method: str = "GET") -> float:
+        """Send requests while targets name limits; return when they began to."""
+        for name in limited:
+            self.targets[name].stated_limit = b"%g" % LIMIT_PER_S
+        began_at = time.monotonic()
+        pool = gevent.pool.Pool(CONCURRENCY)
+        for number in range(REQUESTS):
+            pool.spawn(self.send, number, path, method)
+            gevent.sleep(REQUEST_GAP_S)
+        pool.join(raise_error=True)
+        return began_at
+
+    def assert_limit_is_kept(self, name: str, began_at: float) -> None:
+        """Assert that no window of WINDOW_S holds too many arrivals at a target."""
+        arrivals = [
+            at for at in self.targets[name].arrived_at if at >= began_at + SETTLING_S
+        ]
+        allowed = TOLERANCE * LIMIT_PER_S * WINDOW_S + SPARE_CALLS
+        for start in arrivals:
+            count = sum(start <= at < start + WINDOW_S for at in arrivals)
+            self.assertLessEqual(count, allowed, name)
+
+    def test_limited_targets_get_no_more_than_they_named(self):
+        for path, method, limited in (
+            ("/all/x", "GET", ("shard0a",)),
+            ("/all/x", "GET", ("shard1a", "shard1b")),
+            ("/one/x", "GET", ("singlea", "singleb")),
+            ("/book/x", "POST", ("singlea", "singleb")),
+        ):
+            began_at = self.play(path, limited, method)
+            for name in limited:
+                self.assert_limit_is_kept(name, began_at)
+                self.targets[name].stated_limit = None
+            self.assertLessEqual(set(self.statuses), {200, 503}, limited)
+            self.assertGreater(self.statuses[200], 0, limited)
