Keep the rate limits that targets name, for the sum over all processes

What callers saw: nothing; targets in need got up to 110 requests in 4 s where 93 are allowed, and went on getting them.

Cause: nothing read the limit, for any kind of call, and no process sees the calls of the others. The class is that of the budget of repeats: a bound on a sum over all VMs.

Change: each process has a token bucket for each limited target (core/target_limits) with its part of the limit (core/limit_parts): equal parts of the active VMs' side of the fleet, small limits divided among few VMs, the same for all targets. A call takes its token where it is sent, in the pool of its target, whatever it is sent for; a call without one is not sent. Targets without room aren't chosen; a shard without any is left out; a request that can't get enough shards is refused at once with the time until there is room (core/limit_admission). VMs tell each other limits (forwarding/limit_notices).

--- /dev/null
+++ b/sesameplank/core/limit_parts.py
@@ -0,0 +1,106 @@
+"""The part of a target's rate limit that one process may use.
+
+A limit is the sum over all processes, none of which sees the calls of the others. They
+don't agree on the parts either, so the parts have to add up to the limit at most for
+whatever each process believes.
+
+The parts are equal, as in the simplest variant of B. Raghavan and others, "Cloud
+control with distributed rate limiting", SIGCOMM 2007. In a network partition, each side
+uses only as much of the limit as it has VMs, compared with the largest fleet known.
+
+A small limit is divided among a few processes only, which rendezvous hashing chooses:
+an equal part for each of many would be less than one call in the time that matters, and
+one saved call of each more than the limit. They are the same ones for all targets, so
+that a request over many shards finds room at all of them in one process.
+"""
+
+from abc import ABC, abstractmethod
+from collections.abc import Sequence
+
+from ..ids import EntryId, TargetId
+from .homes import rank
+from .recent_maximum import RecentMaximum
+from .slack_share import MAX_PARTITION_S, UNKNOWN_FLEET_SIZE
+
+RANKING_KEY = "limits"
+# Processes that share a limit: one for each request a second, and these.
+SPARE_HOLDERS = 2
+MAJORITY_SHARE = 0.5
+
+
+class LimitParts(ABC):
+    """Base of the ways to divide limits among processes."""
+
+    @abstractmethod
+    def get_part_per_s(self, target: TargetId, per_s: float) -> float:
+        """Return how many requests a second this process may send to a target.
+
+        `per_s` is the limit of the target for all processes together.
+        """
+
+
+class WholePart(LimitParts):
+    """The whole limit, for a process that is the only one."""
+
+    def get_part_per_s(self, target: TargetId, per_s: float) -> float:
+        """Return the limit."""
+        return per_s
+
+
+class ActiveVmParts(LimitParts):
+    """Equal parts for the active VMs, or for a few of them.
+
+    `named_vms` is the number of VMs that the settings name, including its own. `share`
+    is the share of the largest known fleet that this process sees, and `place` its own
+    place in the ranking of the active VMs, None if it isn't active.
+    """
+
+    def __init__(self, own_id: EntryId, named_vms: int) -> None:
+        self.own_id = own_id
+        self.named_vms = named_vms
+        self.has_heard = named_vms == 1
+        self.present = RecentMaximum(MAX_PARTITION_S)
+        self.told = RecentMaximum(MAX_PARTITION_S)
+        self.largest = 1
+        self.share = 1.0
+        self.active: tuple[EntryId, ...] = ()
+        self.place: int | None = None
+
+    def update(self, active: Sequence[EntryId], present: int, now: float) -> None:
+        """Apply the view of this process at `now`, in seconds.
+
+        `present` is the number of VMs that it believes to be running, including its
+        own.
+        """
+        known = self.present.update(present, now)
+        self.has_heard = self.has_heard or known > 1
+        self.largest = max(self.named_vms, known, self.told.get(now))
+        self.share = present / self.largest
+        if self.active != tuple(active):
+            self.active = tuple(active)
+            ranked = rank(RANKING_KEY, active)
+            self.place = ranked.index(self.own_id) if self.own_id in ranked else None
+
+    def note_told(self, largest: int, now: float) -> None:
+        """Record the size of the largest fleet that another VM knows.
+
+        A process that has just started hasn't seen the VMs that are away.
+        """
+        self.told.update(max(largest, self.told.get(now)), now)
+
+    def get_part_per_s(self, target: TargetId, per_s: float) -> float:
+        """Return the part of this side of the fleet, divided by its holders.
+
+        The part is 0 if this VM is none of them. A side that would have less than one
+        has none, unless it is most of the fleet. A process that hasn't heard of any
+        other yet takes very little.
+        """
+        if self.place is None:
+            return 0.0
+        if not self.has_heard:
+            return per_s / UNKNOWN_FLEET_SIZE
+        holders = int(self.share * (per_s + SPARE_HOLDERS))
+        if not holders and self.share > MAJORITY_SHARE:
+            holders = 1
+        holders = min(holders, len(self.active))
+        return self.share * per_s / holders if self.place < holders else 0.0
--- a/sesameplank/core/outcomes.py
+++ b/sesameplank/core/outcomes.py
@@ -19,8 +19,9 @@
 class FailureReason(Enum):
     """Why a call to a target returned no answer.
 
-    FOREIGN is a response that does not belong to the request. RELAY means that no
-    process can relay the call, or that a relayed call failed and may have been
+    FOREIGN is a response that does not belong to the request. LIMITED means that the
+    call was not sent, because of the rate limit that its target names. RELAY means that
+    no process can relay the call, or that a relayed call failed and may have been
     executed.
     """
 
@@ -31,6 +32,7 @@
     FOREIGN = "foreign"
     REFUSED = "refused"
     QUEUE_FULL = "queue_full"
+    LIMITED = "limited"
     CANCELLED = "cancelled"
     BAD_ANSWER = "bad_answer"
     RELAY = "relay"
--- a/sesameplank/core/peer_messages.py
+++ b/sesameplank/core/peer_messages.py
@@ -184,6 +184,19 @@
     targets: tuple[tuple[TargetId, int], ...]
 
 
+class TargetLimitNotice(PeerMessage, frozen=True):
+    """A notification of the rate limits that targets named to the sender.
+
+    `named` holds the target, its limit in requests a second and the age of that news in
+    ms, and `lifted` the targets that no longer name one, with the age. `largest_fleet`
+    is the greatest number of VMs that the sender has seen.
+    """
+
+    named: tuple[tuple[TargetId, float, int], ...]
+    lifted: tuple[tuple[TargetId, int], ...] = ()
+    largest_fleet: int = 0
+
+
 class TargetReplaced(PeerMessage, frozen=True):
     """A notification that another target has answered at a target's address."""
 
--- a/sesameplank/core/queue_admission.py
+++ b/sesameplank/core/queue_admission.py
@@ -17,7 +17,7 @@
 from ..ids import ServiceName
 from .latency import ZeroBaselineAverage
 from .placement import LoadReport
-from .routes import Route
+from .routes import Route, find_most_urgent
 
 QUEUE_WEIGHT = 0.4
 QUEUE_HALF_LIFE_S = 0.1
@@ -130,16 +130,14 @@
     more urgent one.
     """
     known = list(routes)
-    most_urgent: dict[ServiceName, int] = {}
+    most_urgent = find_most_urgent(known)
     longest_s: dict[ServiceName, float] = {}
     for route in known:
-        for name in get_service_names(route):
-            best = most_urgent.get(name, route.priority)
-            most_urgent[name] = min(best, route.priority)
+        for name in route.service_names:
             longest_s[name] = max(longest_s.get(name, 0.0), route.objective_s)
     waits = {}
     for route in known:
-        names = get_service_names(route)
+        names = route.service_names
         is_urgent = all(most_urgent[name] == route.priority for name in names)
         objective_s = max(
             (longest_s[name] for name in names), default=route.objective_s
@@ -148,8 +146,3 @@
             WAIT_SHARE * objective_s * (1.0 if is_urgent else LESS_URGENT_SHARE)
         )
     return waits
-
-
-def get_service_names(route: Route) -> tuple[ServiceName, ...]:
-    """Return all services to which a route may send calls."""
-    return route.shards or tuple(item.service for item in route.services)
--- a/sesameplank/core/recent_maximum.py
+++ b/sesameplank/core/recent_maximum.py
@@ -12,7 +12,11 @@
         """Record that the gauge has a value from now on, and return the maximum."""
         if not self.values or self.values[-1][1] != value:
             self.values.append((now, value))
+        return self.get(now)
+
+    def get(self, now: float) -> int:
+        """Return the maximum, 0 if the gauge has had no value."""
         oldest = now - self.window_s
         while len(self.values) > 1 and self.values[1][0] <= oldest:
             del self.values[0]
-        return max(item for _, item in self.values)
+        return max((item for _, item in self.values), default=0)
--- a/sesameplank/core/routes.py
+++ b/sesameplank/core/routes.py
@@ -1,5 +1,7 @@
 """Routes of forwarded requests, from a host and path to services or shards."""
 
+from collections.abc import Iterable
+
 import msgspec
 
 from ..ids import ConfigVersion, ServiceName
@@ -48,6 +50,16 @@
         return self.shards or tuple(item.service for item in self.services)
 
 
+def find_most_urgent(routes: Iterable[Route]) -> dict[ServiceName, int]:
+    """Return the priority of the most urgent route of each service."""
+    most_urgent: dict[ServiceName, int] = {}
+    for route in routes:
+        for name in route.service_names:
+            known = most_urgent.get(name, route.priority)
+            most_urgent[name] = min(known, route.priority)
+    return most_urgent
+
+
 class Service(msgspec.Struct, frozen=True):
     """The configuration of the targets of one service.
 
--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -192,8 +192,7 @@
         del self.exchanges[index]
         call = exchange.call
         if isinstance(outcome, Failure):
-            self.note_failure(call, outcome)
-            self.fail(index, outcome)
+            self.process_failure(index, call, outcome)
             return
         now = self.server.clock.now()
         answer = self.server.dialect.read_answer(outcome)
@@ -219,6 +218,21 @@
         )
         self.plan_flush(self.schedule.note_done(now, has_answer=True))
 
+    def process_failure(self, index: int, call: Call, failure: Failure) -> None:
+        """Process a call without an answer.
+
+        One that its target's limit held back is reported as a refusal.
+        """
+        if failure.reason is not FailureReason.LIMITED:
+            self.note_failure(call, failure)
+            self.fail(index, failure)
+            return
+        self.server.count("batch_limited")
+        self.server.placement.note_withdrawn(call.target.id, call.id)
+        self.report(
+            BatchedFailure(index, FailureReason.REFUSED, Ran.NOT_RUN, is_refusal=True)
+        )
+
     def note_failure(self, call: Call, failure: Failure) -> None:
         """Record a failed call of a target."""
         self.server.placement.note_failure(
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -15,6 +15,7 @@
 from ..core.outcomes import Failure, FailureReason, Ran
 from ..core.placement import LoadReport
 from ..core.routes import Route, RoutingConfiguration
+from ..core.target_table import TargetRecord
 from ..ids import AttemptId, ServiceName, TargetId
 from .answer_accounts import CloseCause
 from .call_batches import CallBatch
@@ -85,8 +86,9 @@
             times=forwarder.times,
             budget=forwarder.budget,
         )
+        self.limit_reserve = forwarder.limit_admission.draw_reserve(route)
         self.fanout = Fanout(
-            plan, forwarder.find_targets, forwarder.placement, forwarder.budget
+            plan, self.find_targets, forwarder.placement, forwarder.budget
         )
         context.on_disconnect = self.wake.set
 
@@ -95,6 +97,10 @@
         """The limits on the calls and the time of this request."""
         return self.fanout.plan
 
+    def find_targets(self, service: ServiceName) -> list[TargetRecord]:
+        """Return the targets that may get a call of this request."""
+        return self.forwarder.find_targets(service, self.limit_reserve)
+
     def end_by(self, at: float) -> None:
         """Answer or refuse this request by a time, even if its caller waits longer."""
         self.fanout.end_by(at)
@@ -199,12 +205,16 @@
             pool.submit(exchange)
 
     def send_batches(self, calls: list[Call]) -> list[Call]:
-        """Send calls to other data centres in batches, and return the other calls."""
+        """Send calls to other data centres in batches, and return the other calls.
+
+        The room at a limited target is this process's, so it sends these calls itself.
+        """
         batches = self.forwarder.batches
         if batches is None or not self.route.is_gather or self.is_head:
             return calls
+        limits = self.forwarder.limits
         sent = batches.send(
-            calls,
+            [call for call in calls if not limits.is_limited(call.target.id)],
             self.metadata.request_id,
             self.encoder,
             self.route.top_k,
@@ -437,11 +447,18 @@
         )
 
     def process_failure(self, call: Call, failure: Failure) -> None:
-        """Process a failed call, and send the retry, if any."""
+        """Process a failed call, and send the retry, if any.
+
+        A call that its target's limit held back says nothing about the target.
+        """
         now = self.clock.now()
-        self.forwarder.placement.note_failure(
-            call.target.id, call.id, now, is_scattered=failure.is_scattered
-        )
+        placement = self.forwarder.placement
+        if failure.reason is FailureReason.LIMITED:
+            placement.note_withdrawn(call.target.id, call.id)
+        else:
+            placement.note_failure(
+                call.target.id, call.id, now, is_scattered=failure.is_scattered
+            )
         self.forwarder.count(f"call_{failure.reason.value}")
         self.forwarder.log.note_call(
             "call_failed",
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -4,8 +4,9 @@
 from ..core.clock import Clock
 from ..core.extra_load import ExtraLoadBudget
 from ..core.fanout import Call, FanoutPlan
+from ..core.limit_admission import LimitAdmission
 from ..core.placement import Placement
-from ..core.queue_admission import QueueAdmission, get_allowed_waits, get_service_names
+from ..core.queue_admission import QueueAdmission, get_allowed_waits
 from ..core.routes import Route, RoutingConfiguration
 from ..core.stop_schedule import StopSchedule
 from ..core.target_limits import TargetLimits
@@ -54,6 +55,7 @@
         self.metrics = FrontMetrics()
         self.log = RequestLog(clock)
         self.admission = QueueAdmission(placement.rng)
+        self.limit_admission = LimitAdmission(limits, table.get_ready, placement.rng)
         self.allowed_waits: dict[str, float] = {}
         self.batches: CallBatches | None = None
         self.late_notices: LateNotices | None = None
@@ -74,8 +76,9 @@
         self.connection_shares.set_routing(routing)
         self.allowed_waits = get_allowed_waits(routing.routes)
         self.admission.keep_only(
-            service for route in routing.routes for service in get_service_names(route)
+            service for route in routing.routes for service in route.service_names
         )
+        self.limit_admission.set_routes(routing.routes)
 
     def count(self, event: str, number: int = 1) -> None:
         """Increase the counter of an event in the metrics."""
@@ -119,6 +122,12 @@
             return self.refuse_and_log(
                 metadata, 503, "target queues are too long", retry_after_s
             )
+        retry_after_s = self.get_limit_retry_s(forwarded)
+        if retry_after_s is not None:
+            self.count("refused_limited")
+            return self.refuse_and_log(
+                metadata, 503, "the limits of targets are used up", retry_after_s
+            )
         return self.run(forwarded)
 
     def can_finish(self, route: Route) -> bool:
@@ -147,6 +156,13 @@
             self.clock.now(),
         )
 
+    def get_limit_retry_s(self, forwarded: ForwardedRequest) -> float | None:
+        """Return the time until targets have room in seconds, or None to admit."""
+        plan = forwarded.plan
+        return self.limit_admission.find_retry_s(
+            plan.shards, plan.required, forwarded.limit_reserve, self.clock.now()
+        )
+
     def refuse_and_log(
         self,
         metadata: RequestMetadata,
@@ -175,14 +191,25 @@
         headers = self.dialect.make_refusal_headers(request_id, retry_after_s)
         return Reply(status, headers)
 
-    def find_targets(self, service: ServiceName) -> list[TargetRecord]:
+    def find_targets(
+        self, service: ServiceName, limit_reserve: float = 0.0
+    ) -> list[TargetRecord]:
         """Return the targets that may get a call, the preferred ones first.
 
         Targets that are draining or were removed recently follow as a last resort
-        if every ready target failed recently, or if none is ready.
+        if every ready target failed recently, or if none is ready. Targets whose rate
+        limit leaves no room are left out; `limit_reserve` is the share of the saved
+        room that the request leaves to others.
         """
         ready = self.table.get_ready(service)
         now = self.clock.now()
-        if ready and not all(self.placement.is_avoided(item.id, now) for item in ready):
-            return ready
-        return [*ready, *self.table.get_last_resort(service, now)]
+        targets = ready
+        if all(self.placement.is_avoided(item.id, now) for item in ready):
+            targets = [*ready, *self.table.get_last_resort(service, now)]
+        if not self.limits.limits:
+            return targets
+        return [
+            item
+            for item in targets
+            if not self.limits.get_wait_s(item.id, now, limit_reserve)
+        ]
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -12,6 +12,7 @@
 from ..core.clock import Clock
 from ..core.directory import MAX_ADDRESSES, choose_active
 from ..core.extra_load import ExtraLoadBounds, ExtraLoadBudget
+from ..core.limit_parts import ActiveVmParts
 from ..core.members import make_own_record
 from ..core.membership import Membership
 from ..core.pauses import BootClock, PauseDetector
@@ -45,6 +46,7 @@
 from .http_messages import Request
 from .late_notices import LateNotices
 from .limit_log import LimitLog
+from .limit_notices import LimitNotices
 from .lookup_notices import LookupNotices
 from .loop_delay import LoopDelay
 from .replaced_targets import ReplacedTargets
@@ -97,7 +99,11 @@
         self.store = ConfigurationStore(clock, decode)
         self.placement = Placement(settings.data_centre, rng)
         self.budget = ExtraLoadBudget(settings.extra_load, clock.now())
-        self.limits = TargetLimits()
+        self.seed_ids = {EntryId(peer.host) for peer in settings.peers}
+        self.limit_parts = ActiveVmParts(
+            settings.vm, len({*self.seed_ids, settings.vm})
+        )
+        self.limits = TargetLimits(self.limit_parts)
         self.limits.listeners.append(LimitLog(clock, self.table))
         self.pools = TargetPools(clock, dialect, settings.vm, self.limits)
         self.connection_shares = ConnectionShares(self.table, self.pools)
@@ -184,6 +190,15 @@
         self.forwarder.late_notices = LateNotices(
             self.links, clock, rng, self.placement, self.get_other_active
         )
+        self.limit_notices = LimitNotices(
+            self.links,
+            clock,
+            rng,
+            self.limits,
+            self.limit_parts,
+            self.table,
+            self.get_other_active,
+        )
         self.store.listeners.append(self.on_accepted)
         self.pauses = PauseDetector(BootClock())
         self.fleet_sizes = RecentMaximum(FLEET_SIZE_WINDOW_S)
@@ -191,7 +206,6 @@
         self.applied_targets = self.table.version
         self.started_at = self.logged_at = clock.now()
         self.first_read_at = self.started_at + draw_start_delay(START_WINDOW_S, rng)
-        self.seed_ids = {EntryId(peer.host) for peer in settings.peers}
         self.active: list[Member] = []
         self.active_state: tuple | None = None
         self.useful_vms: int | None = None
@@ -302,6 +316,7 @@
             self.check_pause()
             self.apply_table_changes()
             self.update_shares()
+            self.update_limits()
             if self.is_active:
                 self.connection_shares.warm_up(WARM_UP_TARGETS)
             self.log_counts()
@@ -355,6 +370,7 @@
             "connections_opened": self.pools.opened,
             "copies_refused": self.budget.refused,
             "copies_taken": self.budget.taken,
+            "limit_share": round(self.limit_parts.share, 4),
             "slack_share": round(self.budget.slack_share, 4),
             "peer_bytes_sent": self.links.counters.bytes_sent,
         }
@@ -421,6 +437,14 @@
         )
         self.budget.set_slack_share(share, now)
 
+    def update_limits(self) -> None:
+        """Update the parts of the targets' rate limits, and pass the limits on."""
+        now = self.clock.now()
+        active = [member.id for member in self.get_active()]
+        self.limit_parts.update(active, self.present_vms, now)
+        self.limits.expire(now)
+        self.limit_notices.repeat()
+
     def get_addresses(self) -> list[str]:
         """Return the addresses that callers should use."""
         return [member.address for member in self.get_active()][:MAX_ADDRESSES]
--- a/sesameplank/forwarding/target_connections.py
+++ b/sesameplank/forwarding/target_connections.py
@@ -280,13 +280,27 @@
         """
         connection = self.take_idle(exchange)
         if connection is not None:
-            connection.send(exchange)
+            if not self.transmit(connection, exchange):
+                self.idle.append(connection)
             return
         self.waiting.append(exchange)
         if self.size < self.limit:
             self.dialling += 1
             gevent.spawn(self.dial)
 
+    def transmit(self, connection: TargetConnection, exchange: Exchange) -> bool:
+        """Send a call on a free connection, or fail it if the limit is used up.
+
+        Return whether it was sent.
+        """
+        if not self.limits.take(self.record.id, self.clock.now()):
+            # Fail in a new greenlet: the code that submits the call is still changing
+            # the state of its request, which the failure of the call changes too.
+            gevent.spawn(exchange.fail, FailureReason.LIMITED)
+            return False
+        connection.send(exchange)
+        return True
+
     @property
     def needs_warm_up(self) -> bool:
         """Return whether no connection is open and no warm-up was tried recently."""
@@ -354,8 +368,7 @@
         """Use a free connection for the next waiting call, or mark it as idle."""
         while self.waiting:
             exchange = self.waiting.popleft()
-            if exchange.on_done is not None:
-                connection.send(exchange)
+            if exchange.on_done is not None and self.transmit(connection, exchange):
                 return
         self.idle.append(connection)
 
--- a/tests/core/test_target_limits.py
+++ b/tests/core/test_target_limits.py
@@ -2,6 +2,7 @@
 
 import testtools
 
+from sesameplank.core.limit_parts import WholePart
 from sesameplank.core.target_limits import LimitEvent, LimitNews, TargetLimits
 
 TARGET = "t1"
@@ -13,7 +14,7 @@
     def setUp(self):
         super().setUp()
         self.events: list[LimitEvent] = []
-        self.limits = TargetLimits()
+        self.limits = TargetLimits(WholePart())
         self.limits.listeners.append(lambda event, *rest: self.events.append(event))
 
     def answer(self, per_s: float | None, sent_at: float, now: float) -> None:
