Keep the limits that targets name on the entries' interface too

Cause: as on the forwarding interface, nothing read a limit; searches, bookings, hedges, health polls and calls relayed for other entries reached a target without any bound.

Change: targets may name limit_per_s in their answers. DirectDispatcher reads it from every answer that passes, also those that it relays, and each call takes a token of core/target_limits right before it is sent. The homes of a target divide its limit (core/limit_parts.HomeParts); an entry without a part calls through them. Replicas with room come first, health polls leave the saved room to others, and a poll that is held back says nothing about the target.

On the code before there is no such field, so all calls were sent.

--- a/sesameplank/core/choice.py
+++ b/sesameplank/core/choice.py
@@ -7,7 +7,9 @@
 from ..ids import TargetId
 from .clock import Clock
 from .ejection import Ejector
+from .limit_parts import WholePart
 from .scoreboard import Scoreboard
+from .target_limits import NEVER, TargetLimits
 
 
 class ReplicaChooser(ABC):
@@ -69,16 +71,22 @@
         ejector: Ejector,
         clock: Clock,
         rng: random.Random,
+        limits: TargetLimits | None = None,
     ) -> None:
         self.scoreboard = scoreboard
         self.ejector = ejector
+        self.limits = limits or TargetLimits(WholePart())
         self.clock = clock
         self.rng = rng
 
     def choose_replica(
         self, candidates: Sequence[TargetId], already_chosen: dict[TargetId, int]
     ) -> TargetId:
-        """Return a candidate already chosen, or the cheapest; ties are random."""
+        """Return a candidate already chosen, or the cheapest; ties are random.
+
+        Candidates whose rate limit leaves no room are chosen only if all are such.
+        """
+        candidates = [item for item in candidates if self.has_room(item)] or candidates
         if len(candidates) == 1:
             return candidates[0]
         for target in candidates:
@@ -99,11 +107,18 @@
         return self.scoreboard.get(target).get_cost(now)
 
     def can_receive_hedge(self, target: TargetId) -> bool:
-        """Return whether the target is not ejected.
+        """Return whether the target is not ejected, and its rate limit leaves room.
 
         A hedge to an ejected target would be wasted.
         """
-        return not self.ejector.is_ejected(target)
+        return not self.ejector.is_ejected(target) and self.has_room(target)
+
+    def has_room(self, target: TargetId) -> bool:
+        """Return whether the target's rate limit leaves room for a call, here or not.
+
+        A target of whose limit this process has no part is called through others.
+        """
+        return self.limits.get_wait_s(target, self.clock.now()) in (0.0, NEVER)
 
     def filter_by_ramp_weight(
         self, candidates: Sequence[TargetId], now: float
--- a/sesameplank/core/limit_parts.py
+++ b/sesameplank/core/limit_parts.py
@@ -18,7 +18,7 @@
 from collections.abc import Sequence
 
 from ..ids import EntryId, TargetId
-from .homes import rank
+from .homes import ConnectionPlan, rank
 from .recent_maximum import RecentMaximum
 from .slack_share import MAX_PARTITION_S, UNKNOWN_FLEET_SIZE
 
@@ -104,3 +104,19 @@
             holders = 1
         holders = min(holders, len(self.active))
         return self.share * per_s / holders if self.place < holders else 0.0
+
+
+class HomeParts(LimitParts):
+    """Equal parts for the homes of a target, or for a few of them.
+
+    Homes follow from the published VM list, which all processes share.
+    """
+
+    def __init__(self, plan: ConnectionPlan) -> None:
+        self.plan = plan
+
+    def get_part_per_s(self, target: TargetId, per_s: float) -> float:
+        """Return the limit divided by the first homes, or 0 if this is none of them."""
+        homes = self.plan.get_homes(target)
+        holders = homes[: int(per_s) + SPARE_HOLDERS]
+        return per_s / len(holders) if self.plan.own_id in holders else 0.0
--- a/sesameplank/core/messages.py
+++ b/sesameplank/core/messages.py
@@ -5,7 +5,7 @@
 """
 
 from enum import Enum
-from typing import Annotated
+from typing import Annotated, Any
 
 import msgspec
 
@@ -213,12 +213,18 @@
 
 
 class TargetSearchAnswer(Message, frozen=True):
-    """A target's answer to a search call."""
+    """A target's answer to a search call.
+
+    `limit_per_s` is the number of requests a second that the target takes from all
+    processes together, as long as its answers name it; None is no limit. Other values
+    than numbers are ignored, so that they don't spoil the answer.
+    """
 
     request_id: RequestId
     snapshot: Snapshot
     results: tuple[ShardResult, ...]
     draining: bool = False
+    limit_per_s: Any = None
 
 
 class CancelRequest(Message, frozen=True):
@@ -254,6 +260,7 @@
     result: BookingResult | None = None
     snapshot: Snapshot = Snapshot(0)
     draining: bool = False
+    limit_per_s: Any = None
 
 
 class TargetShardHealth(Message, frozen=True):
@@ -271,3 +278,4 @@
     state: str
     load: float
     shards: tuple[TargetShardHealth, ...] = ()
+    limit_per_s: Any = None
--- a/sesameplank/core/policies.py
+++ b/sesameplank/core/policies.py
@@ -19,6 +19,7 @@
 from .outcomes import Failure, FailureReason
 from .plan import Plan
 from .scoreboard import Scoreboard
+from .target_limits import TargetLimits
 from .versions import AcceptedConfiguration
 
 HEDGE_BURST_TOKENS = 25.0
@@ -29,7 +30,9 @@
 class LoadPolicies(CallObserver):
     """Owns the latencies, scoreboard, ejector and budgets of one process."""
 
-    def __init__(self, clock: Clock, rng: random.Random) -> None:
+    def __init__(
+        self, clock: Clock, rng: random.Random, limits: TargetLimits | None = None
+    ) -> None:
         self.clock = clock
         self.rng = rng
         self.counters = PolicyCounters()
@@ -39,7 +42,7 @@
         self.hedge_budget = TokenBudget(0.0, HEDGE_BURST_TOKENS)
         self.retry_budget = TokenBudget(0.0, RETRY_BURST_TOKENS, RETRY_BURST_TOKENS)
         self.chooser: ReplicaChooser = LeastCostChooser(
-            self.scoreboard, self.ejector, clock, rng
+            self.scoreboard, self.ejector, clock, rng, limits
         )
         self.known_targets: set[TargetId] = set()
 
--- a/sesameplank/core/target_limits.py
+++ b/sesameplank/core/target_limits.py
@@ -125,6 +125,7 @@
         limit = self.limits.get(target)
         if limit is None:
             limit = self.limits[target] = TargetLimit(per_s, confirmed_at, source)
+            limit.part_per_s = self.parts.get_part_per_s(target, per_s)
             self.notify(LimitEvent.NAMED, target, limit)
             return
         if confirmed_at < max(limit.confirmed_at, limit.lifted_at or 0.0):
@@ -183,12 +184,12 @@
             return 0.0
         return missing / limit.part_per_s if limit.part_per_s else NEVER
 
-    def take(self, target: TargetId, now: float) -> bool:
+    def take(self, target: TargetId, now: float, reserve: float = 0.0) -> bool:
         """Take a token for a call that is sent now; return False if there is none."""
         limit = self.get(target, now)
         if limit is None:
             return True
-        if limit.tokens < 1.0:
+        if limit.tokens < limit.get_needed(reserve):
             return False
         limit.tokens -= 1.0
         return True
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -29,15 +29,18 @@
 from .core.entry_stop import make_entry_stop_schedule
 from .core.homes import ConnectionPlan
 from .core.leaving import LeavingTargets
+from .core.limit_parts import HomeParts
 from .core.messages import SearchAnswer, SearchRequest
 from .core.outcomes import Ran
 from .core.peer_messages import RelayedCall
 from .core.policies import LoadPolicies
 from .core.snapshots import SnapshotTracker
+from .core.target_limits import TargetLimits
 from .core.versions import AcceptedConfiguration, ConfigurationStore
 from .draining import Drain
 from .exceptions import StopReached
 from .ids import DataCentre, EntryId, Incarnation
+from .limit_log import LimitLog
 from .logs import log_event
 from .monitoring import DecisionLog, RequestLedger
 from .monitoring.dump import make_dump
@@ -110,8 +113,12 @@
             settings.connection_headroom,
         )
         self.leaving_targets = LeavingTargets(self.clock)
+        self.limits = TargetLimits(HomeParts(self.connection_plan))
+        self.limits.listeners.append(
+            LimitLog(self.clock, lambda: {"config_version": self.store.version})
+        )
         self.direct_dispatcher = DirectDispatcher(
-            self.clock, self.connection_plan, self.leaving_targets
+            self.clock, self.connection_plan, self.leaving_targets, self.limits
         )
         self.dispatcher = RelayDispatcher(
             self.direct_dispatcher,
@@ -123,7 +130,7 @@
         self.poller = HealthPoller(
             self.dispatcher, self.snapshots, self.clock, settings.health_interval_s
         )
-        self.policies = LoadPolicies(self.clock, self.rng)
+        self.policies = LoadPolicies(self.clock, self.rng, self.limits)
         self.policies.ejector.listener = lambda target, reason: self.decisions.note(
             "ejection", reason, target
         )
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -27,6 +27,7 @@
 from ..core.target_table import TargetTable
 from ..core.versions import AcceptedConfiguration, ConfigurationStore
 from ..ids import DataCentre, EntryId, RequestId
+from ..limit_log import LimitLog
 from ..logs import log_event
 from ..net import Address
 from ..peers import PeerLinks
@@ -45,7 +46,6 @@
 from .forwarder import BATCH, Forwarder
 from .http_messages import Request
 from .late_notices import LateNotices
-from .limit_log import LimitLog
 from .limit_notices import LimitNotices
 from .lookup_notices import LookupNotices
 from .loop_delay import LoopDelay
@@ -104,7 +104,9 @@
             settings.vm, len({*self.seed_ids, settings.vm})
         )
         self.limits = TargetLimits(self.limit_parts)
-        self.limits.listeners.append(LimitLog(clock, self.table))
+        self.limits.listeners.append(
+            LimitLog(clock, lambda: {"targets_revision": self.table.revision})
+        )
         self.pools = TargetPools(clock, dialect, settings.vm, self.limits)
         self.connection_shares = ConnectionShares(self.table, self.pools)
         self.forwarder = Forwarder(
--- a/sesameplank/targets/dispatch.py
+++ b/sesameplank/targets/dispatch.py
@@ -1,6 +1,9 @@
 """Sending of search calls and bookings to targets."""
 
+import functools
+import math
 from abc import ABC, abstractmethod
+from typing import Any
 
 import gevent
 import msgspec
@@ -19,7 +22,9 @@
     TargetSearchAnswer,
 )
 from ..core.outcomes import Failure, FailureReason, Ran
+from ..core.target_limits import NEVER, LimitNews, TargetLimits
 from ..ids import RequestId, TargetId
+from ..logs import log_event
 from ..net import Address
 from .pool import TargetPool
 
@@ -27,11 +32,24 @@
 WARM_UP_TIMEOUT_S = 1.0
 MAX_CONCURRENT_OPENS = 32
 HEALTH_PATH = "/health"
+LIMIT_PATHS = frozenset(("/search", "/book", HEALTH_PATH))
 NEW_WORK_PATHS = frozenset(("/search", "/book"))
 TARGET_LEAVING = Failure(FailureReason.REFUSED, Ran.NOT_RUN, "the target is leaving")
 NO_POOL = Failure(FailureReason.CONNECT, Ran.NOT_RUN, "not in the configuration")
 
 
+class StatedLimit(msgspec.Struct):
+    """The rate limit in any answer of a target."""
+
+    limit_per_s: Any = None
+
+
+def is_rate(value: object) -> bool:
+    """Return whether a decoded JSON value is a finite number that is not negative."""
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    return is_number and 0.0 <= value < math.inf
+
+
 class Dispatcher(ABC):
     """Sends calls to targets; deadlines are in seconds of the process's clock."""
 
@@ -142,11 +160,16 @@
     """
 
     def __init__(
-        self, clock: Clock, plan: ConnectionPlan, leaving: LeavingTargets
+        self,
+        clock: Clock,
+        plan: ConnectionPlan,
+        leaving: LeavingTargets,
+        limits: TargetLimits,
     ) -> None:
         self.clock = clock
         self.plan = plan
         self.leaving = leaving
+        self.limits = limits
         self.configuration: Configuration | None = None
         self.pools: dict[TargetId, TargetPool] = {}
 
@@ -167,6 +190,7 @@
         targets = self.configuration.targets if self.configuration else {}
         for target_id in set(self.pools) - set(targets):
             self.pools.pop(target_id).close()
+        self.limits.keep_only(targets.__contains__)
         now = self.clock.now()
         for target_id, target in targets.items():
             address = Address.parse(target.address)
@@ -177,15 +201,29 @@
             if pool:
                 self.pools.pop(target_id).close()
             if size:
-                self.pools[target_id] = TargetPool(address, size, self.clock)
+                admit = functools.partial(self.admit, target_id)
+                self.pools[target_id] = TargetPool(address, size, self.clock, admit)
 
     def run(self) -> None:
         """Keep the pools up to date and their connections open, until killed."""
         while True:
             self.update_pools()
+            self.limits.expire(self.clock.now())
             self.warm_all()
             gevent.sleep(WARM_INTERVAL_S)
 
+    def has_part(self, target: TargetId) -> bool:
+        """Return whether this process may use a part of the target's rate limit."""
+        return self.limits.get_wait_s(target, self.clock.now()) < NEVER
+
+    def admit(self, target: TargetId, path: str) -> bool:
+        """Return whether the target's rate limit leaves room for a call, and use it.
+
+        Health polls are sent only while nothing of the saved room is used.
+        """
+        reserve = 1.0 if path == HEALTH_PATH else 0.0
+        return self.limits.take(target, self.clock.now(), reserve)
+
     def warm_all(self) -> None:
         """Open one more connection to each target whose pool is not fully open."""
         incomplete = [pool for pool in self.pools.values() if not pool.is_warm]
@@ -230,7 +268,31 @@
         if pool is None:
             return NO_POOL
         method = "GET" if path == HEALTH_PATH else "POST"
-        return pool.call(method, path, body, deadline_at, decode, answer_by)
+        sent_at = self.clock.now()
+
+        def decode_and_note(payload: bytes):
+            if path in LIMIT_PATHS:
+                self.note_limit(target, payload, sent_at)
+            return decode(payload)
+
+        return pool.call(method, path, body, deadline_at, decode_and_note, answer_by)
+
+    def note_limit(self, target: TargetId, payload: bytes, sent_at: float) -> None:
+        """Record the rate limit in the answer to a call that was sent at a time.
+
+        Also the answers to calls of other entries are read, which this one relays.
+        """
+        try:
+            per_s = msgspec.json.decode(payload, type=StatedLimit).limit_per_s
+        except msgspec.DecodeError:
+            return  # `decode` reports what is wrong with the answer.
+        if per_s is None or is_rate(per_s):
+            news = LimitNews(per_s)
+            self.limits.note_answer(target, news, sent_at, self.clock.now())
+        else:
+            log_event(
+                "target_limit_unreadable", target=target, reason="not a number >= 0"
+            )
 
 
 def decode_answer(payload: bytes, answer_type):
--- a/sesameplank/targets/health.py
+++ b/sesameplank/targets/health.py
@@ -4,7 +4,7 @@
 from gevent.pool import Pool
 
 from ..core.clock import Clock
-from ..core.outcomes import Failure
+from ..core.outcomes import Failure, FailureReason
 from ..core.snapshots import HeldSnapshots, SnapshotTracker
 from ..ids import TargetId
 from .relay import RelayDispatcher
@@ -43,9 +43,14 @@
         pool.map(self.poll, self.dispatcher.get_targets())
 
     def poll(self, target: TargetId) -> None:
-        """Poll one target and record its state and the snapshots that it holds."""
+        """Poll one target and record its state and the snapshots that it holds.
+
+        A poll that the target's rate limit holds back says nothing about the target.
+        """
         deadline_at = self.clock.now() + POLL_TIMEOUT_S
         report = self.dispatcher.get_health(target, deadline_at)
+        if isinstance(report, Failure) and report.reason is FailureReason.LIMITED:
+            return
         self.reports[target] = report
         if isinstance(report, Failure):
             self.leaving.on_unreachable(target)
--- a/sesameplank/targets/pool.py
+++ b/sesameplank/targets/pool.py
@@ -16,11 +16,18 @@
 
 DRAIN_TIMEOUT_S = 5.0
 
+Admit = Callable[[str], bool]
 Decode = Callable[[bytes], object]
 POOL_CLOSED = Failure(FailureReason.CONNECT, Ran.NOT_RUN, "the pool is closed")
+LIMITED = Failure(FailureReason.LIMITED, Ran.NOT_RUN, "by the target's rate limit")
 DEADLINE_PASSED = Failure(FailureReason.TIMEOUT, Ran.NOT_RUN, "before sending")
 
 
+def admit_always(path: str) -> bool:
+    """Return True: no rate limit is known."""
+    return True
+
+
 class Permit:
     """The right to use one of a pool's connections, which is released only once.
 
@@ -46,19 +53,25 @@
     """Up to `size` connections to one target, one request on each at a time.
 
     A connection whose call was abandoned while it awaits the answer counts towards
-    `size` until the late answer has been read and discarded, because the target
-    counts it towards its own limit until then; after DRAIN_TIMEOUT_S it is closed.
-    After any other failure it is closed at once, unless the target refused the call
-    and keeps the connection alive. Use the pool as a context manager, or call
-    `close`.
+    `size` until the late answer has been read and discarded, because the target counts
+    it towards its own limit until then; after DRAIN_TIMEOUT_S it is closed. After any
+    other failure it is closed at once, unless the target refused the call and keeps the
+    connection alive. `admit` returns whether a call to a path may be sent now, and is
+    asked right before it is. Use the pool as a context manager, or call `close`.
     """
 
     def __init__(
-        self, address: Address, size: int, clock: Clock, connect_timeout_s: float = 1.0
+        self,
+        address: Address,
+        size: int,
+        clock: Clock,
+        admit: Admit = admit_always,
+        connect_timeout_s: float = 1.0,
     ) -> None:
         self.address = address
         self.size = size
         self.clock = clock
+        self.admit = admit
         self.connect_timeout_s = connect_timeout_s
         self.idle: deque[TargetConnection] = deque()
         self.permits = BoundedSemaphore(size)
@@ -109,6 +122,9 @@
             if self.get_remaining(deadline_at) <= 0:
                 self.put_back(connection)
                 return DEADLINE_PASSED
+            if not self.admit(path):
+                self.put_back(connection)
+                return LIMITED
             end_at = deadline_at if answer_by is None else answer_by
             return self.exchange(permit, connection, method, path, body, end_at, decode)
 
--- a/sesameplank/targets/relay.py
+++ b/sesameplank/targets/relay.py
@@ -24,6 +24,8 @@
 class RelayDispatcher(MessageDispatcher):
     """Calls a target directly if this process has a pool, else through its homes.
 
+    A target whose small rate limit is divided among other homes is called through them.
+
     A call is retried at the next home only if the previous attempt is known not to
     have run. When a target is marked as leaving, the dispatcher also notifies the
     neighbours of this process.
@@ -61,7 +63,7 @@
 
     def exchange(self, target, path, body, deadline_at, decode, answer_by=None):
         """Send one encoded message and return the decoded answer, or a Failure."""
-        if target in self.direct.pools:
+        if target in self.direct.pools and self.direct.has_part(target):
             return self.direct.exchange(
                 target, path, body, deadline_at, decode, answer_by
             )
