Probe whether a VM reaches targets, and log lost and regained links

Cause: nothing told a VM whose links to all targets are lost from targets that are down.

Change: a call without an answer, a failed connection or a second without any answer leads to a round of probes: new connections to a few random targets of several services. If all fail, the links are lost (core/target_reach, forwarding/reach_probes). Lines targets_lost and targets_regained, gauges targets_lost and targets_heard_age_s. Nothing decides by them.

--- /dev/null
+++ b/sesameplank/core/target_reach.py
@@ -0,0 +1,112 @@
+"""Whether this process reaches targets at all, or has lost its own links to them.
+
+One target's silence is the target's. Nothing heard from any of a random sample, of
+several services, is this process's own: its links are lost, and other VMs may well
+reach the same targets. The sample is probed with new connections, since open ones can
+live on while new ones are refused, and the other way round.
+"""
+
+import random
+from collections.abc import Sequence
+from enum import Enum
+
+from .target_table import TargetRecord
+
+# A call without an answer for longer is a reason to probe, if nothing else is heard.
+SILENCE_S = 0.25
+IDLE_PROBE_S = 1.0  # Between probes while nothing is heard for want of calls.
+SUSPECTED_PROBE_S = 0.75  # Between probes for want of answers or connections.
+LOST_PROBE_S = 0.25  # Between probes while the links are lost.
+PROBED_TARGETS = 5  # So many silent ones are hardly all down.
+REGAINED_TARGETS = 2  # That a round must reach before calls are sent to all again.
+NEVER = float("-inf")
+
+
+class ReachState(Enum):
+    """Whether targets can be reached."""
+
+    REACHED = "reached"
+    LOST = "lost"
+
+
+class TargetReach:
+    """The state of this process's links to targets; times are in seconds.
+
+    `heard_at` is when a target last answered or accepted a connection, and `since` the
+    time of the last change of `state`.
+    """
+
+    def __init__(self, rng: random.Random, now: float) -> None:
+        self.rng = rng
+        self.state = ReachState.REACHED
+        self.since = now
+        self.heard_at = now
+        self.suspected_at = NEVER
+        self.probed_at = now
+
+    @property
+    def is_lost(self) -> bool:
+        """Whether no target can be reached by new connections."""
+        return self.state is ReachState.LOST
+
+    def note_heard(self, now: float) -> None:
+        """Record an answer of a target."""
+        self.heard_at = now
+
+    def note_suspicion(self, now: float) -> None:
+        """Record that a connection failed, or that calls have got no answer."""
+        self.suspected_at = now
+
+    def is_probe_due(self, now: float, *, is_active: bool) -> bool:
+        """Return whether a sample of targets should be probed now.
+
+        Without a suspicion, only a VM that callers are sent to probes.
+        """
+        since_s = now - self.probed_at
+        if self.is_lost:
+            return since_s >= LOST_PROBE_S
+        if self.suspected_at >= self.probed_at:
+            return since_s >= SUSPECTED_PROBE_S
+        is_idle = now - self.heard_at >= IDLE_PROBE_S
+        return is_active and is_idle and since_s >= IDLE_PROBE_S
+
+    def choose_sample(
+        self, targets: Sequence[TargetRecord], now: float
+    ) -> list[TargetRecord]:
+        """Return random targets to probe, of as many services as possible.
+
+        An idle process without a suspicion probes one.
+        """
+        self.probed_at = now
+        is_suspected = self.is_lost or now - self.suspected_at <= SUSPECTED_PROBE_S
+        count = PROBED_TARGETS if is_suspected else 1
+        shuffled = self.rng.sample(targets, len(targets))
+        first_of_service = {item.service: item for item in reversed(shuffled)}
+        others = [item for item in shuffled if first_of_service[item.service] != item]
+        return [*first_of_service.values(), *others][:count]
+
+    def note_probes(self, reached: int, probed: int, now: float) -> bool:
+        """Record how many probed targets were reached; return whether that is a change.
+
+        A failed probe of a single target only raises a suspicion.
+        """
+        if reached:
+            self.heard_at = now
+        if self.is_lost:
+            if reached < min(REGAINED_TARGETS, probed) or not probed:
+                return False
+            self.state = ReachState.REACHED
+        else:
+            if reached or not probed:
+                return False
+            if probed < PROBED_TARGETS and now - self.suspected_at > SUSPECTED_PROBE_S:
+                self.note_suspicion(now)
+                return False
+            self.state = ReachState.LOST
+        self.since = now
+        return True
+
+    def note_pause(self, now: float) -> None:
+        """Forget what was not heard while this process itself stood still."""
+        self.heard_at = self.probed_at = now
+        self.suspected_at = NEVER
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -24,6 +24,7 @@
 from ..core.routes import RequestLimits, RoutingConfiguration
 from ..core.slack_share import SlackShare
 from ..core.target_limits import TargetLimits
+from ..core.target_reach import TargetReach
 from ..core.target_table import TargetTable
 from ..core.versions import AcceptedConfiguration, ConfigurationStore
 from ..ids import DataCentre, EntryId, RequestId
@@ -49,6 +50,7 @@
 from .limit_notices import LimitNotices
 from .lookup_notices import LookupNotices
 from .loop_delay import LoopDelay
+from .reach_probes import ReachProbes
 from .replaced_targets import ReplacedTargets
 from .shutdown import Shutdown
 from .target_connections import TargetPools
@@ -107,7 +109,11 @@
         self.limits.listeners.append(
             LimitLog(clock, lambda: {"targets_revision": self.table.revision})
         )
-        self.pools = TargetPools(clock, dialect, settings.vm, self.limits)
+        self.reach = TargetReach(rng, clock.now())
+        self.pools = TargetPools(clock, dialect, settings.vm, self.limits, self.reach)
+        self.reach_probes = ReachProbes(
+            self.reach, self.table, self.pools, clock, settings.vm
+        )
         self.connection_shares = ConnectionShares(self.table, self.pools)
         self.forwarder = Forwarder(
             clock,
@@ -319,7 +325,9 @@
             self.apply_table_changes()
             self.update_shares()
             self.update_limits()
-            if self.is_active:
+            is_active = self.is_active
+            self.reach_probes.check(is_active=is_active)
+            if is_active:
                 self.connection_shares.warm_up(WARM_UP_TARGETS)
             self.log_counts()
             gevent.sleep(HOUSEKEEPING_INTERVAL_S)
@@ -330,6 +338,7 @@
         if not pause_s:
             return
         log_event("pause_noticed", pause_s=pause_s)
+        self.reach.note_pause(self.clock.now())
         self.membership_service.on_pause()
         self.follower.request_full_read()
         gevent.spawn(self.relay.catch_up, self.membership.get_present())
@@ -356,6 +365,7 @@
 
     def get_gauges(self) -> dict[str, float]:
         """Return the current values of the gauges, for logs and metrics."""
+        now = self.clock.now()
         age_s = self.store.age_s
         return {
             "fleet_size": self.connection_shares.fleet_size,
@@ -365,10 +375,12 @@
             "targets_revision": self.table.revision,
             "targets": len(self.table.records),
             "targets_limited": len(self.limits.limits),
+            "targets_lost": int(self.reach.is_lost),
+            "targets_heard_age_s": round(now - self.reach.heard_at, 3),
             "in_flight": self.caller_server.in_flight,
             "requests_pending": self.caller_server.pending,
             "caller_connections": len(self.caller_server.connections),
-            "loop_delay_s": self.housekeeping.get_delay_s(self.clock.now()),
+            "loop_delay_s": self.housekeeping.get_delay_s(now),
             "connections_opened": self.pools.opened,
             "copies_refused": self.budget.refused,
             "copies_taken": self.budget.taken,
--- a/sesameplank/forwarding/target_connections.py
+++ b/sesameplank/forwarding/target_connections.py
@@ -15,6 +15,7 @@
 from ..core.fanout import Call
 from ..core.outcomes import Failure, FailureReason, Ran
 from ..core.target_limits import TargetLimits
+from ..core.target_reach import TargetReach
 from ..core.target_table import TargetRecord
 from ..ids import RequestId, TargetId
 from ..logs import log_event
@@ -144,6 +145,7 @@
             self.close(FailureReason.RESET, repr(error))
             return
         if data:
+            self.pool.reach.note_heard(self.pool.clock.now())
             self.reader.feed(data)
             self.process_responses()
         else:
@@ -254,16 +256,19 @@
         dialect: Dialect,
         source_host: str,
         limits: TargetLimits,
+        reach: TargetReach,
     ) -> None:
         self.record = record
         self.limit = limit
         self.limits = limits
+        self.reach = reach
         self.clock = clock
         self.dialect = dialect
         self.source_host = source_host
         self.idle: list[TargetConnection] = []
         self.connections: set[TargetConnection] = set()
         self.dialling = 0
+        self.dialled_at = clock.now()
         self.waiting: deque[Exchange] = deque()
         self.opened = 0
         self.next_warm_up_at = float("-inf")
@@ -285,8 +290,7 @@
             return
         self.waiting.append(exchange)
         if self.size < self.limit:
-            self.dialling += 1
-            gevent.spawn(self.dial)
+            self.start_dial()
 
     def transmit(self, connection: TargetConnection, exchange: Exchange) -> bool:
         """Send a call on a free connection, or fail it if the limit is used up.
@@ -309,8 +313,7 @@
     def warm_up(self) -> None:
         """Open the first connection before a call needs it."""
         self.next_warm_up_at = self.clock.now() + WARM_UP_RETRY_S
-        self.dialling += 1
-        gevent.spawn(self.dial)
+        self.start_dial()
 
     def take_idle(self, exchange: Exchange) -> TargetConnection | None:
         """Return an idle connection that may be reused for the call, or None.
@@ -334,17 +337,36 @@
                 return None
         return None
 
+    def start_dial(self) -> None:
+        """Open a connection in the background."""
+        self.dialling += 1
+        self.dialled_at = self.clock.now()
+        gevent.spawn(self.dial)
+
+    def get_longest_wait_s(self, now: float) -> float:
+        """Return for how long a call or a new connection has waited, in seconds."""
+        waits = [
+            now - connection.sent_at
+            for connection in self.connections
+            if connection.exchange is not None
+        ]
+        if self.dialling:
+            waits.append(now - self.dialled_at)
+        return max(waits, default=0.0)
+
     def dial(self) -> None:
         """Open a connection; if that fails, fail the call that waited longest."""
         try:
             sock = self.connect()
         except OSError as error:
             self.dialling -= 1
+            self.reach.note_suspicion(self.clock.now())
             if self.waiting:
                 self.waiting.popleft().fail(FailureReason.CONNECT, repr(error))
             return
         self.dialling -= 1
         self.opened += 1
+        self.reach.note_heard(self.clock.now())
         connection = TargetConnection(self, sock)
         self.connections.add(connection)
         self.put_back(connection)
@@ -391,8 +413,7 @@
         if connection in self.idle:
             self.idle.remove(connection)
         if len(self.waiting) > self.dialling and self.size < self.limit:
-            self.dialling += 1
-            gevent.spawn(self.dial)
+            self.start_dial()
 
     def cancel(self, exchange: Exchange) -> None:
         """Cancel a call without reporting its outcome.
@@ -425,11 +446,13 @@
         dialect: Dialect,
         source_host: str,
         limits: TargetLimits,
+        reach: TargetReach,
     ) -> None:
         self.clock = clock
         self.dialect = dialect
         self.source_host = source_host
         self.limits = limits
+        self.reach = reach
         self.pools: dict[TargetId, TargetPool] = {}
 
     def get(self, record: TargetRecord, limit: int) -> TargetPool:
@@ -448,6 +471,7 @@
                 self.dialect,
                 self.source_host,
                 self.limits,
+                self.reach,
             )
             self.pools[record.id] = pool
         pool.limit = limit
@@ -471,6 +495,11 @@
             if not pool.connections and not pool.waiting:
                 del self.pools[target]
 
+    def get_longest_wait_s(self, now: float) -> float:
+        """Return for how long a call or a new connection has waited, in seconds."""
+        waits = (pool.get_longest_wait_s(now) for pool in self.pools.values())
+        return max(waits, default=0.0)
+
     @property
     def opened(self) -> int:
         """The number of connections opened so far by the current pools."""
