--- a/sesameplank/core/target_reach.py
+++ b/sesameplank/core/target_reach.py
@@ -19,7 +19,6 @@
 LOST_PROBE_S = 0.25  # Between probes while the links are lost.
 PROBED_TARGETS = 5  # So many silent ones are hardly all down.
 REGAINED_TARGETS = 2  # That a round must reach before calls are sent to all again.
-NEVER = float("-inf")
 
 
 class ReachState(Enum):
@@ -41,7 +40,8 @@
         self.state = ReachState.REACHED
         self.since = now
         self.heard_at = now
-        self.suspected_at = NEVER
+        self.is_suspected = False
+        self.is_whole_sample = False
         self.probed_at = now
 
     @property
@@ -53,9 +53,9 @@
         """Record an answer of a target."""
         self.heard_at = now
 
-    def note_suspicion(self, now: float) -> None:
+    def note_suspicion(self) -> None:
         """Record that a connection failed, or that calls have got no answer."""
-        self.suspected_at = now
+        self.is_suspected = True
 
     def is_probe_due(self, now: float, *, is_active: bool) -> bool:
         """Return whether a sample of targets should be probed now.
@@ -65,7 +65,7 @@
         since_s = now - self.probed_at
         if self.is_lost:
             return since_s >= LOST_PROBE_S
-        if self.suspected_at >= self.probed_at:
+        if self.is_suspected:
             return since_s >= SUSPECTED_PROBE_S
         is_idle = now - self.heard_at >= IDLE_PROBE_S
         return is_active and is_idle and since_s >= IDLE_PROBE_S
@@ -78,8 +78,8 @@
         An idle process without a suspicion probes one.
         """
         self.probed_at = now
-        is_suspected = self.is_lost or now - self.suspected_at <= SUSPECTED_PROBE_S
-        count = PROBED_TARGETS if is_suspected else 1
+        self.is_whole_sample = self.is_lost or self.is_suspected
+        count = PROBED_TARGETS if self.is_whole_sample else 1
         shuffled = self.rng.sample(targets, len(targets))
         first_of_service = {item.service: item for item in reversed(shuffled)}
         others = [item for item in shuffled if first_of_service[item.service] != item]
@@ -88,25 +88,26 @@
     def note_probes(self, reached: int, probed: int, now: float) -> bool:
         """Record how many probed targets were reached; return whether that is a change.
 
-        A failed probe of a single target only raises a suspicion.
+        A failed probe without a suspicion only raises one.
         """
         if reached:
             self.heard_at = now
+        self.is_suspected = bool(probed) and not reached
+        state = self.find_state(reached, probed)
+        has_changed = state is not self.state
+        if has_changed:
+            self.state, self.since = state, now
+        return has_changed
+
+    def find_state(self, reached: int, probed: int) -> ReachState:
+        """Return the state after a round of probes."""
         if self.is_lost:
-            if reached < min(REGAINED_TARGETS, probed) or not probed:
-                return False
-            self.state = ReachState.REACHED
-        else:
-            if reached or not probed:
-                return False
-            if probed < PROBED_TARGETS and now - self.suspected_at > SUSPECTED_PROBE_S:
-                self.note_suspicion(now)
-                return False
-            self.state = ReachState.LOST
-        self.since = now
-        return True
+            is_regained = probed and reached >= min(REGAINED_TARGETS, probed)
+            return ReachState.REACHED if is_regained else ReachState.LOST
+        is_lost = probed and not reached and self.is_whole_sample
+        return ReachState.LOST if is_lost else ReachState.REACHED
 
     def note_pause(self, now: float) -> None:
         """Forget what was not heard while this process itself stood still."""
         self.heard_at = self.probed_at = now
-        self.suspected_at = NEVER
+        self.is_suspected = False
--- a/sesameplank/forwarding/reach_probes.py
+++ b/sesameplank/forwarding/reach_probes.py
@@ -45,7 +45,7 @@
         """Start a round of probes if one is due and none is running."""
         now = self.clock.now()
         if self.pools.get_longest_wait_s(now) >= SILENCE_S <= now - self.reach.heard_at:
-            self.reach.note_suspicion(now)
+            self.reach.note_suspicion()
         if self.round is None and self.reach.is_probe_due(now, is_active=is_active):
             targets = list(self.table.records.values())
             sample = self.reach.choose_sample(targets, now)
--- a/sesameplank/forwarding/target_connections.py
+++ b/sesameplank/forwarding/target_connections.py
@@ -360,7 +360,7 @@
             sock = self.connect()
         except OSError as error:
             self.dialling -= 1
-            self.reach.note_suspicion(self.clock.now())
+            self.reach.note_suspicion()
             if self.waiting:
                 self.waiting.popleft().fail(FailureReason.CONNECT, repr(error))
             return
--- a/tests/core/test_target_reach.py
+++ b/tests/core/test_target_reach.py
@@ -39,7 +39,7 @@
 
     def lose(self, now: float) -> None:
         """Lose the links."""
-        self.reach.note_suspicion(now)
+        self.reach.note_suspicion()
         self.probe(now + 0.1, 0)
 
     def test_process_that_hears_of_targets_does_not_probe(self):
@@ -57,17 +57,17 @@
 
     def test_process_that_callers_are_not_sent_to_probes_only_on_suspicion(self):
         self.assertFalse(self.reach.is_probe_due(9.0, is_active=False))
-        self.reach.note_suspicion(9.0)
+        self.reach.note_suspicion()
         self.assertTrue(self.reach.is_probe_due(9.0, is_active=False))
 
     def test_targets_that_are_down_do_not_lose_the_links(self):
         for reached in range(1, PROBED_TARGETS + 1):
-            self.reach.note_suspicion(reached * 5.0)
+            self.reach.note_suspicion()
             self.probe(reached * 5.0, reached)
             self.assertIs(ReachState.REACHED, self.reach.state, reached)
 
     def test_sample_is_of_several_services(self):
-        self.reach.note_suspicion(5.0)
+        self.reach.note_suspicion()
         sample = self.reach.choose_sample(TARGETS, 5.0)
         self.assertEqual(4, len({item.service for item in sample}))
 
@@ -80,11 +80,12 @@
             self.assertEqual(reached < REGAINED_TARGETS, self.reach.is_lost, reached)
 
     def test_what_was_not_heard_during_a_pause_does_not_count(self):
-        self.reach.note_suspicion(1.0)
+        self.reach.note_suspicion()
         self.reach.note_pause(9.0)
         self.assertFalse(self.is_due(9.1))
 
     def test_without_targets_nothing_is_concluded(self):
-        self.reach.note_suspicion(1.0)
+        self.reach.note_suspicion()
+        self.reach.choose_sample([], 1.0)
         self.assertFalse(self.reach.note_probes(0, 0, 1.1))
         self.assertFalse(self.reach.is_lost)
