--- a/sesameplank/forwarding/reach_probes.py
+++ b/sesameplank/forwarding/reach_probes.py
@@ -1,6 +1,5 @@
 """Probes whether this process reaches targets, and logs lost and regained links."""
 
-import socket
 from collections.abc import Callable
 
 import gevent
@@ -15,6 +14,7 @@
 from .target_connections import TargetPools
 
 PROBE_TIMEOUT_S = 0.4
+RESET_WAIT_S = 0.05  # A link that is cut may reset new connections.
 
 Listener = Callable[[ReachState], None]
 
@@ -75,8 +75,7 @@
         except OSError:
             return False  # `report` logs a round without success.
         with sock:
-            sock.shutdown(socket.SHUT_RDWR)
-        return True
+            return not is_reset(sock)
 
     def report(self, reached: int, probed: int, now: float) -> None:
         """Log a change, and tell the listeners."""
@@ -90,3 +89,14 @@
         )
         for listener in self.listeners:
             listener(state)
+
+
+def is_reset(sock: gevent.socket.socket) -> bool:
+    """Return whether the other side ends a new connection at once."""
+    sock.settimeout(RESET_WAIT_S)
+    try:
+        return not sock.recv(1)
+    except TimeoutError:
+        return False
+    except OSError:
+        return True
--- a/sesameplank/standins/front_targets.py
+++ b/sesameplank/standins/front_targets.py
@@ -27,6 +27,7 @@
     SIGNATURE,
     TARGET_LIMIT,
 )
+from .packet_loss import lose_packets
 
 READ_BYTES = 65_536
 MAX_BYTES = 1_048_576
@@ -71,12 +72,30 @@
     LATE_EXTRA = "late_extra"
 
 
+class LinkFault(Enum):
+    """What happens to the link between a target and one host.
+
+    HANG          all packets are lost: open connections fall silent, new ones hang
+    ANSWERS_LOST  packets to the host are lost: requests run, new connections hang
+    RESET         open connections are reset, and new ones too
+    REFUSE        open connections live on, and new ones are reset
+    """
+
+    HANG = "hang"
+    ANSWERS_LOST = "answers_lost"
+    RESET = "reset"
+    REFUSE = "refuse"
+
+
 class FrontTarget:
     """A target that answers every request with its signature and the same body.
 
     `fault_mode` changes this. As a context manager, the target accepts connections
     on its address.
 
+    `link_faults` holds the faults of its links by the other host, and `sockets` the
+    open connections with theirs.
+
     `stated_limit` is the rate limit that its answers name, None for none, and
     `arrived_at` the time of arrival of every request.
 
@@ -95,6 +114,8 @@
         self.executed_ids: list[str] = []
         self.misdirected_ids: list[str] = []
         self.requests: list[Request] = []
+        self.link_faults: dict[str, LinkFault] = {}
+        self.sockets: dict[gevent.socket.socket, str] = {}
         self.open_connections = 0
         self.peak_connections = 0
         self.server = StreamServer(tuple(address), self.handle)
@@ -106,8 +127,34 @@
     def __exit__(self, *exc_info: object) -> None:
         self.server.stop(timeout=0)
 
+    def lose_link(self, host: str, fault: LinkFault) -> None:
+        """Inject a fault into the link to a host."""
+        self.link_faults[host] = fault
+        self.apply_link_faults()
+
+    def restore_link(self, host: str) -> None:
+        """Remove the fault of the link to a host."""
+        self.link_faults.pop(host, None)
+        self.apply_link_faults()
+
+    def apply_link_faults(self) -> None:
+        """Lose the packets, and reset the connections, that the faults affect."""
+        faults = self.link_faults.items()
+        hanging = [host for host, fault in faults if fault is LinkFault.HANG]
+        one_way = [host for host, fault in faults if fault is LinkFault.ANSWERS_LOST]
+        lose_packets(self.server.socket, hanging + one_way)
+        for sock, host in list(self.sockets.items()):
+            lose_packets(sock, hanging)
+            if self.link_faults.get(host) is LinkFault.RESET:
+                reset_socket(sock)
+
     def handle(self, sock: gevent.socket.socket, source: tuple) -> None:
         """Serve one connection."""
+        host = source[0]
+        if self.link_faults.get(host) in (LinkFault.RESET, LinkFault.REFUSE):
+            reset_socket(sock)
+            return
+        self.sockets[sock] = host
         self.open_connections += 1
         self.peak_connections = max(self.peak_connections, self.open_connections)
         reader = RequestReader(MAX_BYTES, MAX_BYTES)
@@ -121,6 +168,7 @@
             return
         finally:
             self.open_connections -= 1
+            del self.sockets[sock]
             with contextlib.suppress(OSError):
                 sock.close()
 
@@ -152,6 +200,8 @@
         """
         fault_mode = self.fault_mode
         gevent.sleep(self.delay_s)
+        if self.link_faults.get(self.sockets[sock]) is LinkFault.ANSWERS_LOST:
+            return True
         answer = self.make_answer(request_id)
         if fault_mode is TargetFaultMode.SILENT:
             while sock.recv(READ_BYTES):  # Ends when the client closes.
