Bound what arrives of an answer or a request that never ends

Cause: limits were applied to what is complete, not to what has arrived. 11 of 15 ways never to end a response were not bounded: empty lines, reason, header name and value, interim responses, chunk sizes and extensions, trailers.

Change: the readers count all bytes since the last byte of a body or the end of a message (forwarding/http_messages, for targets, callers and the store). On the entries' interface the answer's head and body are bounded where they are received (targets/connection).

Evidence: EndlessMessageTests failed for the 11 before; test_pool plays an endless head and body against an entry's pool, test_forwarding against a process. The target stand-in never ends its answers in two ways.

--- a/sesameplank/exceptions.py
+++ b/sesameplank/exceptions.py
@@ -52,6 +52,10 @@
     """An answer is shorter than its declared length."""
 
 
+class OversizedAnswerError(TransportError):
+    """An answer goes on beyond the greatest size, and may never end."""
+
+
 class CallError(SesameplankError):
     """A call of the client library was refused or its outcome is unknown.
 
--- a/sesameplank/forwarding/http_messages.py
+++ b/sesameplank/forwarding/http_messages.py
@@ -25,6 +25,8 @@
 LENGTH_HEADERS = frozenset({b"content-length", b"transfer-encoding"})
 BODILESS_STATUSES = frozenset({204, 304})
 FIRST_FINAL_STATUS = 200
+# Of the limit for headers, which counts names and values without what separates them.
+UNFINISHED_FACTOR = 2
 
 
 class MessageError(SesameplankError):
@@ -108,6 +110,10 @@
     `in_message` is true while a message is being read, and `in_headers` while its
     head is. `has_length` is true if the headers of a response determine the end of
     its body, by `Content-Length` or chunked encoding.
+
+    Bytes that arrive without a byte of a body and without the end of a message are
+    bounded too, whatever they are: the parser keeps an unfinished header, and interim
+    responses, chunk extensions and trailers could go on without end.
     """
 
     message: HttpMessage
@@ -116,10 +122,23 @@
         self.max_header_bytes = max_header_bytes
         self.max_body_bytes = max_body_bytes
         self.header_bytes = 0
+        self.bytes_without_progress = 0
+        self.has_progressed = False
         self.in_headers = False
         self.in_message = False
         self.has_length = False
 
+    def parse(self, parser, data: bytes) -> None:
+        """Parse bytes; raise MessageError after too many without progress."""
+        self.has_progressed = False
+        parser.feed_data(data)
+        if self.has_progressed:
+            self.bytes_without_progress = 0
+            return
+        self.bytes_without_progress += len(data)
+        if self.bytes_without_progress > UNFINISHED_FACTOR * self.max_header_bytes:
+            raise MessageError("the header is too large; send less of it", 431)
+
     def begin(self) -> None:
         """Reset the state for the next message."""
         self.header_bytes = 0
@@ -144,6 +163,7 @@
         if len(message.body) + len(data) > self.max_body_bytes:
             raise MessageError("the body is too large; send less of it", 413)
         message.body += data
+        self.has_progressed = True
 
 
 class RequestReader(MessageReader):
@@ -159,7 +179,7 @@
     def feed(self, data: bytes) -> None:
         """Parse bytes; raise MessageError if they are malformed or too large."""
         try:
-            self.parser.feed_data(data)
+            self.parse(self.parser, data)
         except httptools.HttpParserUpgrade as error:
             raise MessageError("upgrades are not served; use HTTP/1.1") from error
         except httptools.HttpParserCallbackError as error:
@@ -201,6 +221,7 @@
         """Append the request to `complete`."""
         self.in_message = False
         self.expects_continue = False
+        self.has_progressed = True
         self.complete.append(self.message)
 
 
@@ -223,8 +244,8 @@
     def feed(self, data: bytes) -> None:
         """Parse bytes; set `is_corrupt` if they are malformed or too large."""
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserError:
+            self.parse(self.parser, data)
+        except (httptools.HttpParserError, MessageError):
             self.is_corrupt = True
 
     def finish(self) -> None:
@@ -254,6 +275,7 @@
         """Append the response to `complete`, unless it is an interim one (1xx)."""
         self.in_message = False
         if self.message.status >= FIRST_FINAL_STATUS:
+            self.has_progressed = True
             self.complete.append(self.message)
 
 
--- a/sesameplank/standins/front_targets.py
+++ b/sesameplank/standins/front_targets.py
@@ -53,6 +53,8 @@
     ENCODED         declare a content encoding that the body does not have
     UNSIGNED        leave out the signature
     LATE_EXTRA      send the answer again after LATE_S
+    ENDLESS_HEAD    send a header that doesn't end until the client closes
+    ENDLESS_BODY    send a body that doesn't end until the client closes
     """
 
     NONE = "none"
@@ -70,6 +72,14 @@
     ENCODED = "encoded"
     UNSIGNED = "unsigned"
     LATE_EXTRA = "late_extra"
+    ENDLESS_HEAD = "endless_head"
+    ENDLESS_BODY = "endless_body"
+
+
+ENDLESS_BEGINNINGS = {
+    TargetFaultMode.ENDLESS_HEAD: b"X: ",
+    TargetFaultMode.ENDLESS_BODY: b"\r\n",
+}
 
 
 class LinkFault(Enum):
@@ -220,6 +230,8 @@
             sock.sendall(b"\x00\x01 no response\r\n\r\n")
         elif fault_mode in (TargetFaultMode.UNFRAMED, TargetFaultMode.UNFRAMED_RESET):
             return self.send_unframed(sock, request_id)
+        elif fault_mode in ENDLESS_BEGINNINGS:
+            return self.send_endless(sock, request_id, ENDLESS_BEGINNINGS[fault_mode])
         elif fault_mode is TargetFaultMode.TWICE:
             sock.sendall(answer + self.make_answer("another"))
         elif fault_mode is TargetFaultMode.LATE_EXTRA:
@@ -245,6 +257,22 @@
             reset_socket(sock)
         return False
 
+    def send_endless(
+        self, sock: gevent.socket.socket, request_id: str, beginning: bytes
+    ) -> bool:
+        """Send an answer until the client closes or the fault ends; return False.
+
+        The connection is then reset, since the answer must not look complete.
+        """
+        sock.sendall(b"HTTP/1.1 200 OK\r\n")
+        for item in self.make_headers(request_id):
+            sock.sendall(b"%b: %b\r\n" % item)
+        sock.sendall(beginning)
+        while self.fault_mode in ENDLESS_BEGINNINGS:
+            sock.sendall(b"a" * READ_BYTES)
+        reset_socket(sock)
+        return False
+
     def make_headers(self, request_id: str) -> Headers:
         """Return the headers of an answer, with the fault in force."""
         headers: Headers = [(REQUEST_ID, request_id.encode())]
--- a/sesameplank/targets/connection.py
+++ b/sesameplank/targets/connection.py
@@ -3,9 +3,35 @@
 import gevent.socket
 from geventhttpclient.response import HTTPSocketResponse
 
-from ..exceptions import TruncatedAnswerError
+from ..exceptions import OversizedAnswerError, TruncatedAnswerError
 from ..net import Address, open_connection
 
+MAX_HEAD_BYTES = 64 * 1024
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
+
+class BoundedReceiver:
+    """The receiving side of a socket, which gives up after `remaining` more bytes.
+
+    The HTTP library keeps whatever arrives, also a header without end.
+    """
+
+    def __init__(self, sock: gevent.socket.socket, remaining: int) -> None:
+        self.sock = sock
+        self.remaining = remaining
+
+    def recv(self, size: int) -> bytes:
+        """Return received bytes, or raise OversizedAnswerError after too many."""
+        data = self.sock.recv(size)
+        self.remaining -= len(data)
+        if self.remaining < 0:
+            raise OversizedAnswerError("the answer is too large", sent=True)
+        return data
+
+    def close(self) -> None:
+        """Close the socket."""
+        self.sock.close()
+
 
 class TargetConnection:
     """A connected socket whose answers the HTTP library parses.
@@ -59,11 +85,14 @@
     def read(self) -> tuple[int, bytes, bool]:
         """Return the status, the body and whether the connection may be reused.
 
-        Raises OSError, TruncatedAnswerError, or the HTTP library's errors.
+        Raises OSError, TruncatedAnswerError, OversizedAnswerError, or the errors of the
+        HTTP library.
         """
         gevent.socket.wait_read(self.sock.fileno())
         self.is_awaiting_answer = False
-        response = HTTPSocketResponse(self.sock, method="POST")
+        receiver = BoundedReceiver(self.sock, MAX_HEAD_BYTES)
+        response = HTTPSocketResponse(receiver, method="POST")
+        receiver.remaining = MAX_BODY_BYTES
         payload = bytes(response.read())
         length = response.get("content-length")
         if length is None or int(length) != len(payload):
--- a/tests/forwarding/test_http_messages.py
+++ b/tests/forwarding/test_http_messages.py
@@ -132,3 +132,89 @@
         reader.feed(encode_response(200, "OK", [(b"A", b"b")], b"x", close=True))
         self.assertEqual([204, 200], [item.status for item in reader.complete])
         self.assertFalse(reader.complete[1].keep_alive)
+
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+PIECE = 16_384
+MAX_ENDLESS_PIECES = 64
+
+
+class EndlessMessageTests(testtools.TestCase):
+    """Bytes without end are refused after a bounded number of them."""
+
+    RESPONSES = (
+        # What it is, its beginning, and what is repeated without end.
+        ("empty lines", b"", b"\r\n"),
+        ("reason", b"HTTP/1.1 200 ", b"a"),
+        ("header name", HEAD, b"a"),
+        ("header value", HEAD + b"X: ", b"a"),
+        ("spaces of a value", HEAD + b"X: ", b" "),
+        ("headers", HEAD, b"X: a\r\n"),
+        ("interim responses", b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+        ("body", HEAD + b"\r\n", b"a"),
+        ("body of a stated length", HEAD + b"Content-Length: 99999999\r\n\r\n", b"a"),
+        ("chunks", CHUNKED_HEAD, b"1\r\na\r\n"),
+        ("chunk size", CHUNKED_HEAD, b"0"),
+        ("chunk extension", CHUNKED_HEAD + b"5;", b"a"),
+        ("trailer name", CHUNKED_HEAD + b"0\r\n", b"a"),
+        ("trailer value", CHUNKED_HEAD + b"0\r\nX: ", b"a"),
+        ("trailers", CHUNKED_HEAD + b"0\r\n", b"X: a\r\n"),
+    )
+
+    def count_pieces(self, feed, is_refused, start: bytes, repeated: bytes) -> int:
+        """Return after how many pieces a message is refused."""
+        feed(start)
+        piece = repeated * (PIECE // len(repeated))
+        for number in range(1, MAX_ENDLESS_PIECES + 1):
+            feed(piece)
+            if is_refused():
+                return number
+        return MAX_ENDLESS_PIECES + 1
+
+    def test_responses(self):
+        for name, start, repeated in self.RESPONSES:
+            reader = ResponseReader(PIECE, 8 * PIECE)
+            pieces = self.count_pieces(
+                reader.feed,
+                lambda reader=reader: reader.is_corrupt,
+                start,
+                repeated,
+            )
+            self.assertLessEqual(pieces, MAX_ENDLESS_PIECES, name)
+
+    def test_requests(self):
+        post = b"POST / HTTP/1.1\r\nHost: h\r\n"
+        chunked = post + b"Transfer-Encoding: chunked\r\n\r\n"
+        for name, start, repeated in (
+            ("empty lines", b"", b"\r\n"),
+            ("method", b"", b"G"),
+            ("target", b"GET /", b"a"),
+            ("header name", post, b"a"),
+            ("header value", post + b"X: ", b"a"),
+            ("chunk extension", chunked + b"5;", b"a"),
+            ("chunks", chunked, b"1\r\na\r\n"),
+            ("trailer value", chunked + b"0\r\nX: ", b"a"),
+            ("trailers", chunked + b"0\r\n", b"X: a\r\n"),
+        ):
+            reader = RequestReader(PIECE, 8 * PIECE)
+            errors: list[MessageError] = []
+
+            def feed(data: bytes, reader=reader, errors=errors) -> None:
+                try:
+                    reader.feed(data)
+                except MessageError as error:
+                    errors.append(error)
+
+            pieces = self.count_pieces(feed, errors.__len__, start, repeated)
+            self.assertLessEqual(pieces, MAX_ENDLESS_PIECES, name)
+
+    def test_messages_near_the_limits_are_read_in_any_pieces(self):
+        head = HEAD + b"X: " + b"a" * (PIECE - 100) + b"\r\n"
+        data = head + b"Content-Length: 200\r\n\r\n" + b"b" * 200
+        for size in (1, 100, 5_000, len(data)):
+            reader = ResponseReader(PIECE, 8 * PIECE)
+            for start in range(0, len(data), size):
+                reader.feed(data[start : start + size])
+            self.assertFalse(reader.is_corrupt, size)
+            self.assertEqual(1, len(reader.complete), size)
--- a/tests/integration/test_forwarding.py
+++ b/tests/integration/test_forwarding.py
@@ -146,6 +146,8 @@
         (TargetFaultMode.ENCODED, 504, 502, 504),
         (TargetFaultMode.UNSIGNED, 504, 502, 504),
         (TargetFaultMode.SILENT, 504, 504, 504),
+        (TargetFaultMode.ENDLESS_HEAD, 504, 502, 504),
+        (TargetFaultMode.ENDLESS_BODY, 504, 502, 504),
     )
 
     def set_fault(self, fault: TargetFaultMode, names=None) -> None:
--- a/tests/targets/test_pool.py
+++ b/tests/targets/test_pool.py
@@ -14,6 +14,7 @@
 from sesameplank.core.outcomes import Failure, FailureReason, Ran
 from sesameplank.net import Address
 from sesameplank.targets import TargetPool
+from sesameplank.targets.connection import MAX_BODY_BYTES
 
 LONG_S = 60.0
 SHORT_S = 0.2
@@ -26,6 +27,7 @@
 
     ANSWER_CLOSING answers with `Connection: close`, CUT_HEAD and CUT_BODY truncate
     the answer, NEVER sends none, TWICE sends two, and LATE waits for `may_answer`.
+    ENDLESS_HEAD and ENDLESS_BODY send bytes until the connection is closed.
     """
 
     ANSWER = "answer"
@@ -38,6 +40,8 @@
     REFUSE = "refuse"
     TWICE = "twice"
     LATE = "late"
+    ENDLESS_HEAD = "endless_head"
+    ENDLESS_BODY = "endless_body"
 
 
 RESPONSES = {
@@ -48,6 +52,8 @@
     Act.REFUSE: b"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
     Act.TWICE: ANSWER + ANSWER,
     Act.LATE: ANSWER.replace(b"ok", b"no"),
+    Act.ENDLESS_HEAD: b"HTTP/1.1 200 OK\r\nX: ",
+    Act.ENDLESS_BODY: b"HTTP/1.1 200 OK\r\n\r\n",
 }
 
 
@@ -58,6 +64,7 @@
         self.acts = list(acts)
         self.requests = 0
         self.connections = 0
+        self.endless_bytes = 0
         self.closed = Event()
         self.may_answer = Event()
         self.server = StreamServer(("127.0.0.1", 0), self.handle)
@@ -82,6 +89,9 @@
                 if act is Act.LATE:
                     self.may_answer.wait(LONG_S)
                 sock.sendall(RESPONSES.get(act, b""))
+                while act in (Act.ENDLESS_HEAD, Act.ENDLESS_BODY):
+                    sock.sendall(b"a" * 65_536)
+                    self.endless_bytes += 65_536
                 if act is Act.NEVER:
                     continue
                 if act is Act.RESET:
@@ -140,6 +150,17 @@
                 self.assertEqual(earlier + 1, server.requests, act)
                 self.assertEqual(b"ok", self.call(pool))
 
+    def test_answer_without_end_is_given_up_after_a_bounded_number_of_bytes(self):
+        for act in (Act.ENDLESS_HEAD, Act.ENDLESS_BODY):
+            server = self.enterContext(ScriptedServer([act, Act.ANSWER]))
+            pool = self.open_pool(server.address)
+            outcome = self.call(pool)
+            self.assertEqual(
+                (FailureReason.BAD_ANSWER, Ran.UNKNOWN), (outcome.reason, outcome.ran)
+            )
+            self.assertLessEqual(server.endless_bytes, 2 * MAX_BODY_BYTES)
+            self.assertEqual(b"ok", self.call(pool))
+
     def test_refused_connection_is_not_run(self):
         with ScriptedServer([]) as server:
             address = server.address
