--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -30,6 +30,9 @@
 RESTORES = flags.DEFINE_bool(
     "restores", False, "whether the store also returns to a copy from time to time"
 )
+LINKS = flags.DEFINE_bool(
+    "links", False, "whether processes also lose all targets, and targets name limits"
+)
 SCENARIO = flags.DEFINE_enum(
     "scenario", "faults", ["faults", "stops"], "faults of all kinds, or only stops"
 )
@@ -57,7 +60,7 @@
     command = [sys.executable, "-m", "tests.soak", f"--one={seed}"]
     command += [
         f"--{name}={FLAGS[name].value}"
-        for name in ("seconds", "fronts", "out", "restores", "scenario")
+        for name in ("seconds", "fronts", "out", "restores", "links", "scenario")
     ]
     completed = subprocess.run(command, capture_output=True, text=True)
     print(completed.stdout + completed.stderr[-2_000:], end="", flush=True)
@@ -74,7 +77,13 @@
         violations = find_stop_violations(record)
         print_stops(record)
     else:
-        record = run_soak(seed, SECONDS.value, FRONTS.value, restores=RESTORES.value)
+        record = run_soak(
+            seed,
+            SECONDS.value,
+            FRONTS.value,
+            restores=RESTORES.value,
+            links=LINKS.value,
+        )
         violations = find_violations(record, timed=True)
     served = sum(request.status == 200 for request in record.asked)
     print(
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,7 +12,7 @@
 import gevent
 
 from sesameplank.standins.front_store import StoreFaultMode
-from sesameplank.standins.front_targets import TargetFaultMode
+from sesameplank.standins.front_targets import ENDLESS_BEGINNINGS, TargetFaultMode
 from sesameplank.standins.proxy import Direction, Faults
 
 from .observations import FaultPeriod
@@ -36,6 +36,13 @@
     Faults(reset_at_byte=150),
 )
 
+LOST_DIRECTIONS = (
+    (),
+    (Direction.REQUEST,),
+    (Direction.ANSWER,),
+    (Direction.REQUEST, Direction.ANSWER),
+)
+
 
 class SoakFault(ABC):
     """A kind of fault, which begins, lasts for a random time and ends."""
@@ -175,10 +182,15 @@
     """One to four targets inject the same kind of fault into their answers."""
 
     name = "target"
+    modes = tuple(
+        mode
+        for mode in TargetFaultMode
+        if mode is not TargetFaultMode.NONE and mode not in ENDLESS_BEGINNINGS
+    )
 
     def begin(self) -> list[str]:
         """Set one fault mode for random targets."""
-        fault_mode = self.rng.choice([t for t in TargetFaultMode if t.value != "none"])
+        fault_mode = self.rng.choice(self.modes)
         names = self.rng.sample(sorted(self.world.targets), self.rng.randint(1, 4))
         self.targets = [self.world.targets[name] for name in names]
         for target in self.targets:
@@ -191,6 +203,53 @@
             target.fault_mode = TargetFaultMode.NONE
 
 
+class EndlessAnswers(TargetFault):
+    """One to four targets never end their answers."""
+
+    modes = tuple(ENDLESS_BEGINNINGS)
+
+
+class NamedLimits(SoakFault):
+    """Several targets name a rate limit, or something that is none."""
+
+    name = "limit"
+
+    def begin(self) -> list[str]:
+        """Let random targets state the same value."""
+        names = self.rng.sample(sorted(self.world.targets), self.rng.randint(1, 6))
+        self.targets = [self.world.targets[name] for name in names]
+        stated = self.rng.choice((b"0", b"0.5", b"5", b"50", b"none", b"-1"))
+        for target in self.targets:
+            target.stated_limit = stated
+        return names
+
+    def end(self) -> None:
+        """Let the targets state nothing."""
+        for target in self.targets:
+            target.stated_limit = None
+
+
+class LostTargets(SoakFault):
+    """Some processes, or all, lose their links to all targets, whole or one way."""
+
+    name = "targets_lost"
+
+    def begin(self) -> list[str]:
+        """Refuse new connections to targets, and silence or keep the open ones."""
+        fronts = self.world.fronts
+        affected = self.rng.sample(fronts, self.rng.randint(1, len(fronts)))
+        faults = Faults(refuse=True, stalled=self.rng.choice(LOST_DIRECTIONS))
+        for proxy in self.world.proxies.values():
+            for front in affected:
+                proxy.set_faults(faults, front.name)
+        return [front.name for front in affected]
+
+    def end(self) -> None:
+        """Restore the links, and reset the connections that were open."""
+        for proxy in self.world.proxies.values():
+            proxy.clear_faults()
+
+
 class Drain(SoakFault):
     """A target drains, or is removed from the list, and is listed again."""
 
@@ -355,6 +414,11 @@
 )
 
 
+# These run besides, if they are chosen, so that earlier seeds stay as they are.
+RESTORE_KINDS: tuple[type[SoakFault], ...] = (StoreRestore,)
+LINK_KINDS: tuple[type[SoakFault], ...] = (LostTargets, NamedLimits, EndlessAnswers)
+
+
 def run_series(world: SoakWorld, rng: random.Random) -> None:
     """Start one kind of fault one or more times at random intervals.
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,7 +8,7 @@
 from ..integration.front_world import RawConnection, make_request
 from .callers import CALLERS, ROUTE_PREFIXES, Caller, note_answer
 from .checks import find_violations
-from .faults import StoreRestore, run_series
+from .faults import LINK_KINDS, RESTORE_KINDS, SoakFault, run_series
 from .observations import Record
 from .world import SoakFront, SoakWorld
 
@@ -20,11 +20,18 @@
 
 
 def run_soak(
-    seed: int, seconds: float, fronts: int, *, restores: bool = False
+    seed: int,
+    seconds: float,
+    fronts: int,
+    *,
+    restores: bool = False,
+    links: bool = False,
 ) -> Record:
     """Run `fronts` processes under faults for `seconds`, and return the record.
 
-    With `restores`, the store also returns to a copy from time to time.
+    With `restores`, the store also returns to a copy from time to time. With `links`,
+    processes also lose their links to all targets, and targets name limits or send
+    answers without end.
     """
     rng = random.Random(seed)
     with SoakWorld(rng, fronts) as world:
@@ -34,12 +41,16 @@
             for number in range(CALLERS)
         ]
         until = time.monotonic() + seconds
-        if restores:
-            restores_rng = random.Random(f"{seed}-restores")
-            restorer = gevent.spawn(run_restores, world, restores_rng, until)
+        chosen = (("restores", RESTORE_KINDS, restores), ("links", LINK_KINDS, links))
+        others = [
+            gevent.spawn(
+                run_kinds, world, random.Random(f"{seed}-{name}"), until, kinds
+            )
+            for name, kinds, is_chosen in chosen
+            if is_chosen
+        ]
         inject_faults(world, rng, until)
-        if restores:
-            restorer.get()
+        gevent.joinall(others, raise_error=True)
         world.record.recovered = wait_for_recovery(world)
         gevent.sleep(FAULT_FREE_LOAD_S)
         gevent.killall(callers)
@@ -65,10 +76,16 @@
     )
 
 
-def run_restores(world: SoakWorld, rng: random.Random, until: float) -> None:
-    """Restore the store from a copy from time to time, until a time."""
+def run_kinds(
+    world: SoakWorld,
+    rng: random.Random,
+    until: float,
+    kinds: tuple[type[SoakFault], ...],
+) -> None:
+    """Inject faults of some kinds from time to time, until a time."""
     while time.monotonic() < until:
-        StoreRestore(world, rng).run()
+        kind = rng.choice(kinds) if len(kinds) > 1 else kinds[0]
+        kind(world, rng).run()
         gevent.sleep(rng.uniform(0.0, MAX_SERIES_DELAY_S))
 
 
@@ -109,8 +126,8 @@
 
 
 def run_and_check(
-    seed: int, seconds: float, fronts: int, *, timed: bool, restores: bool = False
+    seed: int, seconds: float, fronts: int, *, timed: bool, **others: bool
 ) -> list[str]:
-    """Run one soak and return its violations."""
-    record = run_soak(seed, seconds, fronts, restores=restores)
+    """Run one soak and return its violations; `others` are those of `run_soak`."""
+    record = run_soak(seed, seconds, fronts, **others)
     return find_violations(record, timed=timed)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,6 +8,7 @@
 FRONTS = 3
 SEEDS = (11, 12)
 RESTORE_SEED = 13
+LINK_SEED = 14
 REGRESSIONS: dict[int, str] = {
     107: "a reload signal terminated a process whose interpreter had just started",
     339: "one process stalled for a second; cause unknown, see KNOWN-RED.txt",
@@ -35,3 +36,7 @@
             RESTORE_SEED, SECONDS, FRONTS, timed=False, restores=True
         )
         self.assertEqual([], violations)
+
+    def test_lost_targets_limits_and_answers_without_end(self):
+        violations = run_and_check(LINK_SEED, SECONDS, FRONTS, timed=False, links=True)
+        self.assertEqual([], violations)
