--- a/sesameplank/core/batch_messages.py
+++ b/sesameplank/core/batch_messages.py
@@ -20,7 +20,7 @@
     deadline, and `flush_ms` the time from which answers are returned at once. If
     `wants_responses`, the responses are returned whole, each at once, and not merged.
     `is_head` says that they have no body, and `is_idempotent` that the request may run
-    more than once.
+    more than once. `is_deputy` says that the sender has lost its own links to targets.
     """
 
     batch: int
@@ -34,6 +34,7 @@
     wants_responses: bool = False
     is_idempotent: bool = True
     is_head: bool = False
+    is_deputy: bool = False
 
 
 class BatchedLoad(msgspec.Struct, frozen=True, array_like=True):
--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -27,6 +27,7 @@
 from .dialect import Dialect, TargetAnswer, find_failure
 from .http_messages import Response, encode_headers
 from .replaced_targets import ReplacedTargets
+from .request_log import RequestLog
 from .target_connections import Exchange
 
 MAX_BATCHES = 512
@@ -58,6 +59,7 @@
         on_transmit: Callable[[Call], None],
         reach: TargetReach,
         get_loop_delay_s: Callable[[], float],
+        log: RequestLog,
     ) -> None:
         self.links = links
         self.clock = clock
@@ -70,6 +72,7 @@
         self.on_transmit = on_transmit
         self.reach = reach
         self.get_loop_delay_s = get_loop_delay_s
+        self.log = log
         self.batches: dict[BatchKey, ServedBatch] = {}
         self.is_stopping = False
         links.register(BatchedCalls, self.on_calls)
@@ -91,6 +94,15 @@
             batch.refuse()
             return
         self.count("batches_served")
+        if message.is_deputy:
+            self.log.note_call(
+                "calls_made_for",
+                request=message.request_id,
+                vm=context.sender,
+                calls=len(message.targets),
+                age_ms=int(context.age_s * 1_000),
+                targets_revision=self.table.revision,
+            )
         self.batches[batch.key] = batch
         batch.start()
 
--- a/sesameplank/forwarding/call_batches.py
+++ b/sesameplank/forwarding/call_batches.py
@@ -119,7 +119,7 @@
                 groups.setdefault((peer, is_merged), []).append(call)
         sent = []
         for (peer, is_merged), group in groups.items():
-            sent += self.send(peer, group, request, is_merged=is_merged)
+            sent += self.send(peer, group, request, is_merged=is_merged, is_deputy=True)
         return sent
 
     def get_linked_deputies(self) -> list[Member]:
@@ -141,6 +141,7 @@
         request: BatchRequest,
         *,
         is_merged: bool,
+        is_deputy: bool = False,
     ) -> list[CallBatch]:
         """Send a batch to a VM; return it in a list, which is empty if that failed."""
         now = self.clock.now()
@@ -157,6 +158,7 @@
             wants_responses=not is_merged,
             is_idempotent=request.is_idempotent,
             is_head=request.is_head,
+            is_deputy=is_deputy,
         )
         if not self.links.send(peer, message):
             return []
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -188,6 +188,7 @@
             lambda call: self.forwarder.count_transmitted(call, BATCH),
             self.reach,
             lambda: self.housekeeping.get_delay_s(clock.now()),
+            self.forwarder.log,
         )
         self.aggregator_choice = AggregatorChoice(settings.vm, rng)
         self.forwarder.batches = CallBatches(
--- a/tests/forwarding/test_batch_server.py
+++ b/tests/forwarding/test_batch_server.py
@@ -32,17 +32,7 @@
         links = RecordingLinks()
         counts = []
         server = BatchServer(
-            links,
-            ManualClock(5.0),
-            None,
-            None,
-            None,
-            None,
-            None,
-            counts.append,
-            None,
-            None,
-            None,
+            links, ManualClock(5.0), *[None] * 5, counts.append, *[None] * 4
         )
         server.is_stopping = True
         calls = BatchedCalls(7, "r1", b"", b"", 5, 1_000, 100, TARGETS)
