Call limited targets through VMs that have a part of the limit

What callers saw: a VM without a part of a small limit refused every request to a service whose targets all named one, though others had room (503 where the test expects 200).

Cause: parts of small limits are given to few VMs, and a call could be sent by no other.

Change: calls to targets of which this VM has no part go through a VM that has one, whose own bucket admits them; one that finds no room says so, and the target isn't tried again for the request. A request over shards is still refused if too few shards have room here.

Evidence: tests/integration/test_target_limits fails before (200 != 503) and passes.

--- a/sesameplank/core/batch_messages.py
+++ b/sesameplank/core/batch_messages.py
@@ -76,6 +76,7 @@
 class BatchedFailure(msgspec.Struct, frozen=True, array_like=True):
     """A call that failed, or that its target refused (`is_refusal`).
 
+    `is_limited` says that the target's rate limit left no room, so nothing was sent.
     `is_other_target` is true if another target listens at the address now, and
     `answered_by` is its id, None if unknown.
     """
@@ -87,6 +88,7 @@
     is_other_target: bool = False
     load: BatchedLoad | None = None
     answered_by: TargetId | None = None
+    is_limited: bool = False
 
     def unpack(self) -> Failure:
         """Return the failure as the sender of the batch processes it."""
--- a/sesameplank/core/fanout.py
+++ b/sesameplank/core/fanout.py
@@ -102,7 +102,8 @@
 
     `tried_targets` holds the targets of the calls so far; it is cleared once every
     allowed target is in it. `may_have_run_on` holds the targets at which a failed
-    call ran or may have run. `arrived_calls` holds the calls that were transmitted,
+    call ran or may have run, and `limited_targets` those at which other VMs found no
+    room. `arrived_calls` holds the calls that were transmitted,
     except those that arrived at a target of another service.
     """
 
@@ -111,6 +112,7 @@
         self.calls: dict[AttemptId, Call] = {}
         self.tried_targets: list[TargetId] = []
         self.may_have_run_on: set[TargetId] = set()
+        self.limited_targets: set[TargetId] = set()
         self.arrived_calls: set[AttemptId] = set()
         self.failures = 0
         self.is_answered = False
@@ -334,6 +336,16 @@
         self.shards[call.shard].arrived_calls.add(call.id)
         self.transmitted_calls.add(call.id)
 
+    def on_limited(self, call: Call, now: float) -> list[Call]:
+        """Record a call that another VM didn't send, as its target's limit is used up.
+
+        The shard is not called there again. Return the retry, if one is sent at once.
+        """
+        shard = self.shards[call.shard]
+        shard.limited_targets.add(call.target.id)
+        shard.arrived_calls.discard(call.id)
+        return self.on_failure(call, Ran.NOT_RUN, now)
+
     def on_returned(self, call: Call, ran: Ran, now: float) -> list[Call]:
         """Record a call that another VM returns because it doesn't make it.
 
@@ -422,6 +434,9 @@
         self, shard: ShardState, targets: Sequence[TargetRecord]
     ) -> Sequence[TargetRecord]:
         """Return the targets on which the route allows a call to the shard to run."""
+        if shard.limited_targets:
+            limited = shard.limited_targets
+            targets = [item for item in targets if item.id not in limited]
         if not shard.may_have_run_on and not shard.calls:
             return targets
         return [item for item in targets if self.may_run(shard, item.id)]
--- a/sesameplank/core/limit_admission.py
+++ b/sesameplank/core/limit_admission.py
@@ -64,13 +64,15 @@
     ) -> float | None:
         """Return None if `required` services have room, or the time until they do.
 
-        The time is spread, so that the callers don't return together.
+        The time is spread, so that the callers don't return together. A request to a
+        single service of whose limits this VM has no part is sent through others.
         """
         if not self.limits.limits:
             return None
         waits = sorted(self.get_wait_s(service, reserve, now) for service in services)
         wait_s = waits[required - 1]
-        if not wait_s:
+        is_single = len(services) == 1
+        if not wait_s or (wait_s == NEVER and is_single):
             return None
         if wait_s == NEVER:
             return NO_PART_RETRY_S
--- a/sesameplank/core/limit_parts.py
+++ b/sesameplank/core/limit_parts.py
@@ -38,6 +38,10 @@
         `per_s` is the limit of the target for all processes together.
         """
 
+    def get_holders(self, per_s: float) -> Sequence[EntryId]:
+        """Return the processes that make calls to a limited target for others."""
+        return ()
+
 
 class WholePart(LimitParts):
     """The whole limit, for a process that is the only one."""
@@ -64,6 +68,7 @@
         self.largest = 1
         self.share = 1.0
         self.active: tuple[EntryId, ...] = ()
+        self.ranked: list[EntryId] = []
         self.place: int | None = None
 
     def update(self, active: Sequence[EntryId], present: int, now: float) -> None:
@@ -78,8 +83,9 @@
         self.share = present / self.largest
         if self.active != tuple(active):
             self.active = tuple(active)
-            ranked = rank(RANKING_KEY, active)
-            self.place = ranked.index(self.own_id) if self.own_id in ranked else None
+            self.ranked = rank(RANKING_KEY, active)
+            is_active = self.own_id in self.ranked
+            self.place = self.ranked.index(self.own_id) if is_active else None
 
     def note_told(self, largest: int, now: float) -> None:
         """Record the size of the largest fleet that another VM knows.
@@ -99,11 +105,15 @@
             return 0.0
         if not self.has_heard:
             return per_s / UNKNOWN_FLEET_SIZE
+        holders = len(self.get_holders(per_s))
+        return self.share * per_s / holders if self.place < holders else 0.0
+
+    def get_holders(self, per_s: float) -> list[EntryId]:
+        """Return the VMs of this side of the fleet that have a part of a limit."""
         holders = int(self.share * (per_s + SPARE_HOLDERS))
         if not holders and self.share > MAJORITY_SHARE:
             holders = 1
-        holders = min(holders, len(self.active))
-        return self.share * per_s / holders if self.place < holders else 0.0
+        return self.ranked[:holders]
 
 
 class HomeParts(LimitParts):
--- a/sesameplank/core/target_limits.py
+++ b/sesameplank/core/target_limits.py
@@ -10,12 +10,12 @@
 whatever it is sent for. Nothing gives a token back.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from enum import Enum
 
 import msgspec
 
-from ..ids import TargetId
+from ..ids import EntryId, TargetId
 from .limit_parts import LimitParts
 
 OWN_CALL = "own_call"
@@ -184,6 +184,15 @@
             return 0.0
         return missing / limit.part_per_s if limit.part_per_s else NEVER
 
+    def get_holders(self, target: TargetId, now: float) -> Sequence[EntryId]:
+        """Return the processes that have a part of a target's limit."""
+        limit = self.limits.get(target)
+        return () if limit is None else self.parts.get_holders(limit.get_per_s(now))
+
+    def has_part(self, target: TargetId, now: float) -> bool:
+        """Return whether this process may call a target now or later."""
+        return target not in self.limits or self.get_wait_s(target, now) < NEVER
+
     def take(self, target: TargetId, now: float, reserve: float = 0.0) -> bool:
         """Take a token for a call that is sent now; return False if there is none."""
         limit = self.get(target, now)
--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -278,7 +278,13 @@
         self.server.count("batch_limited")
         self.server.placement.note_withdrawn(call.target.id, call.id)
         self.report(
-            BatchedFailure(index, FailureReason.REFUSED, Ran.NOT_RUN, is_refusal=True)
+            BatchedFailure(
+                index,
+                FailureReason.REFUSED,
+                Ran.NOT_RUN,
+                is_refusal=True,
+                is_limited=True,
+            )
         )
 
     def note_failure(self, call: Call, failure: Failure) -> None:
--- a/sesameplank/forwarding/call_batches.py
+++ b/sesameplank/forwarding/call_batches.py
@@ -14,6 +14,7 @@
 from ..core.clock import Clock
 from ..core.fanout import Call, CallKind
 from ..core.peer_messages import Member
+from ..core.target_limits import TargetLimits
 from ..ids import AttemptId, DataCentre, EntryId, RequestId
 from ..peers import PeerContext, PeerLinks
 from .http_messages import RequestEncoder
@@ -122,6 +123,19 @@
             sent += self.send(peer, group, request, is_merged=is_merged, is_deputy=True)
         return sent
 
+    def send_to_holders(
+        self, calls: Sequence[Call], request: BatchRequest, limits: TargetLimits
+    ) -> list[CallBatch]:
+        """Send calls to limited targets through VMs that have a part of the limit."""
+        sent = []
+        for call in calls:
+            holders = limits.get_holders(call.target.id, self.clock.now())
+            linked = [item for item in holders if self.is_linked(item)]
+            if linked:
+                peer = self.choice.rng.choice(linked)
+                sent += self.send(peer, [call], request, is_merged=False)
+        return sent
+
     def get_linked_deputies(self) -> list[Member]:
         """Return the VMs with links to targets that this VM has a link to.
 
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -226,19 +226,25 @@
         """Send calls through other VMs, and return the batches.
 
         Those are first calls to other data centres, and all calls if this VM has lost
-        its links to targets. The room at a limited target is this VM's, so it sends
-        calls there itself.
+        its links to targets. This VM sends calls to a limited target itself, unless it
+        has no part of the limit.
         """
         batches = self.forwarder.batches
         if batches is None or not calls:
             return []
         if self.forwarder.reach.is_lost:
             return batches.send_through_deputies(calls, self.make_batch_request())
-        if not self.route.is_gather or self.is_head:
-            return []
         limits = self.forwarder.limits
+        now = self.clock.now()
+        without_part = [
+            call for call in calls if not limits.has_part(call.target.id, now)
+        ]
+        sent = batches.send_to_holders(without_part, self.make_batch_request(), limits)
+        if not self.route.is_gather or self.is_head:
+            return sent
         unlimited = [call for call in calls if not limits.is_limited(call.target.id)]
-        return batches.send_to_data_centres(unlimited, self.make_batch_request())
+        sent += batches.send_to_data_centres(unlimited, self.make_batch_request())
+        return sent
 
     def make_batch_request(self) -> BatchRequest:
         """Return what other VMs need to know of this request."""
@@ -323,7 +329,9 @@
         """Process a call of a batch that failed or was refused."""
         if self.batched.pop(call.id, None) is None:
             return
-        if item.is_other_target:
+        if item.is_limited:
+            self.process_limited(call)
+        elif item.is_other_target:
             self.process_misdirected(call, item.answered_by)
         elif item.is_refusal:
             load = None if item.load is None else item.load.unpack()
@@ -333,6 +341,12 @@
         else:
             self.process_failure(call, item.unpack())
 
+    def process_limited(self, call: Call) -> None:
+        """Process a call for which another VM found no room at its target."""
+        self.forwarder.count("batched_calls_limited")
+        self.forwarder.placement.note_withdrawn(call.target.id, call.id)
+        self.dispatch(self.fanout.on_limited(call, self.clock.now()))
+
     def process_returned(self, batch: CallBatch, call: Call, ran: Ran) -> None:
         """Process a call that the VM of its batch returns instead of making it."""
         self.forwarder.count("batched_calls_returned")
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -9,7 +9,7 @@
 from ..core.queue_admission import QueueAdmission, get_allowed_waits
 from ..core.routes import Route, RoutingConfiguration
 from ..core.stop_schedule import StopSchedule
-from ..core.target_limits import TargetLimits
+from ..core.target_limits import NEVER, TargetLimits
 from ..core.target_reach import TargetReach
 from ..core.target_table import TargetRecord, TargetTable
 from ..core.weighting import WeightedRoundRobin
@@ -215,7 +215,8 @@
 
         Targets that are draining or were removed recently follow as a last resort if
         every ready target failed recently, or if none is ready. Targets whose rate
-        limit leaves no room are left out, unless other VMs send the calls;
+        limit leaves no room are left out, unless other VMs send the calls. If this VM
+        has no part of any limit, targets are returned that others have parts of.
         `limit_reserve` is the share of the saved room that the request leaves to
         others.
         """
@@ -226,8 +227,9 @@
             targets = [*ready, *self.table.get_last_resort(service, now)]
         if not self.limits.limits or self.reach.is_lost:
             return targets
-        return [
-            item
+        waits = {
+            item.id: self.limits.get_wait_s(item.id, now, limit_reserve)
             for item in targets
-            if not self.limits.get_wait_s(item.id, now, limit_reserve)
-        ]
+        }
+        with_room = [item for item in targets if not waits[item.id]]
+        return with_room or [item for item in targets if waits[item.id] == NEVER]
--- a/sesameplank/targets/dispatch.py
+++ b/sesameplank/targets/dispatch.py
@@ -22,7 +22,7 @@
     TargetSearchAnswer,
 )
 from ..core.outcomes import Failure, FailureReason, Ran
-from ..core.target_limits import NEVER, LimitNews, TargetLimits
+from ..core.target_limits import LimitNews, TargetLimits
 from ..ids import RequestId, TargetId
 from ..logs import log_event
 from ..net import Address
@@ -214,7 +214,7 @@
 
     def has_part(self, target: TargetId) -> bool:
         """Return whether this process may use a part of the target's rate limit."""
-        return self.limits.get_wait_s(target, self.clock.now()) < NEVER
+        return self.limits.has_part(target, self.clock.now())
 
     def admit(self, target: TargetId, path: str) -> bool:
         """Return whether the target's rate limit leaves room for a call, and use it.
--- a/tests/integration/test_target_limits.py
+++ b/tests/integration/test_target_limits.py
@@ -71,3 +71,26 @@
                 self.targets[name].stated_limit = None
             self.assertLessEqual(set(self.statuses), {200, 503}, limited)
             self.assertGreater(self.statuses[200], 0, limited)
+
+    def test_process_without_a_part_of_a_small_limit_calls_through_others(self):
+        limited = ("singlea", "singleb")
+        for name in limited:
+            self.targets[name].stated_limit = b"0.9"
+        pool = gevent.pool.Pool(CONCURRENCY)
+        for number in range(self.front_count * 6):
+            pool.spawn(self.send, number, "/one/x", "GET")
+        pool.join(raise_error=True)
+        parts = [self.get_part(front, limited[0]) for front in range(self.front_count)]
+        self.assertEqual(1, parts.count(0.0), parts)
+        without_part = parts.index(0.0)
+        for number in range(2):
+            gevent.sleep(3.0)
+            data = make_request("/one/x", f"through{number}")
+            self.assertEqual(200, self.request(data, without_part).status)
+
+    def get_part(self, front: int, target: str) -> float:
+        """Return a process's part of a target's limit, once it knows the limit."""
+        self.wait_for_state(
+            front, lambda state: state["targets"][target]["limit"] is not None
+        )
+        return self.get_state(front)["targets"][target]["limit"]["part_per_s"]
