--- a/sesameplank/forwarding/limit_notices.py
+++ b/sesameplank/forwarding/limit_notices.py
@@ -22,6 +22,7 @@
 COLLECT_S = 0.003  # Time for which further limits join a notice.
 REPEAT_INTERVAL_S = 2.0
 REPEATED_TO = 4  # VMs
+MAX_NOTIFIED = 64  # VMs; the others hear from their own calls or from repetitions.
 MAX_NOTICE_AGE_S = 1.0
 
 
@@ -64,9 +65,14 @@
         self.collected.add(target)
 
     def send_collected(self) -> None:
-        """Send the collected limits to all others."""
+        """Send the collected limits to the others, MAX_NOTIFIED of them at most."""
         collected, self.collected = self.collected, set()
-        self.send(collected, self.get_others())
+        self.send(collected, self.choose_others(MAX_NOTIFIED))
+
+    def choose_others(self, count: int) -> list[EntryId]:
+        """Return random other VMs, `count` of them at most."""
+        others = self.get_others()
+        return self.rng.sample(others, min(count, len(others)))
 
     def repeat(self) -> None:
         """Tell a few others the limits that were confirmed here, if it is time."""
@@ -79,9 +85,7 @@
             for target, limit in self.limits.limits.items()
             if limit.source == OWN_CALL and limit.confirmed_at >= since
         ]
-        others = self.get_others()
-        chosen = self.rng.sample(others, min(REPEATED_TO, len(others)))
-        self.send(confirmed, chosen)
+        self.send(confirmed, self.choose_others(REPEATED_TO))
 
     def send(
         self, targets: Sequence[TargetId] | set[TargetId], others: Sequence[EntryId]
