Entries that lose their links to targets call them through other homes

What callers saw (by the code; no entry was cut off in a test before): an entry whose links to all targets are lost served what other entries relay to it and its own calls as failures, and went on being named in addresses.

Cause: as on the forwarding interface: one way only, and no knowledge of lost links.

Change: the same probes (reach_probes, core/target_reach) run in entries. A home without links calls through the target's other homes, returns relayed calls at once as not run, and is left out of addresses while others reach targets.

Evidence: tests/targets/test_relay.

--- a/sesameplank/coordination.py
+++ b/sesameplank/coordination.py
@@ -209,12 +209,13 @@
         """Return the addresses of the entries that callers may use.
 
         An entry is left out if the VM list or the entry itself states that it is
-        leaving, or if peers confirmed that it is dead. An entry without any
-        contact so far is included only if no entry is known to serve.
+        leaving, if peers confirmed that it is dead, or if it has lost its links to
+        targets while others have not. An entry without any contact so far is included
+        only if no entry is known to serve.
         """
         listed = {vm.id: vm for vm in self.vms.current.vms} if self.vms.current else {}
         serving = []
-        for entry in self.membership.get_serving():
+        for entry in self.membership.get_serving_with_targets():
             vm = listed.get(entry)
             if vm is None:
                 serving.append(self.membership.members[entry].address)
--- a/sesameplank/core/membership.py
+++ b/sesameplank/core/membership.py
@@ -113,6 +113,12 @@
             if item.is_present and item.phase is Phase.SERVING and item.epoch
         )
 
+    def get_serving_with_targets(self) -> list[EntryId]:
+        """Return the serving entries that reach targets, or all if none does."""
+        serving = self.get_serving()
+        able = [entry for entry in serving if self.members[entry].reaches_targets]
+        return able or serving
+
     def on_published(self, vms: PublishedVms, now: float) -> list[Outgoing]:
         """Apply the VM list that the platform published.
 
--- a/sesameplank/core/target_reach.py
+++ b/sesameplank/core/target_reach.py
@@ -10,7 +10,7 @@
 from collections.abc import Sequence
 from enum import Enum
 
-from .target_table import TargetRecord
+import msgspec
 
 # A call without an answer for longer is a reason to probe, if nothing else is heard.
 SILENCE_S = 0.25
@@ -21,6 +21,13 @@
 REGAINED_TARGETS = 2  # That a round must reach before calls are sent to all again.
 
 
+class ProbedTarget(msgspec.Struct, frozen=True):
+    """The address of a target, and the service that it belongs to."""
+
+    service: str
+    address: str
+
+
 class ReachState(Enum):
     """Whether targets can be reached."""
 
@@ -71,8 +78,8 @@
         return is_active and is_idle and since_s >= IDLE_PROBE_S
 
     def choose_sample(
-        self, targets: Sequence[TargetRecord], now: float
-    ) -> list[TargetRecord]:
+        self, targets: Sequence[ProbedTarget], now: float
+    ) -> list[ProbedTarget]:
         """Return random targets to probe, of as many services as possible.
 
         An idle process without a suspicion probes one.
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -36,6 +36,7 @@
 from .core.policies import LoadPolicies
 from .core.snapshots import SnapshotTracker
 from .core.target_limits import TargetLimits
+from .core.target_reach import ReachState, TargetReach
 from .core.versions import AcceptedConfiguration, ConfigurationStore
 from .draining import Drain
 from .exceptions import StopReached
@@ -50,6 +51,7 @@
 from .peers.incarnations import make_incarnation
 from .peers.websocket_transport import WebSocketTransport
 from .queries import QueryRunner
+from .reach_probes import ReachProbes
 from .serving import (
     GatedBookings,
     GatedRelay,
@@ -117,9 +119,23 @@
         self.limits.listeners.append(
             LimitLog(self.clock, lambda: {"config_version": self.store.version})
         )
+        self.reach = TargetReach(self.rng, self.clock.now())
         self.direct_dispatcher = DirectDispatcher(
-            self.clock, self.connection_plan, self.leaving_targets, self.limits
+            self.clock,
+            self.connection_plan,
+            self.leaving_targets,
+            self.limits,
+            self.reach,
         )
+        self.reach_probes = ReachProbes(
+            self.reach,
+            self.clock,
+            None,
+            self.direct_dispatcher.get_probed_targets,
+            self.direct_dispatcher.get_longest_wait_s,
+            lambda: {"config_version": self.store.version},
+        )
+        self.reach_probes.listeners.append(self.on_reach_change)
         self.dispatcher = RelayDispatcher(
             self.direct_dispatcher,
             self.connection_plan,
@@ -200,6 +216,7 @@
         self.greenlets += [
             gevent.spawn(self.poller.run),
             gevent.spawn(self.direct_dispatcher.run),
+            gevent.spawn(self.reach_probes.run),
         ]
 
     def make_coordination(self) -> Coordination:
@@ -252,6 +269,11 @@
         )
         self.policies.apply(accepted)
 
+    def on_reach_change(self, state: ReachState) -> None:
+        """Announce lost or regained links to targets."""
+        is_reached = state is ReachState.REACHED
+        self.coordination.membership_service.set_reaches_targets(is_reached)
+
     def apply_vms(self, vms: PublishedVms) -> None:
         """Plan the connections to targets again, for a newer VM list."""
         self.connection_plan.update([vm.id for vm in vms.vms], self.clock.now())
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -24,7 +24,7 @@
 from ..core.routes import RequestLimits, RoutingConfiguration
 from ..core.slack_share import SlackShare
 from ..core.target_limits import TargetLimits
-from ..core.target_reach import SILENCE_S, ReachState, TargetReach
+from ..core.target_reach import SILENCE_S, ProbedTarget, ReachState, TargetReach
 from ..core.target_table import TargetTable
 from ..core.versions import AcceptedConfiguration, ConfigurationStore
 from ..ids import DataCentre, EntryId, RequestId
@@ -38,6 +38,7 @@
 from ..peers.membership import MembershipService
 from ..peers.relayed_documents import make_front_documents
 from ..published.follower import PublicationFollower, PublicationSource
+from ..reach_probes import ReachProbes
 from .answer_accounts import AnswerAccounts
 from .batch_server import BatchServer
 from .call_batches import CallBatches
@@ -50,7 +51,6 @@
 from .limit_notices import LimitNotices
 from .lookup_notices import LookupNotices
 from .loop_delay import LoopDelay
-from .reach_probes import ReachProbes
 from .replaced_targets import ReplacedTargets
 from .shutdown import Shutdown
 from .target_connections import TargetPools
@@ -112,7 +112,12 @@
         self.reach = TargetReach(rng, clock.now())
         self.pools = TargetPools(clock, dialect, settings.vm, self.limits, self.reach)
         self.reach_probes = ReachProbes(
-            self.reach, self.table, self.pools, clock, settings.vm
+            self.reach,
+            clock,
+            settings.vm,
+            self.get_probed_targets,
+            self.pools.get_longest_wait_s,
+            lambda: {"targets_revision": self.table.revision},
         )
         self.connection_shares = ConnectionShares(self.table, self.pools)
         self.forwarder = Forwarder(
@@ -322,6 +327,11 @@
         )
         self.relay.notify()
 
+    def get_probed_targets(self) -> list[ProbedTarget]:
+        """Return the listed targets, for probes."""
+        records = self.table.records.values()
+        return [ProbedTarget(record.service, record.address) for record in records]
+
     def on_reach_change(self, state: ReachState) -> None:
         """Announce lost or regained links to targets, and use other ways for calls."""
         is_lost = state is ReachState.LOST
@@ -493,11 +503,11 @@
             self.active_state = state
             self.useful_vms = self.connection_shares.get_useful_fleet_size()
             self.present_vms = len(self.membership.get_present())
-            serving = self.get_serving()
-            able = [member for member in serving if member.reaches_targets]
-            self.active = choose_active(
-                able or serving, self.count_replicas(), self.useful_vms
-            )
+            members = self.membership.members
+            able = [
+                members[entry] for entry in self.membership.get_serving_with_targets()
+            ]
+            self.active = choose_active(able, self.count_replicas(), self.useful_vms)
         return self.active
 
     def get_other_active(self) -> list[EntryId]:
--- a/sesameplank/forwarding/reach_probes.py
+++ b/sesameplank/reach_probes.py
@@ -1,18 +1,17 @@
 """Probes whether this process reaches targets, and logs lost and regained links."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import gevent
 import gevent.pool
 import gevent.socket
 
-from ..core.clock import Clock
-from ..core.target_reach import SILENCE_S, ReachState, TargetReach
-from ..core.target_table import TargetRecord, TargetTable
-from ..logs import log_event
-from ..net import Address
-from .target_connections import TargetPools
+from .core.clock import Clock
+from .core.target_reach import SILENCE_S, ProbedTarget, ReachState, TargetReach
+from .logs import log_event
+from .net import Address
 
+CHECK_INTERVAL_S = 0.1
 PROBE_TIMEOUT_S = 0.4
 RESET_WAIT_S = 0.05  # A link that is cut may reset new connections.
 
@@ -22,36 +21,45 @@
 class ReachProbes:
     """Runs the probes of this process; `listeners` are told of each change.
 
-    A probe opens a connection to a target and closes it.
+    A probe opens a connection to a target and closes it. `get_longest_wait_s` returns
+    for how long a call has had no answer, and `get_versions` further fields of log
+    lines.
     """
 
     def __init__(
         self,
         reach: TargetReach,
-        table: TargetTable,
-        pools: TargetPools,
         clock: Clock,
-        source_host: str,
+        source_host: str | None,
+        get_targets: Callable[[], Sequence[ProbedTarget]],
+        get_longest_wait_s: Callable[[float], float],
+        get_versions: Callable[[], dict],
     ) -> None:
         self.reach = reach
-        self.table = table
-        self.pools = pools
         self.clock = clock
         self.source_host = source_host
+        self.get_targets = get_targets
+        self.get_longest_wait_s = get_longest_wait_s
+        self.get_versions = get_versions
         self.listeners: list[Listener] = []
         self.round: gevent.Greenlet | None = None
 
+    def run(self) -> None:
+        """Check every CHECK_INTERVAL_S until killed."""
+        while True:
+            self.check(is_active=True)
+            gevent.sleep(CHECK_INTERVAL_S)
+
     def check(self, *, is_active: bool) -> None:
         """Start a round of probes if one is due and none is running."""
         now = self.clock.now()
-        if self.pools.get_longest_wait_s(now) >= SILENCE_S <= now - self.reach.heard_at:
+        if self.get_longest_wait_s(now) >= SILENCE_S <= now - self.reach.heard_at:
             self.reach.note_suspicion()
         if self.round is None and self.reach.is_probe_due(now, is_active=is_active):
-            targets = list(self.table.records.values())
-            sample = self.reach.choose_sample(targets, now)
+            sample = self.reach.choose_sample(self.get_targets(), now)
             self.round = gevent.spawn(self.run_round, sample)
 
-    def run_round(self, sample: list[TargetRecord]) -> None:
+    def run_round(self, sample: list[ProbedTarget]) -> None:
         """Probe targets at the same time, and record how many were reached."""
         started_at = self.clock.now()
         try:
@@ -64,13 +72,13 @@
         if not is_late and self.reach.note_probes(reached, len(sample), now):
             self.report(reached, len(sample), now)
 
-    def probe(self, record: TargetRecord) -> bool:
+    def probe(self, target: ProbedTarget) -> bool:
         """Return whether a target accepts a connection."""
         try:
             sock = gevent.socket.create_connection(
-                Address.parse(record.address),
+                Address.parse(target.address),
                 PROBE_TIMEOUT_S,
-                source_address=(self.source_host, 0),
+                source_address=(self.source_host, 0) if self.source_host else None,
             )
         except OSError:
             return False  # `report` logs a round without success.
@@ -85,7 +93,7 @@
             reached=reached,
             probed=probed,
             heard_ms=int((now - self.reach.heard_at) * 1_000),
-            targets_revision=self.table.revision,
+            **self.get_versions(),
         )
         for listener in self.listeners:
             listener(state)
--- a/sesameplank/targets/dispatch.py
+++ b/sesameplank/targets/dispatch.py
@@ -23,6 +23,7 @@
 )
 from ..core.outcomes import Failure, FailureReason, Ran
 from ..core.target_limits import LimitNews, TargetLimits
+from ..core.target_reach import ProbedTarget, TargetReach
 from ..ids import RequestId, TargetId
 from ..logs import log_event
 from ..net import Address
@@ -34,6 +35,10 @@
 HEALTH_PATH = "/health"
 LIMIT_PATHS = frozenset(("/search", "/book", HEALTH_PATH))
 NEW_WORK_PATHS = frozenset(("/search", "/book"))
+# Failures that lost links to targets lead to, among other reasons.
+SILENT_REASONS = frozenset(
+    {FailureReason.CONNECT, FailureReason.RESET, FailureReason.TIMEOUT}
+)
 TARGET_LEAVING = Failure(FailureReason.REFUSED, Ran.NOT_RUN, "the target is leaving")
 NO_POOL = Failure(FailureReason.CONNECT, Ran.NOT_RUN, "not in the configuration")
 
@@ -165,11 +170,13 @@
         plan: ConnectionPlan,
         leaving: LeavingTargets,
         limits: TargetLimits,
+        reach: TargetReach,
     ) -> None:
         self.clock = clock
         self.plan = plan
         self.leaving = leaving
         self.limits = limits
+        self.reach = reach
         self.configuration: Configuration | None = None
         self.pools: dict[TargetId, TargetPool] = {}
 
@@ -275,7 +282,28 @@
                 self.note_limit(target, payload, sent_at)
             return decode(payload)
 
-        return pool.call(method, path, body, deadline_at, decode_and_note, answer_by)
+        outcome = pool.call(method, path, body, deadline_at, decode_and_note, answer_by)
+        self.note_reach(outcome)
+        return outcome
+
+    def note_reach(self, outcome: object) -> None:
+        """Record whether the outcome of a call shows that a target can be reached."""
+        if not isinstance(outcome, Failure):
+            self.reach.note_heard(self.clock.now())
+        elif outcome.reason in SILENT_REASONS:
+            self.reach.note_suspicion()
+
+    def get_probed_targets(self) -> list[ProbedTarget]:
+        """Return the targets of the configuration, for probes."""
+        targets = self.configuration.targets if self.configuration else {}
+        return [ProbedTarget(name, item.address) for name, item in targets.items()]
+
+    def get_longest_wait_s(self, now: float) -> float:
+        """Return for how long a call has been in flight, in seconds."""
+        started = [
+            at for pool in self.pools.values() for at in pool.started_at.values()
+        ]
+        return now - min(started, default=now)
 
     def note_limit(self, target: TargetId, payload: bytes, sent_at: float) -> None:
         """Record the rate limit in the answer to a call that was sent at a time.
--- a/sesameplank/targets/pool.py
+++ b/sesameplank/targets/pool.py
@@ -77,6 +77,7 @@
         self.permits = BoundedSemaphore(size)
         self.in_flight = 0
         self.waiting = 0
+        self.started_at: dict[Permit, float] = {}
         self.closed = False
 
     def __enter__(self) -> "TargetPool":
@@ -126,7 +127,13 @@
                 self.put_back(connection)
                 return LIMITED
             end_at = deadline_at if answer_by is None else answer_by
-            return self.exchange(permit, connection, method, path, body, end_at, decode)
+            self.started_at[permit] = self.clock.now()
+            try:
+                return self.exchange(
+                    permit, connection, method, path, body, end_at, decode
+                )
+            finally:
+                del self.started_at[permit]
 
     @property
     def is_warm(self) -> bool:
--- a/sesameplank/targets/relay.py
+++ b/sesameplank/targets/relay.py
@@ -18,13 +18,15 @@
 from .pool import TargetPool
 
 MAX_UPDATE_AGE_S = 5.0
+TARGETS_LOST = Failure(FailureReason.UNREACHED, Ran.NOT_RUN, "no links to targets")
 NO_HOME = Failure(FailureReason.RELAY, Ran.NOT_RUN, "no home of the target is known")
 
 
 class RelayDispatcher(MessageDispatcher):
     """Calls a target directly if this process has a pool, else through its homes.
 
-    A target whose small rate limit is divided among other homes is called through them.
+    A target whose small rate limit is divided among other homes is called through them,
+    and so are all if this process has lost its links to targets.
 
     A call is retried at the next home only if the previous attempt is known not to
     have run. When a target is marked as leaving, the dispatcher also notifies the
@@ -63,7 +65,7 @@
 
     def exchange(self, target, path, body, deadline_at, decode, answer_by=None):
         """Send one encoded message and return the decoded answer, or a Failure."""
-        if target in self.direct.pools and self.direct.has_part(target):
+        if self.can_call_directly(target):
             return self.direct.exchange(
                 target, path, body, deadline_at, decode, answer_by
             )
@@ -71,6 +73,12 @@
         outcome = self.call_homes(target, path, body, deadline_at, answer_grace_s)
         return outcome if isinstance(outcome, Failure) else decode(outcome.payload)
 
+    def can_call_directly(self, target: TargetId) -> bool:
+        """Return whether this process should call a target on its own connections."""
+        if target not in self.direct.pools or self.direct.reach.is_lost:
+            return False
+        return self.direct.has_part(target)
+
     def call_homes(
         self,
         target: TargetId,
@@ -103,6 +111,8 @@
         """Forward another entry's call to a target on a connection of this process."""
         if message.path in NEW_WORK_PATHS and self.leaving.is_leaving(message.target):
             return TARGET_LEAVING
+        if self.direct.reach.is_lost:
+            return TARGETS_LOST
         self.calls_served_for_peers += 1
         payload = self.direct.exchange(
             message.target,
--- a/tests/core/test_target_reach.py
+++ b/tests/core/test_target_reach.py
@@ -8,16 +8,13 @@
     LOST_PROBE_S,
     PROBED_TARGETS,
     REGAINED_TARGETS,
+    ProbedTarget,
     ReachState,
     TargetReach,
 )
-from sesameplank.core.target_table import TargetPhase, TargetRecord
 
 TARGETS = [
-    TargetRecord(
-        f"t{number}", f"s{number % 4}", "10.0.0.1:80", "dc", 2, TargetPhase.READY
-    )
-    for number in range(20)
+    ProbedTarget(f"s{number % 4}", f"10.0.0.{number}:80") for number in range(20)
 ]
 
 
--- a/tests/targets/test_limits.py
+++ b/tests/targets/test_limits.py
@@ -1,5 +1,7 @@
 """Tests of the rate limits that targets name to entries."""
 
+import random
+
 import gevent
 import msgspec
 import testtools
@@ -12,6 +14,7 @@
 from sesameplank.core.messages import TargetHealth, TargetSearch, TargetSearchAnswer
 from sesameplank.core.outcomes import FailureReason, Ran
 from sesameplank.core.target_limits import TargetLimits
+from sesameplank.core.target_reach import TargetReach
 from sesameplank.net import Address
 from sesameplank.targets import DirectDispatcher, TargetPool
 
@@ -58,7 +61,11 @@
         plan.update(HOMES, self.clock.now())
         limits = TargetLimits(HomeParts(plan))
         dispatcher = DirectDispatcher(
-            self.clock, plan, LeavingTargets(self.clock), limits
+            self.clock,
+            plan,
+            LeavingTargets(self.clock),
+            limits,
+            TargetReach(random.Random(1), self.clock.now()),
         )
         dispatcher.pools[TARGET] = TargetPool(
             self.address, 2, self.clock, lambda path: dispatcher.admit(TARGET, path)
--- /dev/null
+++ b/tests/targets/test_relay.py
@@ -0,0 +1,115 @@
+"""Tests of calls that go through the homes of a target."""
+
+import random
+
+import msgspec
+import testtools
+
+from sesameplank.core.clock import ManualClock
+from sesameplank.core.homes import ConnectionPlan
+from sesameplank.core.leaving import LeavingTargets
+from sesameplank.core.limit_parts import HomeParts
+from sesameplank.core.messages import TargetSearch, TargetSearchAnswer
+from sesameplank.core.outcomes import Failure, FailureReason, Ran
+from sesameplank.core.peer_messages import RelayedAnswer, RelayedCall
+from sesameplank.core.target_limits import TargetLimits
+from sesameplank.core.target_reach import ReachState, TargetReach
+from sesameplank.peers import PeerContext
+from sesameplank.targets import DirectDispatcher
+from sesameplank.targets.relay import RelayDispatcher
+
+TARGET = "t1"
+ENTRIES = ("e1", "e2", "e3")
+ANSWER = TargetSearchAnswer("r1", 1, ())
+
+
+class Pool:
+    """A pool that answers every call, and counts them."""
+
+    def __init__(self) -> None:
+        self.calls = 0
+        self.started_at = {}
+
+    def call(self, method, path, body, deadline_at, decode, answer_by):
+        """Return the decoded answer."""
+        self.calls += 1
+        return decode(msgspec.json.encode(ANSWER))
+
+
+class Links:
+    """Links to the other entries, whose dispatchers serve the calls."""
+
+    def __init__(self) -> None:
+        self.entries: dict[str, RelayDispatcher] = {}
+        self.called: list[str] = []
+
+    def register(self, message_type, handler) -> None:
+        """Ignore the handler, which `call` calls itself."""
+
+    def call(self, peer, message: RelayedCall, deadline_at):
+        """Return the outcome at a peer."""
+        self.called.append(peer)
+        context = PeerContext("e1", 1, 0.0, deadline_at)
+        return self.entries[peer].serve(message, context)
+
+
+class LostTargetsTests(testtools.TestCase):
+    """An entry without links to targets calls them through other homes."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock(10.0)
+        self.links = Links()
+        for entry in ENTRIES:
+            self.links.entries[entry] = self.make_dispatcher(entry)
+        self.own = self.links.entries["e1"]
+
+    def make_dispatcher(self, entry: str) -> RelayDispatcher:
+        """Return the dispatcher of a home of the target."""
+        plan = ConnectionPlan(entry, len(ENTRIES), 0)
+        plan.update(ENTRIES, self.clock.now())
+        direct = DirectDispatcher(
+            self.clock,
+            plan,
+            LeavingTargets(self.clock),
+            TargetLimits(HomeParts(plan)),
+            TargetReach(random.Random(1), self.clock.now()),
+        )
+        direct.pools[TARGET] = Pool()
+        return RelayDispatcher(direct, plan, self.links, self.clock, list)
+
+    def lose(self, *entries: str) -> None:
+        """Let entries lose their links to targets."""
+        for entry in entries:
+            self.links.entries[entry].direct.reach.state = ReachState.LOST
+
+    def search(self):
+        """Return the outcome of a search call of the first entry."""
+        message = TargetSearch("r1", "c", 1, 1_000, ())
+        return self.own.search(TARGET, message, self.clock.now() + 1.0)
+
+    def test_calls_go_through_a_home_that_reaches_targets(self):
+        for lost in ((), ("e1",), ("e1", "e2"), ("e1", "e3")):
+            self.lose(*lost)
+            self.assertEqual(ANSWER, self.search(), lost)
+            for entry in ENTRIES:
+                reach = self.links.entries[entry].direct.reach
+                calls = self.links.entries[entry].direct.pools[TARGET].calls
+                self.assertFalse(reach.is_lost and calls, (lost, entry))
+                reach.state = ReachState.REACHED
+                self.links.entries[entry].direct.pools[TARGET].calls = 0
+
+    def test_call_is_refused_as_not_run_if_no_home_reaches_targets(self):
+        self.lose(*ENTRIES)
+        outcome = self.search()
+        self.assertIsInstance(outcome, Failure)
+        self.assertEqual(
+            (FailureReason.UNREACHED, Ran.NOT_RUN), (outcome.reason, outcome.ran)
+        )
+
+    def test_call_for_another_entry_goes_no_further(self):
+        self.lose("e2")
+        call = RelayedCall(TARGET, "/search", b"{}", 0)
+        outcome = self.links.call("e2", call, self.clock.now() + 1.0)
+        self.assertNotIsInstance(outcome, RelayedAnswer)
+        self.assertEqual(["e2"], self.links.called)
