--- a/sesameplank/forwarding/connection_shares.py
+++ b/sesameplank/forwarding/connection_shares.py
@@ -7,7 +7,7 @@
 from ..core.routes import RoutingConfiguration, Service
 from ..core.target_table import TargetRecord, TargetTable
 from ..ids import ServiceName
-from .target_connections import TargetPool, TargetPools
+from .target_pools import TargetPool, TargetPools
 
 MIN_CONNECTIONS = 1
 DEFAULT_SLOTS = 2
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -53,7 +53,7 @@
 from .loop_delay import LoopDelay
 from .replaced_targets import ReplacedTargets
 from .shutdown import Shutdown
-from .target_connections import TargetPools
+from .target_pools import TargetPools
 
 HOUSEKEEPING_INTERVAL_S = 0.1
 FLEET_SIZE_WINDOW_S = 60.0
--- a/sesameplank/forwarding/replaced_targets.py
+++ b/sesameplank/forwarding/replaced_targets.py
@@ -14,7 +14,7 @@
 from ..ids import EntryId, ServiceName, TargetId
 from ..logs import log_event
 from ..peers import PeerContext, PeerLinks
-from .target_connections import TargetPools
+from .target_pools import TargetPools
 
 MAX_NOTICE_AGE_S = 1.0
 OWN_CALL = "own_call"
--- a/sesameplank/forwarding/target_connections.py
+++ b/sesameplank/forwarding/target_connections.py
@@ -1,41 +1,34 @@
-"""Pools of connections to targets, by target id.
+"""Connections to targets, and the calls on them.
 
 Each connection carries one call at a time. It is read even while it is idle, so
-that it leaves the pool as soon as the target closes it or sends unsolicited bytes.
+that it leaves its pool as soon as the target closes it or sends unsolicited bytes.
 """
 
+from __future__ import annotations
+
 import socket
-from collections import deque
 from collections.abc import Callable
+from typing import TYPE_CHECKING
 
 import gevent
 import gevent.socket
 
-from ..core.clock import Clock
 from ..core.fanout import Call
 from ..core.outcomes import Failure, FailureReason, Ran
-from ..core.target_limits import TargetLimits
-from ..core.target_reach import SILENCE_S, TargetReach
-from ..core.target_table import TargetRecord
-from ..ids import RequestId, TargetId
-from ..logs import log_event
-from ..net import Address, set_no_delay
-from .dialect import Dialect, ResponseMetadata
+from ..ids import RequestId
 from .http_messages import Response, ResponseReader
 
-CONNECT_TIMEOUT_S = 1.0
+if TYPE_CHECKING:
+    from .target_pools import TargetPool
+
 READ_EVENT = 1  # The event mask for "readable" in gevent's event loop.
-TCP_USER_TIMEOUT_MS = 4_000
 READ_BYTES = 65_536
 MAX_HEADER_BYTES = 65_536
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_MISMATCHED_RESPONSES = 4
 ABANDONED_CALL_GRACE_S = 0.25
-NON_IDEMPOTENT_MAX_IDLE_S = 1.0
 DEFAULT_IDLE_TIMEOUT_S = 20.0
 IDLE_TIMEOUT_MARGIN_S = 0.5
-WARM_UP_RETRY_S = 5.0
-
 
 OnDone = Callable[["Exchange", Response | Failure], None]
 
@@ -88,7 +81,7 @@
     greenlets. Nothing that the callback calls may block.
     """
 
-    def __init__(self, pool: "TargetPool", sock: socket.socket) -> None:
+    def __init__(self, pool: TargetPool, sock: socket.socket) -> None:
         self.pool = pool
         self.sock = sock
         self.reader = ResponseReader(MAX_HEADER_BYTES, MAX_BODY_BYTES)
@@ -240,291 +233,3 @@
         self.sock.close()
         if exchange is not None:
             exchange.fail(reason, detail)
-
-
-class TargetPool:
-    """The connections to one target, and the calls that wait for a connection.
-
-    `dialling` is the number of connections that are being opened.
-    """
-
-    def __init__(
-        self,
-        record: TargetRecord,
-        limit: int,
-        clock: Clock,
-        dialect: Dialect,
-        source_host: str,
-        limits: TargetLimits,
-        reach: TargetReach,
-    ) -> None:
-        self.record = record
-        self.limit = limit
-        self.limits = limits
-        self.reach = reach
-        self.clock = clock
-        self.dialect = dialect
-        self.source_host = source_host
-        self.idle: list[TargetConnection] = []
-        self.connections: set[TargetConnection] = set()
-        self.dialling = 0
-        self.dialled_at = clock.now()
-        self.waiting: deque[Exchange] = deque()
-        self.opened = 0
-        self.next_warm_up_at = float("-inf")
-
-    @property
-    def size(self) -> int:
-        """The number of connections that are open or being opened."""
-        return len(self.connections) + self.dialling
-
-    def submit(self, exchange: Exchange) -> None:
-        """Send a call on an idle connection, or queue it for the next free one.
-
-        Open a new connection for a queued call if the limit allows it.
-        """
-        connection = self.take_idle(exchange)
-        if connection is not None:
-            if not self.transmit(connection, exchange):
-                self.idle.append(connection)
-            return
-        self.waiting.append(exchange)
-        if self.size < self.limit:
-            self.start_dial()
-
-    def transmit(self, connection: TargetConnection, exchange: Exchange) -> bool:
-        """Send a call on a free connection, or fail it if the limit is used up.
-
-        Return whether it was sent.
-        """
-        if not self.limits.take(self.record.id, self.clock.now()):
-            # Fail in a new greenlet: the code that submits the call is still changing
-            # the state of its request, which the failure of the call changes too.
-            gevent.spawn(exchange.fail, FailureReason.LIMITED)
-            return False
-        connection.send(exchange)
-        return True
-
-    @property
-    def needs_warm_up(self) -> bool:
-        """Return whether no connection is open and no warm-up was tried recently."""
-        return not self.size and self.clock.now() >= self.next_warm_up_at
-
-    def warm_up(self) -> None:
-        """Open the first connection before a call needs it."""
-        self.next_warm_up_at = self.clock.now() + WARM_UP_RETRY_S
-        self.start_dial()
-
-    def take_idle(self, exchange: Exchange) -> TargetConnection | None:
-        """Return an idle connection that may be reused for the call, or None.
-
-        Close those that have been idle for too long. A call that is not idempotent
-        has a shorter limit, and leaves the connections that exceed it open for
-        other calls unless the pool is full.
-        """
-        idle_limit_s = (
-            DEFAULT_IDLE_TIMEOUT_S
-            if exchange.is_idempotent
-            else NON_IDEMPOTENT_MAX_IDLE_S
-        )
-        while self.idle:
-            connection = self.idle[-1]
-            if connection.is_fresh(idle_limit_s):
-                return self.idle.pop()
-            if exchange.is_idempotent or self.size >= self.limit:
-                connection.close(FailureReason.CANCELLED, "idle for too long")
-            else:
-                return None
-        return None
-
-    def start_dial(self) -> None:
-        """Open a connection in the background."""
-        self.dialling += 1
-        self.dialled_at = self.clock.now()
-        gevent.spawn(self.dial)
-
-    def get_longest_wait_s(self, now: float) -> float:
-        """Return for how long a call or a new connection has waited, in seconds."""
-        waits = [
-            now - connection.sent_at
-            for connection in self.connections
-            if connection.exchange is not None
-        ]
-        if self.dialling:
-            waits.append(now - self.dialled_at)
-        return max(waits, default=0.0)
-
-    def dial(self) -> None:
-        """Open a connection; if that fails, fail the call that waited longest."""
-        try:
-            sock = self.connect()
-        except OSError as error:
-            self.dialling -= 1
-            self.reach.note_suspicion()
-            if self.waiting:
-                self.waiting.popleft().fail(FailureReason.CONNECT, repr(error))
-            return
-        self.dialling -= 1
-        self.opened += 1
-        self.reach.note_heard(self.clock.now())
-        connection = TargetConnection(self, sock)
-        self.connections.add(connection)
-        self.put_back(connection)
-
-    def connect(self) -> socket.socket:
-        """Return a new non-blocking socket to the target, or raise OSError."""
-        sock = gevent.socket.create_connection(
-            Address.parse(self.record.address),
-            CONNECT_TIMEOUT_S,
-            source_address=(self.source_host, 0),
-        )
-        set_no_delay(sock)
-        sock.setsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS
-        )
-        plain = socket.socket(fileno=sock.detach())
-        plain.setblocking(False)
-        return plain
-
-    def put_back(self, connection: TargetConnection) -> None:
-        """Use a free connection for the next waiting call, or mark it as idle."""
-        while self.waiting:
-            exchange = self.waiting.popleft()
-            if exchange.on_done is not None and self.transmit(connection, exchange):
-                return
-        self.idle.append(connection)
-
-    def note_limit(self, metadata: ResponseMetadata, sent_at: float) -> None:
-        """Record what the answer to a call sent at `sent_at` says of the rate limit."""
-        if metadata.limit_error is not None:
-            log_event(
-                "target_limit_unreadable",
-                target=self.record.id,
-                reason=metadata.limit_error,
-            )
-        if metadata.limit is not None:
-            self.limits.note_answer(
-                self.record.id, metadata.limit, sent_at, self.clock.now()
-            )
-
-    def remove(self, connection: TargetConnection) -> None:
-        """Remove a closed connection; open a new one if a waiting call needs one."""
-        self.connections.discard(connection)
-        if connection in self.idle:
-            self.idle.remove(connection)
-        if len(self.waiting) > self.dialling and self.size < self.limit:
-            self.start_dial()
-
-    def cancel(self, exchange: Exchange) -> None:
-        """Cancel a call without reporting its outcome.
-
-        If it was transmitted and is not answered within a grace period, its
-        connection is closed.
-        """
-        exchange.on_done = None
-        if not exchange.is_transmitted:
-            if exchange in self.waiting:
-                self.waiting.remove(exchange)
-            return
-        for connection in self.connections:
-            if connection.exchange is exchange:
-                connection.abandon()
-                return
-
-    def give_up(self, *, is_silent: bool) -> None:
-        """Fail the calls that wait in vain, since the links to targets are lost.
-
-        Those are the calls that wait for a connection and, unless they may run only
-        once, those without an answer for long. If `is_silent`, open connections are
-        lost too, and the idle ones are closed.
-        """
-        waiting, self.waiting = self.waiting, deque()
-        for exchange in waiting:
-            gevent.spawn(exchange.fail, FailureReason.UNREACHED)
-        now = self.clock.now()
-        for connection in list(self.connections):
-            exchange = connection.exchange
-            if exchange is None:
-                if is_silent:
-                    connection.close(FailureReason.CANCELLED)
-            elif exchange.is_idempotent and now - connection.sent_at >= SILENCE_S:
-                connection.close(FailureReason.UNREACHED)
-
-    def close(self) -> None:
-        """Close the idle connections; calls in progress are not interrupted."""
-        for connection in list(self.idle):
-            connection.close(FailureReason.CANCELLED, "the target is gone")
-
-
-class TargetPools:
-    """The connection pools of all targets, shared by all requests."""
-
-    def __init__(
-        self,
-        clock: Clock,
-        dialect: Dialect,
-        source_host: str,
-        limits: TargetLimits,
-        reach: TargetReach,
-    ) -> None:
-        self.clock = clock
-        self.dialect = dialect
-        self.source_host = source_host
-        self.limits = limits
-        self.reach = reach
-        self.pools: dict[TargetId, TargetPool] = {}
-
-    def get(self, record: TargetRecord, limit: int) -> TargetPool:
-        """Return the pool of a target, with its limit set to `limit` connections.
-
-        A target with a new address gets a new pool.
-        """
-        pool = self.pools.get(record.id)
-        if pool is None or pool.record.address != record.address:
-            if pool is not None:
-                pool.close()
-            pool = TargetPool(
-                record,
-                limit,
-                self.clock,
-                self.dialect,
-                self.source_host,
-                self.limits,
-                self.reach,
-            )
-            self.pools[record.id] = pool
-        pool.limit = limit
-        return pool
-
-    def close_idle(self, target: TargetId) -> None:
-        """Close the idle connections to a target."""
-        pool = self.pools.get(target)
-        if pool is not None:
-            pool.close()
-
-    def keep_only(self, is_listed: Callable[[TargetId], bool]) -> None:
-        """Remove the pools of targets that are no longer listed.
-
-        Close their idle connections. A pool that still has calls is removed by a
-        later call of this method.
-        """
-        for target in [item for item in self.pools if not is_listed(item)]:
-            pool = self.pools[target]
-            pool.close()
-            if not pool.connections and not pool.waiting:
-                del self.pools[target]
-
-    def give_up(self, *, is_silent: bool) -> None:
-        """Fail the calls that wait in vain, since the links to targets are lost."""
-        for pool in list(self.pools.values()):
-            pool.give_up(is_silent=is_silent)
-
-    def get_longest_wait_s(self, now: float) -> float:
-        """Return for how long a call or a new connection has waited, in seconds."""
-        waits = (pool.get_longest_wait_s(now) for pool in self.pools.values())
-        return max(waits, default=0.0)
-
-    @property
-    def opened(self) -> int:
-        """The number of connections opened so far by the current pools."""
-        return sum(pool.opened for pool in self.pools.values())
