Overloaded targets don't make a VM think that its links are lost

By reading: a target with too many connections, or a full queue of new ones, resets or hangs new connections. If a suspicion fell into an overload of all targets, five probes failed and every VM would have refused all requests, though answers kept arriving.

Change: probes that hang or are reset say nothing while targets answer on open connections; refused ones do, as a VM may keep its open connections while new ones are refused.

--- a/sesameplank/core/target_reach.py
+++ b/sesameplank/core/target_reach.py
@@ -28,6 +28,20 @@
     address: str
 
 
+class ProbeOutcome(Enum):
+    """The outcome of one probe.
+
+    REACHED  the target accepted the connection
+    REFUSED  the connection was refused
+    FAILED   it hung, or was reset after it was accepted, as a target does that has too
+             many connections
+    """
+
+    REACHED = "reached"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
 class ReachState(Enum):
     """Whether targets can be reached."""
 
@@ -92,15 +106,22 @@
         others = [item for item in shuffled if first_of_service[item.service] != item]
         return [*first_of_service.values(), *others][:count]
 
-    def note_probes(self, reached: int, probed: int, now: float) -> bool:
-        """Record how many probed targets were reached; return whether that is a change.
+    def note_probes(self, outcomes: Sequence[ProbeOutcome], now: float) -> bool:
+        """Record a round of probes; return whether it changes the state.
 
-        A failed probe without a suspicion only raises one.
+        A failed probe without a suspicion only raises one. Probes that failed, but were
+        not refused, say nothing while targets answer on open connections: the targets
+        may be overloaded.
         """
+        reached = outcomes.count(ProbeOutcome.REACHED)
+        is_answered = now - self.heard_at < SILENCE_S
         if reached:
             self.heard_at = now
-        self.is_suspected = bool(probed) and not reached
-        state = self.find_state(reached, probed)
+        elif is_answered and ProbeOutcome.REFUSED not in outcomes:
+            self.is_suspected = False
+            return False
+        self.is_suspected = bool(outcomes) and not reached
+        state = self.find_state(reached, len(outcomes))
         has_changed = state is not self.state
         if has_changed:
             self.state, self.since = state, now
--- a/sesameplank/reach_probes.py
+++ b/sesameplank/reach_probes.py
@@ -7,7 +7,13 @@
 import gevent.socket
 
 from .core.clock import Clock
-from .core.target_reach import SILENCE_S, ProbedTarget, ReachState, TargetReach
+from .core.target_reach import (
+    SILENCE_S,
+    ProbedTarget,
+    ProbeOutcome,
+    ReachState,
+    TargetReach,
+)
 from .logs import log_event
 from .net import Address
 
@@ -64,15 +70,15 @@
         started_at = self.clock.now()
         try:
             probes = gevent.pool.Group()
-            reached = sum(probes.map(self.probe, sample))
+            outcomes = probes.map(self.probe, sample)
         finally:
             self.round = None
         now = self.clock.now()
         is_late = now - started_at > 2 * PROBE_TIMEOUT_S  # This process stood still.
-        if not is_late and self.reach.note_probes(reached, len(sample), now):
-            self.report(reached, len(sample), now)
+        if not is_late and self.reach.note_probes(outcomes, now):
+            self.report(outcomes, now)
 
-    def probe(self, target: ProbedTarget) -> bool:
+    def probe(self, target: ProbedTarget) -> ProbeOutcome:
         """Return whether a target accepts a connection."""
         try:
             sock = gevent.socket.create_connection(
@@ -80,18 +86,21 @@
                 PROBE_TIMEOUT_S,
                 source_address=(self.source_host, 0) if self.source_host else None,
             )
-        except OSError:
-            return False  # `report` logs a round without success.
+        except ConnectionRefusedError:
+            return ProbeOutcome.REFUSED
+        except OSError:  # `report` logs a round without success.
+            return ProbeOutcome.FAILED
         with sock:
-            return not is_reset(sock)
+            return ProbeOutcome.FAILED if is_reset(sock) else ProbeOutcome.REACHED
 
-    def report(self, reached: int, probed: int, now: float) -> None:
+    def report(self, outcomes: Sequence[ProbeOutcome], now: float) -> None:
         """Log a change, and tell the listeners."""
         state = self.reach.state
         log_event(
             "targets_lost" if state is ReachState.LOST else "targets_regained",
-            reached=reached,
-            probed=probed,
+            reached=outcomes.count(ProbeOutcome.REACHED),
+            refused=outcomes.count(ProbeOutcome.REFUSED),
+            probed=len(outcomes),
             heard_ms=int((now - self.reach.heard_at) * 1_000),
             **self.get_versions(),
         )
--- a/tests/core/test_target_reach.py
+++ b/tests/core/test_target_reach.py
@@ -9,6 +9,7 @@
     PROBED_TARGETS,
     REGAINED_TARGETS,
     ProbedTarget,
+    ProbeOutcome,
     ReachState,
     TargetReach,
 )
@@ -25,17 +26,22 @@
         super().setUp()
         self.reach = TargetReach(random.Random(1), 0.0)
 
-    def probe(self, now: float, reached: int) -> int:
+    def probe(
+        self, now: float, reached: int, failure: ProbeOutcome = ProbeOutcome.FAILED
+    ) -> int:
         """Play a round of probes; return the size of the sample."""
-        sample = self.reach.choose_sample(TARGETS, now)
-        self.reach.note_probes(min(reached, len(sample)), len(sample), now)
-        return len(sample)
+        size = len(self.reach.choose_sample(TARGETS, now))
+        reached = min(reached, size)
+        outcomes = [ProbeOutcome.REACHED] * reached + [failure] * (size - reached)
+        self.reach.note_probes(outcomes, now)
+        return size
 
     def is_due(self, now: float) -> bool:
         return self.reach.is_probe_due(now, is_active=True)
 
     def lose(self, now: float) -> None:
         """Lose the links."""
+        self.reach.heard_at = now - 1.0
         self.reach.note_suspicion()
         self.probe(now + 0.1, 0)
 
@@ -63,6 +69,16 @@
             self.probe(reached * 5.0, reached)
             self.assertIs(ReachState.REACHED, self.reach.state, reached)
 
+    def test_overloaded_targets_that_answer_do_not_lose_the_links(self):
+        for failure, is_lost in (
+            (ProbeOutcome.FAILED, False),
+            (ProbeOutcome.REFUSED, True),
+        ):
+            self.reach.note_suspicion()
+            self.reach.note_heard(4.9)
+            self.probe(5.0, 0, failure)
+            self.assertEqual(is_lost, self.reach.is_lost, failure)
+
     def test_sample_is_of_several_services(self):
         self.reach.note_suspicion()
         sample = self.reach.choose_sample(TARGETS, 5.0)
@@ -84,5 +100,5 @@
     def test_without_targets_nothing_is_concluded(self):
         self.reach.note_suspicion()
         self.reach.choose_sample([], 1.0)
-        self.assertFalse(self.reach.note_probes(0, 0, 1.1))
+        self.assertFalse(self.reach.note_probes([], 1.1))
         self.assertFalse(self.reach.is_lost)
