--- a/tests/core/test_limit_parts.py
+++ b/tests/core/test_limit_parts.py
@@ -138,11 +138,18 @@
         (84, 19, 24.0),
     )
 
-    def play(self, *fleet: float, restart_rate: float, views: Views) -> None:
-        """Play fleets with several seeds, and assert that the limit holds."""
-        for seed in range(3):
+    def play(
+        self,
+        *fleet: float,
+        restart_rate: float,
+        views: Views,
+        seeds: int = 3,
+        seconds: float = SECONDS,
+    ) -> None:
+        """Play a fleet with several seeds, and assert that the limit holds."""
+        for seed in range(seeds):
             played = Fleet(*fleet, seed, views)
-            played.run(self.SECONDS, restart_rate)
+            played.run(seconds, restart_rate)
             allowed = TOLERANCE * fleet[-1] * WINDOW_S + SPARE_CALLS
             self.assertLessEqual(played.get_most_calls(), allowed, (fleet, seed))
 
@@ -158,6 +165,12 @@
         for fleet in self.CASES:
             self.play(*fleet, restart_rate=0.2, views=Views.WHOLE)
 
+    def test_partitions_and_restarts_together(self):
+        for fleet in ((7, 7, 11.8), (8, 8, 4.7)):
+            self.play(
+                *fleet, restart_rate=0.02, views=Views.PARTITIONED, seeds=10, seconds=60
+            )
+
     def test_fleet_in_one_piece_can_use_most_of_the_limit(self):
         for size, active, per_s in ((7, 7, 11.8), (84, 19, 2.4), (8, 8, 0.4)):
             fleet = Fleet(size, active, per_s, 1, Views.WHOLE)
