--- a/sesameplank/monitoring/dump.py
+++ b/sesameplank/monitoring/dump.py
@@ -37,7 +37,8 @@
     `state` is serving, leaving, ejected or ramping. `reason` explains any state
     other than serving. `size` is the connection limit of this process, and `idle` the
     number of idle connections. `in_flight` and `waiting` are numbers of calls.
-    `slowness` is the latency of its calls as a multiple of the usual one.
+    `slowness` is the latency of its calls as a multiple of the usual one. `limit` is
+    the rate limit that it names, with this process's part and the age of the news.
     """
 
     state: str
@@ -49,6 +50,7 @@
     waiting: int
     slowness: float
     health: str
+    limit: dict | None
 
 
 class BudgetState(msgspec.Struct, frozen=True):
@@ -196,6 +198,7 @@
         waiting=pool.waiting,
         slowness=entry.policies.scoreboard.get(target).slowness.get(now),
         health=getattr(report, "state", "") or "none",
+        limit=entry.limits.describe(target, now),
     )
 
 
--- a/sesameplank/monitoring/metrics.py
+++ b/sesameplank/monitoring/metrics.py
@@ -80,6 +80,8 @@
         ("platform_calls_total", "counter", "Calls to the platform's service."),
         ("pauses_total", "counter", "Times that the process woke up late."),
         ("targets", "gauge", "Targets by state.", ("state",)),
+        ("targets_limited", "gauge", "Targets that name a rate limit."),
+        ("targets_lost", "gauge", "1 if no target can be reached."),
         ("target_calls_in_flight", "gauge", "Calls to targets in flight."),
         ("target_calls_waiting", "gauge", "Calls that wait for a connection."),
         ("budget_tokens", "gauge", "Tokens left of a budget.", ("budget",)),
@@ -255,6 +257,8 @@
         counts[target.state] = counts.get(target.state, 0) + 1
     return {
         "targets": make_labelled_samples(counts),
+        "targets_limited": make_unlabelled_sample(len(entry.limits.limits)),
+        "targets_lost": make_unlabelled_sample(int(entry.reach.is_lost)),
         "target_calls_in_flight": make_unlabelled_sample(
             sum(item.in_flight for item in targets)
         ),
