End a batch of whole responses with its last call

What was seen: by reading.

Cause: responses that are returned whole were not counted as done, so a failure after them was never the last call. The test fails before (a batch is left) and passes.

--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -263,8 +263,8 @@
         )
         if not self.send(BatchedAnswers(self.message.batch, responses=(returned,))):
             self.fail(index, Failure(FailureReason.QUEUE_FULL, Ran.ANSWERED))
-        elif not self.exchanges:
-            self.end()
+            return
+        self.plan_flush(self.schedule.note_done(now, has_answer=False))
 
     def process_failure(self, index: int, call: Call, failure: Failure) -> None:
         """Process a call without an answer.
--- a/tests/forwarding/test_batch_server.py
+++ b/tests/forwarding/test_batch_server.py
@@ -1,14 +1,23 @@
-"""Tests of batches that reach a process while it stops."""
+"""Tests of the batches that a process serves for other VMs."""
+
+import random
 
 import testtools
 
 from sesameplank.core.batch_messages import BatchedAnswers, BatchedCalls
 from sesameplank.core.clock import ManualClock
-from sesameplank.core.outcomes import Ran
+from sesameplank.core.outcomes import FailureReason, Ran
+from sesameplank.core.placement import Placement
+from sesameplank.core.target_reach import TargetReach
+from sesameplank.core.target_table import TargetPhase, TargetRecord
 from sesameplank.forwarding.batch_server import BatchServer
+from sesameplank.forwarding.http_messages import Response
+from sesameplank.forwarding.request_log import RequestLog
 from sesameplank.peers import PeerContext
+from sesameplank.platform.headers import PlatformDialect
 
 TARGETS = ("s0a", "s1a", "s2b")
+CONTEXT = PeerContext("vm2", 1, 0.0, float("inf"))
 
 
 class RecordingLinks:
@@ -20,28 +29,105 @@
     def register(self, message_type, handler) -> None:
         """Ignore the handler, which the test calls itself."""
 
-    def send(self, peer, message) -> None:
+    def send(self, peer, message) -> bool:
         """Record a message."""
         self.sent.append((peer, message))
+        return True
+
+
+class Targets:
+    """The listed targets, and a pool for all of them that only holds the calls."""
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.exchanges = []
+
+    def find_ready(self, target) -> TargetRecord:
+        """Return the record of a target."""
+        return TargetRecord(
+            target, target[:2], "10.0.0.1:80", "dc", 2, TargetPhase.READY
+        )
+
+    def get_pool(self, record) -> "Targets":
+        """Return this object as the pool."""
+        return self
+
+    def submit(self, exchange) -> None:
+        """Hold a call."""
+        self.exchanges.append(exchange)
+
+    def cancel(self, exchange) -> None:
+        """Forget a call."""
+        self.exchanges.remove(exchange)
+
 
+class BatchServerTestCase(testtools.TestCase):
+    """Makes a server whose calls the test ends."""
 
-class StoppingTests(testtools.TestCase):
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock(5.0)
+        self.links = RecordingLinks()
+        self.targets = Targets()
+        self.counts: list[str] = []
+        rng = random.Random(1)
+        self.server = BatchServer(
+            self.links,
+            self.clock,
+            PlatformDialect(),
+            self.targets,
+            Placement("dc", rng),
+            self.targets,
+            None,
+            self.counts.append,
+            lambda call: None,
+            TargetReach(rng, self.clock.now()),
+            lambda: 0.0,
+            RequestLog(self.clock),
+        )
+
+    def serve(self, **changes) -> None:
+        """Serve a batch of one call to each target."""
+        calls = BatchedCalls(7, "r1", b"", b"", 5, 60_000, 100, TARGETS, **changes)
+        self.server.on_calls(calls, CONTEXT)
+
+    def answer(self, exchange) -> None:
+        """End a call with a successful response."""
+        response = Response()
+        response.status = 200
+        response.add(b"X-Server-Stamp", b"stamp")
+        exchange.finish(response)
+
+    def get_messages(self) -> list[BatchedAnswers]:
+        """Return the messages to the VM of the batch."""
+        return [message for peer, message in self.links.sent if peer == "vm2"]
+
+
+class StoppingTests(BatchServerTestCase):
     """The VM that sent a batch learns at once that its calls have not been made."""
 
     def test_batch_that_reaches_a_stopping_process_is_returned_as_not_run(self):
-        links = RecordingLinks()
-        counts = []
-        server = BatchServer(
-            links, ManualClock(5.0), *[None] * 5, counts.append, *[None] * 4
-        )
-        server.is_stopping = True
-        calls = BatchedCalls(7, "r1", b"", b"", 5, 1_000, 100, TARGETS)
-        server.on_calls(calls, PeerContext("vm2", 1, 0.0, float("inf")))
-        ((peer, message),) = links.sent
-        self.assertEqual(("vm2", 7), (peer, message.batch))
+        self.server.is_stopping = True
+        self.serve()
+        (message,) = self.get_messages()
+        self.assertEqual(7, message.batch)
         self.assertEqual(
             [(0, Ran.NOT_RUN), (1, Ran.NOT_RUN), (2, Ran.NOT_RUN)],
             [(item.index, item.ran) for item in message.failures],
         )
-        self.assertEqual({}, server.batches)
-        self.assertEqual(["batches_returned"], counts)
+        self.assertEqual({}, self.server.batches)
+        self.assertEqual(["batches_returned"], self.counts)
+
+
+class WholeResponseTests(BatchServerTestCase):
+    """Calls whose responses are returned whole, and not merged."""
+
+    def test_batch_ends_with_its_last_call_whatever_the_outcomes(self):
+        for failures in range(len(TARGETS) + 1):
+            self.serve(wants_responses=True)
+            exchanges, self.targets.exchanges = self.targets.exchanges, []
+            for exchange in exchanges[failures:]:
+                self.answer(exchange)
+            for exchange in exchanges[:failures]:
+                exchange.fail(FailureReason.RESET)
+            self.assertEqual({}, self.server.batches, failures)
