Return the calls of a batch that are given up for lost links

What was seen: by reading.

Cause: only the reason of limits was translated. Now such a call is returned as not run, or as unknown if it was sent. The test fails before and passes.

--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -16,7 +16,7 @@
 from ..core.batches import NEVER, FlushSchedule
 from ..core.clock import Clock
 from ..core.fanout import Call, CallKind
-from ..core.outcomes import Failure, FailureReason, Ran
+from ..core.outcomes import OWN_REASONS, Failure, FailureReason, Ran
 from ..core.placement import Placement
 from ..core.record_merge import RecordMerge
 from ..core.target_reach import TargetReach
@@ -183,7 +183,7 @@
         self.cancel()
 
     def return_failures(self, indexes: Iterable[int], ran: Ran) -> None:
-        """Return calls as failed because this process is stopping."""
+        """Return calls as failed because this process doesn't make them."""
         failures = tuple(
             BatchedFailure(index, FailureReason.CANCELLED, ran) for index in indexes
         )
@@ -269,14 +269,19 @@
     def process_failure(self, index: int, call: Call, failure: Failure) -> None:
         """Process a call without an answer.
 
-        One that its target's limit held back is reported as a refusal.
+        One that its target's limit held back is reported as a refusal, and one that was
+        given up because the links of this VM are lost is returned. Both reasons are
+        this process's own; other releases don't know them.
         """
-        if failure.reason is not FailureReason.LIMITED:
+        if failure.reason not in OWN_REASONS:
             self.note_failure(call, failure)
             self.fail(index, failure)
             return
-        self.server.count("batch_limited")
         self.server.placement.note_withdrawn(call.target.id, call.id)
+        if failure.reason is FailureReason.UNREACHED:
+            self.fail(index, Failure(FailureReason.CANCELLED, failure.ran))
+            return
+        self.server.count("batch_limited")
         self.report(
             BatchedFailure(
                 index,
--- a/tests/forwarding/test_batch_server.py
+++ b/tests/forwarding/test_batch_server.py
@@ -131,3 +131,22 @@
             for exchange in exchanges[:failures]:
                 exchange.fail(FailureReason.RESET)
             self.assertEqual({}, self.server.batches, failures)
+
+    def test_calls_given_up_for_lost_links_are_returned(self):
+        self.serve(wants_responses=True)
+        sent, waiting, _ = self.targets.exchanges
+        sent.is_transmitted = True
+        for exchange in (sent, waiting):
+            exchange.fail(FailureReason.UNREACHED)
+        outcomes = [
+            (item.reason, item.ran)
+            for message in self.get_messages()
+            for item in message.failures
+        ]
+        self.assertEqual(
+            [
+                (FailureReason.CANCELLED, Ran.UNKNOWN),
+                (FailureReason.CANCELLED, Ran.NOT_RUN),
+            ],
+            outcomes,
+        )
