Repeat calls that other VMs return with growing delays

What was seen: by reading. A VM without links whose deputies all returned its calls at once (stopping, overloaded, or cut off themselves) sent them again at once, a message each millisecond and shard until the deadline.

Cause: a returned call was taken out of the tried targets, so the delay after the last target never came. The first return is still answered at once. The test fails before (one call each millisecond) and passes.

--- a/sesameplank/core/fanout.py
+++ b/sesameplank/core/fanout.py
@@ -125,6 +125,11 @@
         """Whether the shard may still be answered."""
         return not self.is_answered and not self.is_abandoned
 
+    @property
+    def backoff_s(self) -> float:
+        """The delay of the next retry in seconds, if it isn't sent at once."""
+        return min(MAX_RETRY_BACKOFF_S, RETRY_BACKOFF_S * 2 ** min(self.failures, 4))
+
 
 class Fanout:
     """The decisions on one request: which calls to send next and when it is finished.
@@ -350,14 +355,22 @@
         """Record a call that another VM returns because it doesn't make it.
 
         If it wasn't sent to its target, it is neither extra load nor the target's
-        failure. Return the retry, if one is sent at once.
+        failure, and after an earlier failure the retry waits: all other VMs may return
+        what they get. Return the retry, if one is sent at once.
         """
         shard = self.shards[call.shard]
-        if ran is Ran.NOT_RUN:
-            shard.arrived_calls.discard(call.id)
-            if call.target.id in shard.tried_targets:
-                shard.tried_targets.remove(call.target.id)
-        return self.on_failure(call, ran, now)
+        if ran is not Ran.NOT_RUN:
+            return self.on_failure(call, ran, now)
+        shard.arrived_calls.discard(call.id)
+        if call.target.id in shard.tried_targets:
+            shard.tried_targets.remove(call.target.id)
+        if not shard.failures:
+            return self.on_failure(call, ran, now)
+        shard.calls.pop(call.id, None)
+        shard.failures += 1
+        if shard.is_open and not shard.calls:
+            self.schedule_retry(shard, now + shard.backoff_s)
+        return []
 
     def note_batched(self, calls: Sequence[Call]) -> None:
         """Record that another VM makes these calls.
@@ -390,8 +403,7 @@
         untried = [item for item in allowed if item.id not in shard.tried_targets]
         if not untried:
             shard.tried_targets.clear()
-            backoff_s = RETRY_BACKOFF_S * 2 ** min(shard.failures, 4)
-            self.schedule_retry(shard, now + min(MAX_RETRY_BACKOFF_S, backoff_s))
+            self.schedule_retry(shard, now + shard.backoff_s)
             return []
         if shard.arrived_calls and not self.take_retry_token(shard, now):
             self.schedule_retry(shard, now + BUDGET_RECHECK_S)
--- a/tests/core/test_fanout.py
+++ b/tests/core/test_fanout.py
@@ -232,6 +232,21 @@
         self.budget.get("s0", 100.04).tokens = 0.0
         self.assertEqual([], self.fanout.on_misdirected(hedge, "other", 100.05))
 
+    def test_calls_that_other_vms_return_are_repeated_with_growing_delays(self):
+        for replicas in ("a", "ab"):
+            calls = self.start(shards=1, required=1, replicas=replicas)
+            sent, now = 0, 100.0
+            while now < 100.5:
+                for call in calls:
+                    sent += 1
+                    self.fanout.note_batched([call])
+                    calls = self.fanout.on_returned(call, Ran.NOT_RUN, now + 0.001)
+                now += 0.001
+                calls = calls or self.fanout.on_timer(now)
+            self.assertLessEqual(sent, 12, replicas)
+            self.assertGreaterEqual(sent, 4, replicas)
+            self.assertTrue(self.fanout.is_certainly_not_run)
+
     def test_not_run_is_reported_only_when_it_is_certain(self):
         self.make(shards=1, required=1, idempotent=False)
         (call,) = self.fanout.start(100.0)
