A limit of 0 has no holders, and calls go to other VMs that can return them

What was seen: by reading. A request to a service whose targets all name a limit of 0 was sent on a hop instead of being refused at once. A VM could be told to send calls through itself, and then dialled itself.

Cause: VMs with a part were taken from the ranking alone; whether a VM can make calls for this one was decided in two places, differently. Now core/batches.find_deputies decides it for lost links and limits, and get_holders is empty without a part. The new cases of test_limit_admission and test_call_batches fail before.

--- a/sesameplank/core/batch_messages.py
+++ b/sesameplank/core/batch_messages.py
@@ -16,11 +16,12 @@
 
     `batch` identifies the batch among those of the sender. `head` and `tail` are the
     encoded request without the headers that differ between targets. `top_k` is the
-    number of greatest records to return. `remaining_ms` is the time until the
-    deadline, and `flush_ms` the time from which answers are returned at once. If
+    number of greatest records to return. `remaining_ms` is the time until the deadline,
+    and `flush_ms` the time from which answers are returned at once. If
     `wants_responses`, the responses are returned whole, each at once, and not merged.
     `is_head` says that they have no body, and `is_idempotent` that the request may run
-    more than once. `is_deputy` says that the sender has lost its own links to targets.
+    more than once. `has_lost_targets` says that the sender has lost its links to
+    targets.
     """
 
     batch: int
@@ -34,7 +35,7 @@
     wants_responses: bool = False
     is_idempotent: bool = True
     is_head: bool = False
-    is_deputy: bool = False
+    has_lost_targets: bool = False
 
 
 class BatchedLoad(msgspec.Struct, frozen=True, array_like=True):
--- a/sesameplank/core/batches.py
+++ b/sesameplank/core/batches.py
@@ -49,6 +49,21 @@
     }
 
 
+def find_deputies(members: Iterable[Member], own: EntryId) -> list[Member]:
+    """Return the VMs that make calls of any kind for the VM `own`.
+
+    They reach targets, and their release returns responses that are not merged.
+    """
+    return [
+        member
+        for member in members
+        if member.reaches_targets
+        and member.serves_single_calls
+        and member.id != own
+        and member.health is Health.ALIVE
+    ]
+
+
 class AggregatorChoice:
     """The choice of the VM that makes a batch of calls; times are in seconds.
 
@@ -82,22 +97,14 @@
         return self.rng.choice(candidates) if candidates else None
 
     def choose_deputy(
-        self, data_centre: DataCentre, members: Sequence[Member], now: float
+        self, data_centre: DataCentre, deputies: Sequence[Member], now: float
     ) -> EntryId | None:
-        """Return a VM that makes calls to a data centre for a VM without own links.
+        """Return the deputy that makes calls to a data centre, or None without any.
 
         VMs there come first, and each is chosen in proportion to its capacity.
         """
-        able = [
-            member
-            for member in members
-            if member.reaches_targets
-            and member.serves_single_calls
-            and member.id != self.own_id
-            and member.health is Health.ALIVE
-        ]
-        kept = [item for item in able if now >= self.avoid_until.get(item.id, 0.0)]
-        able = kept or able
+        kept = [item for item in deputies if now >= self.avoid_until.get(item.id, 0.0)]
+        able = kept or deputies
         near = [item for item in able if item.data_centre == data_centre] or able
         if not near:
             return None
--- a/sesameplank/core/limit_admission.py
+++ b/sesameplank/core/limit_admission.py
@@ -20,6 +20,7 @@
 MIN_RETRY_S = 0.02
 MAX_RETRY_S = 2.0
 NO_PART_RETRY_S = 0.05  # Another process has the parts.
+NO_ROOM_RETRY_S = 1.0  # No process has a part: the limit is 0.
 
 GetReady = Callable[[ServiceName], Sequence[TargetRecord]]
 
@@ -71,14 +72,29 @@
             return None
         waits = sorted(self.get_wait_s(service, reserve, now) for service in services)
         wait_s = waits[required - 1]
-        is_single = len(services) == 1
-        if not wait_s or (wait_s == NEVER and is_single):
+        if not wait_s:
             return None
         if wait_s == NEVER:
-            return NO_PART_RETRY_S
+            return self.find_retry_elsewhere_s(services, now)
         spread_s = wait_s * (1.0 + self.rng.random())
         return min(MAX_RETRY_S, max(MIN_RETRY_S, spread_s))
 
+    def find_retry_elsewhere_s(
+        self, services: Sequence[ServiceName], now: float
+    ) -> float | None:
+        """Return the delay of a request of whose limits this process has no part.
+
+        It is None if the request is to a single service that is called through others.
+        """
+        has_holders = any(
+            self.limits.get_holders(item.id, now)
+            for service in services
+            for item in self.get_ready(service)
+        )
+        if not has_holders:
+            return NO_ROOM_RETRY_S
+        return None if len(services) == 1 else NO_PART_RETRY_S
+
     def get_wait_s(self, service: ServiceName, reserve: float, now: float) -> float:
         """Return the time until a ready target of a service has room, in seconds.
 
--- a/sesameplank/core/limit_parts.py
+++ b/sesameplank/core/limit_parts.py
@@ -38,9 +38,9 @@
         `per_s` is the limit of the target for all processes together.
         """
 
-    def get_holders(self, per_s: float) -> Sequence[EntryId]:
-        """Return the processes that make calls to a limited target for others."""
-        return ()
+    @abstractmethod
+    def get_holders(self, target: TargetId, per_s: float) -> Sequence[EntryId]:
+        """Return the processes that have a part of a target's limit, if any has."""
 
 
 class WholePart(LimitParts):
@@ -50,6 +50,10 @@
         """Return the limit."""
         return per_s
 
+    def get_holders(self, target: TargetId, per_s: float) -> Sequence[EntryId]:
+        """Return no other process."""
+        return ()
+
 
 class ActiveVmParts(LimitParts):
     """Equal parts for the active VMs, or for a few of them.
@@ -105,11 +109,13 @@
             return 0.0
         if not self.has_heard:
             return per_s / UNKNOWN_FLEET_SIZE
-        holders = len(self.get_holders(per_s))
+        holders = len(self.get_holders(target, per_s))
         return self.share * per_s / holders if self.place < holders else 0.0
 
-    def get_holders(self, per_s: float) -> list[EntryId]:
+    def get_holders(self, target: TargetId, per_s: float) -> list[EntryId]:
         """Return the VMs of this side of the fleet that have a part of a limit."""
+        if not per_s:
+            return []
         holders = int(self.share * (per_s + SPARE_HOLDERS))
         if not holders and self.share > MAJORITY_SHARE:
             holders = 1
@@ -127,6 +133,11 @@
 
     def get_part_per_s(self, target: TargetId, per_s: float) -> float:
         """Return the limit divided by the first homes, or 0 if this is none of them."""
-        homes = self.plan.get_homes(target)
-        holders = homes[: int(per_s) + SPARE_HOLDERS]
+        holders = self.get_holders(target, per_s)
         return per_s / len(holders) if self.plan.own_id in holders else 0.0
+
+    def get_holders(self, target: TargetId, per_s: float) -> list[EntryId]:
+        """Return the first homes of a target, as many as a limit is divided among."""
+        if not per_s:
+            return []
+        return self.plan.get_homes(target)[: int(per_s) + SPARE_HOLDERS]
--- a/sesameplank/core/target_limits.py
+++ b/sesameplank/core/target_limits.py
@@ -185,9 +185,11 @@
         return missing / limit.part_per_s if limit.part_per_s else NEVER
 
     def get_holders(self, target: TargetId, now: float) -> Sequence[EntryId]:
-        """Return the processes that have a part of a target's limit."""
+        """Return the processes that have a part of a target's limit, if any has."""
         limit = self.limits.get(target)
-        return () if limit is None else self.parts.get_holders(limit.get_per_s(now))
+        if limit is None:
+            return ()
+        return self.parts.get_holders(target, limit.get_per_s(now))
 
     def has_part(self, target: TargetId, now: float) -> bool:
         """Return whether this process may call a target now or later."""
--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -94,7 +94,7 @@
             batch.refuse()
             return
         self.count("batches_served")
-        if message.is_deputy:
+        if message.has_lost_targets:
             self.log.note_call(
                 "calls_made_for",
                 request=message.request_id,
--- a/sesameplank/forwarding/call_batches.py
+++ b/sesameplank/forwarding/call_batches.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from ..core.batch_messages import BatchCancel, BatchedAnswers, BatchedCalls
-from ..core.batches import AggregatorChoice, group_by_data_centre
+from ..core.batches import AggregatorChoice, find_deputies, group_by_data_centre
 from ..core.clock import Clock
 from ..core.fanout import Call, CallKind
 from ..core.peer_messages import Member
@@ -120,31 +120,42 @@
                 groups.setdefault((peer, is_merged), []).append(call)
         sent = []
         for (peer, is_merged), group in groups.items():
-            sent += self.send(peer, group, request, is_merged=is_merged, is_deputy=True)
+            sent += self.send(
+                peer, group, request, is_merged=is_merged, has_lost_targets=True
+            )
         return sent
 
     def send_to_holders(
         self, calls: Sequence[Call], request: BatchRequest, limits: TargetLimits
     ) -> list[CallBatch]:
         """Send calls to limited targets through VMs that have a part of the limit."""
+        deputies = self.get_deputies()
         sent = []
         for call in calls:
             holders = limits.get_holders(call.target.id, self.clock.now())
-            linked = [item for item in holders if self.is_linked(item)]
+            able = [item for item in deputies if item.id in holders]
+            linked = self.find_linked(able)
             if linked:
-                peer = self.choice.rng.choice(linked)
+                peer = self.choice.rng.choice(linked).id
                 sent += self.send(peer, [call], request, is_merged=False)
         return sent
 
+    def get_deputies(self) -> list[Member]:
+        """Return the VMs that make calls of any kind for this one."""
+        return find_deputies(self.get_members(), self.choice.own_id)
+
     def get_linked_deputies(self) -> list[Member]:
-        """Return the VMs with links to targets that this VM has a link to.
+        """Return the deputies that this VM has a link to."""
+        return self.find_linked(self.get_deputies())
+
+    def find_linked(self, members: Sequence[Member]) -> list[Member]:
+        """Return those of the VMs that this one has a link to.
 
         If there are none, open links to a few for later calls.
         """
-        able = [item for item in self.get_members() if item.reaches_targets]
-        linked = [item for item in able if self.links.is_connected(item.id)]
+        linked = [item for item in members if self.links.is_connected(item.id)]
         if not linked:
-            for member in able[:DEPUTY_LINKS]:
+            for member in members[:DEPUTY_LINKS]:
                 self.is_linked(member.id)
         return linked
 
@@ -155,7 +166,7 @@
         request: BatchRequest,
         *,
         is_merged: bool,
-        is_deputy: bool = False,
+        has_lost_targets: bool = False,
     ) -> list[CallBatch]:
         """Send a batch to a VM; return it in a list, which is empty if that failed."""
         now = self.clock.now()
@@ -172,7 +183,7 @@
             wants_responses=not is_merged,
             is_idempotent=request.is_idempotent,
             is_head=request.is_head,
-            is_deputy=is_deputy,
+            has_lost_targets=has_lost_targets,
         )
         if not self.links.send(peer, message):
             return []
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -232,4 +232,8 @@
             for item in targets
         }
         with_room = [item for item in targets if not waits[item.id]]
-        return with_room or [item for item in targets if waits[item.id] == NEVER]
+        return with_room or [
+            item
+            for item in targets
+            if waits[item.id] == NEVER and self.limits.get_holders(item.id, now)
+        ]
--- a/tests/forwarding/test_call_batches.py
+++ b/tests/forwarding/test_call_batches.py
@@ -10,7 +10,9 @@
 from sesameplank.core.batches import AggregatorChoice
 from sesameplank.core.clock import ManualClock
 from sesameplank.core.fanout import Call, CallKind
+from sesameplank.core.limit_parts import ActiveVmParts
 from sesameplank.core.members import make_own_record
+from sesameplank.core.target_limits import TargetLimits
 from sesameplank.core.target_table import TargetPhase, TargetRecord
 from sesameplank.forwarding.call_batches import BatchRequest, CallBatches
 from sesameplank.forwarding.http_messages import RequestEncoder
@@ -55,8 +57,8 @@
         return True
 
 
-class DeputyTests(testtools.TestCase):
-    """Calls go to VMs that reach targets, and merged answers share no shard."""
+class CallBatchesTestCase(testtools.TestCase):
+    """Sends calls of a VM through others whose links are stand-ins."""
 
     def make(self, members, connected) -> CallBatches:
         self.links = Links(connected)
@@ -92,7 +94,13 @@
 
     def send(self, batches, calls, *, is_gather=True, is_idempotent=True):
         """Send calls and return the messages."""
-        request = BatchRequest(
+        request = self.make_request(is_gather, is_idempotent)
+        batches.send_through_deputies(calls, request)
+        return self.links.sent
+
+    def make_request(self, is_gather=True, is_idempotent=True) -> BatchRequest:
+        """Return the request that calls are made for."""
+        return BatchRequest(
             "r1",
             RequestEncoder(b"GET", b"/", [], b""),
             5,
@@ -103,8 +111,10 @@
             is_idempotent=is_idempotent,
             is_head=False,
         )
-        batches.send_through_deputies(calls, request)
-        return self.links.sent
+
+
+class DeputyTests(CallBatchesTestCase):
+    """Calls go to VMs that reach targets, and merged answers share no shard."""
 
     def test_only_first_calls_of_a_gather_are_merged(self):
         members = [make_member(number) for number in range(3)]
@@ -158,3 +168,36 @@
             batches, calls, is_gather=False, is_idempotent=False
         )
         self.assertFalse(message.is_idempotent)
+
+
+class HolderTests(CallBatchesTestCase):
+    """Calls to limited targets go to VMs that have a part of the limit."""
+
+    def send_limited(self, own: str, per_s: float, **changes) -> list[str]:
+        """Send calls of a VM to a limited target; return the VMs that got them."""
+        members = [make_member(number, **changes) for number in range(6)]
+        batches = self.make(members, [member.id for member in members])
+        batches.choice.own_id = own
+        parts = ActiveVmParts(own, 2)
+        parts.update([member.id for member in members], len(members), 0.0)
+        limits = TargetLimits(parts)
+        calls = self.make_calls(CallKind.FIRST, 1)
+        limits.name(calls[0].target.id, per_s, 5.0, "vm9")
+        self.holders = limits.get_holders(calls[0].target.id, 5.0)
+        for _ in range(20):
+            batches.send_to_holders(calls, self.make_request(), limits)
+        return [peer for peer, _ in self.links.sent]
+
+    def test_only_other_vms_with_a_part_get_calls(self):
+        peers = self.send_limited("vm0", 1.0)
+        self.assertEqual(set(self.holders) - {"vm0"}, set(peers))
+        own = self.holders[0]
+        self.assertNotIn(own, self.send_limited(own, 1.0))
+
+    def test_no_vm_gets_calls_to_a_target_that_takes_none(self):
+        for own in ("vm0", "vm1", "vm2"):
+            self.assertEqual([], self.send_limited(own, 0.0))
+            self.assertEqual([], self.links.dialled)
+
+    def test_vms_that_cannot_return_single_responses_get_none(self):
+        self.assertEqual([], self.send_limited("vm0", 1.0, serves_single_calls=False))
