Bound the lines about limits that can't be read, and decode answers once

What was seen: by reading. A target that states no number wrote a line for each of its answers, without bound, in two places; and an entry decoded every answer twice.

Cause: the reason why a limit can't be read was not part of what the limits are told, so each interface logged it itself, past the bounds of LimitLog.

--- a/sesameplank/core/target_limits.py
+++ b/sesameplank/core/target_limits.py
@@ -38,6 +38,15 @@
     per_s: float | None
 
 
+class UnreadableLimit(msgspec.Struct, frozen=True):
+    """A limit in an answer that can't be read, and why; it changes nothing."""
+
+    reason: str
+
+
+LimitStatement = LimitNews | UnreadableLimit
+
+
 class LimitEvent(Enum):
     """A change of what is known of a target's limit."""
 
@@ -95,28 +104,38 @@
 
 # Gets the event, the target and its limit.
 LimitListener = Callable[[LimitEvent, TargetId, TargetLimit], None]
+# Gets the target and the reason.
+UnreadableListener = Callable[[TargetId, str], None]
 
 
 class TargetLimits:
-    """The limits of all targets; `listeners` are told of every change."""
+    """The limits of all targets.
+
+    `listeners` are told of every change, and `unreadable_listeners` of every limit that
+    can't be read.
+    """
 
     def __init__(self, parts: LimitParts) -> None:
         self.parts = parts
         self.limits: dict[TargetId, TargetLimit] = {}
         self.listeners: list[LimitListener] = []
+        self.unreadable_listeners: list[UnreadableListener] = []
 
     def is_limited(self, target: TargetId) -> bool:
         """Return whether a limit of the target is known."""
         return target in self.limits
 
     def note_answer(
-        self, target: TargetId, news: LimitNews, sent_at: float, now: float
+        self, target: TargetId, statement: LimitStatement, sent_at: float, now: float
     ) -> None:
         """Record what the answer to a call that was sent at `sent_at` says."""
-        if news.per_s is None:
+        if isinstance(statement, UnreadableLimit):
+            for listener in self.unreadable_listeners:
+                listener(target, statement.reason)
+        elif statement.per_s is None:
             self.lift(target, sent_at, now)
         else:
-            self.name(target, news.per_s, now, OWN_CALL)
+            self.name(target, statement.per_s, now, OWN_CALL)
 
     def name(
         self, target: TargetId, per_s: float, confirmed_at: float, source: str
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -116,9 +116,8 @@
         )
         self.leaving_targets = LeavingTargets(self.clock)
         self.limits = TargetLimits(HomeParts(self.connection_plan))
-        self.limits.listeners.append(
-            LimitLog(self.clock, lambda: {"config_version": self.store.version})
-        )
+        limit_log = LimitLog(self.clock, lambda: {"config_version": self.store.version})
+        limit_log.follow(self.limits)
         self.reach = TargetReach(self.rng, self.clock.now())
         self.direct_dispatcher = DirectDispatcher(
             self.clock,
--- a/sesameplank/forwarding/dialect.py
+++ b/sesameplank/forwarding/dialect.py
@@ -12,7 +12,7 @@
 
 from ..core.outcomes import Failure, FailureReason, Ran
 from ..core.placement import LoadReport
-from ..core.target_limits import LimitNews
+from ..core.target_limits import LimitStatement
 from ..ids import RequestId, TargetId
 from .http_messages import Headers, Request, Response
 
@@ -36,13 +36,12 @@
     `request_id` is the id of the request that it belongs to, and `idle_timeout_s` how
     long the target keeps an idle connection open, in seconds; each is None if the
     response does not contain it. `limit` is what it says of the target's rate limit,
-    None if it comes from another target or can't be read; `limit_error` says why not.
+    None if it comes from another target.
     """
 
     request_id: RequestId | None
     idle_timeout_s: float | None
-    limit: LimitNews | None = None
-    limit_error: str | None = None
+    limit: LimitStatement | None = None
 
 
 class TargetAnswer(msgspec.Struct, frozen=True):
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -106,9 +106,8 @@
             settings.vm, len({*self.seed_ids, settings.vm})
         )
         self.limits = TargetLimits(self.limit_parts)
-        self.limits.listeners.append(
-            LimitLog(clock, lambda: {"targets_revision": self.table.revision})
-        )
+        limit_log = LimitLog(clock, lambda: {"targets_revision": self.table.revision})
+        limit_log.follow(self.limits)
         self.reach = TargetReach(rng, clock.now())
         self.pools = TargetPools(clock, dialect, settings.vm, self.limits, self.reach)
         self.reach_probes = ReachProbes(
--- a/sesameplank/forwarding/target_pools.py
+++ b/sesameplank/forwarding/target_pools.py
@@ -9,13 +9,12 @@
 
 from ..core.clock import Clock
 from ..core.outcomes import FailureReason
-from ..core.target_limits import TargetLimits
+from ..core.target_limits import LimitStatement, TargetLimits
 from ..core.target_reach import SILENCE_S, TargetReach
 from ..core.target_table import TargetRecord
 from ..ids import TargetId
-from ..logs import log_event
 from ..net import Address, set_no_delay
-from .dialect import Dialect, ResponseMetadata
+from .dialect import Dialect
 from .target_connections import DEFAULT_IDLE_TIMEOUT_S, Exchange, TargetConnection
 
 CONNECT_TIMEOUT_S = 1.0
@@ -176,18 +175,11 @@
                 return
         self.idle.append(connection)
 
-    def note_limit(self, metadata: ResponseMetadata, sent_at: float) -> None:
+    def note_limit(self, statement: LimitStatement | None, sent_at: float) -> None:
         """Record what the answer to a call sent at `sent_at` says of the rate limit."""
-        if metadata.limit_error is not None:
-            log_event(
-                "target_limit_unreadable",
-                target=self.record.id,
-                reason=metadata.limit_error,
-            )
-        if metadata.limit is not None:
-            self.limits.note_answer(
-                self.record.id, metadata.limit, sent_at, self.clock.now()
-            )
+        if statement is not None:
+            now = self.clock.now()
+            self.limits.note_answer(self.record.id, statement, sent_at, now)
 
     def remove(self, connection: TargetConnection) -> None:
         """Remove a closed connection; open a new one if a waiting call needs one."""
--- a/sesameplank/platform/headers.py
+++ b/sesameplank/platform/headers.py
@@ -5,7 +5,7 @@
 from functools import lru_cache
 
 from ..core.placement import LoadReport
-from ..core.target_limits import LimitNews
+from ..core.target_limits import LimitNews, LimitStatement, UnreadableLimit
 from ..forwarding.dialect import (
     Dialect,
     RequestMetadata,
@@ -67,12 +67,10 @@
     def read_response_metadata(self, response: Response) -> ResponseMetadata:
         """Return the request id, the idle timeout and the target's rate limit."""
         request_id = response.get(REQUEST_ID.lower())
-        limit, limit_error = read_limit(response)
         return ResponseMetadata(
             RequestId(request_id) if request_id else None,
             parse_idle_timeout_s(response.get(b"keep-alive")),
-            limit,
-            limit_error,
+            read_limit(response),
         )
 
     def read_answer(self, response: Response) -> TargetAnswer:
@@ -149,20 +147,20 @@
     return LoadReport(fields[0], fields[1], fields[2], slowdown)
 
 
-def read_limit(response: Response) -> tuple[LimitNews | None, str | None]:
-    """Return what a response says of the target's rate limit, and why it can't be read.
+def read_limit(response: Response) -> LimitStatement | None:
+    """Return what a response says of the target's rate limit.
 
-    Another target's response says nothing of it.
+    Return None for another target's response.
     """
     name = TARGET_LIMIT.lower()
     if response.status == MISDIRECTED:
-        return None, None
+        return None
     if name not in response.first_values:
-        return LimitNews(None), None
+        return LimitNews(None)
     values = [value for key, value in response.headers if key.lower() == name]
     if len(values) > 1:
-        return None, "stated more than once"
+        return UnreadableLimit("stated more than once")
     text = values[0].decode("latin-1").strip()
     if not DECIMAL_NUMBER.fullmatch(text):
-        return None, "not a decimal number"
-    return LimitNews(float(text)), None
+        return UnreadableLimit("not a decimal number")
+    return LimitNews(float(text))
--- a/sesameplank/targets/dispatch.py
+++ b/sesameplank/targets/dispatch.py
@@ -22,10 +22,14 @@
     TargetSearchAnswer,
 )
 from ..core.outcomes import Failure, FailureReason, Ran
-from ..core.target_limits import LimitNews, TargetLimits
+from ..core.target_limits import (
+    LimitNews,
+    LimitStatement,
+    TargetLimits,
+    UnreadableLimit,
+)
 from ..core.target_reach import ProbedTarget, TargetReach
 from ..ids import RequestId, TargetId
-from ..logs import log_event
 from ..net import Address
 from .pool import TargetPool
 
@@ -49,10 +53,14 @@
     limit_per_s: Any = None
 
 
-def is_rate(value: object) -> bool:
-    """Return whether a decoded JSON value is a finite number that is not negative."""
+def read_limit(value: object) -> LimitStatement:
+    """Return what the value of `limit_per_s` says, as it was decoded from JSON."""
+    if value is None:
+        return LimitNews(None)
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    return is_number and 0.0 <= value < math.inf
+    if is_number and 0.0 <= value < math.inf:
+        return LimitNews(value)
+    return UnreadableLimit("not a number of at least 0")
 
 
 class Dispatcher(ABC):
@@ -278,9 +286,10 @@
         sent_at = self.clock.now()
 
         def decode_and_note(payload: bytes):
+            answer = decode(payload)
             if path in LIMIT_PATHS:
-                self.note_limit(target, payload, sent_at)
-            return decode(payload)
+                self.note_limit(target, answer, sent_at)
+            return answer
 
         outcome = pool.call(method, path, body, deadline_at, decode_and_note, answer_by)
         self.note_reach(outcome)
@@ -305,22 +314,17 @@
         ]
         return now - min(started, default=now)
 
-    def note_limit(self, target: TargetId, payload: bytes, sent_at: float) -> None:
+    def note_limit(self, target: TargetId, answer: object, sent_at: float) -> None:
         """Record the rate limit in the answer to a call that was sent at a time.
 
-        Also the answers to calls of other entries are read, which this one relays.
+        The answer to a call that is relayed for another entry is still encoded.
         """
-        try:
-            per_s = msgspec.json.decode(payload, type=StatedLimit).limit_per_s
-        except msgspec.DecodeError:
-            return  # `decode` reports what is wrong with the answer.
-        if per_s is None or is_rate(per_s):
-            news = LimitNews(per_s)
-            self.limits.note_answer(target, news, sent_at, self.clock.now())
-        else:
-            log_event(
-                "target_limit_unreadable", target=target, reason="not a number >= 0"
-            )
+        if isinstance(answer, bytes):
+            answer = decode_answer(answer, StatedLimit)
+        if isinstance(answer, Failure):
+            return  # The failure says what is wrong with the answer.
+        statement = read_limit(answer.limit_per_s)
+        self.limits.note_answer(target, statement, sent_at, self.clock.now())
 
 
 def decode_answer(payload: bytes, answer_type):
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from sesameplank.core.target_limits import LimitNews
+from sesameplank.core.target_limits import LimitNews, UnreadableLimit
 from sesameplank.forwarding.http_messages import Request, Response
 from sesameplank.platform.headers import (
     PlatformDialect,
@@ -152,12 +152,9 @@
             (b"5", b"5"),
         ):
             metadata = self.read(*values)
-            self.assertIsNone(metadata.limit, values)
-            self.assertIsNotNone(metadata.limit_error, values)
+            self.assertIsInstance(metadata.limit, UnreadableLimit, values)
 
     def test_another_target_says_nothing_of_the_limit(self):
         for values in ((), (b"5",)):
             metadata = self.read(*values, status=421)
-            self.assertEqual(
-                (None, None), (metadata.limit, metadata.limit_error), values
-            )
+            self.assertIsNone(metadata.limit, values)
