Entries: ask only homes that have a part of a limit, and tell old releases known reasons

What was seen: by reading. A call to a target whose limit is used up was sent to each of its other homes in turn, up to seven peer calls for nothing. A home that held a call back, or had lost its links, said so with a reason that an entry of release 0.6 can't decode, which ends the link's greenlet.

Cause: the parts were known to each home but not used to choose among them, and reasons of this process went over the wire as they are. The new cases of tests/targets/test_relay fail before. The expectation of the reason when no home reaches targets is the one that goes over the wire (RELAY, not run as before).

--- a/sesameplank/targets/relay.py
+++ b/sesameplank/targets/relay.py
@@ -5,9 +5,9 @@
 from ..core.clock import Clock
 from ..core.homes import ConnectionPlan
 from ..core.leaving import LeavingSource
-from ..core.outcomes import Failure, FailureReason, Ran
+from ..core.outcomes import OWN_REASONS, Failure, FailureReason, Ran
 from ..core.peer_messages import RelayedAnswer, RelayedCall, TargetLeaving
-from ..ids import TargetId
+from ..ids import EntryId, TargetId
 from ..peers import PeerContext, PeerLinks
 from .dispatch import (
     NEW_WORK_PATHS,
@@ -18,7 +18,7 @@
 from .pool import TargetPool
 
 MAX_UPDATE_AGE_S = 5.0
-TARGETS_LOST = Failure(FailureReason.UNREACHED, Ran.NOT_RUN, "no links to targets")
+TARGETS_LOST = Failure(FailureReason.RELAY, Ran.NOT_RUN, "no links to targets")
 NO_HOME = Failure(FailureReason.RELAY, Ran.NOT_RUN, "no home of the target is known")
 
 
@@ -94,9 +94,7 @@
         """
         call = RelayedCall(target, path, body, int(answer_grace_s * 1_000))
         outcome: RelayedAnswer | Failure = NO_HOME
-        for home in self.plan.get_homes(target):
-            if home == self.plan.own_id:
-                continue
+        for home in self.get_homes_to_ask(target):
             self.relayed_calls += 1
             outcome = self.links.call(home, call, deadline_at + answer_grace_s)
             if not isinstance(outcome, Failure):
@@ -105,10 +103,25 @@
                 return msgspec.structs.replace(outcome, reason=FailureReason.RELAY)
         return outcome
 
+    def get_homes_to_ask(self, target: TargetId) -> list[EntryId]:
+        """Return the other homes that can call a target, in the order to ask them.
+
+        Those without a part of its rate limit are left out if the limit is known here.
+        """
+        limits = self.direct.limits
+        homes = self.plan.get_homes(target)
+        if limits.is_limited(target):
+            homes = limits.get_holders(target, self.clock.now())
+        return [home for home in homes if home != self.plan.own_id]
+
     def serve(
         self, message: RelayedCall, context: PeerContext
     ) -> RelayedAnswer | Failure:
-        """Forward another entry's call to a target on a connection of this process."""
+        """Forward another entry's call to a target on a connection of this process.
+
+        Failures with reasons of this process are told as those of a relay: other
+        releases don't know these reasons.
+        """
         if message.path in NEW_WORK_PATHS and self.leaving.is_leaving(message.target):
             return TARGET_LEAVING
         if self.direct.reach.is_lost:
@@ -122,7 +135,11 @@
             bytes,
             context.deadline_at,
         )
-        return payload if isinstance(payload, Failure) else RelayedAnswer(payload)
+        if not isinstance(payload, Failure):
+            return RelayedAnswer(payload)
+        if payload.reason in OWN_REASONS:
+            return msgspec.structs.replace(payload, reason=FailureReason.RELAY)
+        return payload
 
     def notify_leaving(self, target: TargetId) -> None:
         """Notify the neighbours of this process that a target was marked as leaving."""
