Look at waiting calls only when nothing is heard, and build batches only when needed

Cause: ten times a second each VM went through the calls of all pools, also while answers came in; each round of calls built the description of the request twice, also without any limit.

Connections that wait since the first of several dials count from that one. TargetReach.since was never read.

--- a/sesameplank/core/target_limits.py
+++ b/sesameplank/core/target_limits.py
@@ -212,7 +212,7 @@
 
     def has_part(self, target: TargetId, now: float) -> bool:
         """Return whether this process may call a target now or later."""
-        return target not in self.limits or self.get_wait_s(target, now) < NEVER
+        return self.get_wait_s(target, now) < NEVER
 
     def take(self, target: TargetId, now: float, reserve: float = 0.0) -> bool:
         """Take a token for a call that is sent now; return False if there is none."""
--- a/sesameplank/core/target_reach.py
+++ b/sesameplank/core/target_reach.py
@@ -52,14 +52,14 @@
 class TargetReach:
     """The state of this process's links to targets; times are in seconds.
 
-    `heard_at` is when a target last answered or accepted a connection, and `since` the
-    time of the last change of `state`.
+    `heard_at` is when a target last answered or accepted a connection. `is_suspected`
+    says that the links may be lost, and `is_whole_sample` that the latest round of
+    probes was large enough to show it.
     """
 
     def __init__(self, rng: random.Random, now: float) -> None:
         self.rng = rng
         self.state = ReachState.REACHED
-        self.since = now
         self.heard_at = now
         self.is_suspected = False
         self.is_whole_sample = False
@@ -123,8 +123,7 @@
         self.is_suspected = bool(outcomes) and not reached
         state = self.find_state(reached, len(outcomes))
         has_changed = state is not self.state
-        if has_changed:
-            self.state, self.since = state, now
+        self.state = state
         return has_changed
 
     def find_state(self, reached: int, probed: int) -> ReachState:
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -234,16 +234,19 @@
             return []
         if self.forwarder.reach.is_lost:
             return batches.send_through_deputies(calls, self.make_batch_request())
+        sent = []
         limits = self.forwarder.limits
-        now = self.clock.now()
-        without_part = [
-            call for call in calls if not limits.has_part(call.target.id, now)
-        ]
-        sent = batches.send_to_holders(without_part, self.make_batch_request(), limits)
-        if not self.route.is_gather or self.is_head:
-            return sent
-        unlimited = [call for call in calls if not limits.is_limited(call.target.id)]
-        sent += batches.send_to_data_centres(unlimited, self.make_batch_request())
+        if limits.limits:
+            now = self.clock.now()
+            without_part = [
+                call for call in calls if not limits.has_part(call.target.id, now)
+            ]
+            if without_part:
+                request = self.make_batch_request()
+                sent += batches.send_to_holders(without_part, request, limits)
+            calls = [call for call in calls if not limits.is_limited(call.target.id)]
+        if self.route.is_gather and not self.is_head:
+            sent += batches.send_to_data_centres(calls, self.make_batch_request())
         return sent
 
     def make_batch_request(self) -> BatchRequest:
--- a/sesameplank/forwarding/target_pools.py
+++ b/sesameplank/forwarding/target_pools.py
@@ -26,7 +26,8 @@
 class TargetPool:
     """The connections to one target, and the calls that wait for a connection.
 
-    `dialling` is the number of connections that are being opened.
+    `dialling` is the number of connections that are being opened, the first of them
+    since `dialled_at`.
     """
 
     def __init__(
@@ -120,8 +121,9 @@
 
     def start_dial(self) -> None:
         """Open a connection in the background."""
+        if not self.dialling:
+            self.dialled_at = self.clock.now()
         self.dialling += 1
-        self.dialled_at = self.clock.now()
         gevent.spawn(self.dial)
 
     def get_longest_wait_s(self, now: float) -> float:
--- a/sesameplank/reach_probes.py
+++ b/sesameplank/reach_probes.py
@@ -59,7 +59,8 @@
     def check(self, *, is_active: bool) -> None:
         """Start a round of probes if one is due and none is running."""
         now = self.clock.now()
-        if self.get_longest_wait_s(now) >= SILENCE_S <= now - self.reach.heard_at:
+        is_silent = now - self.reach.heard_at >= SILENCE_S
+        if is_silent and self.get_longest_wait_s(now) >= SILENCE_S:
             self.reach.note_suspicion()
         if self.round is None and self.reach.is_probe_due(now, is_active=is_active):
             sample = self.reach.choose_sample(self.get_targets(), now)
