One copy of the share of the fleet that is seen, and of notices that collect targets

The parts of limits computed the share of the largest known fleet as the parts of the slack do (core/fleet_share), and notices of limits collected targets and chose VMs as those of late targets do (forwarding/collected_notices). No decision changes.

--- a/sesameplank/core/limit_parts.py
+++ b/sesameplank/core/limit_parts.py
@@ -18,9 +18,9 @@
 from collections.abc import Sequence
 
 from ..ids import EntryId, TargetId
+from .fleet_share import FleetShare
 from .homes import ConnectionPlan, rank
-from .recent_maximum import RecentMaximum
-from .slack_share import MAX_PARTITION_S, UNKNOWN_FLEET_SIZE
+from .slack_share import UNKNOWN_FLEET_SIZE
 
 RANKING_KEY = "limits"
 # Processes that share a limit: one for each request a second, and these.
@@ -58,19 +58,13 @@
 class ActiveVmParts(LimitParts):
     """Equal parts for the active VMs, or for a few of them.
 
-    `named_vms` is the number of VMs that the settings name, including its own. `share`
-    is the share of the largest known fleet that this process sees, and `place` its own
-    place in the ranking of the active VMs, None if it isn't active.
+    `named_vms` is the number of VMs that the settings name, including its own. `place`
+    is the place of this VM in the ranking of the active VMs, None if it isn't active.
     """
 
     def __init__(self, own_id: EntryId, named_vms: int) -> None:
         self.own_id = own_id
-        self.named_vms = named_vms
-        self.has_heard = named_vms == 1
-        self.present = RecentMaximum(MAX_PARTITION_S)
-        self.told = RecentMaximum(MAX_PARTITION_S)
-        self.largest = 1
-        self.share = 1.0
+        self.fleet = FleetShare(named_vms)
         self.active: tuple[EntryId, ...] = ()
         self.ranked: list[EntryId] = []
         self.place: int | None = None
@@ -81,23 +75,13 @@
         `present` is the number of VMs that it believes to be running, including its
         own.
         """
-        known = self.present.update(present, now)
-        self.has_heard = self.has_heard or known > 1
-        self.largest = max(self.named_vms, known, self.told.get(now))
-        self.share = present / self.largest
+        self.fleet.update(present, now)
         if self.active != tuple(active):
             self.active = tuple(active)
             self.ranked = rank(RANKING_KEY, active)
             is_active = self.own_id in self.ranked
             self.place = self.ranked.index(self.own_id) if is_active else None
 
-    def note_told(self, largest: int, now: float) -> None:
-        """Record the size of the largest fleet that another VM knows.
-
-        A process that has just started hasn't seen the VMs that are away.
-        """
-        self.told.update(max(largest, self.told.get(now)), now)
-
     def get_part_per_s(self, target: TargetId, per_s: float) -> float:
         """Return the part of this side of the fleet, divided by its holders.
 
@@ -107,17 +91,17 @@
         """
         if self.place is None:
             return 0.0
-        if not self.has_heard:
+        if self.fleet.named_vms > 1 and not self.fleet.has_seen_others:
             return per_s / UNKNOWN_FLEET_SIZE
         holders = len(self.get_holders(target, per_s))
-        return self.share * per_s / holders if self.place < holders else 0.0
+        return self.fleet.share * per_s / holders if self.place < holders else 0.0
 
     def get_holders(self, target: TargetId, per_s: float) -> list[EntryId]:
         """Return the VMs of this side of the fleet that have a part of a limit."""
         if not per_s:
             return []
-        holders = int(self.share * (per_s + SPARE_HOLDERS))
-        if not holders and self.share > MAJORITY_SHARE:
+        holders = int(self.fleet.share * (per_s + SPARE_HOLDERS))
+        if not holders and self.fleet.share > MAJORITY_SHARE:
             holders = 1
         return self.ranked[:holders]
 
--- a/sesameplank/core/slack_share.py
+++ b/sesameplank/core/slack_share.py
@@ -4,16 +4,15 @@
 don't agree on it, so the parts have to add up to 1 at most for whatever each of them
 believes. In a network partition, each side knows only some of the VMs and sends callers
 to its own active ones. A side therefore uses only as much of the slack as it has VMs,
-compared with the largest fleet that it has seen in MAX_PARTITION_S.
+see `fleet_share`.
 
 A process that started during a partition has seen no larger fleet. The number of VMs
 among which the slack is divided is therefore never less than the number that can be
 active at all, which follows from the configuration.
 """
 
-from .recent_maximum import RecentMaximum
+from .fleet_share import FleetShare
 
-MAX_PARTITION_S = 600.0
 MIN_ACTIVE_VMS = 4
 # Among so many VMs the slack is divided until a process has heard of another one.
 UNKNOWN_FLEET_SIZE = 64
@@ -23,7 +22,7 @@
     """The part of the slack that this process may use, from 0 to 1."""
 
     def __init__(self) -> None:
-        self.present = RecentMaximum(MAX_PARTITION_S)
+        self.fleet = FleetShare()
 
     def update(
         self, now: float, *, present: int, active: int, useful: int, is_active: bool
@@ -34,10 +33,10 @@
         own, and `active` the number of those that callers are sent to. `useful` is
         the number that can be active by the configuration, 0 if unknown.
         """
-        largest = self.present.update(present, now)
+        self.fleet.update(present, now)
         if not is_active:
             return 0.0
         parts = max(active, useful, MIN_ACTIVE_VMS)
-        if largest <= 1:
+        if self.fleet.largest <= 1:
             parts = max(parts, UNKNOWN_FLEET_SIZE)
-        return present / largest / parts
+        return self.fleet.share / parts
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -281,7 +281,7 @@
                 continue
             is_news = self.forwarder.placement.note_late(call.target.id, age_s, now)
             if is_news and self.forwarder.late_notices is not None:
-                self.forwarder.late_notices.add(call.target.id, age_s)
+                self.forwarder.late_notices.collect(call.target.id, age_s)
 
     def find_unobserved(self) -> set[AttemptId]:
         """Return the calls of batches of which nothing is known."""
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -407,7 +407,7 @@
             "connections_opened": self.pools.opened,
             "copies_refused": self.budget.refused,
             "copies_taken": self.budget.taken,
-            "limit_share": round(self.limit_parts.share, 4),
+            "limit_share": round(self.limit_parts.fleet.share, 4),
             "slack_share": round(self.budget.slack_share, 4),
             "peer_bytes_sent": self.links.counters.bytes_sent,
         }
--- a/tests/core/test_limit_parts.py
+++ b/tests/core/test_limit_parts.py
@@ -5,8 +5,9 @@
 
 import testtools
 
+from sesameplank.core.fleet_share import MAX_PARTITION_S
 from sesameplank.core.limit_parts import SPARE_HOLDERS, ActiveVmParts
-from sesameplank.core.slack_share import MAX_PARTITION_S, UNKNOWN_FLEET_SIZE
+from sesameplank.core.slack_share import UNKNOWN_FLEET_SIZE
 from sesameplank.core.target_limits import LimitNews, TargetLimits
 
 TARGET = "t1"
@@ -102,8 +103,8 @@
         process.parts.update(active, len(self.views[process.name]), now)
         if self.rng.random() < STEP_S / NOTICE_INTERVAL_S:
             others = self.views[process.name] - {process.name}
-            told = (self.processes[item].parts.largest for item in others)
-            process.parts.note_told(max(told, default=0), now)
+            told = (self.processes[item].parts.fleet.largest for item in others)
+            process.parts.fleet.note_told(max(told, default=0), now)
         if now < process.knows_at:
             return
         news = LimitNews(self.per_s)
@@ -221,7 +222,7 @@
 
     def test_process_that_has_just_started_hears_of_the_vms_that_are_away(self):
         parts = self.make("a", "b")
-        parts.note_told(4, 0.0)
+        parts.fleet.note_told(4, 0.0)
         parts.update(("a", "b"), 2, 0.1)
         self.assertEqual(2.5, parts.get_part_per_s(TARGET, 10.0))
 
--- a/tests/core/test_slack_share.py
+++ b/tests/core/test_slack_share.py
@@ -5,8 +5,8 @@
 import testtools
 
 from sesameplank.core.extra_load import ExtraLoadBounds, ExtraLoadBudget
+from sesameplank.core.fleet_share import MAX_PARTITION_S
 from sesameplank.core.slack_share import (
-    MAX_PARTITION_S,
     MIN_ACTIVE_VMS,
     UNKNOWN_FLEET_SIZE,
     SlackShare,
--- a/tests/forwarding/test_late_notices.py
+++ b/tests/forwarding/test_late_notices.py
@@ -9,8 +9,8 @@
 from sesameplank.core.peer_messages import TargetsLate
 from sesameplank.core.placement import MIN_REMAINING_PAUSE_S, Placement
 from sesameplank.core.target_table import TargetPhase, TargetRecord
+from sesameplank.forwarding.collected_notices import COLLECT_S
 from sesameplank.forwarding.late_notices import (
-    COLLECT_S,
     MAX_NOTICE_AGE_S,
     MAX_NOTIFIED,
     LateNotices,
@@ -79,14 +79,14 @@
         self.assertTrue(self.placement.note_late("a", 0.05, 0.5))
 
     def test_targets_of_about_the_same_time_share_a_notice(self):
-        self.notices.add("a", 0.05)
-        self.notices.add("b", 0.06)
+        self.notices.collect("a", 0.05)
+        self.notices.collect("b", 0.06)
         gevent.sleep(2 * COLLECT_S)
         notice = TargetsLate((("a", 50), ("b", 60)))
         self.assertEqual({("m1", notice), ("m2", notice)}, set(self.links.sent))
 
     def test_number_of_notices_is_bounded_in_large_fleets(self):
         self.others = [f"m{n}" for n in range(1, 500)]
-        self.notices.add("a", 0.05)
+        self.notices.collect("a", 0.05)
         gevent.sleep(2 * COLLECT_S)
         self.assertEqual(MAX_NOTIFIED, len(self.links.sent))
--- a/tests/forwarding/test_limit_notices.py
+++ b/tests/forwarding/test_limit_notices.py
@@ -8,8 +8,8 @@
 from sesameplank.core.clock import ManualClock
 from sesameplank.core.limit_parts import ActiveVmParts
 from sesameplank.core.target_limits import LimitNews, TargetLimits
+from sesameplank.forwarding.collected_notices import COLLECT_S
 from sesameplank.forwarding.limit_notices import (
-    COLLECT_S,
     MAX_NOTICE_AGE_S,
     REPEAT_INTERVAL_S,
     REPEATED_TO,
