Split the three largest modules of forwarding by job

Moves: the calls of a request that other VMs make (forwarding/request_batches), the plan, calls and shards of a fan-out (core/fanout_calls), gauges and state dump of a process (forwarding/front_report).

--- a/sesameplank/core/batches.py
+++ b/sesameplank/core/batches.py
@@ -15,7 +15,7 @@
 from collections.abc import Iterable, Sequence
 
 from ..ids import DataCentre, EntryId
-from .fanout import Call, CallKind
+from .fanout_calls import Call, CallKind
 from .homes import rank
 from .peer_messages import Health, Member
 
--- a/sesameplank/core/fanout_plans.py
+++ b/sesameplank/core/fanout_plans.py
@@ -5,7 +5,7 @@
 from ..ids import ServiceName
 from .call_times import CallTimes
 from .extra_load import ExtraLoadBudget
-from .fanout import FanoutPlan
+from .fanout_calls import FanoutPlan
 from .routes import Route
 
 ANSWER_MARGIN_S = 0.006  # Time reserved before the latency objective.
--- a/sesameplank/core/fleet_share.py
+++ b/sesameplank/core/fleet_share.py
@@ -15,6 +15,7 @@
 
     `named_vms` is the number of VMs that the settings name, including its own.
     `largest` is the size of the largest fleet known, and `share` is from 0 to 1.
+    `has_seen_others` says that the process has ever seen another one.
     """
 
     def __init__(self, named_vms: int = 1) -> None:
--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -15,7 +15,7 @@
 )
 from ..core.batches import NEVER, FlushSchedule
 from ..core.clock import Clock
-from ..core.fanout import Call, CallKind
+from ..core.fanout_calls import Call, CallKind
 from ..core.outcomes import OWN_REASONS, Failure, FailureReason, Ran
 from ..core.placement import Placement
 from ..core.record_merge import RecordMerge
--- a/sesameplank/forwarding/call_batches.py
+++ b/sesameplank/forwarding/call_batches.py
@@ -12,7 +12,7 @@
 from ..core.batch_messages import BatchCancel, BatchedAnswers, BatchedCalls
 from ..core.batches import AggregatorChoice, find_deputies, group_by_data_centre
 from ..core.clock import Clock
-from ..core.fanout import Call, CallKind
+from ..core.fanout_calls import Call, CallKind
 from ..core.peer_messages import Member
 from ..core.target_limits import TargetLimits
 from ..ids import AttemptId, DataCentre, EntryId, RequestId
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -8,24 +8,19 @@
 import msgspec
 from gevent.event import Event
 
-from ..core.batch_messages import (
-    BatchedAnswer,
-    BatchedAnswers,
-    BatchedFailure,
-    BatchedResponse,
-)
-from ..core.fanout import Call, CallKind, Fanout, FanoutPlan, Verdict
+from ..core.fanout import Fanout, Verdict
+from ..core.fanout_calls import Call, CallKind, FanoutPlan
 from ..core.fanout_plans import make_fanout_plan
 from ..core.gathered_parts import GatheredParts
-from ..core.outcomes import OWN_REASONS, Failure, FailureReason, Ran
+from ..core.outcomes import OWN_REASONS, Failure, Ran
 from ..core.placement import LoadReport
 from ..core.routes import Route, RoutingConfiguration
 from ..core.target_table import TargetRecord
 from ..ids import AttemptId, ServiceName, TargetId
 from .answer_accounts import CloseCause
-from .call_batches import BatchRequest, CallBatch
 from .dialect import RequestMetadata, TargetAnswer, find_failure
 from .http_messages import Request, RequestEncoder, Response
+from .request_batches import RequestBatches
 from .request_handling import Reply, RequestContext
 from .target_connections import Exchange
 
@@ -71,8 +66,7 @@
         self.error_part: Part | None = None
         self.extra_calls = 0
         self.exchanges: dict[AttemptId, Exchange] = {}
-        self.batches: list[CallBatch] = []
-        self.batched: dict[AttemptId, CallBatch] = {}
+        self.batches = RequestBatches(self)
         self.encoder = RequestEncoder(
             request.method,
             request.target,
@@ -121,7 +115,7 @@
             )
         self.dispatch(self.fanout.start(now))
         verdict = self.wait()
-        self.fanout.finish(self.clock.now(), self.find_unobserved())
+        self.fanout.finish(self.clock.now(), self.batches.find_unobserved())
         self.abandon_all()
         elapsed_s = self.clock.now() - self.context.received_at
         self.forwarder.metrics.observe(self.route.name, elapsed_s)
@@ -154,7 +148,7 @@
             shards=len(self.plan.shards),
             required=self.plan.required,
             repeated=self.extra_calls,
-            through=",".join(sorted({batch.peer for batch in self.batches})) or "-",
+            through=self.batches.list_vms(),
             not_run=self.fanout.is_certainly_not_run,
             after_ms=int(elapsed_s * 1_000),
             goal_ms=int((self.plan.objective_at - self.context.received_at) * 1_000),
@@ -196,7 +190,7 @@
         """Send calls in batches, or submit them to the pools of their targets."""
         for call in calls:
             self.count_call(call)
-        for call in self.send_batches(calls):
+        for call in self.batches.send(calls):
             pool = self.forwarder.connection_shares.get_pool(call.target)
             exchange = Exchange(
                 call,
@@ -210,64 +204,16 @@
             self.exchanges[call.id] = exchange
             pool.submit(exchange)
 
-    def send_batches(self, calls: list[Call]) -> list[Call]:
-        """Send calls through other VMs, and return those that this one sends itself."""
-        sent = self.choose_batches(calls)
-        self.batches += sent
-        for batch in sent:
-            self.context.calls += len(batch.calls)
-            self.fanout.note_batched(batch.calls)
-            for call in batch.calls:
-                self.batched[call.id] = batch
-                self.forwarder.count("batched_calls")
-        return [call for call in calls if call.id not in self.batched]
-
-    def choose_batches(self, calls: list[Call]) -> list[CallBatch]:
-        """Send calls through other VMs, and return the batches.
-
-        Those are first calls to other data centres, and all calls if this VM has lost
-        its links to targets. This VM sends calls to a limited target itself, unless it
-        has no part of the limit.
-        """
-        batches = self.forwarder.batches
-        if batches is None or not calls:
-            return []
-        if self.forwarder.reach.is_lost:
-            return batches.send_through_deputies(calls, self.make_batch_request())
-        sent = []
-        limits = self.forwarder.limits
-        if limits.limits:
-            now = self.clock.now()
-            without_part = [
-                call for call in calls if not limits.has_part(call.target.id, now)
-            ]
-            if without_part:
-                request = self.make_batch_request()
-                sent += batches.send_to_holders(without_part, request, limits)
-            calls = [call for call in calls if not limits.is_limited(call.target.id)]
-        if self.route.is_gather and not self.is_head:
-            sent += batches.send_to_data_centres(calls, self.make_batch_request())
-        return sent
-
-    def make_batch_request(self) -> BatchRequest:
-        """Return what other VMs need to know of this request."""
-        return BatchRequest(
-            self.metadata.request_id,
-            self.encoder,
-            self.route.top_k,
-            self.plan.objective_at,
-            self.plan.deadline_at,
-            self.on_batch_answers,
-            is_gather=self.route.is_gather and not self.is_head,
-            is_idempotent=self.route.idempotent,
-            is_head=self.is_head,
-        )
-
     @property
     def is_head(self) -> bool:
         """Whether the caller requested only the head of the response."""
         return self.request.method == b"HEAD"
 
+    @property
+    def is_merged(self) -> bool:
+        """Whether the answers of several shards are merged into the reply."""
+        return self.route.is_gather and not self.is_head
+
     def note_late_calls(self, now: float) -> None:
         """Record the targets of late calls, and notify other VMs about them.
 
@@ -275,7 +221,7 @@
         """
         for call in self.fanout.pop_late_calls():
             age_s = now - call.sent_at
-            batch = self.batched.get(call.id)
+            batch = self.batches.pending.get(call.id)
             if batch is not None and not batch.has_answered:
                 self.forwarder.batches.note_late(batch)
                 continue
@@ -283,80 +229,6 @@
             if is_news and self.forwarder.late_notices is not None:
                 self.forwarder.late_notices.collect(call.target.id, age_s)
 
-    def find_unobserved(self) -> set[AttemptId]:
-        """Return the calls of batches of which nothing is known."""
-        return {call for call, batch in self.batched.items() if not batch.has_answered}
-
-    def on_batch_answers(self, batch: CallBatch, message: BatchedAnswers) -> None:
-        """Process answers and failures of a batch; wake `wait` if necessary.
-
-        The records of all answers are merged, so all of them are used or none.
-        """
-        signatures = {
-            batch.calls[item.index].shard: item.signature for item in message.answers
-        }
-        if signatures:
-            self.parts.add_merged(signatures, message.records)
-        for item in message.answers:
-            self.process_batched_answer(batch.calls[item.index], item)
-        for item in message.responses:
-            self.process_batched_response(batch.calls[item.index], item)
-        for item in message.failures:
-            self.process_batched_failure(batch, batch.calls[item.index], item)
-        self.wake_if_needed()
-
-    def process_batched_answer(self, call: Call, item: BatchedAnswer) -> None:
-        """Process the answer to one call of a batch, whose records are merged."""
-        self.batched.pop(call.id, None)
-        load = None if item.load is None else item.load.unpack()
-        placement = self.forwarder.placement
-        if load is not None:
-            placement.note_report(call.target.id, load, self.clock.now())
-        placement.note_answer(call.target.id, call.id, self.clock.now())
-        self.process_success(call, load, item.elapsed_us / 1_000_000)
-
-    def process_batched_response(self, call: Call, item: BatchedResponse) -> None:
-        """Process a whole response to a call of a batch."""
-        if self.batched.pop(call.id, None) is None:
-            return
-        response = Response()
-        response.status = item.status
-        for name, value in item.headers:
-            response.add(name, value)
-        response.body += item.body
-        self.process_response(call, response)
-
-    def process_batched_failure(
-        self, batch: CallBatch, call: Call, item: BatchedFailure
-    ) -> None:
-        """Process a call of a batch that failed or was refused."""
-        if self.batched.pop(call.id, None) is None:
-            return
-        if item.is_limited:
-            self.process_limited(call)
-        elif item.is_other_target:
-            self.process_misdirected(call, item.answered_by)
-        elif item.is_refusal:
-            load = None if item.load is None else item.load.unpack()
-            self.process_refusal(call, load)
-        elif item.reason is FailureReason.CANCELLED:
-            self.process_returned(batch, call, item.ran)
-        else:
-            self.process_failure(call, item.unpack())
-
-    def process_limited(self, call: Call) -> None:
-        """Process a call for which another VM found no room at its target."""
-        self.forwarder.count("batched_calls_limited")
-        self.forwarder.placement.note_withdrawn(call.target.id, call.id)
-        self.dispatch(self.fanout.on_limited(call, self.clock.now()))
-
-    def process_returned(self, batch: CallBatch, call: Call, ran: Ran) -> None:
-        """Process a call that the VM of its batch returns instead of making it."""
-        self.forwarder.count("batched_calls_returned")
-        self.forwarder.batches.note_returned(batch)
-        self.forwarder.placement.note_withdrawn(call.target.id, call.id)
-        self.dispatch(self.fanout.on_returned(call, ran, self.clock.now()))
-
     def count_call(self, call: Call) -> None:
         """Count a call by its kind, and again if it goes to another data centre."""
         self.forwarder.count(f"calls_{call.kind.value}")
@@ -534,21 +406,13 @@
             exchange = self.exchanges.get(call.id)
             if exchange is not None:
                 self.abandon(exchange)
-            self.withdraw(call)
-
-    def withdraw(self, call: Call) -> None:
-        """Disregard the outcome of a call of a batch from now on."""
-        if self.batched.pop(call.id, None) is not None:
-            self.forwarder.placement.note_withdrawn(call.target.id, call.id)
+            self.batches.withdraw(call)
 
     def abandon_all(self) -> None:
         """Cancel all calls that are in flight."""
         for exchange in list(self.exchanges.values()):
             self.abandon(exchange)
-        for batch in self.batches:
-            self.forwarder.batches.cancel(batch)
-            for call in batch.calls:
-                self.withdraw(call)
+        self.batches.cancel()
 
     def abandon(self, exchange: Exchange) -> None:
         """Cancel a call whose answer is no longer needed."""
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -3,7 +3,7 @@
 from ..core.call_times import CallTimes
 from ..core.clock import Clock
 from ..core.extra_load import ExtraLoadBudget
-from ..core.fanout import Call, FanoutPlan
+from ..core.fanout_calls import Call, FanoutPlan
 from ..core.limit_admission import LimitAdmission
 from ..core.placement import Placement
 from ..core.queue_admission import QueueAdmission, get_allowed_waits
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -46,6 +46,7 @@
 from .connection_shares import ConnectionShares
 from .dialect import Dialect
 from .forwarder import BATCH, Forwarder
+from .front_report import make_gauges, make_state
 from .http_messages import Request
 from .late_notices import LateNotices
 from .limit_notices import LimitNotices
@@ -388,29 +389,7 @@
 
     def get_gauges(self) -> dict[str, float]:
         """Return the current values of the gauges, for logs and metrics."""
-        now = self.clock.now()
-        age_s = self.store.age_s
-        return {
-            "fleet_size": self.connection_shares.fleet_size,
-            "config_version": self.store.version,
-            "config_age_s": -1.0 if age_s is None else age_s,
-            "targets_era": self.table.era,
-            "targets_revision": self.table.revision,
-            "targets": len(self.table.records),
-            "targets_limited": len(self.limits.limits),
-            "targets_lost": int(self.reach.is_lost),
-            "targets_heard_age_s": round(now - self.reach.heard_at, 3),
-            "in_flight": self.caller_server.in_flight,
-            "requests_pending": self.caller_server.pending,
-            "caller_connections": len(self.caller_server.connections),
-            "loop_delay_s": self.housekeeping.get_delay_s(now),
-            "connections_opened": self.pools.opened,
-            "copies_refused": self.budget.refused,
-            "copies_taken": self.budget.taken,
-            "limit_share": round(self.limit_parts.fleet.share, 4),
-            "slack_share": round(self.budget.slack_share, 4),
-            "peer_bytes_sent": self.links.counters.bytes_sent,
-        }
+        return make_gauges(self)
 
     def render_metrics(self) -> str:
         """Return counters, gauges and latencies in the Prometheus text format."""
@@ -418,35 +397,7 @@
 
     def get_state(self) -> dict:
         """Return the state of this process for a dump, as JSON-compatible values."""
-        now = self.clock.now()
-        return {
-            "vm": self.settings.vm,
-            "is_ready": self.is_ready,
-            "is_stopping": self.shutdown.is_requested,
-            "gauges": self.get_gauges(),
-            "members": {
-                member.id: {
-                    "address": member.address,
-                    "data_centre": member.data_centre,
-                    "phase": member.phase.name.lower(),
-                    "health": member.health.name.lower(),
-                }
-                for member in self.membership.members.values()
-            },
-            "targets": {
-                record.id: {
-                    "service": record.service,
-                    "address": record.address,
-                    "phase": record.phase.value,
-                    "in_flight": len(self.placement.get(record.id).in_flight),
-                    "slowness": self.placement.get(record.id).slowness.get(now),
-                    "is_avoided": self.placement.is_avoided(record.id, now),
-                    "is_held": record.id in self.table.held_until,
-                    "limit": self.limits.describe(record.id, now),
-                }
-                for record in self.table.records.values()
-            },
-        }
+        return make_state(self)
 
     @property
     def is_active(self) -> bool:
--- a/sesameplank/forwarding/target_connections.py
+++ b/sesameplank/forwarding/target_connections.py
@@ -13,7 +13,7 @@
 import gevent
 import gevent.socket
 
-from ..core.fanout import Call
+from ..core.fanout_calls import Call
 from ..core.outcomes import Failure, FailureReason, Ran
 from ..ids import RequestId
 from .http_messages import Response, ResponseReader
--- a/tests/core/test_batches.py
+++ b/tests/core/test_batches.py
@@ -14,7 +14,7 @@
     FlushSchedule,
     group_by_data_centre,
 )
-from sesameplank.core.fanout import Call, CallKind
+from sesameplank.core.fanout_calls import Call, CallKind
 from sesameplank.core.peer_messages import Health, Member, Phase
 from sesameplank.core.target_table import TargetPhase, TargetRecord
 
--- a/tests/core/test_fanout.py
+++ b/tests/core/test_fanout.py
@@ -5,14 +5,8 @@
 import testtools
 
 from sesameplank.core.extra_load import ExtraLoadBounds, ExtraLoadBudget
-from sesameplank.core.fanout import (
-    BUDGET_RECHECK_S,
-    NEVER,
-    CallKind,
-    Fanout,
-    FanoutPlan,
-    Verdict,
-)
+from sesameplank.core.fanout import BUDGET_RECHECK_S, Fanout, Verdict
+from sesameplank.core.fanout_calls import NEVER, CallKind, FanoutPlan
 from sesameplank.core.outcomes import Ran
 from sesameplank.core.placement import Placement
 from sesameplank.core.target_table import TargetPhase, TargetRecord
--- a/tests/forwarding/load_simulation.py
+++ b/tests/forwarding/load_simulation.py
@@ -15,7 +15,8 @@
 
 from sesameplank.core.call_times import CallTimes
 from sesameplank.core.extra_load import ExtraLoadBounds, ExtraLoadBudget
-from sesameplank.core.fanout import Call, Fanout, Verdict
+from sesameplank.core.fanout import Fanout, Verdict
+from sesameplank.core.fanout_calls import Call
 from sesameplank.core.fanout_plans import get_required, make_fanout_plan
 from sesameplank.core.outcomes import Ran
 from sesameplank.core.placement import LoadReport, Placement
--- a/tests/forwarding/test_call_batches.py
+++ b/tests/forwarding/test_call_batches.py
@@ -9,7 +9,7 @@
 from sesameplank.core.batch_messages import BatchedCalls
 from sesameplank.core.batches import AggregatorChoice
 from sesameplank.core.clock import ManualClock
-from sesameplank.core.fanout import Call, CallKind
+from sesameplank.core.fanout_calls import Call, CallKind
 from sesameplank.core.limit_parts import ActiveVmParts
 from sesameplank.core.members import make_own_record
 from sesameplank.core.target_limits import TargetLimits
