--- a/sesameplank/coordination.py
+++ b/sesameplank/coordination.py
@@ -235,6 +235,7 @@
                     "epoch": member.epoch,
                     "phase": member.phase.name.lower(),
                     "health": member.health.name.lower(),
+                    "reaches_targets": member.reaches_targets,
                     "is_published": member.id in self.membership.published,
                 }
                 for member in self.membership.members.values()
--- a/sesameplank/forwarding/front_report.py
+++ b/sesameplank/forwarding/front_report.py
@@ -49,6 +49,7 @@
                 "data_centre": member.data_centre,
                 "phase": member.phase.name.lower(),
                 "health": member.health.name.lower(),
+                "reaches_targets": member.reaches_targets,
             }
             for member in front.membership.members.values()
         },
--- a/tests/integration/test_lost_targets.py
+++ b/tests/integration/test_lost_targets.py
@@ -97,6 +97,8 @@
                 lambda front=front: set(self.get_addresses(front)) == expected,
                 "the addresses",
             )
+            members = self.get_state(front)["members"]
+            self.assertFalse(members[self.fronts[self.cut].host]["reaches_targets"])
         self.restore_links()
         for front in range(self.front_count):
             self.wait_for(
