Count only VMs that were heard when limits and the slack are divided

Callers saw: nothing yet; targets could get up to three times their limit right after the start of a fleet, and the slack was divided by 4 at once by a process that had heard of no other.

Cause: Membership.get_present includes the VMs that only the settings name, of which no record has arrived. So a new process believed at once that it had seen others, and the rule "a process that has heard of no other takes very little" never held in a real process: its part was the whole limit, since it was the only active VM that it knew.

Change: Membership.get_heard, used for both FleetShares. The integration test now bounds the sum of the parts at once by 1.5 of the limit, and waits for the settled parts before it asks who has none; a second test has a process whose named peers aren't there.

--- a/sesameplank/core/fleet_share.py
+++ b/sesameplank/core/fleet_share.py
@@ -29,7 +29,8 @@
     def update(self, present: int, now: float) -> None:
         """Apply the number of VMs that the process believes to be running at `now`.
 
-        `present` includes its own; `now` is in seconds.
+        `present` includes its own, and none that only the settings name; `now` is in
+        seconds.
         """
         seen = self.present.update(present, now)
         self.has_seen_others = self.has_seen_others or seen > 1
--- a/sesameplank/core/membership.py
+++ b/sesameplank/core/membership.py
@@ -105,13 +105,16 @@
         """Return the sorted ids of all running entries, including this one."""
         return sorted(item.id for item in self.members.values() if item.is_present)
 
+    def get_heard(self) -> list[EntryId]:
+        """Return the sorted ids of the running entries that published a record."""
+        members = self.members
+        return [entry for entry in self.get_present() if members[entry].epoch]
+
     def get_serving(self) -> list[EntryId]:
         """Return the sorted ids of the entries that may be offered to callers."""
-        return sorted(
-            item.id
-            for item in self.members.values()
-            if item.is_present and item.phase is Phase.SERVING and item.epoch
-        )
+        members = self.members
+        heard = self.get_heard()
+        return [entry for entry in heard if members[entry].phase is Phase.SERVING]
 
     def get_serving_with_targets(self) -> list[EntryId]:
         """Return the serving entries that reach targets, or all if none does."""
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -227,7 +227,7 @@
         self.active: list[Member] = []
         self.active_state: tuple | None = None
         self.useful_vms: int | None = None
-        self.present_vms = 1
+        self.heard_vms = 1
         self.housekeeping = LoopDelay(HOUSEKEEPING_INTERVAL_S)
         self.shutdown = Shutdown(
             clock,
@@ -418,7 +418,7 @@
         self.connection_shares.set_fleet_size(fleet_size)
         share = self.slack_share.update(
             now,
-            present=self.present_vms,
+            present=self.heard_vms,
             active=active,
             useful=self.useful_vms or 0,
             is_active=self.is_active,
@@ -429,7 +429,7 @@
         """Update the parts of the targets' rate limits, and pass the limits on."""
         now = self.clock.now()
         active = [member.id for member in self.get_active()]
-        self.limit_parts.update(active, self.present_vms, now)
+        self.limit_parts.update(active, self.heard_vms, now)
         self.limits.expire(now)
         self.limit_notices.repeat()
 
@@ -441,7 +441,7 @@
         """Return the members that callers are sent to.
 
         VMs that have lost their links to targets are left out, unless all have. They
-        are chosen again, and `useful_vms` and `present_vms` are counted, only after the
+        are chosen again, and `useful_vms` and `heard_vms` are counted, only after the
         members, the configuration or the targets have changed.
         """
         state = (
@@ -452,7 +452,7 @@
         if state != self.active_state:
             self.active_state = state
             self.useful_vms = self.connection_shares.get_useful_fleet_size()
-            self.present_vms = len(self.membership.get_present())
+            self.heard_vms = len(self.membership.get_heard())
             members = self.membership.members
             able = [
                 members[entry] for entry in self.membership.get_serving_with_targets()
--- a/tests/core/test_membership.py
+++ b/tests/core/test_membership.py
@@ -265,6 +265,14 @@
         network.run(CONVERGENCE_S)
         network.assert_views_agree(self, network.processes)
 
+    def test_listed_entry_is_heard_only_with_its_own_record(self):
+        network = Network(2, 1)
+        process = network.processes["e00"]
+        self.assertEqual(["e00", "e01"], process.get_present())
+        self.assertEqual(["e00"], process.get_heard())
+        network.run(2.0)
+        self.assertEqual(["e00", "e01"], process.get_heard())
+
     def test_neighbours_are_bounded_at_every_size(self):
         for count in (2, 8, 100):
             network = Network(count, 1)
--- a/tests/integration/test_target_limits.py
+++ b/tests/integration/test_target_limits.py
@@ -5,6 +5,8 @@
 import gevent
 import gevent.pool
 
+from sesameplank.core.slack_share import UNKNOWN_FLEET_SIZE
+
 from .front_world import FrontTestCase, make_request
 
 SETTLING_S = 4.0
@@ -12,6 +14,7 @@
 TOLERANCE = 1.5
 SPARE_CALLS = 5
 LIMIT_PER_S = 2.0
+SMALL_LIMIT_PER_S = 0.9
 REQUESTS = 300
 REQUEST_GAP_S = 0.03
 CONCURRENCY = 12
@@ -75,22 +78,49 @@
     def test_process_without_a_part_of_a_small_limit_calls_through_others(self):
         limited = ("singlea", "singleb")
         for name in limited:
-            self.targets[name].stated_limit = b"0.9"
+            self.targets[name].stated_limit = b"%g" % SMALL_LIMIT_PER_S
         pool = gevent.pool.Pool(CONCURRENCY)
         for number in range(self.front_count * 6):
             pool.spawn(self.send, number, "/one/x", "GET")
         pool.join(raise_error=True)
-        parts = [self.get_part(front, limited[0]) for front in range(self.front_count)]
-        self.assertEqual(1, parts.count(0.0), parts)
-        without_part = parts.index(0.0)
+        parts = self.get_parts(limited[0])
+        self.assertLessEqual(sum(parts), TOLERANCE * SMALL_LIMIT_PER_S, parts)
+        half = SMALL_LIMIT_PER_S / 2
+        self.wait_for(
+            lambda: sorted(self.get_parts(limited[0])) == [0.0, half, half],
+            "equal parts of two processes",
+        )
+        without_part = self.get_parts(limited[0]).index(0.0)
         for number in range(2):
             gevent.sleep(3.0)
             data = make_request("/one/x", f"through{number}")
             self.assertEqual(200, self.request(data, without_part).status)
 
+    def get_parts(self, target: str) -> list[float]:
+        """Return the parts of a target's limit by process."""
+        return [self.get_part(front, target) for front in range(self.front_count)]
+
     def get_part(self, front: int, target: str) -> float:
         """Return a process's part of a target's limit, once it knows the limit."""
         self.wait_for_state(
             front, lambda state: state["targets"][target]["limit"] is not None
         )
         return self.get_state(front)["targets"][target]["limit"]["part_per_s"]
+
+
+class FirstProcessTests(FrontTestCase):
+    """A process that hasn't heard of the others that its settings name."""
+
+    def test_process_that_hears_no_other_takes_little_of_what_is_shared(self):
+        gauges = self.get_state(0)["gauges"]
+        self.assertLessEqual(gauges["slack_share"], 1 / UNKNOWN_FLEET_SIZE)
+        self.targets["singlea"].stated_limit = b"%g" % LIMIT_PER_S
+        self.targets["singleb"].stated_limit = b"%g" % LIMIT_PER_S
+        self.request(make_request("/one/x"))
+        parts = [
+            item["limit"]["part_per_s"]
+            for item in self.get_state(0)["targets"].values()
+            if item["limit"] is not None
+        ]
+        self.assertEqual(1, len(parts))
+        self.assertAlmostEqual(LIMIT_PER_S / UNKNOWN_FLEET_SIZE, parts[0], 3)
