Apply a changed part of a limit when it changes, not at the next call

Cause: tokens are earned at the part that was in force at the latest call. A process that learned its part while it sent no calls earned at the old one for the whole pause: a holder that had just started returned the calls of another VM though it had been idle for 3 s (2 of 10 runs of the integration test refused a request).

Change: TargetLimits.update (was expire) refills all limits, in each turn of housekeeping. Its test fails without.

--- a/sesameplank/core/target_limits.py
+++ b/sesameplank/core/target_limits.py
@@ -166,9 +166,10 @@
             limit.lifted_at, limit.source = now, source
             self.notify(LimitEvent.LIFTED, target, limit)
 
-    def expire(self, now: float) -> None:
-        """Lift the limits that no answer has confirmed, and drop those lifted."""
+    def update(self, now: float) -> None:
+        """Apply changed parts, lift limits not confirmed, and drop those lifted."""
         for target, limit in list(self.limits.items()):
+            self.get(target, now)
             if limit.lifted_at is not None:
                 if now - limit.lifted_at >= RAMP_S:
                     del self.limits[target]
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -430,7 +430,7 @@
         now = self.clock.now()
         active = [member.id for member in self.get_active()]
         self.limit_parts.update(active, self.heard_vms, now)
-        self.limits.expire(now)
+        self.limits.update(now)
         self.limit_notices.repeat()
 
     def get_addresses(self) -> list[str]:
--- a/sesameplank/targets/dispatch.py
+++ b/sesameplank/targets/dispatch.py
@@ -223,7 +223,7 @@
         """Keep the pools up to date and their connections open, until killed."""
         while True:
             self.update_pools()
-            self.limits.expire(self.clock.now())
+            self.limits.update(self.clock.now())
             self.warm_all()
             gevent.sleep(WARM_INTERVAL_S)
 
--- a/tests/core/test_target_limits.py
+++ b/tests/core/test_target_limits.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from sesameplank.core.limit_parts import WholePart
+from sesameplank.core.limit_parts import ActiveVmParts, WholePart
 from sesameplank.core.target_limits import LimitEvent, LimitNews, TargetLimits
 
 TARGET = "t1"
@@ -39,3 +39,16 @@
         self.answer(5.0, 0.2, 0.3)
         self.limits.keep_only(lambda target: False)
         self.assertFalse(self.limits.is_limited(TARGET))
+
+
+class ChangedPartTests(testtools.TestCase):
+    """The part of a process changes while it sends no calls."""
+
+    def test_tokens_are_earned_at_the_new_part_from_the_change_on(self):
+        parts = ActiveVmParts("a", 2)
+        parts.update(("a",), 1, 0.0)
+        limits = TargetLimits(parts)
+        limits.note_answer(TARGET, LimitNews(1.0), 0.0, 0.0)
+        parts.update(("a", "b"), 2, 0.1)
+        limits.update(0.1)
+        self.assertTrue(limits.take(TARGET, 3.0))
--- a/tests/targets/test_limits.py
+++ b/tests/targets/test_limits.py
@@ -139,6 +139,6 @@
             self.search()
         self.assertLessEqual(self.target.arrivals - before, 2)
         self.clock.advance(4.0)
-        self.dispatcher.limits.expire(self.clock.now())
+        self.dispatcher.limits.update(self.clock.now())
         for _ in range(50):
             self.assertTrue(self.search())
