--- a/sesameplank/bookings/forwarding.py
+++ b/sesameplank/bookings/forwarding.py
@@ -4,8 +4,8 @@
 from typing import ClassVar
 
 from ..callers.problems import Problem
-from ..core.messages import BookingAnswer, BookingRequest, BookingStatus
-from ..core.outcomes import Failure, FailureReason, Ran
+from ..core.common.outcomes import Failure, FailureReason, Ran
+from ..core.search.messages import BookingAnswer, BookingRequest, BookingStatus
 from ..ids import CallerName, EntryId, IdempotencyKey, RequestId
 from ..peers import PeerLinks, PeerMessage
 
--- a/sesameplank/bookings/refusals.py
+++ b/sesameplank/bookings/refusals.py
@@ -1,9 +1,9 @@
 """Refusals returned to callers for bookings without a result."""
 
 from ..callers.problems import ProblemKind, Refusal
-from ..core.bookings import Verdict
-from ..core.outcomes import Failure, Ran
-from ..core.writers import BookingKey
+from ..core.bookings.bookings import Verdict
+from ..core.bookings.writers import BookingKey
+from ..core.common.outcomes import Failure, Ran
 from ..ids import EntryId
 
 GET_WRITER_REMEDY = (
--- a/sesameplank/bookings/runner.py
+++ b/sesameplank/bookings/runner.py
@@ -5,17 +5,17 @@
 from ..callers.app import CallerContext
 from ..callers.problems import ProblemKind, Refusal
 from ..conf import Shard
-from ..core.bookings import BookingOutcome
-from ..core.clock import Clock
-from ..core.messages import (
+from ..core.bookings.bookings import BookingOutcome
+from ..core.common.clock import Clock
+from ..core.common.outcomes import Failure, Ran
+from ..core.published.versions import AcceptedConfiguration, ConfigurationStore
+from ..core.search.messages import (
     BookingRequest,
     TargetBooking,
     TargetBookingAnswer,
     TargetBookingStatus,
 )
-from ..core.outcomes import Failure, Ran
-from ..core.ranges import get_position
-from ..core.versions import AcceptedConfiguration, ConfigurationStore
+from ..core.search.ranges import get_position
 from ..ids import IdempotencyKey, TargetId
 from ..targets import Dispatcher
 from .refusals import make_outcome_unknown
--- a/sesameplank/bookings/service.py
+++ b/sesameplank/bookings/service.py
@@ -10,23 +10,23 @@
 
 from ..callers.app import BookingHandler, CallerContext
 from ..callers.problems import ProblemKind, Refusal
-from ..core.bookings import (
+from ..core.bookings.bookings import (
     BookingOutcome,
     BookingRegistry,
     KeyState,
     KeyStatus,
     Verdict,
 )
-from ..core.clock import Clock
-from ..core.messages import (
+from ..core.bookings.writers import BookingKey, parse_key
+from ..core.common.clock import Clock
+from ..core.common.outcomes import Failure, Ran
+from ..core.search.messages import (
     BookingAnswer,
     BookingRequest,
     BookingState,
     BookingStatus,
     WriterAnswer,
 )
-from ..core.outcomes import Failure, Ran
-from ..core.writers import BookingKey, parse_key
 from ..ids import CallerName, IdempotencyKey, RequestId
 from ..logs import log_event
 from ..peers import PeerContext
--- a/sesameplank/callers/app.py
+++ b/sesameplank/callers/app.py
@@ -7,8 +7,10 @@
 
 import msgspec
 
-from ..core.clock import Clock
-from ..core.messages import (
+from ..core.common.clock import Clock
+from ..core.common.outcomes import Ran
+from ..core.published.versions import AcceptedConfiguration, ConfigurationStore
+from ..core.search.messages import (
     BookingAnswer,
     BookingRequest,
     BookingStatus,
@@ -16,8 +18,6 @@
     SearchRequest,
     WriterAnswer,
 )
-from ..core.outcomes import Ran
-from ..core.versions import AcceptedConfiguration, ConfigurationStore
 from ..exceptions import StopReached
 from ..ids import CallerName, EntryId, IdempotencyKey, RequestId
 from ..logs import log_event
--- a/sesameplank/callers/problems.py
+++ b/sesameplank/callers/problems.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ..core.outcomes import Ran
+from ..core.common.outcomes import Ran
 
 PROBLEM_JSON = "application/problem+json"
 
--- a/sesameplank/callers/server.py
+++ b/sesameplank/callers/server.py
@@ -9,7 +9,7 @@
 import gevent.pywsgi
 import msgspec
 
-from ..core.clock import Clock, SystemClock
+from ..core.common.clock import Clock, SystemClock
 from ..exceptions import StopReached
 from ..ids import RequestId
 from ..logs import LogLimiter, log_event
--- a/sesameplank/client/addresses.py
+++ b/sesameplank/client/addresses.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Sequence
 
-from ..core.addresses import AddressAnswer
+from ..core.membership.addresses import AddressAnswer
 from ..exceptions import CallError
 from ..net import Address
 from .connections import Connections
--- a/sesameplank/client/bookings.py
+++ b/sesameplank/client/bookings.py
@@ -7,15 +7,15 @@
 import gevent
 import msgspec
 
-from ..core.messages import (
+from ..core.bookings.writers import SEPARATOR
+from ..core.common.outcomes import Ran
+from ..core.search.messages import (
     BookingAnswer,
     BookingRequest,
     BookingState,
     BookingStatus,
     WriterAnswer,
 )
-from ..core.outcomes import Ran
-from ..core.writers import SEPARATOR
 from ..exceptions import CallError
 from ..ids import IdempotencyKey
 from ..net import Address
--- a/sesameplank/client/client.py
+++ b/sesameplank/client/client.py
@@ -3,7 +3,7 @@
 import random
 from collections.abc import Sequence
 
-from ..core.messages import (
+from ..core.search.messages import (
     BookingAnswer,
     BookingRequest,
     BookingStatus,
--- a/sesameplank/client/searches.py
+++ b/sesameplank/client/searches.py
@@ -5,7 +5,7 @@
 import gevent
 import msgspec
 
-from ..core.messages import SearchAnswer, SearchRequest
+from ..core.search.messages import SearchAnswer, SearchRequest
 from ..exceptions import CallError
 from ..net import Address
 from .addresses import AddressCache
--- a/sesameplank/commands/demo.py
+++ b/sesameplank/commands/demo.py
@@ -8,9 +8,9 @@
 
 from ..client import Client
 from ..conf.settings import Setting
-from ..core.clock import SystemClock
-from ..core.messages import Filter, Order, SearchRequest
-from ..core.ranges import KEY_SPACE, KeyRange
+from ..core.common.clock import SystemClock
+from ..core.search.messages import Filter, Order, SearchRequest
+from ..core.search.ranges import KEY_SPACE, KeyRange
 from ..ids import CallerName
 from ..standins.deployments import DEPLOYMENTS
 from ..standins.fleet import Fleet, reserve_block
--- a/sesameplank/commands/query.py
+++ b/sesameplank/commands/query.py
@@ -6,7 +6,7 @@
 
 from ..client import Client
 from ..conf.settings import Setting
-from ..core.messages import Filter, Order, SearchRequest
+from ..core.search.messages import Filter, Order, SearchRequest
 from ..exceptions import BadRequestError, CallError
 from ..ids import CallerName, CollectionName, RecordKey
 from ..net import Address
--- a/sesameplank/conf/documents.py
+++ b/sesameplank/conf/documents.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from ..core.ranges import KEY_SPACE, KeyRange
+from ..core.search.ranges import KEY_SPACE, KeyRange
 from ..ids import (
     CallerName,
     CollectionName,
--- a/sesameplank/conf/rules.py
+++ b/sesameplank/conf/rules.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..core.ranges import KEY_SPACE
+from ..core.search.ranges import KEY_SPACE
 from ..ids import CollectionName
 from .documents import Collection, Configuration
 
--- a/sesameplank/coordination.py
+++ b/sesameplank/coordination.py
@@ -8,12 +8,12 @@
 import msgspec
 
 from .conf import Vm, VmState
-from .core.clock import Clock
-from .core.members import make_own_record
-from .core.membership import Membership
-from .core.pauses import BootClock, EventAge, PauseDetector
-from .core.readers import choose_readers
-from .core.versions import AcceptedConfiguration, ConfigurationStore, VmStore
+from .core.common.clock import Clock
+from .core.common.pauses import BootClock, EventAge, PauseDetector
+from .core.membership.members import make_own_record
+from .core.membership.membership import Membership
+from .core.membership.readers import choose_readers
+from .core.published.versions import AcceptedConfiguration, ConfigurationStore, VmStore
 from .ids import DataCentre, EntryId
 from .logs import log_event
 from .net import Address
--- /dev/null
+++ b/sesameplank/core/bookings/__init__.py
@@ -0,0 +1,1 @@
+"""Bookings, which run at most once."""
--- a/sesameplank/core/bookings.py
+++ b/sesameplank/core/bookings/bookings.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
-from ..ids import ConfigVersion, EntryId, Incarnation, Snapshot
-from .messages import BookingResult
-from .outcomes import Ran
+from ...ids import ConfigVersion, EntryId, Incarnation, Snapshot
+from ..common.outcomes import Ran
+from ..search.messages import BookingResult
 from .writers import BookingKey, WriterId
 
 
--- a/sesameplank/core/writers.py
+++ b/sesameplank/core/bookings/writers.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ..ids import EntryId, IdempotencyKey, Incarnation
+from ...ids import EntryId, IdempotencyKey, Incarnation
 
 SEPARATOR = "~"
 MAX_KEY_LENGTH = 200
--- /dev/null
+++ b/sesameplank/core/common/__init__.py
@@ -0,0 +1,1 @@
+"""Clocks, estimates and outcomes, which several subjects use."""
--- a/sesameplank/core/latency.py
+++ b/sesameplank/core/common/latency.py
@@ -3,7 +3,7 @@
 import bisect
 from collections import deque
 
-from ..ids import CollectionName
+from ...ids import CollectionName
 
 WINDOW_SAMPLES = 512
 REFRESH_SAMPLES = 32
--- /dev/null
+++ b/sesameplank/core/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarded requests: calls, hedges, retries, batches and merged answers."""
--- a/sesameplank/core/batch_messages.py
+++ b/sesameplank/core/forwarding/batch_messages.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from ..ids import RequestId, TargetId
-from .outcomes import Failure, FailureReason, Ran
-from .peer_messages import PeerMessage
+from ...ids import RequestId, TargetId
+from ..common.outcomes import Failure, FailureReason, Ran
+from ..membership.peer_messages import PeerMessage
 from .placement import LoadReport
 
 
--- a/sesameplank/core/batches.py
+++ b/sesameplank/core/forwarding/batches.py
@@ -14,10 +14,10 @@
 import random
 from collections.abc import Iterable, Sequence
 
-from ..ids import DataCentre, EntryId
+from ...ids import DataCentre, EntryId
+from ..membership.homes import rank
+from ..membership.peer_messages import Health, Member
 from .fanout_calls import Call, CallKind
-from .homes import rank
-from .peer_messages import Health, Member
 
 MIN_BATCH_CALLS = 3  # A smaller batch saves less than it costs.
 CANDIDATES = 2  # VMs in each data centre that this VM sends batches to.
--- a/sesameplank/core/call_times.py
+++ b/sesameplank/core/forwarding/call_times.py
@@ -1,7 +1,7 @@
 """Recent latencies of the calls of each route, and the hedge delay based on them."""
 
-from .latency import RecentQuantiles
-from .routes import Route
+from ..common.latency import RecentQuantiles
+from ..published.routes import Route
 
 USUAL_QUANTILE = 0.5
 EARLY_HEDGE_QUANTILE = 0.85  # With a full extra-load budget.
--- a/sesameplank/core/extra_load.py
+++ b/sesameplank/core/forwarding/extra_load.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from ..ids import ServiceName
+from ...ids import ServiceName
 
 SAFETY_FACTOR = 0.85
 DEFAULT_SLACK_SHARE = 0.25
--- a/sesameplank/core/fanout.py
+++ b/sesameplank/core/forwarding/fanout.py
@@ -18,12 +18,12 @@
 
 import msgspec
 
-from ..ids import AttemptId, ServiceName, TargetId
+from ...ids import AttemptId, ServiceName, TargetId
+from ..common.outcomes import Ran
+from ..published.target_table import TargetRecord
 from .extra_load import ExtraLoadBudget
 from .fanout_calls import NEVER, Call, CallKind, FanoutPlan, ShardState
-from .outcomes import Ran
 from .placement import Placement
-from .target_table import TargetRecord
 
 BUDGET_RECHECK_S = 0.03  # Delay before an exhausted budget is checked again.
 HEDGE_RESERVE = 0.25  # Share of the budget that hedges leave for retries.
--- a/sesameplank/core/fanout_calls.py
+++ b/sesameplank/core/forwarding/fanout_calls.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
-from ..ids import AttemptId, ServiceName, TargetId
-from .target_table import TargetRecord
+from ...ids import AttemptId, ServiceName, TargetId
+from ..published.target_table import TargetRecord
 
 RETRY_BACKOFF_S = 0.01
 MAX_RETRY_BACKOFF_S = 0.08
--- a/sesameplank/core/fanout_plans.py
+++ b/sesameplank/core/forwarding/fanout_plans.py
@@ -2,11 +2,11 @@
 
 import math
 
-from ..ids import ServiceName
+from ...ids import ServiceName
+from ..published.routes import Route
 from .call_times import CallTimes
 from .extra_load import ExtraLoadBudget
 from .fanout_calls import FanoutPlan
-from .routes import Route
 
 ANSWER_MARGIN_S = 0.006  # Time reserved before the latency objective.
 DEADLINE_MARGIN_S = 0.010  # Time reserved before the deadline.
--- a/sesameplank/core/gathered_parts.py
+++ b/sesameplank/core/forwarding/gathered_parts.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Mapping
 
-from ..ids import ServiceName
+from ...ids import ServiceName
 from .record_merge import RecordMerge, merge_parts
 
 
--- a/sesameplank/core/placement.py
+++ b/sesameplank/core/forwarding/placement.py
@@ -13,9 +13,9 @@
 
 import msgspec
 
-from ..ids import AttemptId, DataCentre, TargetId
-from .latency import DecayingAverage, ZeroBaselineAverage
-from .target_table import TargetRecord
+from ...ids import AttemptId, DataCentre, TargetId
+from ..common.latency import DecayingAverage, ZeroBaselineAverage
+from ..published.target_table import TargetRecord
 
 SLOWNESS_WEIGHT = 0.3
 SLOWNESS_HALF_LIFE_S = 1.5
--- a/sesameplank/core/queue_admission.py
+++ b/sesameplank/core/forwarding/queue_admission.py
@@ -14,10 +14,10 @@
 import random
 from collections.abc import Iterable, Sequence
 
-from ..ids import ServiceName
-from .latency import ZeroBaselineAverage
+from ...ids import ServiceName
+from ..common.latency import ZeroBaselineAverage
+from ..published.routes import Route, find_most_urgent
 from .placement import LoadReport
-from .routes import Route, find_most_urgent
 
 QUEUE_WEIGHT = 0.4
 QUEUE_HALF_LIFE_S = 0.1
--- /dev/null
+++ b/sesameplank/core/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on the sum over all processes, and the part that each may use."""
--- a/sesameplank/core/limit_admission.py
+++ b/sesameplank/core/limits/limit_admission.py
@@ -9,10 +9,10 @@
 import random
 from collections.abc import Callable, Iterable, Sequence
 
-from ..ids import ServiceName
-from .routes import Route, find_most_urgent
+from ...ids import ServiceName
+from ..published.routes import Route, find_most_urgent
+from ..published.target_table import TargetRecord
 from .target_limits import NEVER, TargetLimits
-from .target_table import TargetRecord
 
 LESS_URGENT_RESERVE = 0.5
 # Share of the less urgent requests that are held to the reserve, so that none starves.
--- a/sesameplank/core/limit_parts.py
+++ b/sesameplank/core/limits/limit_parts.py
@@ -17,9 +17,9 @@
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 
-from ..ids import EntryId, TargetId
-from .fleet_share import FleetShare
-from .homes import ConnectionPlan, rank
+from ...ids import EntryId, TargetId
+from ..membership.fleet_share import FleetShare
+from ..membership.homes import ConnectionPlan, rank
 from .slack_share import UNKNOWN_FLEET_SIZE
 
 RANKING_KEY = "limits"
--- a/sesameplank/core/slack_share.py
+++ b/sesameplank/core/limits/slack_share.py
@@ -11,7 +11,7 @@
 active at all, which follows from the configuration.
 """
 
-from .fleet_share import FleetShare
+from ..membership.fleet_share import FleetShare
 
 MIN_ACTIVE_VMS = 4
 # Among so many VMs the slack is divided until a process has heard of another one.
--- a/sesameplank/core/target_limits.py
+++ b/sesameplank/core/limits/target_limits.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from ..ids import EntryId, TargetId
+from ...ids import EntryId, TargetId
 from .limit_parts import LimitParts
 
 OWN_CALL = "own_call"
--- a/sesameplank/core/directory.py
+++ b/sesameplank/core/membership/directory.py
@@ -13,7 +13,7 @@
 
 from collections.abc import Mapping, Sequence
 
-from ..ids import DataCentre
+from ...ids import DataCentre
 from .homes import rank
 from .peer_messages import Member
 
--- a/sesameplank/core/fleet_share.py
+++ b/sesameplank/core/membership/fleet_share.py
@@ -5,7 +5,7 @@
 the largest fleet that it has seen in MAX_PARTITION_S.
 """
 
-from .recent_maximum import RecentMaximum
+from ..common.recent_maximum import RecentMaximum
 
 MAX_PARTITION_S = 600.0
 
--- a/sesameplank/core/homes.py
+++ b/sesameplank/core/membership/homes.py
@@ -7,8 +7,8 @@
 
 from collections.abc import Iterable
 
-from ..ids import EntryId
-from .hashing import hash_text
+from ...ids import EntryId
+from ..common.hashing import hash_text
 
 HOLD_DOWN_S = 5.0  # Time for the previous home to close its connections.
 
--- a/sesameplank/core/members.py
+++ b/sesameplank/core/membership/members.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
-from ..conf import Vm
-from ..ids import EntryId, Incarnation
-from .hashing import hash_text
+from ...conf import Vm
+from ...ids import EntryId, Incarnation
+from ..common.hashing import hash_text
 from .peer_messages import Health, Member, PeerMessage, Phase
 
 
--- a/sesameplank/core/membership.py
+++ b/sesameplank/core/membership/membership.py
@@ -19,8 +19,8 @@
 
 import msgspec
 
-from ..conf import PublishedVms
-from ..ids import EntryId, Incarnation
+from ...conf import PublishedVms
+from ...ids import EntryId, Incarnation
 from .members import Outgoing, get_digest_contribution, make_initial_record
 from .overlay import choose_neighbours
 from .peer_messages import (
--- a/sesameplank/core/overlay.py
+++ b/sesameplank/core/membership/overlay.py
@@ -8,8 +8,8 @@
 
 from collections.abc import Iterable
 
-from ..ids import EntryId
-from .hashing import hash_text
+from ...ids import EntryId
+from ..common.hashing import hash_text
 
 RINGS = 3
 
--- a/sesameplank/core/peer_messages.py
+++ b/sesameplank/core/membership/peer_messages.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from ..ids import ConfigVersion, DataCentre, EntryId, Incarnation, TargetId
+from ...ids import ConfigVersion, DataCentre, EntryId, Incarnation, TargetId
 
 
 class PeerMessage(msgspec.Struct, frozen=True, array_like=True):
--- a/sesameplank/core/reader_election.py
+++ b/sesameplank/core/membership/reader_election.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Container, Iterable
 
-from ..ids import EntryId
+from ...ids import EntryId
 from .homes import rank
 from .peer_messages import Member
 
--- a/sesameplank/core/readers.py
+++ b/sesameplank/core/membership/readers.py
@@ -13,8 +13,8 @@
 import random
 from collections.abc import Iterable
 
-from ..conf import PublishedVms
-from ..ids import EntryId
+from ...conf import PublishedVms
+from ...ids import EntryId
 from .homes import rank
 
 READERS_PER_DATA_CENTRE = 1
--- /dev/null
+++ b/sesameplank/core/published/__init__.py
@@ -0,0 +1,1 @@
+"""What the platform publishes: versions, routes and lists of targets."""
--- a/sesameplank/core/leaving.py
+++ b/sesameplank/core/published/leaving.py
@@ -3,9 +3,9 @@
 from collections.abc import Callable, Sequence
 from enum import Enum
 
-from ..conf import Configuration, Target, TargetState
-from ..ids import TargetId
-from .clock import Clock
+from ...conf import Configuration, Target, TargetState
+from ...ids import TargetId
+from ..common.clock import Clock
 
 MAX_HOLD_S = 120.0  # Serving reports alone can end an older mark.
 MIN_SERVING_REPORTS = 2  # Consecutive reports needed to end a mark.
--- a/sesameplank/core/routes.py
+++ b/sesameplank/core/published/routes.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..ids import ConfigVersion, ServiceName
+from ...ids import ConfigVersion, ServiceName
 
 
 class WeightedService(msgspec.Struct, frozen=True):
--- a/sesameplank/core/target_table.py
+++ b/sesameplank/core/published/target_table.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from ..ids import DataCentre, ServiceName, TargetId
+from ...ids import DataCentre, ServiceName, TargetId
 from .document_version import DocumentVersion
 
 REMOVAL_GRACE_S = 1.0
--- a/sesameplank/core/versions.py
+++ b/sesameplank/core/published/versions.py
@@ -5,15 +5,15 @@
 
 import msgspec
 
-from ..conf import (
+from ...conf import (
     Configuration,
     PublishedConfiguration,
     PublishedVms,
     decode_configuration,
 )
-from ..exceptions import ConfigurationError
-from ..ids import ConfigVersion
-from .clock import Clock
+from ...exceptions import ConfigurationError
+from ...ids import ConfigVersion
+from ..common.clock import Clock
 
 
 class OfferResult(Enum):
--- a/sesameplank/core/weighting.py
+++ b/sesameplank/core/published/weighting.py
@@ -1,6 +1,6 @@
 """Distribution of a route's requests over its services by weight."""
 
-from ..ids import ServiceName
+from ...ids import ServiceName
 from .routes import Route
 
 
--- /dev/null
+++ b/sesameplank/core/search/__init__.py
@@ -0,0 +1,1 @@
+"""Searches: plans, snapshots, replicas, hedges and coverage."""
--- a/sesameplank/core/admission.py
+++ b/sesameplank/core/search/admission.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
-from ..conf import CallerClass, Policy
-from ..ids import CollectionName
-from .clock import Clock
-from .concurrency import BaseLatency, ConcurrencyLimit
+from ...conf import CallerClass, Policy
+from ...ids import CollectionName
+from ..common.clock import Clock
+from ..common.concurrency import BaseLatency, ConcurrencyLimit
 from .counters import PolicyCounters, RefusalReason
 from .coverage import Coverage, MissingReason
 
--- a/sesameplank/core/attempts.py
+++ b/sesameplank/core/search/attempts.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..ids import AttemptId, CollectionName, ShardId, TargetId
+from ...ids import AttemptId, CollectionName, ShardId, TargetId
 
 
 class AttemptKind(Enum):
--- a/sesameplank/core/choice.py
+++ b/sesameplank/core/search/choice.py
@@ -4,12 +4,12 @@
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 
-from ..ids import TargetId
-from .clock import Clock
+from ...ids import TargetId
+from ..common.clock import Clock
+from ..limits.limit_parts import WholePart
+from ..limits.target_limits import NEVER, TargetLimits
 from .ejection import Ejector
-from .limit_parts import WholePart
 from .scoreboard import Scoreboard
-from .target_limits import NEVER, TargetLimits
 
 
 class ReplicaChooser(ABC):
--- a/sesameplank/core/ejection.py
+++ b/sesameplank/core/search/ejection.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from ..ids import CollectionName, TargetId
+from ...ids import CollectionName, TargetId
+from ..common.outcomes import Failure, FailureReason
 from .counters import EjectionReason, PolicyCounters, ProbeResult
-from .outcomes import Failure, FailureReason
 from .scoreboard import Scoreboard
 
 # A call is slow from this multiple of the median latency of calls of its size, and a
--- a/sesameplank/core/hedging.py
+++ b/sesameplank/core/search/hedging.py
@@ -2,11 +2,11 @@
 
 from abc import ABC, abstractmethod
 
+from ..common.latency import LatencyStatistics
 from .attempts import Attempt
 from .budgets import TokenBudget
 from .counters import HedgeResult, PolicyCounters, RetryResult
 from .coverage import MissingReason
-from .latency import LatencyStatistics
 
 MIN_HEDGE_DELAY_S = 0.002
 
--- a/sesameplank/core/messages.py
+++ b/sesameplank/core/search/messages.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ..ids import (
+from ...ids import (
     CollectionName,
     ConfigVersion,
     IdempotencyKey,
@@ -19,8 +19,8 @@
     Snapshot,
     TargetId,
 )
+from ..common.outcomes import Ran
 from .coverage import Coverage
-from .outcomes import Ran
 
 MAX_LIMIT = 1_000
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
--- a/sesameplank/core/observer.py
+++ b/sesameplank/core/search/observer.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Sequence
 
+from ..common.outcomes import Failure
 from .attempts import Attempt
 from .coverage import MissingRange
 from .messages import TargetSearchAnswer
-from .outcomes import Failure
 from .plan import Plan
 
 
--- a/sesameplank/core/plan.py
+++ b/sesameplank/core/search/plan.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..ids import CollectionName, ConfigVersion, ShardId, Snapshot, TargetId
+from ...ids import CollectionName, ConfigVersion, ShardId, Snapshot, TargetId
 from .ranges import KeyRange
 
 NO_VERSION = ConfigVersion(0)
--- a/sesameplank/core/policies.py
+++ b/sesameplank/core/search/policies.py
@@ -3,24 +3,24 @@
 import random
 from collections.abc import Sequence
 
-from ..conf import Configuration
-from ..ids import AttemptId, TargetId
+from ...conf import Configuration
+from ...ids import AttemptId, TargetId
+from ..common.clock import Clock
+from ..common.latency import LatencyStatistics
+from ..common.outcomes import Failure, FailureReason
+from ..limits.target_limits import TargetLimits
+from ..published.versions import AcceptedConfiguration
 from .attempts import Attempt, AttemptKind
 from .budgets import TokenBudget
 from .choice import LeastCostChooser, ReplicaChooser
-from .clock import Clock
 from .counters import PolicyCounters
 from .coverage import MissingRange
 from .ejection import Ejector, ReplicaSet
 from .hedging import AdaptiveHedges, HedgePolicy
-from .latency import LatencyStatistics
 from .messages import ShardStatus, TargetSearchAnswer
 from .observer import CallObserver
-from .outcomes import Failure, FailureReason
 from .plan import Plan
 from .scoreboard import Scoreboard
-from .target_limits import TargetLimits
-from .versions import AcceptedConfiguration
 
 HEDGE_BURST_TOKENS = 25.0
 RETRY_BURST_TOKENS = 100.0
--- a/sesameplank/core/query.py
+++ b/sesameplank/core/search/query.py
@@ -10,13 +10,13 @@
 from collections.abc import Iterable
 from enum import Enum
 
-from ..ids import AttemptId, ShardId, Snapshot, TargetId
+from ...ids import AttemptId, ShardId, Snapshot, TargetId
+from ..common.outcomes import Failure, FailureReason
 from .attempts import Attempt, AttemptKind
 from .choice import ReplicaChooser
 from .coverage import Coverage, MissingRange, MissingReason
 from .hedging import HedgePolicy
 from .messages import ShardResult, ShardStatus, TargetSearchAnswer
-from .outcomes import Failure, FailureReason
 from .plan import Plan, PlannedShard
 from .ranges import merge_ranges
 
--- a/sesameplank/core/scoreboard.py
+++ b/sesameplank/core/search/scoreboard.py
@@ -6,8 +6,8 @@
 
 import msgspec
 
-from ..ids import CollectionName, TargetId
-from .latency import MEDIAN, DecayingAverage, LatencyStatistics
+from ...ids import CollectionName, TargetId
+from ..common.latency import MEDIAN, DecayingAverage, LatencyStatistics
 
 SLOWNESS_WEIGHT = 0.3
 SLOWNESS_HALF_LIFE_S = 0.25
--- a/sesameplank/core/snapshots.py
+++ b/sesameplank/core/search/snapshots.py
@@ -9,8 +9,8 @@
 
 import msgspec
 
-from ..ids import CollectionName, ShardId, Snapshot, TargetId
-from .clock import Clock, SystemClock
+from ...ids import CollectionName, ShardId, Snapshot, TargetId
+from ..common.clock import Clock, SystemClock
 
 # The oldest quarter of the snapshots that a replica holds may be dropped soon.
 SAFETY_MARGIN_DIVISOR = 4
--- a/sesameplank/draining.py
+++ b/sesameplank/draining.py
@@ -3,10 +3,10 @@
 import gevent
 
 from .callers.server import CallersServer
-from .core.clock import Clock
-from .core.entry_stop import CLOSING_S
-from .core.peer_messages import Phase
-from .core.stop_schedule import StopSchedule
+from .core.common.clock import Clock
+from .core.common.entry_stop import CLOSING_S
+from .core.common.stop_schedule import StopSchedule
+from .core.membership.peer_messages import Phase
 from .logs import log_event
 from .peers.membership import MembershipService
 from .serving import ServingGate, ServingState
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -21,23 +21,23 @@
 from .callers.server import CallersServer
 from .conf import PublishedVms
 from .coordination import Coordination, CoordinationSettings
-from .core.addresses import AddressAnswer, choose_addresses
-from .core.admission import AdmissionController, Permit, is_load_sample
-from .core.bookings import BookingLimits, BookingRegistry
-from .core.clock import SystemClock
-from .core.counters import RefusalReason
-from .core.entry_stop import make_entry_stop_schedule
-from .core.homes import ConnectionPlan
-from .core.leaving import LeavingTargets
-from .core.limit_parts import HomeParts
-from .core.messages import SearchAnswer, SearchRequest
-from .core.outcomes import Ran
-from .core.peer_messages import RelayedCall
-from .core.policies import LoadPolicies
-from .core.snapshots import SnapshotTracker
-from .core.target_limits import TargetLimits
-from .core.target_reach import ReachState, TargetReach
-from .core.versions import AcceptedConfiguration, ConfigurationStore
+from .core.bookings.bookings import BookingLimits, BookingRegistry
+from .core.common.clock import SystemClock
+from .core.common.entry_stop import make_entry_stop_schedule
+from .core.common.outcomes import Ran
+from .core.forwarding.target_reach import ReachState, TargetReach
+from .core.limits.limit_parts import HomeParts
+from .core.limits.target_limits import TargetLimits
+from .core.membership.addresses import AddressAnswer, choose_addresses
+from .core.membership.homes import ConnectionPlan
+from .core.membership.peer_messages import RelayedCall
+from .core.published.leaving import LeavingTargets
+from .core.published.versions import AcceptedConfiguration, ConfigurationStore
+from .core.search.admission import AdmissionController, Permit, is_load_sample
+from .core.search.counters import RefusalReason
+from .core.search.messages import SearchAnswer, SearchRequest
+from .core.search.policies import LoadPolicies
+from .core.search.snapshots import SnapshotTracker
 from .draining import Drain
 from .exceptions import StopReached
 from .ids import DataCentre, EntryId, Incarnation
--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -4,7 +4,9 @@
 
 import gevent
 
-from ..core.batch_messages import (
+from ..core.common.clock import Clock
+from ..core.common.outcomes import OWN_REASONS, Failure, FailureReason, Ran
+from ..core.forwarding.batch_messages import (
     BatchCancel,
     BatchedAnswer,
     BatchedAnswers,
@@ -13,14 +15,12 @@
     BatchedLoad,
     BatchedResponse,
 )
-from ..core.batches import NEVER, FlushSchedule
-from ..core.clock import Clock
-from ..core.fanout_calls import Call, CallKind
-from ..core.outcomes import OWN_REASONS, Failure, FailureReason, Ran
-from ..core.placement import Placement
-from ..core.record_merge import RecordMerge
-from ..core.target_reach import TargetReach
-from ..core.target_table import TargetRecord, TargetTable
+from ..core.forwarding.batches import NEVER, FlushSchedule
+from ..core.forwarding.fanout_calls import Call, CallKind
+from ..core.forwarding.placement import Placement
+from ..core.forwarding.record_merge import RecordMerge
+from ..core.forwarding.target_reach import TargetReach
+from ..core.published.target_table import TargetRecord, TargetTable
 from ..ids import AttemptId, EntryId, Incarnation
 from ..peers import PeerContext, PeerLinks
 from .connection_shares import ConnectionShares
--- a/sesameplank/forwarding/call_batches.py
+++ b/sesameplank/forwarding/call_batches.py
@@ -9,12 +9,16 @@
 
 import msgspec
 
-from ..core.batch_messages import BatchCancel, BatchedAnswers, BatchedCalls
-from ..core.batches import AggregatorChoice, find_deputies, group_by_data_centre
-from ..core.clock import Clock
-from ..core.fanout_calls import Call, CallKind
-from ..core.peer_messages import Member
-from ..core.target_limits import TargetLimits
+from ..core.common.clock import Clock
+from ..core.forwarding.batch_messages import BatchCancel, BatchedAnswers, BatchedCalls
+from ..core.forwarding.batches import (
+    AggregatorChoice,
+    find_deputies,
+    group_by_data_centre,
+)
+from ..core.forwarding.fanout_calls import Call, CallKind
+from ..core.limits.target_limits import TargetLimits
+from ..core.membership.peer_messages import Member
 from ..ids import AttemptId, DataCentre, EntryId, RequestId
 from ..peers import PeerContext, PeerLinks
 from .http_messages import RequestEncoder
--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -14,7 +14,7 @@
 import gevent
 import gevent.socket
 
-from ..core.routes import RequestLimits
+from ..core.published.routes import RequestLimits
 from ..logs import log_event
 from ..net import (
     count_unacknowledged_bytes,
--- a/sesameplank/forwarding/caller_server.py
+++ b/sesameplank/forwarding/caller_server.py
@@ -6,7 +6,7 @@
 import gevent.socket
 from gevent.server import StreamServer
 
-from ..core.routes import RequestLimits
+from ..core.published.routes import RequestLimits
 from ..logs import log_event
 from ..net import Address, count_unaccepted
 from .answer_accounts import AnswerAccounts, CloseCause
--- a/sesameplank/forwarding/collected_notices.py
+++ b/sesameplank/forwarding/collected_notices.py
@@ -9,8 +9,8 @@
 
 import gevent
 
-from ..core.clock import Clock
-from ..core.peer_messages import PeerMessage
+from ..core.common.clock import Clock
+from ..core.membership.peer_messages import PeerMessage
 from ..ids import EntryId, TargetId
 from ..peers import PeerLinks
 
--- a/sesameplank/forwarding/connection_shares.py
+++ b/sesameplank/forwarding/connection_shares.py
@@ -4,8 +4,8 @@
 process therefore opens only its share of them, and no more than it can use.
 """
 
-from ..core.routes import RoutingConfiguration, Service
-from ..core.target_table import TargetRecord, TargetTable
+from ..core.published.routes import RoutingConfiguration, Service
+from ..core.published.target_table import TargetRecord, TargetTable
 from ..ids import ServiceName
 from .target_pools import TargetPool, TargetPools
 
--- a/sesameplank/forwarding/dialect.py
+++ b/sesameplank/forwarding/dialect.py
@@ -10,9 +10,9 @@
 
 import msgspec
 
-from ..core.outcomes import Failure, FailureReason, Ran
-from ..core.placement import LoadReport
-from ..core.target_limits import LimitStatement
+from ..core.common.outcomes import Failure, FailureReason, Ran
+from ..core.forwarding.placement import LoadReport
+from ..core.limits.target_limits import LimitStatement
 from ..ids import RequestId, TargetId
 from .http_messages import Headers, Request, Response
 
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -8,14 +8,14 @@
 import msgspec
 from gevent.event import Event
 
-from ..core.fanout import Fanout, Verdict
-from ..core.fanout_calls import Call, CallKind, FanoutPlan
-from ..core.fanout_plans import make_fanout_plan
-from ..core.gathered_parts import GatheredParts
-from ..core.outcomes import OWN_REASONS, Failure, Ran
-from ..core.placement import LoadReport
-from ..core.routes import Route, RoutingConfiguration
-from ..core.target_table import TargetRecord
+from ..core.common.outcomes import OWN_REASONS, Failure, Ran
+from ..core.forwarding.fanout import Fanout, Verdict
+from ..core.forwarding.fanout_calls import Call, CallKind, FanoutPlan
+from ..core.forwarding.fanout_plans import make_fanout_plan
+from ..core.forwarding.gathered_parts import GatheredParts
+from ..core.forwarding.placement import LoadReport
+from ..core.published.routes import Route, RoutingConfiguration
+from ..core.published.target_table import TargetRecord
 from ..ids import AttemptId, ServiceName, TargetId
 from .answer_accounts import CloseCause
 from .dialect import RequestMetadata, TargetAnswer, find_failure
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -1,18 +1,18 @@
 """The state that all forwarded requests share, and the admission of new ones."""
 
-from ..core.call_times import CallTimes
-from ..core.clock import Clock
-from ..core.extra_load import ExtraLoadBudget
-from ..core.fanout_calls import Call, FanoutPlan
-from ..core.limit_admission import LimitAdmission
-from ..core.placement import Placement
-from ..core.queue_admission import QueueAdmission, get_allowed_waits
-from ..core.routes import Route, RoutingConfiguration
-from ..core.stop_schedule import StopSchedule
-from ..core.target_limits import NEVER, TargetLimits
-from ..core.target_reach import TargetReach
-from ..core.target_table import TargetRecord, TargetTable
-from ..core.weighting import WeightedRoundRobin
+from ..core.common.clock import Clock
+from ..core.common.stop_schedule import StopSchedule
+from ..core.forwarding.call_times import CallTimes
+from ..core.forwarding.extra_load import ExtraLoadBudget
+from ..core.forwarding.fanout_calls import Call, FanoutPlan
+from ..core.forwarding.placement import Placement
+from ..core.forwarding.queue_admission import QueueAdmission, get_allowed_waits
+from ..core.forwarding.target_reach import TargetReach
+from ..core.limits.limit_admission import LimitAdmission
+from ..core.limits.target_limits import NEVER, TargetLimits
+from ..core.published.routes import Route, RoutingConfiguration
+from ..core.published.target_table import TargetRecord, TargetTable
+from ..core.published.weighting import WeightedRoundRobin
 from ..ids import RequestId, ServiceName
 from .call_batches import CallBatches
 from .connection_shares import ConnectionShares
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -8,25 +8,30 @@
 import msgspec
 
 from ..conf import PublishedVms, Vm
-from ..core.batches import AggregatorChoice
-from ..core.clock import Clock
-from ..core.directory import MAX_ADDRESSES, choose_active
-from ..core.extra_load import ExtraLoadBounds, ExtraLoadBudget
-from ..core.limit_parts import ActiveVmParts
-from ..core.members import make_own_record
-from ..core.membership import Membership
-from ..core.pauses import BootClock, PauseDetector
-from ..core.peer_messages import Member
-from ..core.placement import Placement
-from ..core.reader_election import START_WINDOW_S, is_elected_reader
-from ..core.readers import draw_start_delay
-from ..core.recent_maximum import RecentMaximum
-from ..core.routes import RequestLimits, RoutingConfiguration
-from ..core.slack_share import SlackShare
-from ..core.target_limits import TargetLimits
-from ..core.target_reach import SILENCE_S, ProbedTarget, ReachState, TargetReach
-from ..core.target_table import TargetTable
-from ..core.versions import AcceptedConfiguration, ConfigurationStore
+from ..core.common.clock import Clock
+from ..core.common.pauses import BootClock, PauseDetector
+from ..core.common.recent_maximum import RecentMaximum
+from ..core.forwarding.batches import AggregatorChoice
+from ..core.forwarding.extra_load import ExtraLoadBounds, ExtraLoadBudget
+from ..core.forwarding.placement import Placement
+from ..core.forwarding.target_reach import (
+    SILENCE_S,
+    ProbedTarget,
+    ReachState,
+    TargetReach,
+)
+from ..core.limits.limit_parts import ActiveVmParts
+from ..core.limits.slack_share import SlackShare
+from ..core.limits.target_limits import TargetLimits
+from ..core.membership.directory import MAX_ADDRESSES, choose_active
+from ..core.membership.members import make_own_record
+from ..core.membership.membership import Membership
+from ..core.membership.peer_messages import Member
+from ..core.membership.reader_election import START_WINDOW_S, is_elected_reader
+from ..core.membership.readers import draw_start_delay
+from ..core.published.routes import RequestLimits, RoutingConfiguration
+from ..core.published.target_table import TargetTable
+from ..core.published.versions import AcceptedConfiguration, ConfigurationStore
 from ..ids import DataCentre, EntryId, RequestId
 from ..limit_log import LimitLog
 from ..logs import log_event
--- a/sesameplank/forwarding/late_notices.py
+++ b/sesameplank/forwarding/late_notices.py
@@ -7,9 +7,9 @@
 import random
 from collections.abc import Callable, Sequence
 
-from ..core.clock import Clock
-from ..core.peer_messages import TargetsLate
-from ..core.placement import Placement
+from ..core.common.clock import Clock
+from ..core.forwarding.placement import Placement
+from ..core.membership.peer_messages import TargetsLate
 from ..ids import EntryId, TargetId
 from ..peers import PeerContext, PeerLinks
 from .collected_notices import CollectedNotices
--- a/sesameplank/forwarding/limit_notices.py
+++ b/sesameplank/forwarding/limit_notices.py
@@ -9,11 +9,11 @@
 import random
 from collections.abc import Callable, Sequence
 
-from ..core.clock import Clock
-from ..core.limit_parts import ActiveVmParts
-from ..core.peer_messages import TargetLimitNotice
-from ..core.target_limits import OWN_CALL, LimitEvent, TargetLimit, TargetLimits
-from ..core.target_table import TargetTable
+from ..core.common.clock import Clock
+from ..core.limits.limit_parts import ActiveVmParts
+from ..core.limits.target_limits import OWN_CALL, LimitEvent, TargetLimit, TargetLimits
+from ..core.membership.peer_messages import TargetLimitNotice
+from ..core.published.target_table import TargetTable
 from ..ids import EntryId, TargetId
 from ..peers import PeerContext, PeerLinks
 from .collected_notices import CollectedNotices
--- a/sesameplank/forwarding/lookup_notices.py
+++ b/sesameplank/forwarding/lookup_notices.py
@@ -7,9 +7,9 @@
 
 from collections.abc import Callable, Sequence
 
-from ..core.clock import Clock
-from ..core.lookups import RecentLookups
-from ..core.peer_messages import CallerLookup
+from ..core.common.clock import Clock
+from ..core.forwarding.lookups import RecentLookups
+from ..core.membership.peer_messages import CallerLookup
 from ..ids import EntryId
 from ..peers import PeerContext, PeerLinks
 
--- a/sesameplank/forwarding/replaced_targets.py
+++ b/sesameplank/forwarding/replaced_targets.py
@@ -8,9 +8,9 @@
 
 from collections.abc import Callable, Sequence
 
-from ..core.clock import Clock
-from ..core.peer_messages import TargetReplaced
-from ..core.target_table import TargetRecord, TargetTable
+from ..core.common.clock import Clock
+from ..core.membership.peer_messages import TargetReplaced
+from ..core.published.target_table import TargetRecord, TargetTable
 from ..ids import EntryId, ServiceName, TargetId
 from ..logs import log_event
 from ..peers import PeerContext, PeerLinks
--- a/sesameplank/forwarding/request_batches.py
+++ b/sesameplank/forwarding/request_batches.py
@@ -4,14 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from ..core.batch_messages import (
+from ..core.common.outcomes import FailureReason, Ran
+from ..core.forwarding.batch_messages import (
     BatchedAnswer,
     BatchedAnswers,
     BatchedFailure,
     BatchedResponse,
 )
-from ..core.fanout_calls import Call
-from ..core.outcomes import FailureReason, Ran
+from ..core.forwarding.fanout_calls import Call
 from ..ids import AttemptId
 from .call_batches import BatchRequest, CallBatch
 from .http_messages import Response
--- a/sesameplank/forwarding/request_log.py
+++ b/sesameplank/forwarding/request_log.py
@@ -4,7 +4,7 @@
 suppress the lines on the requests that failed.
 """
 
-from ..core.clock import Clock
+from ..core.common.clock import Clock
 from ..logs import LogLimiter, log_event
 
 FAILURES_PER_S = 100.0
--- a/sesameplank/forwarding/shutdown.py
+++ b/sesameplank/forwarding/shutdown.py
@@ -4,9 +4,9 @@
 import msgspec
 from gevent.event import Event
 
-from ..core.clock import Clock
-from ..core.peer_messages import Phase
-from ..core.stop_schedule import MIN_ANSWER_S, StopSchedule, make_stop_schedule
+from ..core.common.clock import Clock
+from ..core.common.stop_schedule import MIN_ANSWER_S, StopSchedule, make_stop_schedule
+from ..core.membership.peer_messages import Phase
 from ..logs import log_event
 from ..peers.membership import MembershipService
 from .batch_server import BatchServer
--- a/sesameplank/forwarding/target_connections.py
+++ b/sesameplank/forwarding/target_connections.py
@@ -13,8 +13,8 @@
 import gevent
 import gevent.socket
 
-from ..core.fanout_calls import Call
-from ..core.outcomes import Failure, FailureReason, Ran
+from ..core.common.outcomes import Failure, FailureReason, Ran
+from ..core.forwarding.fanout_calls import Call
 from ..ids import RequestId
 from .http_messages import Response, ResponseReader
 
--- a/sesameplank/forwarding/target_pools.py
+++ b/sesameplank/forwarding/target_pools.py
@@ -7,11 +7,11 @@
 import gevent
 import gevent.socket
 
-from ..core.clock import Clock
-from ..core.outcomes import FailureReason
-from ..core.target_limits import LimitStatement, TargetLimits
-from ..core.target_reach import SILENCE_S, TargetReach
-from ..core.target_table import TargetRecord
+from ..core.common.clock import Clock
+from ..core.common.outcomes import FailureReason
+from ..core.forwarding.target_reach import SILENCE_S, TargetReach
+from ..core.limits.target_limits import LimitStatement, TargetLimits
+from ..core.published.target_table import TargetRecord
 from ..ids import TargetId
 from ..net import Address, set_no_delay
 from .dialect import Dialect
--- a/sesameplank/limit_log.py
+++ b/sesameplank/limit_log.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
-from .core.clock import Clock
-from .core.target_limits import LimitEvent, TargetLimit, TargetLimits
+from .core.common.clock import Clock
+from .core.limits.target_limits import LimitEvent, TargetLimit, TargetLimits
 from .ids import TargetId
 from .logs import LogLimiter, log_event
 
--- a/sesameplank/load/arrivals.py
+++ b/sesameplank/load/arrivals.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from ..conf.documents import CallerClass
-from ..core.messages import Filter, Order, SearchRequest
+from ..core.search.messages import Filter, Order, SearchRequest
 from ..ids import CallerName, CollectionName, RecordKey, RequestId
 from ..standins.deployments import Deployment
 from ..standins.records import COLOURS, ITEMS, PLACES
--- a/sesameplank/load/checks.py
+++ b/sesameplank/load/checks.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from ..core.ranges import KEY_SPACE, KeyRange, get_position
+from ..core.search.ranges import KEY_SPACE, KeyRange, get_position
 from ..ids import CollectionName, RequestId
 from ..standins.control import Truth
 from ..standins.store import ExecutedBooking
--- a/sesameplank/load/figures.py
+++ b/sesameplank/load/figures.py
@@ -6,7 +6,7 @@
 from hdrh.histogram import HdrHistogram
 
 from ..conf.documents import CallerClass
-from ..core.messages import Explanation
+from ..core.search.messages import Explanation
 from ..ids import CollectionName
 from ..standins.control import Truth
 from ..standins.deployments import Deployment
--- a/sesameplank/load/observations.py
+++ b/sesameplank/load/observations.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..core.messages import BookingAnswer, SearchAnswer
+from ..core.search.messages import BookingAnswer, SearchAnswer
 from ..ids import Snapshot
 
 
--- a/sesameplank/load/replay.py
+++ b/sesameplank/load/replay.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
-from ..core.merge import sort_records
-from ..core.messages import Filter, Record, SearchRequest
-from ..core.ranges import KeyRange, get_position
+from ..core.search.merge import sort_records
+from ..core.search.messages import Filter, Record, SearchRequest
+from ..core.search.ranges import KeyRange, get_position
 from ..ids import RecordKey, Snapshot
 from ..standins.control import CollectionTruth
 
--- a/sesameplank/load/slopes.py
+++ b/sesameplank/load/slopes.py
@@ -22,11 +22,11 @@
     Target,
     decode_configuration,
 )
-from ..core.choice import FirstReplicaChooser
-from ..core.hedging import NoHedges
-from ..core.homes import rank
-from ..core.merge import count_total, merge_hits
-from ..core.messages import (
+from ..core.membership.homes import rank
+from ..core.search.choice import FirstReplicaChooser
+from ..core.search.hedging import NoHedges
+from ..core.search.merge import count_total, merge_hits
+from ..core.search.messages import (
     Order,
     ShardRequest,
     ShardResult,
@@ -34,10 +34,10 @@
     TargetSearch,
     TargetSearchAnswer,
 )
-from ..core.plan import PlannedShard, make_plan
-from ..core.query import QueryState
-from ..core.ranges import KEY_SPACE, KeyRange
-from ..core.snapshots import HeldSnapshots, SnapshotTracker
+from ..core.search.plan import PlannedShard, make_plan
+from ..core.search.query import QueryState
+from ..core.search.ranges import KEY_SPACE, KeyRange
+from ..core.search.snapshots import HeldSnapshots, SnapshotTracker
 from ..ids import (
     CallerName,
     CollectionName,
--- a/sesameplank/logs.py
+++ b/sesameplank/logs.py
@@ -5,7 +5,7 @@
 import time
 from collections.abc import Callable
 
-from .core.clock import Clock
+from .core.common.clock import Clock
 
 UNQUOTED_CHARACTERS = frozenset("-_.:/,+")
 
--- a/sesameplank/monitoring/decisions.py
+++ b/sesameplank/monitoring/decisions.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..core.clock import Clock
+from ..core.common.clock import Clock
 
 MAX_DECISIONS_PER_KIND = 50
 MAX_DETAIL_CHARACTERS = 300
--- a/sesameplank/monitoring/dump.py
+++ b/sesameplank/monitoring/dump.py
@@ -7,7 +7,7 @@
 
 from .. import __version__
 from ..conf import PublishedVms
-from ..core.counters import PolicyCounters
+from ..core.search.counters import PolicyCounters
 from ..logs import log_event
 from .decisions import Decision
 from .requests import RequestsState
--- a/sesameplank/monitoring/latencies.py
+++ b/sesameplank/monitoring/latencies.py
@@ -2,7 +2,7 @@
 
 from hdrh.histogram import HdrHistogram
 
-from ..core.clock import Clock
+from ..core.common.clock import Clock
 
 MAX_LATENCY_US = 60_000_000
 SIGNIFICANT_FIGURES = 2
--- a/sesameplank/monitoring/requests.py
+++ b/sesameplank/monitoring/requests.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..core.clock import Clock
+from ..core.common.clock import Clock
 from ..logs import LogLimiter, log_event
 from .decisions import DecisionLog
 from .latencies import LatencyWindow
--- a/sesameplank/peers/channel.py
+++ b/sesameplank/peers/channel.py
@@ -7,7 +7,7 @@
 import msgspec
 from gevent.event import AsyncResult, Event
 
-from ..core.outcomes import Failure, FailureReason, Ran
+from ..core.common.outcomes import Failure, FailureReason, Ran
 from ..ids import EntryId
 from .messages import PeerMessage
 from .traffic import TrafficCounters
--- a/sesameplank/peers/document_relay.py
+++ b/sesameplank/peers/document_relay.py
@@ -7,10 +7,9 @@
 import msgspec
 from gevent.event import Event
 
-from ..core.clock import Clock
-from ..core.document_version import DocumentVersion
-from ..core.outcomes import Failure
-from ..core.peer_messages import (
+from ..core.common.clock import Clock
+from ..core.common.outcomes import Failure
+from ..core.membership.peer_messages import (
     Announcement,
     Document,
     DocumentKind,
@@ -19,7 +18,8 @@
     VersionQuestion,
     Versions,
 )
-from ..core.versions import ConfigurationStore
+from ..core.published.document_version import DocumentVersion
+from ..core.published.versions import ConfigurationStore
 from ..ids import ConfigVersion, EntryId
 from ..logs import log_event
 from .links import PeerContext, PeerLinks
--- a/sesameplank/peers/links.py
+++ b/sesameplank/peers/links.py
@@ -9,9 +9,9 @@
 import msgspec
 from gevent.pool import Pool
 
-from ..core.clock import Clock
-from ..core.delays import DelayEstimate
-from ..core.outcomes import Failure, FailureReason, Ran
+from ..core.common.clock import Clock
+from ..core.common.delays import DelayEstimate
+from ..core.common.outcomes import Failure, FailureReason, Ran
 from ..exceptions import PeerProtocolError
 from ..ids import EntryId, Incarnation
 from ..logs import log_event
--- a/sesameplank/peers/membership.py
+++ b/sesameplank/peers/membership.py
@@ -1,4 +1,4 @@
-"""Runs the membership protocol of `core.membership` over the links."""
+"""Runs the membership protocol of `core.membership.membership` over the links."""
 
 from collections.abc import Callable, Iterable
 
@@ -6,9 +6,9 @@
 import msgspec
 
 from ..conf import PublishedVms
-from ..core.clock import Clock
-from ..core.membership import Membership, Outgoing
-from ..core.peer_messages import (
+from ..core.common.clock import Clock
+from ..core.membership.membership import Membership, Outgoing
+from ..core.membership.peer_messages import (
     Heartbeat,
     MemberTable,
     MemberUpdates,
--- a/sesameplank/peers/messages.py
+++ b/sesameplank/peers/messages.py
@@ -1,5 +1,5 @@
 """The base class of the messages between entries."""
 
-from ..core.peer_messages import PeerMessage
+from ..core.membership.peer_messages import PeerMessage
 
 __all__ = ["PeerMessage"]
--- a/sesameplank/peers/relayed_documents.py
+++ b/sesameplank/peers/relayed_documents.py
@@ -5,11 +5,11 @@
 import msgspec
 
 from ..conf import PublishedConfiguration, PublishedVms
-from ..core.clock import Clock
-from ..core.document_version import DocumentVersion
-from ..core.peer_messages import DocumentKind
-from ..core.target_table import TargetChanges, TargetTable
-from ..core.versions import ConfigurationStore, OfferResult, VmStore
+from ..core.common.clock import Clock
+from ..core.membership.peer_messages import DocumentKind
+from ..core.published.document_version import DocumentVersion
+from ..core.published.target_table import TargetChanges, TargetTable
+from ..core.published.versions import ConfigurationStore, OfferResult, VmStore
 
 
 class RelayedDocument(ABC):
--- a/sesameplank/planning.py
+++ b/sesameplank/planning.py
@@ -7,14 +7,14 @@
 from collections.abc import Callable, Sequence
 
 from .callers.problems import ProblemKind, Refusal
-from .core.clock import Clock
-from .core.coverage import MissingReason
-from .core.messages import SearchRequest
-from .core.outcomes import Ran
-from .core.plan import Plan, PlannedShard, make_plan
-from .core.query import QueryState
-from .core.snapshots import SnapshotTracker, list_replicas
-from .core.versions import AcceptedConfiguration
+from .core.common.clock import Clock
+from .core.common.outcomes import Ran
+from .core.published.versions import AcceptedConfiguration
+from .core.search.coverage import MissingReason
+from .core.search.messages import SearchRequest
+from .core.search.plan import Plan, PlannedShard, make_plan
+from .core.search.query import QueryState
+from .core.search.snapshots import SnapshotTracker, list_replicas
 from .ids import Snapshot, TargetId
 
 MAX_PLANS = 4
--- a/sesameplank/platform/command.py
+++ b/sesameplank/platform/command.py
@@ -8,8 +8,8 @@
 import gevent
 import msgspec
 
-from ..core.clock import BootTimeClock
-from ..core.directory import ADDRESS_TTL_S, get_capacity
+from ..core.common.clock import BootTimeClock
+from ..core.membership.directory import ADDRESS_TTL_S, get_capacity
 from ..exceptions import SesameplankError
 from ..forwarding.answer_accounts import AnswerAccounts
 from ..forwarding.caller_server import CallerServer
--- a/sesameplank/platform/headers.py
+++ b/sesameplank/platform/headers.py
@@ -4,8 +4,8 @@
 from collections.abc import Iterable
 from functools import lru_cache
 
-from ..core.placement import LoadReport
-from ..core.target_limits import LimitNews, LimitStatement, UnreadableLimit
+from ..core.forwarding.placement import LoadReport
+from ..core.limits.target_limits import LimitNews, LimitStatement, UnreadableLimit
 from ..forwarding.dialect import (
     Dialect,
     RequestMetadata,
--- a/sesameplank/platform/items.py
+++ b/sesameplank/platform/items.py
@@ -10,14 +10,14 @@
 
 import msgspec
 
-from ..core.routes import (
+from ..core.published.routes import (
     RequestLimits,
     Route,
     RoutingConfiguration,
     Service,
     WeightedService,
 )
-from ..core.target_table import TargetPhase, TargetRecord
+from ..core.published.target_table import TargetPhase, TargetRecord
 from ..exceptions import ConfigurationError
 from ..ids import ConfigVersion, DataCentre, ServiceName, TargetId
 from ..net import Address
--- a/sesameplank/platform/settings.py
+++ b/sesameplank/platform/settings.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from ..core.extra_load import ExtraLoadBounds
+from ..core.forwarding.extra_load import ExtraLoadBounds
 from ..exceptions import SettingsError
 from ..ids import DataCentre, EntryId
 from ..net import Address
--- a/sesameplank/platform/source.py
+++ b/sesameplank/platform/source.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from ..conf import PublishedConfiguration
-from ..core.document_version import DocumentVersion
-from ..core.target_table import TargetChanges, TargetRecord
+from ..core.published.document_version import DocumentVersion
+from ..core.published.target_table import TargetChanges, TargetRecord
 from ..exceptions import ConfigurationError, PlatformError
 from ..ids import ConfigVersion, TargetId
 from ..logs import log_event
--- a/sesameplank/published/follower.py
+++ b/sesameplank/published/follower.py
@@ -8,10 +8,10 @@
 import msgspec
 
 from ..conf import PublishedConfiguration
-from ..core.clock import Clock
-from ..core.document_version import DocumentVersion
-from ..core.target_table import TargetChanges, TargetTable
-from ..core.versions import ConfigurationStore
+from ..core.common.clock import Clock
+from ..core.published.document_version import DocumentVersion
+from ..core.published.target_table import TargetChanges, TargetTable
+from ..core.published.versions import ConfigurationStore
 from ..exceptions import HistoryGoneError, PlatformError
 from ..logs import log_event
 
--- a/sesameplank/published/watch.py
+++ b/sesameplank/published/watch.py
@@ -11,9 +11,9 @@
 import gevent
 import msgspec
 
-from ..core.clock import Clock
-from ..core.readers import draw_start_delay
-from ..core.versions import ConfigurationStore, OfferResult, VmStore
+from ..core.common.clock import Clock
+from ..core.membership.readers import draw_start_delay
+from ..core.published.versions import ConfigurationStore, OfferResult, VmStore
 from ..exceptions import PlatformError
 from ..logs import log_event
 from .reader import PlatformReader
--- a/sesameplank/queries.py
+++ b/sesameplank/queries.py
@@ -8,12 +8,14 @@
 from gevent.queue import Empty, SimpleQueue
 
 from .callers.problems import Refusal
-from .core.attempts import Attempt, AttemptKind
-from .core.choice import ReplicaChooser
-from .core.clock import Clock
-from .core.hedging import HedgePolicy
-from .core.merge import count_total, merge_hits
-from .core.messages import (
+from .core.common.clock import Clock
+from .core.common.outcomes import Failure
+from .core.published.versions import AcceptedConfiguration
+from .core.search.attempts import Attempt, AttemptKind
+from .core.search.choice import ReplicaChooser
+from .core.search.hedging import HedgePolicy
+from .core.search.merge import count_total, merge_hits
+from .core.search.messages import (
     Explanation,
     SearchAnswer,
     SearchRequest,
@@ -22,12 +24,10 @@
     TargetSearch,
     TargetSearchAnswer,
 )
-from .core.observer import CallObserver
-from .core.outcomes import Failure
-from .core.plan import Plan
-from .core.query import QueryState
-from .core.snapshots import HeldSnapshots, SnapshotTracker
-from .core.versions import AcceptedConfiguration
+from .core.search.observer import CallObserver
+from .core.search.plan import Plan
+from .core.search.query import QueryState
+from .core.search.snapshots import HeldSnapshots, SnapshotTracker
 from .ids import AttemptId, RequestId, TargetId
 from .planning import GetNewestConfiguration, QueryPlanner
 from .targets import Dispatcher
--- a/sesameplank/reach_probes.py
+++ b/sesameplank/reach_probes.py
@@ -6,8 +6,8 @@
 import gevent.pool
 import gevent.socket
 
-from .core.clock import Clock
-from .core.target_reach import (
+from .core.common.clock import Clock
+from .core.forwarding.target_reach import (
     SILENCE_S,
     ProbedTarget,
     ProbeOutcome,
--- a/sesameplank/serving.py
+++ b/sesameplank/serving.py
@@ -13,13 +13,18 @@
 from .bookings.service import BookingService
 from .callers.app import BookingHandler, CallerContext
 from .callers.problems import ProblemKind, Refusal
-from .core.bookings import Verdict
-from .core.clock import Clock, SystemClock
-from .core.messages import BookingAnswer, BookingRequest, BookingStatus, WriterAnswer
-from .core.outcomes import Failure, FailureReason, Ran
-from .core.peer_messages import RelayedAnswer, RelayedCall
-from .core.stop_schedule import StopSchedule
-from .core.writers import parse_key
+from .core.bookings.bookings import Verdict
+from .core.bookings.writers import parse_key
+from .core.common.clock import Clock, SystemClock
+from .core.common.outcomes import Failure, FailureReason, Ran
+from .core.common.stop_schedule import StopSchedule
+from .core.membership.peer_messages import RelayedAnswer, RelayedCall
+from .core.search.messages import (
+    BookingAnswer,
+    BookingRequest,
+    BookingStatus,
+    WriterAnswer,
+)
 from .exceptions import StopReached
 from .ids import IdempotencyKey
 from .peers import PeerContext
--- a/sesameplank/standins/deployments.py
+++ b/sesameplank/standins/deployments.py
@@ -4,7 +4,7 @@
 
 from ..conf import Caller, Collection, Configuration, PresetName, Shard, Target
 from ..conf.documents import CallerClass
-from ..core.ranges import KEY_SPACE
+from ..core.search.ranges import KEY_SPACE
 from ..ids import CallerName, CollectionName, DataCentre, ShardId, TargetId
 from ..net import Address
 
--- a/sesameplank/standins/front_store.py
+++ b/sesameplank/standins/front_store.py
@@ -8,7 +8,7 @@
 import msgspec
 from gevent.event import Event
 
-from ..core.routes import RequestLimits
+from ..core.published.routes import RequestLimits
 from ..forwarding.caller_server import CallerServer
 from ..forwarding.http_messages import Request
 from ..forwarding.request_handling import Reply, RequestContext
--- a/sesameplank/standins/naive.py
+++ b/sesameplank/standins/naive.py
@@ -16,10 +16,10 @@
 from ..commands.base import Command, run_command
 from ..commands.entry import EntryCommand
 from ..conf import Configuration, PublishedVms, Shard, decode_configuration
-from ..core.addresses import AddressAnswer, choose_addresses
-from ..core.coverage import Coverage, MissingRange, MissingReason
-from ..core.merge import count_total, merge_hits
-from ..core.messages import (
+from ..core.membership.addresses import AddressAnswer, choose_addresses
+from ..core.search.coverage import Coverage, MissingRange, MissingReason
+from ..core.search.merge import count_total, merge_hits
+from ..core.search.messages import (
     BookingAnswer,
     BookingRequest,
     Explanation,
@@ -36,7 +36,7 @@
     TargetSearchAnswer,
     WriterAnswer,
 )
-from ..core.ranges import get_position, merge_ranges
+from ..core.search.ranges import get_position, merge_ranges
 from ..exceptions import PlatformError
 from ..ids import CollectionName, Snapshot, TargetId
 from ..net import Address
--- a/sesameplank/standins/records.py
+++ b/sesameplank/standins/records.py
@@ -2,7 +2,7 @@
 
 import random
 
-from ..core.messages import Record
+from ..core.search.messages import Record
 from ..ids import RecordKey
 
 ITEMS = ("float", "lantern", "frame", "jute", "polypropylene", "sack", "garland")
--- a/sesameplank/standins/store.py
+++ b/sesameplank/standins/store.py
@@ -14,9 +14,9 @@
 
 import msgspec
 
-from ..core.clock import Clock
-from ..core.messages import BookingResult, Filter, Record
-from ..core.ranges import KeyRange, get_position
+from ..core.common.clock import Clock
+from ..core.search.messages import BookingResult, Filter, Record
+from ..core.search.ranges import KeyRange, get_position
 from ..ids import CollectionName, IdempotencyKey, RecordKey, Snapshot
 
 TICK_S = 0.25  # The interval between two snapshots.
--- a/sesameplank/standins/targets.py
+++ b/sesameplank/standins/targets.py
@@ -12,9 +12,9 @@
 from gevent.lock import BoundedSemaphore
 
 from ..conf import Collection
-from ..core.clock import Clock
-from ..core.merge import sort_records
-from ..core.messages import (
+from ..core.common.clock import Clock
+from ..core.search.merge import sort_records
+from ..core.search.messages import (
     CancelRequest,
     ShardRequest,
     ShardResult,
@@ -27,7 +27,7 @@
     TargetSearchAnswer,
     TargetShardHealth,
 )
-from ..core.ranges import KeyRange, get_position, merge_ranges
+from ..core.search.ranges import KeyRange, get_position, merge_ranges
 from ..ids import RequestId, ShardId, Snapshot, TargetId
 from .store import RecordStore
 
--- a/sesameplank/standins/world.py
+++ b/sesameplank/standins/world.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from ..conf import Configuration, Shard, Target, Vm
-from ..core.clock import SystemClock
+from ..core.common.clock import SystemClock
 from ..ids import CollectionName, DataCentre, EntryId, ShardId, TargetId
 from ..net import Address
 from ..wsgi import make_server
--- a/sesameplank/targets/dispatch.py
+++ b/sesameplank/targets/dispatch.py
@@ -10,10 +10,18 @@
 from gevent.pool import Pool
 
 from ..conf import Configuration
-from ..core.clock import Clock
-from ..core.homes import HOLD_DOWN_S, ConnectionPlan, get_connection_share
-from ..core.leaving import LeavingSource, LeavingTargets
-from ..core.messages import (
+from ..core.common.clock import Clock
+from ..core.common.outcomes import Failure, FailureReason, Ran
+from ..core.forwarding.target_reach import ProbedTarget, TargetReach
+from ..core.limits.target_limits import (
+    LimitNews,
+    LimitStatement,
+    TargetLimits,
+    UnreadableLimit,
+)
+from ..core.membership.homes import HOLD_DOWN_S, ConnectionPlan, get_connection_share
+from ..core.published.leaving import LeavingSource, LeavingTargets
+from ..core.search.messages import (
     CancelRequest,
     TargetBooking,
     TargetBookingAnswer,
@@ -21,14 +29,6 @@
     TargetSearch,
     TargetSearchAnswer,
 )
-from ..core.outcomes import Failure, FailureReason, Ran
-from ..core.target_limits import (
-    LimitNews,
-    LimitStatement,
-    TargetLimits,
-    UnreadableLimit,
-)
-from ..core.target_reach import ProbedTarget, TargetReach
 from ..ids import RequestId, TargetId
 from ..net import Address
 from .pool import TargetPool
--- a/sesameplank/targets/health.py
+++ b/sesameplank/targets/health.py
@@ -3,9 +3,9 @@
 import gevent
 from gevent.pool import Pool
 
-from ..core.clock import Clock
-from ..core.outcomes import Failure, FailureReason
-from ..core.snapshots import HeldSnapshots, SnapshotTracker
+from ..core.common.clock import Clock
+from ..core.common.outcomes import Failure, FailureReason
+from ..core.search.snapshots import HeldSnapshots, SnapshotTracker
 from ..ids import TargetId
 from .relay import RelayDispatcher
 
--- a/sesameplank/targets/pool.py
+++ b/sesameplank/targets/pool.py
@@ -8,8 +8,8 @@
 import gevent
 from gevent.lock import BoundedSemaphore
 
-from ..core.clock import Clock
-from ..core.outcomes import Failure, FailureReason, Ran
+from ..core.common.clock import Clock
+from ..core.common.outcomes import Failure, FailureReason, Ran
 from ..exceptions import TruncatedAnswerError
 from ..net import Address
 from .connection import TargetConnection
--- a/sesameplank/targets/relay.py
+++ b/sesameplank/targets/relay.py
@@ -2,11 +2,11 @@
 
 import msgspec
 
-from ..core.clock import Clock
-from ..core.homes import ConnectionPlan
-from ..core.leaving import LeavingSource
-from ..core.outcomes import OWN_REASONS, Failure, FailureReason, Ran
-from ..core.peer_messages import RelayedAnswer, RelayedCall, TargetLeaving
+from ..core.common.clock import Clock
+from ..core.common.outcomes import OWN_REASONS, Failure, FailureReason, Ran
+from ..core.membership.homes import ConnectionPlan
+from ..core.membership.peer_messages import RelayedAnswer, RelayedCall, TargetLeaving
+from ..core.published.leaving import LeavingSource
 from ..ids import EntryId, TargetId
 from ..peers import PeerContext, PeerLinks
 from .dispatch import (
--- a/tests/callers/served_app.py
+++ b/tests/callers/served_app.py
@@ -11,11 +11,11 @@
 from sesameplank.callers.app import CallerContext
 from sesameplank.callers.server import CallersServer
 from sesameplank.conf import PublishedConfiguration
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.coverage import Coverage
-from sesameplank.core.messages import SearchAnswer, SearchRequest
-from sesameplank.core.ranges import KEY_SPACE, KeyRange
-from sesameplank.core.versions import ConfigurationStore
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.published.versions import ConfigurationStore
+from sesameplank.core.search.coverage import Coverage
+from sesameplank.core.search.messages import SearchAnswer, SearchRequest
+from sesameplank.core.search.ranges import KEY_SPACE, KeyRange
 from sesameplank.net import Address
 from sesameplank.standins.deployments import VATUWAQA, make_configuration
 from sesameplank.standins.fleet import reserve_block
--- a/tests/client/test_bookings.py
+++ b/tests/client/test_bookings.py
@@ -6,7 +6,7 @@
 import testtools
 
 from sesameplank.client import bookings
-from sesameplank.core.messages import WriterAnswer
+from sesameplank.core.search.messages import WriterAnswer
 from sesameplank.exceptions import CallError
 from sesameplank.net import Address
 
--- a/tests/client/test_searches.py
+++ b/tests/client/test_searches.py
@@ -7,11 +7,11 @@
 
 from sesameplank.callers.problems import STATUSES, ProblemKind, Refusal
 from sesameplank.client import Client
-from sesameplank.core.addresses import AddressAnswer
-from sesameplank.core.coverage import Coverage
-from sesameplank.core.messages import SearchAnswer, SearchRequest
-from sesameplank.core.outcomes import Ran
-from sesameplank.core.ranges import KEY_SPACE, KeyRange
+from sesameplank.core.common.outcomes import Ran
+from sesameplank.core.membership.addresses import AddressAnswer
+from sesameplank.core.search.coverage import Coverage
+from sesameplank.core.search.messages import SearchAnswer, SearchRequest
+from sesameplank.core.search.ranges import KEY_SPACE, KeyRange
 from sesameplank.exceptions import CallError
 from sesameplank.net import Address
 from sesameplank.standins.fleet import reserve_block
--- a/tests/core/test_bookings.py
+++ b/tests/core/bookings/test_bookings.py
@@ -5,16 +5,16 @@
 from hypothesis import settings
 from hypothesis.stateful import Bundle, RuleBasedStateMachine, invariant, rule
 
-from sesameplank.core.bookings import (
+from sesameplank.core.bookings.bookings import (
     BookingLimits,
     BookingOutcome,
     BookingRegistry,
     KeyState,
     Verdict,
 )
-from sesameplank.core.messages import BookingResult
-from sesameplank.core.outcomes import Ran
-from sesameplank.core.writers import BookingKey
+from sesameplank.core.bookings.writers import BookingKey
+from sesameplank.core.common.outcomes import Ran
+from sesameplank.core.search.messages import BookingResult
 
 LIMITS = BookingLimits(writers=3, keys=4, open_s=10.0, keep_s=30.0)
 RAN = BookingOutcome(BookingResult.ACCEPTED, 7, 1)
--- a/tests/core/test_writers.py
+++ b/tests/core/bookings/test_writers.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sesameplank.core.writers import BookingKey, WriterId, parse_key
+from sesameplank.core.bookings.writers import BookingKey, WriterId, parse_key
 
 WRITER = WriterId("entry-00", 0xAB, 3)
 
--- a/tests/core/test_concurrency.py
+++ b/tests/core/common/test_concurrency.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from sesameplank.core.concurrency import (
+from sesameplank.core.common.concurrency import (
     INITIAL_LIMIT,
     MIN_SAMPLES,
     WINDOW_S,
--- a/tests/core/test_delays.py
+++ b/tests/core/common/test_delays.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from sesameplank.core.delays import DelayEstimate
+from sesameplank.core.common.delays import DelayEstimate
 
 
 class DelayEstimateTests(testtools.TestCase):
--- a/tests/core/test_entry_stop.py
+++ b/tests/core/common/test_entry_stop.py
@@ -2,8 +2,8 @@
 
 import testtools
 
-from sesameplank.core.entry_stop import make_entry_stop_schedule
-from sesameplank.core.stop_schedule import MIN_ANSWER_S
+from sesameplank.core.common.entry_stop import make_entry_stop_schedule
+from sesameplank.core.common.stop_schedule import MIN_ANSWER_S
 
 # address_ttl_s and drain_timeout_s
 SETTINGS = ((5.0, 10.0), (1.0, 0.0), (0.0, 0.0))
--- a/tests/core/test_latency.py
+++ b/tests/core/common/test_latency.py
@@ -2,7 +2,11 @@
 
 import testtools
 
-from sesameplank.core.latency import DecayingAverage, LatencyStatistics, RecentQuantiles
+from sesameplank.core.common.latency import (
+    DecayingAverage,
+    LatencyStatistics,
+    RecentQuantiles,
+)
 
 
 def fill(
--- a/tests/core/test_stop_schedule.py
+++ b/tests/core/common/test_stop_schedule.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from sesameplank.core.stop_schedule import MIN_ANSWER_S, make_stop_schedule
+from sesameplank.core.common.stop_schedule import MIN_ANSWER_S, make_stop_schedule
 
 TIMEOUTS_S = (3.0, 6.0, 30.0)
 COMPLETION_CASES = (
--- a/tests/core/test_batches.py
+++ b/tests/core/forwarding/test_batches.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from sesameplank.core.batches import (
+from sesameplank.core.forwarding.batches import (
     CANDIDATES,
     MAX_AVOID_S,
     MIN_AVOID_S,
@@ -14,9 +14,9 @@
     FlushSchedule,
     group_by_data_centre,
 )
-from sesameplank.core.fanout_calls import Call, CallKind
-from sesameplank.core.peer_messages import Health, Member, Phase
-from sesameplank.core.target_table import TargetPhase, TargetRecord
+from sesameplank.core.forwarding.fanout_calls import Call, CallKind
+from sesameplank.core.membership.peer_messages import Health, Member, Phase
+from sesameplank.core.published.target_table import TargetPhase, TargetRecord
 
 
 def make_call(id: int, data_centre: str, kind=CallKind.FIRST) -> Call:
--- a/tests/core/test_call_times.py
+++ b/tests/core/forwarding/test_call_times.py
@@ -3,8 +3,8 @@
 import msgspec
 import testtools
 
-from sesameplank.core.call_times import MIN_CALLS, CallTimes
-from sesameplank.core.routes import Route, WeightedService
+from sesameplank.core.forwarding.call_times import MIN_CALLS, CallTimes
+from sesameplank.core.published.routes import Route, WeightedService
 
 LOOKUP = Route(
     name="lookup",
--- a/tests/core/test_extra_load.py
+++ b/tests/core/forwarding/test_extra_load.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from sesameplank.core.extra_load import ExtraLoadBounds, ExtraLoadBudget
+from sesameplank.core.forwarding.extra_load import ExtraLoadBounds, ExtraLoadBudget
 
 BOUNDS = ExtraLoadBounds(ratio=0.2, slack=56.0, window_s=10.0)
 
--- a/tests/core/test_fanout.py
+++ b/tests/core/forwarding/test_fanout.py
@@ -4,12 +4,12 @@
 
 import testtools
 
-from sesameplank.core.extra_load import ExtraLoadBounds, ExtraLoadBudget
-from sesameplank.core.fanout import BUDGET_RECHECK_S, Fanout, Verdict
-from sesameplank.core.fanout_calls import NEVER, CallKind, FanoutPlan
-from sesameplank.core.outcomes import Ran
-from sesameplank.core.placement import Placement
-from sesameplank.core.target_table import TargetPhase, TargetRecord
+from sesameplank.core.common.outcomes import Ran
+from sesameplank.core.forwarding.extra_load import ExtraLoadBounds, ExtraLoadBudget
+from sesameplank.core.forwarding.fanout import BUDGET_RECHECK_S, Fanout, Verdict
+from sesameplank.core.forwarding.fanout_calls import NEVER, CallKind, FanoutPlan
+from sesameplank.core.forwarding.placement import Placement
+from sesameplank.core.published.target_table import TargetPhase, TargetRecord
 
 AMPLE_EXTRA_LOAD = ExtraLoadBounds(ratio=1.0, slack=1_000.0)
 NO_EXTRA_LOAD = ExtraLoadBounds(ratio=0.0, slack=0.0)
--- a/tests/core/test_gathered_parts.py
+++ b/tests/core/forwarding/test_gathered_parts.py
@@ -4,8 +4,8 @@
 
 import testtools
 
-from sesameplank.core.gathered_parts import GatheredParts
-from sesameplank.core.record_merge import RECORD_BYTES, merge_parts
+from sesameplank.core.forwarding.gathered_parts import GatheredParts
+from sesameplank.core.forwarding.record_merge import RECORD_BYTES, merge_parts
 
 LIMIT = 5
 
--- a/tests/core/test_lookups.py
+++ b/tests/core/forwarding/test_lookups.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from sesameplank.core.lookups import RECENT_S, RecentLookups
+from sesameplank.core.forwarding.lookups import RECENT_S, RecentLookups
 
 
 class RecentLookupsTests(testtools.TestCase):
--- a/tests/core/test_placement.py
+++ b/tests/core/forwarding/test_placement.py
@@ -4,14 +4,14 @@
 
 import testtools
 
-from sesameplank.core.placement import (
+from sesameplank.core.forwarding.placement import (
     ABANDONED_FAILURE_S,
     MAX_SCATTERED_FAILURES,
     MIN_AVOID_S,
     LoadReport,
     Placement,
 )
-from sesameplank.core.target_table import TargetPhase, TargetRecord
+from sesameplank.core.published.target_table import TargetPhase, TargetRecord
 
 
 def make_record(name: str, data_centre: str = "dc") -> TargetRecord:
--- a/tests/core/test_queue_admission.py
+++ b/tests/core/forwarding/test_queue_admission.py
@@ -4,13 +4,13 @@
 
 import testtools
 
-from sesameplank.core.placement import LoadReport
-from sesameplank.core.queue_admission import (
+from sesameplank.core.forwarding.placement import LoadReport
+from sesameplank.core.forwarding.queue_admission import (
     MIN_RETRY_S,
     QueueAdmission,
     get_allowed_waits,
 )
-from sesameplank.core.routes import Route, WeightedService
+from sesameplank.core.published.routes import Route, WeightedService
 
 OBJECTIVE_S = 0.1
 ALLOWED_S = 0.017
--- a/tests/core/test_record_merge.py
+++ b/tests/core/forwarding/test_record_merge.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sesameplank.core.record_merge import RECORD_BYTES, merge_parts
+from sesameplank.core.forwarding.record_merge import RECORD_BYTES, merge_parts
 
 FIXED = settings.get_profile("fixed")
 PARTS = st.lists(st.binary(max_size=100), max_size=6)
--- a/tests/core/test_target_reach.py
+++ b/tests/core/forwarding/test_target_reach.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from sesameplank.core.target_reach import (
+from sesameplank.core.forwarding.target_reach import (
     LOST_PROBE_S,
     PROBED_TARGETS,
     REGAINED_TARGETS,
--- a/tests/core/test_limit_admission.py
+++ b/tests/core/limits/test_limit_admission.py
@@ -4,16 +4,16 @@
 
 import testtools
 
-from sesameplank.core.limit_admission import (
+from sesameplank.core.limits.limit_admission import (
     LESS_URGENT_RESERVE,
     NO_PART_RETRY_S,
     NO_ROOM_RETRY_S,
     LimitAdmission,
 )
-from sesameplank.core.limit_parts import ActiveVmParts
-from sesameplank.core.routes import Route
-from sesameplank.core.target_limits import LimitNews, TargetLimits
-from sesameplank.core.target_table import TargetPhase, TargetRecord
+from sesameplank.core.limits.limit_parts import ActiveVmParts
+from sesameplank.core.limits.target_limits import LimitNews, TargetLimits
+from sesameplank.core.published.routes import Route
+from sesameplank.core.published.target_table import TargetPhase, TargetRecord
 
 SERVICES = ("s0", "s1", "s2", "s3")
 VMS = [f"vm{number}" for number in range(8)]
--- a/tests/core/test_limit_parts.py
+++ b/tests/core/limits/test_limit_parts.py
@@ -5,10 +5,10 @@
 
 import testtools
 
-from sesameplank.core.fleet_share import MAX_PARTITION_S
-from sesameplank.core.limit_parts import SPARE_HOLDERS, ActiveVmParts
-from sesameplank.core.slack_share import UNKNOWN_FLEET_SIZE
-from sesameplank.core.target_limits import LimitNews, TargetLimits
+from sesameplank.core.limits.limit_parts import SPARE_HOLDERS, ActiveVmParts
+from sesameplank.core.limits.slack_share import UNKNOWN_FLEET_SIZE
+from sesameplank.core.limits.target_limits import LimitNews, TargetLimits
+from sesameplank.core.membership.fleet_share import MAX_PARTITION_S
 
 TARGET = "t1"
 STEP_S = 0.1
--- a/tests/core/test_slack_share.py
+++ b/tests/core/limits/test_slack_share.py
@@ -4,13 +4,13 @@
 
 import testtools
 
-from sesameplank.core.extra_load import ExtraLoadBounds, ExtraLoadBudget
-from sesameplank.core.fleet_share import MAX_PARTITION_S
-from sesameplank.core.slack_share import (
+from sesameplank.core.forwarding.extra_load import ExtraLoadBounds, ExtraLoadBudget
+from sesameplank.core.limits.slack_share import (
     MIN_ACTIVE_VMS,
     UNKNOWN_FLEET_SIZE,
     SlackShare,
 )
+from sesameplank.core.membership.fleet_share import MAX_PARTITION_S
 
 BOUNDS = ExtraLoadBounds(ratio=0.2, slack=56.0, window_s=10.0)
 STEP_S = 0.25
--- a/tests/core/test_target_limits.py
+++ b/tests/core/limits/test_target_limits.py
@@ -2,8 +2,8 @@
 
 import testtools
 
-from sesameplank.core.limit_parts import ActiveVmParts, WholePart
-from sesameplank.core.target_limits import LimitEvent, LimitNews, TargetLimits
+from sesameplank.core.limits.limit_parts import ActiveVmParts, WholePart
+from sesameplank.core.limits.target_limits import LimitEvent, LimitNews, TargetLimits
 
 TARGET = "t1"
 
--- a/tests/core/test_directory.py
+++ b/tests/core/membership/test_directory.py
@@ -3,8 +3,8 @@
 import msgspec
 import testtools
 
-from sesameplank.core.directory import choose_active, get_capacity
-from sesameplank.core.peer_messages import Health, Member, Phase
+from sesameplank.core.membership.directory import choose_active, get_capacity
+from sesameplank.core.membership.peer_messages import Health, Member, Phase
 
 
 def make_members(*data_centres: str) -> list[Member]:
--- a/tests/core/test_homes.py
+++ b/tests/core/membership/test_homes.py
@@ -5,13 +5,13 @@
 import testtools
 
 from sesameplank.conf import PublishedVms, Vm
-from sesameplank.core.homes import (
+from sesameplank.core.membership.homes import (
     HOLD_DOWN_S,
     ConnectionPlan,
     choose_homes,
     get_connection_share,
 )
-from sesameplank.core.readers import choose_readers, draw_start_delay
+from sesameplank.core.membership.readers import choose_readers, draw_start_delay
 
 
 def make_vms(count: int, data_centres: int) -> PublishedVms:
--- a/tests/core/test_membership.py
+++ b/tests/core/membership/test_membership.py
@@ -9,13 +9,13 @@
 from hypothesis import strategies as st
 
 from sesameplank.conf import PublishedVms, Vm
-from sesameplank.core.members import make_initial_record
-from sesameplank.core.membership import (
+from sesameplank.core.membership.members import make_initial_record
+from sesameplank.core.membership.membership import (
     CONFIRM_AFTER_S,
     SUSPECT_AFTER_S,
     Membership,
 )
-from sesameplank.core.peer_messages import (
+from sesameplank.core.membership.peer_messages import (
     Health,
     MemberUpdates,
     Phase,
--- a/tests/core/test_reader_election.py
+++ b/tests/core/membership/test_reader_election.py
@@ -2,8 +2,8 @@
 
 import testtools
 
-from sesameplank.core.peer_messages import Health, Member, Phase
-from sesameplank.core.reader_election import (
+from sesameplank.core.membership.peer_messages import Health, Member, Phase
+from sesameplank.core.membership.reader_election import (
     MAX_VIEW_AGE_S,
     READERS,
     elect_readers,
--- a/tests/core/test_leaving.py
+++ b/tests/core/published/test_leaving.py
@@ -4,8 +4,8 @@
 import testtools
 
 from sesameplank.conf import TargetState
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.leaving import MAX_HOLD_S, LeavingSource, LeavingTargets
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.published.leaving import MAX_HOLD_S, LeavingSource, LeavingTargets
 from sesameplank.standins.deployments import VATUWAQA, make_configuration
 
 TARGET = "order-desk-00"
--- a/tests/core/test_routes.py
+++ b/tests/core/published/test_routes.py
@@ -2,14 +2,14 @@
 
 import testtools
 
-from sesameplank.core.routes import (
+from sesameplank.core.published.routes import (
     RequestLimits,
     Route,
     RoutingConfiguration,
     WeightedService,
     normalise_host,
 )
-from sesameplank.core.weighting import WeightedRoundRobin
+from sesameplank.core.published.weighting import WeightedRoundRobin
 
 
 def make_route(name: str, prefix: str, services=(("s", 1.0),)) -> Route:
--- a/tests/core/test_target_table.py
+++ b/tests/core/published/test_target_table.py
@@ -4,8 +4,8 @@
 
 import testtools
 
-from sesameplank.core.document_version import DocumentVersion
-from sesameplank.core.target_table import (
+from sesameplank.core.published.document_version import DocumentVersion
+from sesameplank.core.published.target_table import (
     OUTAGE_GRACE_S,
     REMOVAL_GRACE_S,
     REPLACED_HOLD_S,
--- a/tests/core/test_versions.py
+++ b/tests/core/published/test_versions.py
@@ -4,8 +4,8 @@
 import testtools
 
 from sesameplank.conf import PublishedConfiguration, PublishedVms, Vm
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.versions import ConfigurationStore, OfferResult, VmStore
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.published.versions import ConfigurationStore, OfferResult, VmStore
 from sesameplank.standins.deployments import VATUWAQA, make_configuration
 
 VALID = msgspec.json.encode(make_configuration(VATUWAQA, "127.20"))
--- a/tests/core/test_admission.py
+++ b/tests/core/search/test_admission.py
@@ -5,18 +5,18 @@
 import testtools
 
 from sesameplank.conf import CallerClass, Policy
-from sesameplank.core.admission import (
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.common.concurrency import INITIAL_LIMIT
+from sesameplank.core.search.admission import (
     MIN_RETRY_AFTER_MS,
     RECENT_WINDOW_S,
     AdmissionController,
     Permit,
     is_load_sample,
 )
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.concurrency import INITIAL_LIMIT
-from sesameplank.core.counters import PolicyCounters, RefusalReason
-from sesameplank.core.coverage import Coverage, MissingRange, MissingReason
-from sesameplank.core.ranges import KEY_SPACE, KeyRange
+from sesameplank.core.search.counters import PolicyCounters, RefusalReason
+from sesameplank.core.search.coverage import Coverage, MissingRange, MissingReason
+from sesameplank.core.search.ranges import KEY_SPACE, KeyRange
 
 AMPLE_TIME_S = 1_000.0
 POLICY = Policy()
--- a/tests/core/test_choice.py
+++ b/tests/core/search/test_choice.py
@@ -4,12 +4,12 @@
 
 import testtools
 
-from sesameplank.core.choice import LeastCostChooser
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.counters import EjectionReason, PolicyCounters
-from sesameplank.core.ejection import Ejector, ReplicaSet
-from sesameplank.core.latency import LatencyStatistics
-from sesameplank.core.scoreboard import RAMP_DURATION_S, Scoreboard
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.common.latency import LatencyStatistics
+from sesameplank.core.search.choice import LeastCostChooser
+from sesameplank.core.search.counters import EjectionReason, PolicyCounters
+from sesameplank.core.search.ejection import Ejector, ReplicaSet
+from sesameplank.core.search.scoreboard import RAMP_DURATION_S, Scoreboard
 
 
 class LeastCostChooserTests(testtools.TestCase):
--- a/tests/core/test_ejection.py
+++ b/tests/core/search/test_ejection.py
@@ -2,8 +2,10 @@
 
 import testtools
 
-from sesameplank.core.counters import EjectionReason, PolicyCounters, ProbeResult
-from sesameplank.core.ejection import (
+from sesameplank.core.common.latency import LatencyStatistics
+from sesameplank.core.common.outcomes import Failure, FailureReason, Ran
+from sesameplank.core.search.counters import EjectionReason, PolicyCounters, ProbeResult
+from sesameplank.core.search.ejection import (
     EJECT_AFTER_FAILED_CALLS,
     EJECT_AFTER_SLOW_CALLS,
     EJECT_AFTER_SLOW_S,
@@ -12,9 +14,7 @@
     Ejector,
     ReplicaSet,
 )
-from sesameplank.core.latency import LatencyStatistics
-from sesameplank.core.outcomes import Failure, FailureReason, Ran
-from sesameplank.core.scoreboard import Scoreboard
+from sesameplank.core.search.scoreboard import Scoreboard
 
 RESET = Failure(FailureReason.RESET, Ran.UNKNOWN)
 CANCELLED = Failure(FailureReason.CANCELLED, Ran.UNKNOWN)
--- a/tests/core/test_hedging.py
+++ b/tests/core/search/test_hedging.py
@@ -4,18 +4,22 @@
 
 import testtools
 
-from sesameplank.core.attempts import AttemptKind
-from sesameplank.core.budgets import TokenBudget
-from sesameplank.core.choice import FirstReplicaChooser
-from sesameplank.core.counters import HedgeResult, PolicyCounters, RetryResult
-from sesameplank.core.coverage import MissingReason
-from sesameplank.core.hedging import AdaptiveHedges
-from sesameplank.core.latency import LatencyStatistics
-from sesameplank.core.messages import ShardResult, ShardStatus, TargetSearchAnswer
-from sesameplank.core.outcomes import Failure, FailureReason, Ran
-from sesameplank.core.plan import PlannedShard, make_plan
-from sesameplank.core.query import QueryState
-from sesameplank.core.ranges import KEY_SPACE, KeyRange
+from sesameplank.core.common.latency import LatencyStatistics
+from sesameplank.core.common.outcomes import Failure, FailureReason, Ran
+from sesameplank.core.search.attempts import AttemptKind
+from sesameplank.core.search.budgets import TokenBudget
+from sesameplank.core.search.choice import FirstReplicaChooser
+from sesameplank.core.search.counters import HedgeResult, PolicyCounters, RetryResult
+from sesameplank.core.search.coverage import MissingReason
+from sesameplank.core.search.hedging import AdaptiveHedges
+from sesameplank.core.search.messages import (
+    ShardResult,
+    ShardStatus,
+    TargetSearchAnswer,
+)
+from sesameplank.core.search.plan import PlannedShard, make_plan
+from sesameplank.core.search.query import QueryState
+from sesameplank.core.search.ranges import KEY_SPACE, KeyRange
 
 RESET = Failure(FailureReason.RESET, Ran.UNKNOWN)
 HALF = KEY_SPACE // 2
--- a/tests/core/test_policies.py
+++ b/tests/core/search/test_policies.py
@@ -6,15 +6,19 @@
 import testtools
 
 from sesameplank.conf import PresetName
-from sesameplank.core.attempts import Attempt, AttemptKind
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.counters import EjectionReason, ProbeResult
-from sesameplank.core.coverage import MissingRange, MissingReason
-from sesameplank.core.messages import ShardResult, ShardStatus, TargetSearchAnswer
-from sesameplank.core.outcomes import Failure, FailureReason, Ran
-from sesameplank.core.plan import PlannedShard, make_plan
-from sesameplank.core.policies import LoadPolicies
-from sesameplank.core.versions import AcceptedConfiguration
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.common.outcomes import Failure, FailureReason, Ran
+from sesameplank.core.published.versions import AcceptedConfiguration
+from sesameplank.core.search.attempts import Attempt, AttemptKind
+from sesameplank.core.search.counters import EjectionReason, ProbeResult
+from sesameplank.core.search.coverage import MissingRange, MissingReason
+from sesameplank.core.search.messages import (
+    ShardResult,
+    ShardStatus,
+    TargetSearchAnswer,
+)
+from sesameplank.core.search.plan import PlannedShard, make_plan
+from sesameplank.core.search.policies import LoadPolicies
 from sesameplank.standins.deployments import VATUWAQA, make_configuration
 
 CONFIGURATION = make_configuration(VATUWAQA, "127.9")
--- a/tests/core/test_ranges.py
+++ b/tests/core/search/test_ranges.py
@@ -4,7 +4,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sesameplank.core.ranges import (
+from sesameplank.core.search.ranges import (
     KEY_SPACE,
     KeyRange,
     count_positions,
--- a/tests/core/test_snapshots.py
+++ b/tests/core/search/test_snapshots.py
@@ -4,8 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.snapshots import (
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.search.snapshots import (
     ANSWER_PRECEDENCE_S,
     STALE_AFTER_S,
     HeldSnapshots,
--- a/tests/differential.py
+++ b/tests/differential.py
@@ -8,14 +8,14 @@
 
 from sesameplank.conf import Collection, Configuration, PublishedConfiguration, Shard
 from sesameplank.conf.documents import Caller, PresetName, Target
-from sesameplank.core.choice import RandomReplicaChooser
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.hedging import NoHedges
-from sesameplank.core.messages import Filter, Order, SearchAnswer, SearchRequest
-from sesameplank.core.outcomes import Failure, FailureReason, Ran
-from sesameplank.core.ranges import KEY_SPACE
-from sesameplank.core.snapshots import SnapshotTracker
-from sesameplank.core.versions import ConfigurationStore
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.common.outcomes import Failure, FailureReason, Ran
+from sesameplank.core.published.versions import ConfigurationStore
+from sesameplank.core.search.choice import RandomReplicaChooser
+from sesameplank.core.search.hedging import NoHedges
+from sesameplank.core.search.messages import Filter, Order, SearchAnswer, SearchRequest
+from sesameplank.core.search.ranges import KEY_SPACE
+from sesameplank.core.search.snapshots import SnapshotTracker
 from sesameplank.queries import QueryRunner
 from sesameplank.standins.records import COLOURS, ITEMS, make_records
 from sesameplank.standins.store import TICK_S, RecordStore
--- a/tests/docs/test_reference.py
+++ b/tests/docs/test_reference.py
@@ -21,9 +21,9 @@
 from sesameplank.commands.story import StoryCommand
 from sesameplank.conf import documents
 from sesameplank.conf.settings import Setting
-from sesameplank.core import messages
-from sesameplank.core.coverage import Coverage, MissingRange, MissingReason
-from sesameplank.core.ranges import KeyRange
+from sesameplank.core.search import messages
+from sesameplank.core.search.coverage import Coverage, MissingRange, MissingReason
+from sesameplank.core.search.ranges import KeyRange
 from sesameplank.forwarding.answer_accounts import CloseCause
 from sesameplank.monitoring.dump import EntryDump
 from sesameplank.monitoring.metrics import METRICS
--- a/tests/forwarding/caller_world.py
+++ b/tests/forwarding/caller_world.py
@@ -7,7 +7,7 @@
 import testtools
 from gevent import monkey
 
-from sesameplank.core.routes import RequestLimits
+from sesameplank.core.published.routes import RequestLimits
 from sesameplank.forwarding.caller_server import CallerServer
 from sesameplank.forwarding.http_messages import Request, ResponseReader
 from sesameplank.forwarding.request_handling import Reply, RequestContext
--- a/tests/forwarding/load_simulation.py
+++ b/tests/forwarding/load_simulation.py
@@ -13,16 +13,19 @@
 
 import msgspec
 
-from sesameplank.core.call_times import CallTimes
-from sesameplank.core.extra_load import ExtraLoadBounds, ExtraLoadBudget
-from sesameplank.core.fanout import Fanout, Verdict
-from sesameplank.core.fanout_calls import Call
-from sesameplank.core.fanout_plans import get_required, make_fanout_plan
-from sesameplank.core.outcomes import Ran
-from sesameplank.core.placement import LoadReport, Placement
-from sesameplank.core.queue_admission import QueueAdmission, get_allowed_waits
-from sesameplank.core.routes import Route
-from sesameplank.core.target_table import TargetPhase, TargetRecord
+from sesameplank.core.common.outcomes import Ran
+from sesameplank.core.forwarding.call_times import CallTimes
+from sesameplank.core.forwarding.extra_load import ExtraLoadBounds, ExtraLoadBudget
+from sesameplank.core.forwarding.fanout import Fanout, Verdict
+from sesameplank.core.forwarding.fanout_calls import Call
+from sesameplank.core.forwarding.fanout_plans import get_required, make_fanout_plan
+from sesameplank.core.forwarding.placement import LoadReport, Placement
+from sesameplank.core.forwarding.queue_admission import (
+    QueueAdmission,
+    get_allowed_waits,
+)
+from sesameplank.core.published.routes import Route
+from sesameplank.core.published.target_table import TargetPhase, TargetRecord
 
 ABANDONED_CALL_GRACE_S = 0.25
 SLOTS = 2
--- a/tests/forwarding/test_batch_server.py
+++ b/tests/forwarding/test_batch_server.py
@@ -4,12 +4,12 @@
 
 import testtools
 
-from sesameplank.core.batch_messages import BatchedAnswers, BatchedCalls
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.outcomes import FailureReason, Ran
-from sesameplank.core.placement import Placement
-from sesameplank.core.target_reach import TargetReach
-from sesameplank.core.target_table import TargetPhase, TargetRecord
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.common.outcomes import FailureReason, Ran
+from sesameplank.core.forwarding.batch_messages import BatchedAnswers, BatchedCalls
+from sesameplank.core.forwarding.placement import Placement
+from sesameplank.core.forwarding.target_reach import TargetReach
+from sesameplank.core.published.target_table import TargetPhase, TargetRecord
 from sesameplank.forwarding.batch_server import BatchServer
 from sesameplank.forwarding.http_messages import Response
 from sesameplank.forwarding.request_log import RequestLog
--- a/tests/forwarding/test_call_batches.py
+++ b/tests/forwarding/test_call_batches.py
@@ -6,14 +6,14 @@
 import testtools
 
 from sesameplank.conf import Vm
-from sesameplank.core.batch_messages import BatchedCalls
-from sesameplank.core.batches import AggregatorChoice
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.fanout_calls import Call, CallKind
-from sesameplank.core.limit_parts import ActiveVmParts
-from sesameplank.core.members import make_own_record
-from sesameplank.core.target_limits import TargetLimits
-from sesameplank.core.target_table import TargetPhase, TargetRecord
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.forwarding.batch_messages import BatchedCalls
+from sesameplank.core.forwarding.batches import AggregatorChoice
+from sesameplank.core.forwarding.fanout_calls import Call, CallKind
+from sesameplank.core.limits.limit_parts import ActiveVmParts
+from sesameplank.core.limits.target_limits import TargetLimits
+from sesameplank.core.membership.members import make_own_record
+from sesameplank.core.published.target_table import TargetPhase, TargetRecord
 from sesameplank.forwarding.call_batches import BatchRequest, CallBatches
 from sesameplank.forwarding.http_messages import RequestEncoder
 
--- a/tests/forwarding/test_caller_connections.py
+++ b/tests/forwarding/test_caller_connections.py
@@ -11,8 +11,8 @@
 import testtools
 from gevent.event import Event
 
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.routes import RequestLimits
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.published.routes import RequestLimits
 from sesameplank.forwarding import caller_connections
 from sesameplank.forwarding.answer_accounts import AnswerAccounts, StopTotals
 from sesameplank.forwarding.caller_connections import MAX_PIPELINED
--- a/tests/forwarding/test_late_notices.py
+++ b/tests/forwarding/test_late_notices.py
@@ -5,10 +5,10 @@
 import gevent
 import testtools
 
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.peer_messages import TargetsLate
-from sesameplank.core.placement import MIN_REMAINING_PAUSE_S, Placement
-from sesameplank.core.target_table import TargetPhase, TargetRecord
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.forwarding.placement import MIN_REMAINING_PAUSE_S, Placement
+from sesameplank.core.membership.peer_messages import TargetsLate
+from sesameplank.core.published.target_table import TargetPhase, TargetRecord
 from sesameplank.forwarding.collected_notices import COLLECT_S
 from sesameplank.forwarding.late_notices import (
     MAX_NOTICE_AGE_S,
--- a/tests/forwarding/test_limit_notices.py
+++ b/tests/forwarding/test_limit_notices.py
@@ -5,9 +5,9 @@
 import gevent
 import testtools
 
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.limit_parts import ActiveVmParts
-from sesameplank.core.target_limits import LimitNews, TargetLimits
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.limits.limit_parts import ActiveVmParts
+from sesameplank.core.limits.target_limits import LimitNews, TargetLimits
 from sesameplank.forwarding.collected_notices import COLLECT_S
 from sesameplank.forwarding.limit_notices import (
     MAX_NOTICE_AGE_S,
--- a/tests/forwarding/test_lookup_notices.py
+++ b/tests/forwarding/test_lookup_notices.py
@@ -2,9 +2,9 @@
 
 import testtools
 
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.lookups import RECENT_S
-from sesameplank.core.peer_messages import CallerLookup
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.forwarding.lookups import RECENT_S
+from sesameplank.core.membership.peer_messages import CallerLookup
 from sesameplank.forwarding.lookup_notices import MAX_NOTIFIED, LookupNotices
 from sesameplank.peers import PeerContext
 
--- a/tests/forwarding/test_replaced_targets.py
+++ b/tests/forwarding/test_replaced_targets.py
@@ -2,9 +2,9 @@
 
 import testtools
 
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.peer_messages import TargetReplaced
-from sesameplank.core.target_table import (
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.membership.peer_messages import TargetReplaced
+from sesameplank.core.published.target_table import (
     TargetChanges,
     TargetPhase,
     TargetRecord,
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from sesameplank.core.clock import SystemClock
+from sesameplank.core.common.clock import SystemClock
 from sesameplank.forwarding.answer_accounts import StopTotals
 from sesameplank.forwarding.loop_delay import LoopDelay
 from sesameplank.forwarding.shutdown import Shutdown
--- a/tests/integration/booking_driver.py
+++ b/tests/integration/booking_driver.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from sesameplank.client import Client
-from sesameplank.core.messages import BookingAnswer
+from sesameplank.core.search.messages import BookingAnswer
 from sesameplank.exceptions import CallError
 from sesameplank.standins.proxy import Faults
 
--- a/tests/integration/test_batches.py
+++ b/tests/integration/test_batches.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from sesameplank.core.record_merge import merge_parts
+from sesameplank.core.forwarding.record_merge import merge_parts
 from sesameplank.net import Address
 from sesameplank.standins.front_targets import TargetFaultMode
 
--- a/tests/integration/test_bookings.py
+++ b/tests/integration/test_bookings.py
@@ -7,9 +7,9 @@
 import testtools
 
 from sesameplank.client import Client
-from sesameplank.core.messages import BookingState, SearchRequest
-from sesameplank.core.outcomes import Ran
-from sesameplank.core.ranges import get_position
+from sesameplank.core.common.outcomes import Ran
+from sesameplank.core.search.messages import BookingState, SearchRequest
+from sesameplank.core.search.ranges import get_position
 from sesameplank.exceptions import CallError
 from sesameplank.standins.fleet import get_status
 from sesameplank.standins.proxy import Direction, Faults
--- a/tests/integration/test_end_to_end.py
+++ b/tests/integration/test_end_to_end.py
@@ -3,8 +3,8 @@
 import testtools
 
 from sesameplank.client import Client
-from sesameplank.core.messages import Filter, Order, SearchRequest
-from sesameplank.core.ranges import KEY_SPACE, KeyRange
+from sesameplank.core.search.messages import Filter, Order, SearchRequest
+from sesameplank.core.search.ranges import KEY_SPACE, KeyRange
 from sesameplank.exceptions import CallError
 from sesameplank.standins.deployments import VATUWAQA
 from sesameplank.standins.fleet import Fleet, reserve_block
--- a/tests/integration/test_entry_stops.py
+++ b/tests/integration/test_entry_stops.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from sesameplank.client import Client
-from sesameplank.core.ranges import get_position
+from sesameplank.core.search.ranges import get_position
 from sesameplank.standins.fleet import EntryProcess
 from sesameplank.standins.fleetmeter import get_state
 from tests.callers.raw_http import GOOD_BODY, RawResponse, make_head, make_post
--- a/tests/integration/test_forwarding.py
+++ b/tests/integration/test_forwarding.py
@@ -2,7 +2,7 @@
 
 import gevent
 
-from sesameplank.core.record_merge import merge_parts
+from sesameplank.core.forwarding.record_merge import merge_parts
 from sesameplank.standins.front_targets import TargetFaultMode
 
 from .front_world import (
--- a/tests/integration/test_leaving.py
+++ b/tests/integration/test_leaving.py
@@ -5,7 +5,7 @@
 import gevent
 
 from sesameplank.client import Client
-from sesameplank.core.messages import SearchRequest
+from sesameplank.core.search.messages import SearchRequest
 from sesameplank.exceptions import CallError
 from sesameplank.standins.fleetmeter import get_state
 
--- a/tests/integration/test_monitoring.py
+++ b/tests/integration/test_monitoring.py
@@ -9,7 +9,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from sesameplank.client import Client
-from sesameplank.core.messages import SearchRequest
+from sesameplank.core.search.messages import SearchRequest
 from sesameplank.exceptions import CallError
 from sesameplank.monitoring.dump import EntryDump
 from sesameplank.monitoring.metrics import METRICS
--- a/tests/integration/test_partitions.py
+++ b/tests/integration/test_partitions.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from sesameplank.client import Client
-from sesameplank.core.messages import SearchRequest
+from sesameplank.core.search.messages import SearchRequest
 from sesameplank.standins.fleet import get_status
 from sesameplank.standins.fleetmeter import get_state
 
--- a/tests/integration/test_snapshots.py
+++ b/tests/integration/test_snapshots.py
@@ -8,7 +8,7 @@
 from gevent.pool import Group
 
 from sesameplank.client import Client
-from sesameplank.core.messages import Filter, Order, SearchAnswer, SearchRequest
+from sesameplank.core.search.messages import Filter, Order, SearchAnswer, SearchRequest
 from sesameplank.exceptions import CallError
 from sesameplank.standins.deployments import VATUWAQA
 from sesameplank.standins.fleet import Fleet, reserve_block
--- a/tests/integration/test_target_limits.py
+++ b/tests/integration/test_target_limits.py
@@ -5,7 +5,7 @@
 import gevent
 import gevent.pool
 
-from sesameplank.core.slack_share import UNKNOWN_FLEET_SIZE
+from sesameplank.core.limits.slack_share import UNKNOWN_FLEET_SIZE
 
 from .front_world import FrontTestCase, make_request
 
--- a/tests/load/test_checks.py
+++ b/tests/load/test_checks.py
@@ -3,14 +3,14 @@
 import msgspec
 import testtools
 
-from sesameplank.core.coverage import Coverage, MissingRange, MissingReason
-from sesameplank.core.messages import (
+from sesameplank.core.search.coverage import Coverage, MissingRange, MissingReason
+from sesameplank.core.search.messages import (
     BookingAnswer,
     BookingResult,
     Record,
     SearchAnswer,
 )
-from sesameplank.core.ranges import KEY_SPACE, KeyRange, get_position
+from sesameplank.core.search.ranges import KEY_SPACE, KeyRange, get_position
 from sesameplank.load.arrivals import Phase, make_arrivals
 from sesameplank.load.checks import RunData, Violations, check_run
 from sesameplank.load.observations import (
--- a/tests/load/test_figures.py
+++ b/tests/load/test_figures.py
@@ -3,9 +3,9 @@
 import testtools
 
 from sesameplank.conf.documents import CallerClass
-from sesameplank.core.coverage import Coverage, MissingRange, MissingReason
-from sesameplank.core.messages import SearchAnswer, SearchRequest
-from sesameplank.core.ranges import KEY_SPACE, KeyRange
+from sesameplank.core.search.coverage import Coverage, MissingRange, MissingReason
+from sesameplank.core.search.messages import SearchAnswer, SearchRequest
+from sesameplank.core.search.ranges import KEY_SPACE, KeyRange
 from sesameplank.load.arrivals import Arrival
 from sesameplank.load.figures import Window, get_percentiles, make_figures
 from sesameplank.load.observations import Observation, Outcome
--- a/tests/monitoring/test_requests.py
+++ b/tests/monitoring/test_requests.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from sesameplank.core.clock import ManualClock
+from sesameplank.core.common.clock import ManualClock
 from sesameplank.logs import LogLimiter
 from sesameplank.monitoring import DecisionLog, RequestLedger, requests
 from sesameplank.monitoring.decisions import MAX_DECISIONS_PER_KIND
--- a/tests/naive.py
+++ b/tests/naive.py
@@ -1,7 +1,7 @@
 """A naive reference implementation of queries, to compare answers with."""
 
-from sesameplank.core.messages import Order, SearchAnswer, SearchRequest
-from sesameplank.core.ranges import KEY_SPACE, KeyRange, merge_ranges
+from sesameplank.core.search.messages import Order, SearchAnswer, SearchRequest
+from sesameplank.core.search.ranges import KEY_SPACE, KeyRange, merge_ranges
 from sesameplank.standins.store import RecordStore
 
 
--- a/tests/peers/test_document_relay.py
+++ b/tests/peers/test_document_relay.py
@@ -7,9 +7,9 @@
 import testtools
 
 from sesameplank.conf import PublishedConfiguration
-from sesameplank.core.clock import SystemClock
-from sesameplank.core.peer_messages import Versions
-from sesameplank.core.versions import ConfigurationStore, VmStore
+from sesameplank.core.common.clock import SystemClock
+from sesameplank.core.membership.peer_messages import Versions
+from sesameplank.core.published.versions import ConfigurationStore, VmStore
 from sesameplank.net import Address
 from sesameplank.peers import PeerLinks
 from sesameplank.peers.document_relay import DocumentRelay
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -8,8 +8,8 @@
 from gevent.event import Event
 from gevent.queue import Queue
 
-from sesameplank.core.clock import SystemClock
-from sesameplank.core.outcomes import Failure, FailureReason, Ran
+from sesameplank.core.common.clock import SystemClock
+from sesameplank.core.common.outcomes import Failure, FailureReason, Ran
 from sesameplank.net import Address
 from sesameplank.peers import PeerLinks, PeerMessage
 from sesameplank.peers import links as links_module
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -2,7 +2,7 @@
 
 import testtools
 
-from sesameplank.core.target_limits import LimitNews, UnreadableLimit
+from sesameplank.core.limits.target_limits import LimitNews, UnreadableLimit
 from sesameplank.forwarding.http_messages import Request, Response
 from sesameplank.platform.headers import (
     PlatformDialect,
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -7,8 +7,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from sesameplank.core.document_version import DocumentVersion
-from sesameplank.core.target_table import TargetPhase
+from sesameplank.core.published.document_version import DocumentVersion
+from sesameplank.core.published.target_table import TargetPhase
 from sesameplank.exceptions import ConfigurationError
 from sesameplank.platform.items import decode_routing, decode_target
 from sesameplank.platform.source import make_publication
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,7 +4,7 @@
 
 import testtools
 
-from sesameplank.core.document_version import DocumentVersion
+from sesameplank.core.published.document_version import DocumentVersion
 from sesameplank.exceptions import PlatformError
 from sesameplank.forwarding.http_messages import Response
 from sesameplank.net import Address
--- a/tests/published/test_follower.py
+++ b/tests/published/test_follower.py
@@ -6,15 +6,15 @@
 import testtools
 
 from sesameplank.conf import PublishedConfiguration
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.document_version import DocumentVersion
-from sesameplank.core.target_table import (
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.published.document_version import DocumentVersion
+from sesameplank.core.published.target_table import (
     TargetChanges,
     TargetPhase,
     TargetRecord,
     TargetTable,
 )
-from sesameplank.core.versions import ConfigurationStore
+from sesameplank.core.published.versions import ConfigurationStore
 from sesameplank.exceptions import PlatformError
 from sesameplank.ids import ConfigVersion
 from sesameplank.published.follower import (
--- a/tests/standins/test_world.py
+++ b/tests/standins/test_world.py
@@ -7,7 +7,11 @@
 from geventhttpclient import HTTPClient
 
 from sesameplank.conf import PublishedConfiguration, PublishedVms, decode_configuration
-from sesameplank.core.messages import ShardRequest, TargetSearch, TargetSearchAnswer
+from sesameplank.core.search.messages import (
+    ShardRequest,
+    TargetSearch,
+    TargetSearchAnswer,
+)
 from sesameplank.net import Address, open_connection
 from sesameplank.standins import control
 from sesameplank.standins.deployments import VATUWAQA
--- a/tests/targets/test_dispatch.py
+++ b/tests/targets/test_dispatch.py
@@ -3,8 +3,8 @@
 import msgspec
 import testtools
 
-from sesameplank.core.messages import TargetSearchAnswer
-from sesameplank.core.outcomes import Failure, FailureReason, Ran
+from sesameplank.core.common.outcomes import Failure, FailureReason, Ran
+from sesameplank.core.search.messages import TargetSearchAnswer
 from sesameplank.targets.dispatch import decode_matching_answer
 
 ANSWER = TargetSearchAnswer("r1", 7, ())
--- a/tests/targets/test_limits.py
+++ b/tests/targets/test_limits.py
@@ -7,14 +7,18 @@
 import testtools
 from gevent.pywsgi import WSGIServer
 
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.homes import ConnectionPlan
-from sesameplank.core.leaving import LeavingTargets
-from sesameplank.core.limit_parts import HomeParts
-from sesameplank.core.messages import TargetHealth, TargetSearch, TargetSearchAnswer
-from sesameplank.core.outcomes import FailureReason, Ran
-from sesameplank.core.target_limits import TargetLimits
-from sesameplank.core.target_reach import TargetReach
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.common.outcomes import FailureReason, Ran
+from sesameplank.core.forwarding.target_reach import TargetReach
+from sesameplank.core.limits.limit_parts import HomeParts
+from sesameplank.core.limits.target_limits import TargetLimits
+from sesameplank.core.membership.homes import ConnectionPlan
+from sesameplank.core.published.leaving import LeavingTargets
+from sesameplank.core.search.messages import (
+    TargetHealth,
+    TargetSearch,
+    TargetSearchAnswer,
+)
 from sesameplank.net import Address
 from sesameplank.targets import DirectDispatcher, TargetPool
 
--- a/tests/targets/test_pool.py
+++ b/tests/targets/test_pool.py
@@ -10,8 +10,8 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from sesameplank.core.clock import SystemClock
-from sesameplank.core.outcomes import Failure, FailureReason, Ran
+from sesameplank.core.common.clock import SystemClock
+from sesameplank.core.common.outcomes import Failure, FailureReason, Ran
 from sesameplank.net import Address
 from sesameplank.targets import TargetPool
 from sesameplank.targets.connection import MAX_BODY_BYTES
--- a/tests/targets/test_relay.py
+++ b/tests/targets/test_relay.py
@@ -6,15 +6,15 @@
 import msgspec
 import testtools
 
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.homes import ConnectionPlan
-from sesameplank.core.leaving import LeavingTargets
-from sesameplank.core.limit_parts import HomeParts
-from sesameplank.core.messages import TargetSearch, TargetSearchAnswer
-from sesameplank.core.outcomes import Failure, FailureReason, Ran
-from sesameplank.core.peer_messages import RelayedAnswer, RelayedCall
-from sesameplank.core.target_limits import TargetLimits
-from sesameplank.core.target_reach import ReachState, TargetReach
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.common.outcomes import Failure, FailureReason, Ran
+from sesameplank.core.forwarding.target_reach import ReachState, TargetReach
+from sesameplank.core.limits.limit_parts import HomeParts
+from sesameplank.core.limits.target_limits import TargetLimits
+from sesameplank.core.membership.homes import ConnectionPlan
+from sesameplank.core.membership.peer_messages import RelayedAnswer, RelayedCall
+from sesameplank.core.published.leaving import LeavingTargets
+from sesameplank.core.search.messages import TargetSearch, TargetSearchAnswer
 from sesameplank.peers import PeerContext
 from sesameplank.targets import DirectDispatcher
 from sesameplank.targets.pool import LIMITED
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -3,10 +3,10 @@
 import gevent
 import msgspec
 
-from sesameplank.core.clock import SystemClock
-from sesameplank.core.entry_stop import make_entry_stop_schedule
-from sesameplank.core.messages import SearchAnswer
-from sesameplank.core.peer_messages import Phase
+from sesameplank.core.common.clock import SystemClock
+from sesameplank.core.common.entry_stop import make_entry_stop_schedule
+from sesameplank.core.membership.peer_messages import Phase
+from sesameplank.core.search.messages import SearchAnswer
 from sesameplank.draining import Drain
 from sesameplank.logs import output
 from sesameplank.serving import ServingGate, ServingState
--- a/tests/test_hedged_queries.py
+++ b/tests/test_hedged_queries.py
@@ -9,20 +9,20 @@
 
 from sesameplank.conf import Configuration, decode_configuration
 from sesameplank.conf.documents import PresetName, PublishedConfiguration
-from sesameplank.core.clock import SystemClock
-from sesameplank.core.counters import HedgeResult
-from sesameplank.core.ejection import EjectedTarget, EjectionReason
-from sesameplank.core.messages import (
+from sesameplank.core.common.clock import SystemClock
+from sesameplank.core.published.versions import AcceptedConfiguration
+from sesameplank.core.search.counters import HedgeResult
+from sesameplank.core.search.ejection import EjectedTarget, EjectionReason
+from sesameplank.core.search.messages import (
     SearchRequest,
     ShardResult,
     ShardStatus,
     TargetSearch,
     TargetSearchAnswer,
 )
-from sesameplank.core.policies import LoadPolicies
-from sesameplank.core.ranges import KEY_SPACE
-from sesameplank.core.snapshots import SnapshotTracker
-from sesameplank.core.versions import AcceptedConfiguration
+from sesameplank.core.search.policies import LoadPolicies
+from sesameplank.core.search.ranges import KEY_SPACE
+from sesameplank.core.search.snapshots import SnapshotTracker
 from sesameplank.queries import QueryRunner
 from sesameplank.targets import Dispatcher
 
--- a/tests/test_limit_log.py
+++ b/tests/test_limit_log.py
@@ -3,9 +3,13 @@
 import testtools
 
 from sesameplank import logs
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.limit_parts import WholePart
-from sesameplank.core.target_limits import LimitNews, TargetLimits, UnreadableLimit
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.limits.limit_parts import WholePart
+from sesameplank.core.limits.target_limits import (
+    LimitNews,
+    TargetLimits,
+    UnreadableLimit,
+)
 from sesameplank.limit_log import LINES_BURST, LimitLog
 
 ANSWERS = 5_000
--- a/tests/test_queries_differential.py
+++ b/tests/test_queries_differential.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies as st
 
 from sesameplank.callers.problems import ProblemKind, Refusal
-from sesameplank.core.coverage import Coverage
-from sesameplank.core.messages import Order, SearchRequest
-from sesameplank.core.ranges import KEY_SPACE, KeyRange
+from sesameplank.core.search.coverage import Coverage
+from sesameplank.core.search.messages import Order, SearchRequest
+from sesameplank.core.search.ranges import KEY_SPACE, KeyRange
 
 from .differential import COLLECTION_NAME, CUTS, EVENTS, REQUESTS, Event, ScriptedWorld
 
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -10,13 +10,13 @@
 from sesameplank.bookings.refusals import make_cut_off
 from sesameplank.bookings.service import BookingService
 from sesameplank.callers.problems import ProblemKind, Refusal
-from sesameplank.core.bookings import BookingLimits, BookingRegistry
-from sesameplank.core.clock import ManualClock
-from sesameplank.core.entry_stop import make_entry_stop_schedule
-from sesameplank.core.outcomes import Ran
-from sesameplank.core.pauses import EventAge, PauseDetector
-from sesameplank.core.peer_messages import RelayedCall
-from sesameplank.core.writers import parse_key
+from sesameplank.core.bookings.bookings import BookingLimits, BookingRegistry
+from sesameplank.core.bookings.writers import parse_key
+from sesameplank.core.common.clock import ManualClock
+from sesameplank.core.common.entry_stop import make_entry_stop_schedule
+from sesameplank.core.common.outcomes import Ran
+from sesameplank.core.common.pauses import EventAge, PauseDetector
+from sesameplank.core.membership.peer_messages import RelayedCall
 from sesameplank.exceptions import StopReached
 from sesameplank.serving import (
     GatedBookings,
