Stories of requests show limits, lost links, and what still lasted

Cause: the context of a story and of a moment of losses was chosen by a list of events from before limits and lost links were logged. A request that was refused for want of room showed nothing of the limit, and one refused while the store was lost showed that only if it was lost within the last 5 s.

Change: the new events are context; lines that began a condition which lasted belong to it however old they are, by process and target, until the process restarts. Both tests fail without (2 of 12).

--- a/sesameplank/monitoring/timeline.py
+++ b/sesameplank/monitoring/timeline.py
@@ -8,19 +8,31 @@
 # Forwarding processes write the first field, entries the second.
 REQUEST_FIELDS = ("request", "request_id")
 STOP_EVENTS = ("leaving", "stop_accepting", "left", "stopped")
+# What each of these events begins lasts until an event of the same condition ends it.
+CONDITIONS = {
+    "store_lost": ("store", True),
+    "store_regained": ("store", False),
+    "targets_lost": ("targets", True),
+    "targets_regained": ("targets", False),
+    "target_limit_named": ("limit", True),
+    "target_limit_changed": ("limit", True),
+    "target_limit_lifted": ("limit", False),
+    "target_limit_expired": ("limit", False),
+}
 CONTEXT_EVENTS = frozenset(
     {
         *STOP_EVENTS,
+        *CONDITIONS,
         "started",
         "reloaded",
         "reload_failed",
         "pause_noticed",
-        "store_lost",
-        "store_regained",
         "store_history_gone",
+        "store_restored",
         "config_in_force",
         "config_refused",
         "target_entry_refused",
+        "target_limit_unreadable",
     }
 )
 
@@ -71,8 +83,9 @@
 
     The context consists of the lines with CONTEXT_EVENTS from the processes that
     logged the request. It starts `context_s` seconds before the first line
-    of the request and ends with the last one. If a process was stopping at its last
-    line about the request, all steps of that stop belong to the context.
+    of the request and ends with the last one. Older lines belong to it if they began a
+    condition that still lasted. If a process was stopping at its last line about the
+    request, all steps of that stop belong to the context.
     """
     all_lines = list(lines)
     request_lines = [line for line in all_lines if line.is_about(request_id)]
@@ -84,11 +97,14 @@
     stops = [
         step for line in last_lines.values() for step in find_stop(all_lines, line)
     ]
+    lasting = find_lasting(all_lines, first)
+    kept = {id(line) for line in stops}
+    kept |= {id(line) for line in lasting if line.source in last_lines}
     timeline = [
         line
         for line in all_lines
         if line.is_about(request_id)
-        or line in stops
+        or id(line) in kept
         or line.source in last_lines
         and line.event in CONTEXT_EVENTS
         and first <= line.time <= last
@@ -96,6 +112,27 @@
     return sorted(timeline, key=lambda line: line.time)
 
 
+def find_lasting(lines: Iterable[LogLine], time: float) -> list[LogLine]:
+    """Return the lines that began a condition which lasted at a time.
+
+    A process that starts knows of none.
+    """
+    begun: dict[tuple[str, str, str], LogLine] = {}
+    for line in lines:
+        if line.time >= time:
+            continue
+        if line.event == "started":
+            begun = {key: item for key, item in begun.items() if key[0] != line.source}
+        if line.event in CONDITIONS:
+            condition, is_beginning = CONDITIONS[line.event]
+            key = (line.source, condition, line.fields.get("target", ""))
+            if is_beginning:
+                begun[key] = line
+            else:
+                begun.pop(key, None)
+    return list(begun.values())
+
+
 def find_stop(lines: Iterable[LogLine], during: LogLine) -> list[LogLine]:
     """Return the steps of the stop in which a process wrote a line, or nothing.
 
--- a/tests/monitoring/test_timeline.py
+++ b/tests/monitoring/test_timeline.py
@@ -73,6 +73,28 @@
         timeline = find_timeline(parse_lines("entry", log), "r1", 5.0)
         self.assertEqual(["request_refused"], [line.event for line in timeline])
 
+    def test_conditions_that_still_last_belong_to_the_context(self):
+        log = [
+            make_line(1.0, "target_limit_named", target="t0", per_s=9.0),
+            make_line(2.0, "started", vm="e"),
+            make_line(3.0, "target_limit_named", target="t1", per_s=2.0),
+            make_line(3.0, "target_limit_named", target="t2", per_s=2.0),
+            make_line(4.0, "targets_lost", age_ms=700),
+            make_line(5.0, "targets_regained", age_ms=0),
+            make_line(6.0, "target_limit_changed", target="t1", per_s=1.0),
+            make_line(7.0, "target_limit_lifted", target="t2", per_s=2.0),
+            make_line(20.0, "request_refused", request="r9", status=503),
+        ]
+        timeline = find_timeline(parse_lines("e", log), "r9", 5.0)
+        self.assertEqual([6.0, 20.0], [line.time for line in timeline])
+
+    def test_lost_links_and_limits_are_context(self):
+        events = ["targets_lost", "targets_regained", "target_limit_named"]
+        log = [make_line(18.0, event, target="t1") for event in events]
+        log.append(make_line(20.0, "request_refused", request="r9", status=503))
+        timeline = find_timeline(parse_lines("e", log), "r9", 5.0)
+        self.assertEqual(events, [line.event for line in timeline[:-1]])
+
     def find_events(self, request_id: str, context_s: float = 1.0) -> list[str]:
         lines = parse_lines("d", STOPPED)
         timeline = find_timeline(lines, request_id, context_s)
