sesameplank-losses: extra calls by span, and what was left of their bound

The growth of the counters between the lines of each process is summed by span of 10 s, in which processes log them, over restarts.

--- a/sesameplank/commands/losses.py
+++ b/sesameplank/commands/losses.py
@@ -11,13 +11,16 @@
     read_outcomes,
     sum_by,
     sum_counters,
+    sum_growth,
 )
 from ..monitoring.timeline import LogLine
 from .base import Command, run_command
 from .story import find_files, read_lines
 
 EXIT_NOT_FOUND = 1
+EXTRA_SPAN_S = 10.0  # Processes log their counters as often.
 CAUSES = (Loss.PARTS, Loss.LATE, Loss.REFUSED, Loss.FAILED)
+EXTRA_COUNTERS = ("requests", "calls_hedge", "calls_retry", "copies_refused")
 COUNTERS = (
     "requests",
     "calls_first",
@@ -49,6 +52,8 @@
         Setting("late_share", 0.1, "Share of its worth that a late answer keeps."),
         Setting("moment_s", 2.0, "Length of a moment in seconds."),
         Setting("min_lost", 0.2, "Least lost share of a moment to print it."),
+        Setting("extra_ratio", 0.0, "Extra calls allowed a request; 0 if unknown."),
+        Setting("extra_slack", 0.0, "Extra calls allowed besides in 10 s."),
     )
 
     def handle(self, arguments: list[str], values: dict) -> int:
@@ -65,6 +70,7 @@
             return EXIT_NOT_FOUND
         self.print_routes(outcomes)
         self.print_moments(outcomes, logs, values["moment_s"], values["min_lost"])
+        self.print_extra_calls(logs, values["extra_ratio"], values["extra_slack"])
         self.print_counters(logs)
         self.print_starts(logs)
         return 0
@@ -104,6 +110,28 @@
                 f"{format_causes(row)}  {events}"
             )
 
+    def print_extra_calls(
+        self, logs: list[list[LogLine]], ratio: float, slack: float
+    ) -> None:
+        """Print hedges and retries by span, and what was left of their bound.
+
+        The bound is for all services together.
+        """
+        start = min(line.time for log in logs for line in log)
+        print(
+            "\nfrom second   requests   hedges  retries  not allowed  unused of bound"
+        )
+        for number, row in sum_growth(logs, start, EXTRA_SPAN_S).items():
+            requests, hedges, retries, refused = (
+                row.get(name, 0.0) for name in EXTRA_COUNTERS
+            )
+            bound = ratio * requests + slack
+            unused = f"{1.0 - (hedges + retries) / bound:.3f}" if bound else "-"
+            print(
+                f"{number * EXTRA_SPAN_S:11.1f} {requests:10.0f} {hedges:8.0f} "
+                f"{retries:8.0f} {refused:12.0f} {unused:>16}"
+            )
+
     def print_counters(self, logs: list[list[LogLine]]) -> None:
         """Print the counters of calls and bytes, summed over all processes."""
         total: dict[str, float] = {}
--- a/sesameplank/monitoring/losses.py
+++ b/sesameplank/monitoring/losses.py
@@ -169,6 +169,39 @@
     return total
 
 
+def find_growth(lines: Iterable[LogLine]) -> list[tuple[float, dict[str, float]]]:
+    """Return the growth of one process's counters up to each time that it logged them.
+
+    A process that starts counts from 0.
+    """
+    growth = []
+    last: dict[str, float] = {}
+    for line in lines:
+        if line.event == "started":
+            last = {}
+        elif line.event == "counts":
+            counters = read_counters(line)
+            grown = {name: counters[name] - last.get(name, 0.0) for name in counters}
+            growth.append((line.time, grown))
+            last = counters
+    return growth
+
+
+def sum_growth(
+    logs: Iterable[Iterable[LogLine]], start: float, span_s: float
+) -> dict[int, dict[str, float]]:
+    """Return the growth of counters over all processes by number of span.
+
+    Spans are `span_s` seconds long, from the time `start` on. Growth belongs to the
+    span in which it was logged.
+    """
+    spans: dict[int, dict[str, float]] = {}
+    for log in logs:
+        for time, grown in find_growth(log):
+            add_counters(spans.setdefault(int((time - start) // span_s), {}), grown)
+    return dict(sorted(spans.items()))
+
+
 def add_counters(total: dict[str, float], counters: dict[str, float]) -> None:
     """Add counters to a total."""
     for name, value in counters.items():
--- a/tests/monitoring/test_losses.py
+++ b/tests/monitoring/test_losses.py
@@ -15,6 +15,7 @@
     read_outcomes,
     sum_by,
     sum_counters,
+    sum_growth,
 )
 from sesameplank.monitoring.timeline import parse_lines
 
@@ -105,12 +106,37 @@
         )
 
 
+class GrowthTests(testtools.TestCase):
+    """What counters grew by is told by span."""
+
+    def test_growth_over_processes_and_restarts(self):
+        first = [
+            make_line(10.0, "started", vm="a"),
+            make_line(15.0, "counts", requests=5),
+            make_line(25.0, "counts", requests=8),
+            make_line(26.0, "started", vm="a"),
+            make_line(36.0, "counts", requests=2),
+        ]
+        second = [make_line(17.0, "counts", requests=4)]
+        logs = [list(parse_lines("a", first)), list(parse_lines("b", second))]
+        self.assertEqual(
+            {0: {"requests": 9.0}, 1: {"requests": 3.0}, 2: {"requests": 2.0}},
+            sum_growth(logs, 10.0, 10.0),
+        )
+
+
 class LossesCommandTests(testtools.TestCase):
     """The command reads the logs of many VMs."""
 
     def run_command(self, *arguments: str) -> tuple[int, str]:
         output = io.StringIO()
-        values = {"late_share": 0.1, "moment_s": 2.0, "min_lost": 0.2}
+        values = {
+            "late_share": 0.1,
+            "moment_s": 2.0,
+            "min_lost": 0.2,
+            "extra_ratio": 0.1,
+            "extra_slack": 2.0,
+        }
         with contextlib.redirect_stdout(output):
             code = LossesCommand().handle(list(arguments), values)
         return code, output.getvalue()
@@ -118,13 +144,16 @@
     def test_tables_of_two_logs(self):
         folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
         (folder / "a.log").write_text(
-            make_answer(1.0) + make_line(1.5, "store_lost", reason="x")
+            make_answer(1.0)
+            + make_line(1.5, "store_lost", reason="x")
+            + make_line(2.0, "counts", requests=20, calls_hedge=1, calls_retry=0)
         )
         (folder / "b.log").write_text(make_refusal(1.2, 503) + make_answer(9.0))
         code, text = self.run_command(str(folder))
         self.assertEqual(0, code)
         self.assertIn("all                             3 0.333", text)
         self.assertIn("store_lost x1", text)
+        self.assertRegex(text, r"0\.0 +20 +1 +0 +0 +0\.750\n")
 
     def test_logs_without_requests(self):
         folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
