Tests of parts of limits: judge them once views have settled

The sum of the parts right after the start isn't bounded by the target's rule: processes that have each heard a different one of two others may add up to more for some milliseconds (0.45, 0.45 and 0.6 of 0.9), so the bound added in could fail without a fault.

--- a/tests/integration/test_target_limits.py
+++ b/tests/integration/test_target_limits.py
@@ -83,8 +83,6 @@
         for number in range(self.front_count * 6):
             pool.spawn(self.send, number, "/one/x", "GET")
         pool.join(raise_error=True)
-        parts = self.get_parts(limited[0])
-        self.assertLessEqual(sum(parts), TOLERANCE * SMALL_LIMIT_PER_S, parts)
         half = SMALL_LIMIT_PER_S / 2
         self.wait_for(
             lambda: sorted(self.get_parts(limited[0])) == [0.0, half, half],
@@ -112,8 +110,9 @@
     """A process that hasn't heard of the others that its settings name."""
 
     def test_process_that_hears_no_other_takes_little_of_what_is_shared(self):
-        gauges = self.get_state(0)["gauges"]
-        self.assertLessEqual(gauges["slack_share"], 1 / UNKNOWN_FLEET_SIZE)
+        self.wait_for_state(
+            0, lambda state: state["gauges"]["slack_share"] <= 1 / UNKNOWN_FLEET_SIZE
+        )
         self.targets["singlea"].stated_limit = b"%g" % LIMIT_PER_S
         self.targets["singleb"].stated_limit = b"%g" % LIMIT_PER_S
         self.request(make_request("/one/x"))
