Say which targets crashed, and under which request

Cause: no line told a target that ended from one that broke off an answer, and nothing showed what attempts with different ids have in common. Lines of requests and calls hold a fingerprint of caller, method, target and body. Batches carry it; older releases are told crashes as truncated answers.

--- a/sesameplank/core/common/outcomes.py
+++ b/sesameplank/core/common/outcomes.py
@@ -19,17 +19,18 @@
 class FailureReason(Enum):
     """Why a call to a target returned no answer.
 
-    FOREIGN is a response that does not belong to the request. LIMITED means that the
-    call was not sent, because of the rate limit that its target names. UNREACHED means
-    that this process has lost its links to all targets. RELAY means that
-    no process can relay the call, or that a relayed call failed and may have been
-    executed.
+    CRASHED means that the target ended while it had the call. FOREIGN is a response
+    that does not belong to the request. LIMITED means that the call was not sent,
+    because of the rate limit that its target names. UNREACHED means that this process
+    has lost its links to all targets. RELAY means that no process can relay the call,
+    or that a relayed call failed and may have been executed.
     """
 
     CONNECT = "connect"
     RESET = "reset"
     TIMEOUT = "timeout"
     TRUNCATED = "truncated"
+    CRASHED = "crashed"
     FOREIGN = "foreign"
     REFUSED = "refused"
     QUEUE_FULL = "queue_full"
--- a/sesameplank/core/forwarding/batch_messages.py
+++ b/sesameplank/core/forwarding/batch_messages.py
@@ -5,9 +5,10 @@
 
 import msgspec
 
-from ...ids import RequestId, TargetId
+from ...ids import Fingerprint, RequestId, TargetId
 from ..common.outcomes import Failure, FailureReason, Ran
 from ..membership.peer_messages import PeerMessage
+from ..quarantine.fingerprints import NO_FINGERPRINT
 from .placement import LoadReport
 
 
@@ -21,7 +22,7 @@
     `wants_responses`, the responses are returned whole, each at once, and not merged.
     `is_head` says that they have no body, and `is_idempotent` that the request may run
     more than once. `has_lost_targets` says that the sender has lost its links to
-    targets.
+    targets. `fingerprint` is that of the request, empty from older releases.
     """
 
     batch: int
@@ -36,6 +37,7 @@
     is_idempotent: bool = True
     is_head: bool = False
     has_lost_targets: bool = False
+    fingerprint: Fingerprint = NO_FINGERPRINT
 
 
 class BatchedLoad(msgspec.Struct, frozen=True, array_like=True):
@@ -79,7 +81,8 @@
 
     `is_limited` says that the target's rate limit left no room, so nothing was sent.
     `is_other_target` is true if another target listens at the address now, and
-    `answered_by` is its id, None if unknown.
+    `answered_by` is its id, None if unknown. `is_crash` says that the target crashed;
+    older releases don't know that reason.
     """
 
     index: int
@@ -90,10 +93,19 @@
     load: BatchedLoad | None = None
     answered_by: TargetId | None = None
     is_limited: bool = False
+    is_crash: bool = False
+
+    @classmethod
+    def pack(cls, index: int, failure: Failure) -> "BatchedFailure":
+        """Return the failure of a call as it is sent, with a reason known to all."""
+        if failure.reason is FailureReason.CRASHED:
+            return cls(index, FailureReason.TRUNCATED, failure.ran, is_crash=True)
+        return cls(index, failure.reason, failure.ran)
 
     def unpack(self) -> Failure:
         """Return the failure as the sender of the batch processes it."""
-        return Failure(self.reason, self.ran, "reported by the aggregating VM")
+        reason = FailureReason.CRASHED if self.is_crash else self.reason
+        return Failure(reason, self.ran, "reported by the aggregating VM")
 
 
 class BatchedResponse(msgspec.Struct, frozen=True, array_like=True):
--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -21,12 +21,14 @@
 from ..core.forwarding.record_merge import RecordMerge
 from ..core.forwarding.target_reach import TargetReach
 from ..core.published.target_table import TargetRecord, TargetTable
-from ..ids import AttemptId, EntryId, Incarnation
+from ..core.quarantine.sent_request import SentRequest
+from ..ids import AttemptId, EntryId, Fingerprint, Incarnation
 from ..peers import PeerContext, PeerLinks
 from .connection_shares import ConnectionShares
 from .dialect import Dialect, TargetAnswer, find_failure
 from .http_messages import Response, encode_headers
 from .replaced_targets import ReplacedTargets
+from .request_fingerprints import find_encoded_fingerprint
 from .request_log import RequestLog
 from .target_connections import Exchange
 
@@ -133,6 +135,7 @@
         self.server = server
         self.message = message
         self.sender = context.sender
+        self.request = SentRequest(message.request_id, self.find_fingerprint())
         self.key = make_key(message.batch, context)
         now = server.clock.now()
         self.deadline_at = now + message.remaining_ms / 1_000 - context.age_s
@@ -145,6 +148,13 @@
         self.flush_at = NEVER
         self.deadline_timer: gevent.Greenlet | None = None
 
+    def find_fingerprint(self) -> Fingerprint:
+        """Return the fingerprint of the request, which older releases don't send."""
+        message = self.message
+        if message.fingerprint:
+            return message.fingerprint
+        return find_encoded_fingerprint(message.head + message.tail)
+
     def start(self) -> None:
         """Submit the calls; fail those whose target is unknown or leaving."""
         unknown = []
@@ -199,7 +209,7 @@
         placement.note_sent(record.id, attempt, now)
         return Exchange(
             call,
-            self.message.request_id,
+            self.request,
             lambda: self.encode(record),
             self.server.on_transmit,
             lambda exchange, outcome: self.on_done(index, exchange, outcome),
@@ -237,6 +247,7 @@
             self.note_failure(call, failure)
             self.fail(index, failure)
             return
+        self.request.is_answered = True
         elapsed_s = self.server.placement.note_answer(call.target.id, call.id, now)
         self.merge.add(outcome.body)
         self.answers.append(
@@ -325,7 +336,7 @@
 
     def fail(self, index: int, failure: Failure) -> None:
         """Report a failed call."""
-        self.report(BatchedFailure(index, failure.reason, failure.ran))
+        self.report(BatchedFailure.pack(index, failure))
 
     def report(self, failure: BatchedFailure) -> None:
         """Return a failure at once, so that it can be retried soon."""
--- a/sesameplank/forwarding/call_batches.py
+++ b/sesameplank/forwarding/call_batches.py
@@ -19,7 +19,8 @@
 from ..core.forwarding.fanout_calls import Call, CallKind
 from ..core.limits.target_limits import TargetLimits
 from ..core.membership.peer_messages import Member
-from ..ids import AttemptId, DataCentre, EntryId, RequestId
+from ..core.quarantine.fingerprints import NO_FINGERPRINT
+from ..ids import AttemptId, DataCentre, EntryId, Fingerprint, RequestId
 from ..peers import PeerContext, PeerLinks
 from .http_messages import RequestEncoder
 
@@ -44,6 +45,7 @@
     is_gather: bool
     is_idempotent: bool
     is_head: bool
+    fingerprint: Fingerprint = NO_FINGERPRINT
 
 
 class CallBatch:
@@ -188,6 +190,7 @@
             is_idempotent=request.is_idempotent,
             is_head=request.is_head,
             has_lost_targets=has_lost_targets,
+            fingerprint=request.fingerprint,
         )
         if not self.links.send(peer, message):
             return []
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -16,11 +16,13 @@
 from ..core.forwarding.placement import LoadReport
 from ..core.published.routes import Route, RoutingConfiguration
 from ..core.published.target_table import TargetRecord
+from ..core.quarantine.sent_request import SentRequest
 from ..ids import AttemptId, ServiceName, TargetId
 from .answer_accounts import CloseCause
 from .dialect import RequestMetadata, TargetAnswer, find_failure
 from .http_messages import Request, RequestEncoder, Response
 from .request_batches import RequestBatches
+from .request_fingerprints import find_fingerprint
 from .request_handling import Reply, RequestContext
 from .target_connections import Exchange
 
@@ -67,6 +69,7 @@
         self.extra_calls = 0
         self.exchanges: dict[AttemptId, Exchange] = {}
         self.batches = RequestBatches(self)
+        self.sent_request = SentRequest(metadata.request_id, find_fingerprint(request))
         self.encoder = RequestEncoder(
             request.method,
             request.target,
@@ -138,6 +141,7 @@
             "request_answered" if is_answered else "request_refused",
             request=self.metadata.request_id,
             status=status,
+            fingerprint=self.sent_request.fingerprint,
             route=self.route.name,
             version=self.routing.version,
             targets_revision=self.forwarder.table.revision,
@@ -194,7 +198,7 @@
             pool = self.forwarder.connection_shares.get_pool(call.target)
             exchange = Exchange(
                 call,
-                self.metadata.request_id,
+                self.sent_request,
                 lambda call=call: self.encode(call),
                 self.note_transmitted,
                 self.on_done,
@@ -245,6 +249,7 @@
         self.forwarder.log.note_call(
             "call_repeated",
             request=self.metadata.request_id,
+            fingerprint=self.sent_request.fingerprint,
             shard=call.shard,
             target=call.target.id,
             kind=call.kind.value,
@@ -333,6 +338,7 @@
                 self.forwarder.placement.note_relative_latency(
                     call.target.id, elapsed_s / self.plan.usual_call_s, now
                 )
+        self.sent_request.is_answered = True
         if not self.fanout.on_answer(call, now, elapsed_s):
             return False
         self.abandon_other_calls(call.shard)
@@ -391,6 +397,7 @@
         self.forwarder.log.note_call(
             "call_failed",
             request=self.metadata.request_id,
+            fingerprint=self.sent_request.fingerprint,
             target=call.target.id,
             shard=call.shard,
             kind=call.kind.value,
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -32,6 +32,7 @@
 from ..core.published.routes import RequestLimits, RoutingConfiguration
 from ..core.published.target_table import TargetTable
 from ..core.published.versions import AcceptedConfiguration, ConfigurationStore
+from ..crash_reports import CrashReports
 from ..ids import DataCentre, EntryId, RequestId
 from ..limit_log import LimitLog
 from ..logs import log_event
@@ -115,7 +116,15 @@
         limit_log = LimitLog(clock, lambda: {"targets_revision": self.table.revision})
         limit_log.follow(self.limits)
         self.reach = TargetReach(rng, clock.now())
-        self.pools = TargetPools(clock, dialect, settings.vm, self.limits, self.reach)
+        self.crash_reports = CrashReports(
+            clock,
+            self.reach,
+            lambda target: self.table.find_ready(target) is not None,
+            lambda: {"targets_revision": self.table.revision},
+        )
+        self.pools = TargetPools(
+            clock, dialect, settings.vm, self.limits, self.reach, self.crash_reports
+        )
         self.reach_probes = ReachProbes(
             self.reach,
             clock,
--- a/sesameplank/forwarding/request_batches.py
+++ b/sesameplank/forwarding/request_batches.py
@@ -85,6 +85,7 @@
             is_gather=request.is_merged,
             is_idempotent=request.route.idempotent,
             is_head=request.is_head,
+            fingerprint=request.sent_request.fingerprint,
         )
 
     def find_unobserved(self) -> set[AttemptId]:
--- a/sesameplank/forwarding/target_connections.py
+++ b/sesameplank/forwarding/target_connections.py
@@ -12,10 +12,11 @@
 
 import gevent
 import gevent.socket
+import msgspec
 
 from ..core.common.outcomes import Failure, FailureReason, Ran
 from ..core.forwarding.fanout_calls import Call
-from ..ids import RequestId
+from ..core.quarantine.sent_request import SentRequest
 from .http_messages import Response, ResponseReader
 
 if TYPE_CHECKING:
@@ -44,7 +45,7 @@
     def __init__(
         self,
         call: Call,
-        request_id: RequestId,
+        request: SentRequest,
         encode: Callable[[], bytes],
         on_transmit: Callable[[Call], None],
         on_done: OnDone,
@@ -53,7 +54,7 @@
         is_head: bool = False,
     ) -> None:
         self.call = call
-        self.request_id = request_id
+        self.request = request
         self.encode = encode
         self.on_transmit = on_transmit
         self.on_done: OnDone | None = on_done
@@ -73,6 +74,15 @@
         self.finish(Failure(reason, ran, detail))
 
 
+class BrokenCall(msgspec.Struct, frozen=True):
+    """A call whose connection the target ended, when it was sent, and how it ended."""
+
+    exchange: Exchange
+    sent_at: float
+    reason: FailureReason
+    detail: str
+
+
 class TargetConnection:
     """One connection to one target.
 
@@ -118,7 +128,7 @@
         except OSError as error:
             # Close in a new greenlet: the code that submits the call is still changing
             # the state of its request, which the failure of the call changes too.
-            gevent.spawn(self.close, FailureReason.RESET, repr(error))
+            gevent.spawn(self.break_off, FailureReason.RESET, repr(error))
             return b""
 
     def write_remaining(self, data: bytes) -> None:
@@ -135,7 +145,7 @@
         except BlockingIOError:
             return
         except OSError as error:
-            self.close(FailureReason.RESET, repr(error))
+            self.break_off(FailureReason.RESET, repr(error))
             return
         if data:
             self.pool.reach.note_heard(self.pool.clock.now())
@@ -144,7 +154,7 @@
         else:
             self.reader.finish()
             self.process_responses()
-            self.close(FailureReason.TRUNCATED, "closed by the target")
+            self.break_off(FailureReason.TRUNCATED, "closed by the target")
 
     def process_responses(self) -> None:
         """Process the complete responses; close on any unexpected bytes."""
@@ -167,7 +177,7 @@
             self.close(FailureReason.FOREIGN, "an unsolicited response")
             return
         metadata = self.pool.dialect.read_response_metadata(response)
-        if metadata.request_id not in (None, exchange.request_id):
+        if metadata.request_id not in (None, exchange.request.request_id):
             self.mismatched += 1
             if self.mismatched > MAX_MISMATCHED_RESPONSES:
                 self.close(FailureReason.FOREIGN, "responses to other requests")
@@ -218,6 +228,18 @@
                 "the answer is no longer needed",
             )
 
+    def break_off(self, reason: FailureReason, detail: str) -> None:
+        """Close the connection, which the target has ended.
+
+        The call in progress fails once it is known whether the target has crashed.
+        """
+        exchange, self.exchange = self.exchange, None
+        is_open = self.is_open
+        self.close(reason, detail)
+        if exchange is not None and is_open:
+            broken = BrokenCall(exchange, self.sent_at, reason, detail)
+            self.pool.fail_broken(broken)
+
     def close(self, reason: FailureReason, detail: str = "") -> None:
         """Close the connection and fail the call in progress on it, if any."""
         if not self.is_open:
--- a/sesameplank/forwarding/target_pools.py
+++ b/sesameplank/forwarding/target_pools.py
@@ -12,15 +12,23 @@
 from ..core.forwarding.target_reach import SILENCE_S, TargetReach
 from ..core.limits.target_limits import LimitStatement, TargetLimits
 from ..core.published.target_table import TargetRecord
+from ..crash_reports import CrashReports
 from ..ids import TargetId
 from ..net import Address, set_no_delay
 from .dialect import Dialect
-from .target_connections import DEFAULT_IDLE_TIMEOUT_S, Exchange, TargetConnection
+from .target_connections import (
+    DEFAULT_IDLE_TIMEOUT_S,
+    BrokenCall,
+    Exchange,
+    TargetConnection,
+)
 
 CONNECT_TIMEOUT_S = 1.0
 TCP_USER_TIMEOUT_MS = 4_000
 NON_IDEMPOTENT_MAX_IDLE_S = 1.0
 WARM_UP_RETRY_S = 5.0
+# A target that has crashed refuses connections at once; its calls wait for no longer.
+CRASH_CHECK_TIMEOUT_S = 0.1
 
 
 class TargetPool:
@@ -39,9 +47,12 @@
         source_host: str,
         limits: TargetLimits,
         reach: TargetReach,
+        crash_reports: CrashReports,
     ) -> None:
         self.record = record
         self.limit = limit
+        self.crash_reports = crash_reports
+        self.broken: list[BrokenCall] = []
         self.limits = limits
         self.reach = reach
         self.clock = clock
@@ -148,17 +159,58 @@
                 self.waiting.popleft().fail(FailureReason.CONNECT, repr(error))
             return
         self.dialling -= 1
+        self.adopt(sock)
+
+    def adopt(self, sock: socket.socket) -> None:
+        """Add a new connection to the pool."""
         self.opened += 1
         self.reach.note_heard(self.clock.now())
         connection = TargetConnection(self, sock)
         self.connections.add(connection)
         self.put_back(connection)
 
-    def connect(self) -> socket.socket:
+    def fail_broken(self, broken: BrokenCall) -> None:
+        """Fail a call whose connection the target ended, after a crash check."""
+        self.broken.append(broken)
+        if len(self.broken) == 1:
+            self.dialling += 1
+            gevent.spawn(self.check_crash)
+
+    def check_crash(self) -> None:
+        """Fail the calls of ended connections with the reason for their end.
+
+        The target has ended if it refuses a new connection. One that it accepts stays
+        open.
+        """
+        sock = None
+        has_ended = False
+        try:
+            sock = self.connect(CRASH_CHECK_TIMEOUT_S)
+        except ConnectionRefusedError:
+            has_ended = True
+            self.reach.note_suspicion()
+        except OSError:
+            self.reach.note_suspicion()
+        self.dialling -= 1
+        broken, self.broken = self.broken, []
+        for call in broken:
+            reason = self.find_reason(call) if has_ended else call.reason
+            call.exchange.fail(reason, call.detail)
+        if sock is not None:
+            self.adopt(sock)
+
+    def find_reason(self, call: BrokenCall) -> FailureReason:
+        """Return why the call of a target that has ended failed."""
+        is_crash = self.crash_reports.note_ended(
+            self.record.id, call.exchange.request, call.sent_at
+        )
+        return FailureReason.CRASHED if is_crash else call.reason
+
+    def connect(self, timeout_s: float = CONNECT_TIMEOUT_S) -> socket.socket:
         """Return a new non-blocking socket to the target, or raise OSError."""
         sock = gevent.socket.create_connection(
             Address.parse(self.record.address),
-            CONNECT_TIMEOUT_S,
+            timeout_s,
             source_address=(self.source_host, 0),
         )
         set_no_delay(sock)
@@ -242,12 +294,14 @@
         source_host: str,
         limits: TargetLimits,
         reach: TargetReach,
+        crash_reports: CrashReports,
     ) -> None:
         self.clock = clock
         self.dialect = dialect
         self.source_host = source_host
         self.limits = limits
         self.reach = reach
+        self.crash_reports = crash_reports
         self.pools: dict[TargetId, TargetPool] = {}
 
     def get(self, record: TargetRecord, limit: int) -> TargetPool:
@@ -267,6 +321,7 @@
                 self.source_host,
                 self.limits,
                 self.reach,
+                self.crash_reports,
             )
             self.pools[record.id] = pool
         pool.limit = limit
@@ -287,7 +342,7 @@
         for target in [item for item in self.pools if not is_listed(item)]:
             pool = self.pools[target]
             pool.close()
-            if not pool.connections and not pool.waiting:
+            if not pool.connections and not pool.waiting and not pool.broken:
                 del self.pools[target]
 
     def give_up(self, *, is_silent: bool) -> None:
--- a/sesameplank/standins/front_targets.py
+++ b/sesameplank/standins/front_targets.py
@@ -4,6 +4,7 @@
 import socket
 import struct
 import time
+from collections.abc import Callable
 from enum import Enum
 
 import gevent
@@ -32,6 +33,8 @@
 READ_BYTES = 65_536
 MAX_BYTES = 1_048_576
 LATE_S = 0.3
+RESTART_S = 0.6
+CRASH_DELAY_S = 0.02
 # A `struct linger` with a timeout of 0: close() sends a TCP reset, not a FIN.
 LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -106,6 +109,10 @@
     `link_faults` holds the faults of its links by the other host, and `sockets` the
     open connections with theirs.
 
+    `deadly_targets` holds the request targets that crash this target when it begins to
+    run them. Its `crashes` are counted; it listens again after RESTART_S, once
+    `on_restart` has been called.
+
     `stated_limit` is the rate limit that its answers name, None for none, and
     `arrived_at` the time of arrival of every request.
 
@@ -128,6 +135,11 @@
         self.sockets: dict[gevent.socket.socket, str] = {}
         self.open_connections = 0
         self.peak_connections = 0
+        self.deadly_targets: set[bytes] = set()
+        self.deadly_arrivals: list[float] = []
+        self.crashes = 0
+        self.on_restart: Callable[[FrontTarget], None] = lambda target: None
+        self.restart: gevent.Greenlet | None = None
         self.server = StreamServer(tuple(address), self.handle)
 
     def __enter__(self) -> "FrontTarget":
@@ -135,7 +147,26 @@
         return self
 
     def __exit__(self, *exc_info: object) -> None:
+        if self.restart is not None:
+            self.restart.kill()
+        self.server.stop(timeout=0)
+
+    def crash(self) -> None:
+        """Stop listening and end all connections, as a process that is killed."""
+        if not self.server.started:
+            return
+        self.crashes += 1
         self.server.stop(timeout=0)
+        for sock in list(self.sockets):
+            with contextlib.suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
+        self.restart = gevent.spawn_later(RESTART_S, self.start_again)
+
+    def start_again(self) -> None:
+        """Listen again, as a new incarnation."""
+        self.server = StreamServer(tuple(self.address), self.handle)
+        self.server.start()
+        self.on_restart(self)
 
     def lose_link(self, host: str, fault: LinkFault) -> None:
         """Inject a fault into the link to a host."""
@@ -195,6 +226,11 @@
             sock.sendall(self.encode(503, [(NOT_RUN, b"1")], b""))
             return True
         request_id = request.get(REQUEST_ID.lower()) or ""
+        if bytes(request.target) in self.deadly_targets:
+            self.deadly_arrivals.append(time.monotonic())
+            gevent.sleep(CRASH_DELAY_S)
+            self.crash()
+            return False
         self.executed_ids.append(request_id)
         self.requests.append(request)
         if request.method == b"HEAD":
--- /dev/null
+++ b/tests/core/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the quarantine of requests that crash targets."""
