Keep requests that crash targets from them, fleet-wide

Cause: each call was decided by what is known of targets alone. Nothing counted what a request did to them, in no process and not in the fleet, so first calls, hedges, retries, batches and the caller's further tries each ended more targets. Change: a crash makes its request suspect (by fingerprint) in all processes; a suspect request has one call in flight until a target answers, which clears it. Crashes under three calls, each sent after the one before, put it in quarantine: refused at once with the remaining hold, calls in flight withdrawn. It is checked where a call is transmitted, whatever it is for. Holds end, and grow when one more call crashes. Why it works: an answer proves that a request doesn't crash its targets, and independent rounds tell it from what ran beside it.

--- a/sesameplank/core/common/outcomes.py
+++ b/sesameplank/core/common/outcomes.py
@@ -22,8 +22,9 @@
     CRASHED means that the target ended while it had the call. FOREIGN is a response
     that does not belong to the request. LIMITED means that the call was not sent,
     because of the rate limit that its target names. UNREACHED means that this process
-    has lost its links to all targets. RELAY means that no process can relay the call,
-    or that a relayed call failed and may have been executed.
+    has lost its links to all targets. QUARANTINED means that the call was not sent,
+    because requests like its own crash targets. RELAY means that no process can relay
+    the call, or that a relayed call failed and may have been executed.
     """
 
     CONNECT = "connect"
@@ -36,6 +37,7 @@
     QUEUE_FULL = "queue_full"
     LIMITED = "limited"
     UNREACHED = "unreached"
+    QUARANTINED = "quarantined"
     CANCELLED = "cancelled"
     BAD_ANSWER = "bad_answer"
     RELAY = "relay"
@@ -53,7 +55,9 @@
 
 
 # The target had no part in these failures.
-OWN_REASONS = frozenset({FailureReason.LIMITED, FailureReason.UNREACHED})
+OWN_REASONS = frozenset(
+    {FailureReason.LIMITED, FailureReason.UNREACHED, FailureReason.QUARANTINED}
+)
 
 
 class Failure(msgspec.Struct, frozen=True):
--- a/sesameplank/core/forwarding/batch_messages.py
+++ b/sesameplank/core/forwarding/batch_messages.py
@@ -81,7 +81,8 @@
 
     `is_limited` says that the target's rate limit left no room, so nothing was sent.
     `is_other_target` is true if another target listens at the address now, and
-    `answered_by` is its id, None if unknown. `is_crash` says that the target crashed;
+    `answered_by` is its id, None if unknown. `is_quarantined` says that nothing was
+    sent because such requests crash targets, and `is_crash` that the target crashed;
     older releases don't know that reason.
     """
 
@@ -94,6 +95,7 @@
     answered_by: TargetId | None = None
     is_limited: bool = False
     is_crash: bool = False
+    is_quarantined: bool = False
 
     @classmethod
     def pack(cls, index: int, failure: Failure) -> "BatchedFailure":
--- a/sesameplank/core/forwarding/fanout.py
+++ b/sesameplank/core/forwarding/fanout.py
@@ -9,6 +9,9 @@
 A request takes about the same work at every shard. Whether a call is late is
 therefore judged by the calls of the same request to other shards (its siblings):
 a request that is slow at every shard is not hedged.
+
+A request that is suspected to crash targets has one call in flight at a time until a
+target answers it. The other shards are called then.
 """
 
 import bisect
@@ -40,6 +43,10 @@
 HEDGE_DURATION_FACTOR = 1.6
 MIN_LATE_FACTOR = 1.3
 BATCH_LATE_FACTOR = 4.0  # Requests differ in work, so their usual latency says less.
+# A canary without an outcome for so many times the usual latency is no longer waited
+# for.
+CANARY_LATE_FACTOR = 4.0
+CANARY_RECHECK_S = 0.02
 
 FindTargets = Callable[[ServiceName], Sequence[TargetRecord]]
 
@@ -48,20 +55,24 @@
     """The outcome of a request so far.
 
     A request is hopeless if too few shards can still answer, and expired if there
-    is too little time left for an answer.
+    is too little time left for an answer. It is quarantined if it crashes the targets
+    that run it.
     """
 
     OPEN = "open"
     ANSWERED = "answered"
     HOPELESS = "hopeless"
     EXPIRED = "expired"
+    QUARANTINED = "quarantined"
 
 
 class Fanout:
     """The decisions on one request: which calls to send next and when it is finished.
 
     `answered` and `abandoned` are numbers of shards. `sorted_latencies_s` holds the
-    latencies of the answered calls in ascending order.
+    latencies of the answered calls in ascending order. `is_suspect` says that a target
+    crashed under such a request, and `is_quarantined` that no further call is to be
+    sent.
     """
 
     def __init__(
@@ -81,6 +92,8 @@
         self.abandoned = 0
         self.may_have_run = False
         self.ran_out_of_time = False
+        self.is_suspect = False
+        self.is_quarantined = False
         self.transmitted_calls: set[AttemptId] = set()
         self.sorted_latencies_s: list[float] = []
         self.answered_calls: list[tuple[Call, float]] = []
@@ -89,9 +102,12 @@
         self.min_siblings = max(1, math.ceil(MIN_SIBLING_SHARE * len(plan.shards)))
 
     def start(self, now: float) -> list[Call]:
-        """Return the first call to every shard."""
+        """Return the first call to every shard, or one call of a suspect request."""
         calls = []
-        for shard in self.shards.values():
+        shards = list(self.shards.values())
+        if self.is_suspect:
+            self.placement.rng.shuffle(shards)
+        for shard in shards:
             self.budget.note_request(shard.service, now)
             calls += self.prepare_call(shard, CallKind.FIRST, now)
         return calls
@@ -101,6 +117,8 @@
         total = len(self.shards)
         if self.answered == total:
             return Verdict.ANSWERED
+        if self.is_quarantined:
+            return Verdict.QUARANTINED
         if total - self.abandoned < self.plan.required:
             return Verdict.EXPIRED if self.ran_out_of_time else Verdict.HOPELESS
         if self.answered >= self.plan.required:
@@ -153,7 +171,9 @@
         for shard in list(self.open_shards.values()):
             if shard.retry_at <= now:
                 shard.retry_at = NEVER
-                calls += self.prepare_call(shard, CallKind.RETRY, now)
+                is_first = not shard.tried_targets and not shard.failures
+                kind = CallKind.FIRST if is_first else CallKind.RETRY
+                calls += self.prepare_call(shard, kind, now)
             elif shard.hedge_at <= now:
                 shard.hedge_at = NEVER
                 calls += self.prepare_hedge(shard, now)
@@ -173,6 +193,8 @@
         shard.is_answered = True
         del self.open_shards[shard.service]
         self.answered += 1
+        if self.is_suspect and self.answered == 1:
+            self.release_held_shards(now)
         if self.answered == self.plan.required:
             self.due_at = min(self.due_at, self.plan.objective_at)
         if elapsed_s is None:
@@ -311,12 +333,38 @@
                 late_s = BATCH_LATE_FACTOR * self.plan.usual_call_s
                 self.schedule_hedge(shard, call.sent_at + late_s)
 
+    def must_hold(self, now: float) -> bool:
+        """Return whether a call has to wait for the outcome of the canary.
+
+        A suspect request has no other call in flight until a target answers it.
+        """
+        if not self.is_suspect or self.answered:
+            return False
+        sent_after = now - CANARY_LATE_FACTOR * self.plan.usual_call_s
+        return any(
+            call.sent_at > sent_after
+            for shard in self.open_shards.values()
+            for call in shard.calls.values()
+        )
+
+    def release_held_shards(self, now: float) -> None:
+        """Call the shards that have waited for the outcome of the canary."""
+        for shard in self.open_shards.values():
+            if not shard.calls and shard.retry_at != NEVER:
+                self.schedule_retry(shard, now)
+
     def prepare_call(self, shard: ShardState, kind: CallKind, now: float) -> list[Call]:
         """Return a call to the best target of a shard, or schedule a retry.
 
         The list holds at most one call. Return no call and abandon the shard if no
         target is allowed, or if there is too little time left for a retry.
         """
+        if self.is_quarantined:
+            self.abandon(shard)
+            return []
+        if self.must_hold(now):
+            self.schedule_retry(shard, now + CANARY_RECHECK_S)
+            return []
         targets = self.find_targets(shard.service)
         allowed = self.get_allowed_targets(shard, targets)
         if not allowed:
@@ -398,6 +446,8 @@
         """
         if not shard.calls or not self.plan.idempotent:
             return []
+        if self.is_quarantined or (self.is_suspect and not self.answered):
+            return []
         self.late_calls += shard.calls.values()
         targets = self.find_targets(shard.service)
         others = [
--- a/sesameplank/core/membership/peer_messages.py
+++ b/sesameplank/core/membership/peer_messages.py
@@ -11,7 +11,14 @@
 
 import msgspec
 
-from ...ids import ConfigVersion, DataCentre, EntryId, Incarnation, TargetId
+from ...ids import (
+    ConfigVersion,
+    DataCentre,
+    EntryId,
+    Fingerprint,
+    Incarnation,
+    TargetId,
+)
 
 
 class PeerMessage(msgspec.Struct, frozen=True, array_like=True):
@@ -201,6 +208,29 @@
     largest_fleet: int = 0
 
 
+class RequestCrashes(msgspec.Struct, frozen=True, array_like=True):
+    """What a process knows of a request under which targets crashed; times in ms.
+
+    `crashes` holds each target, and how long ago its call was sent and ended. `held_ms`
+    is the remaining time of the request's quarantine, 0 without one, and `holds` the
+    number of its quarantines. `answered_age_ms` is how long ago a target answered the
+    request,
+    -1 if none did.
+    """
+
+    fingerprint: Fingerprint
+    crashes: tuple[tuple[TargetId, int, int], ...]
+    held_ms: int = 0
+    holds: int = 0
+    answered_age_ms: int = -1
+
+
+class RequestCrashNotice(PeerMessage, frozen=True):
+    """A notification of requests under which targets crashed, or that were cleared."""
+
+    requests: tuple[RequestCrashes, ...]
+
+
 class TargetReplaced(PeerMessage, frozen=True):
     """A notification that another target has answered at a target's address."""
 
--- a/sesameplank/core/quarantine/fingerprints.py
+++ b/sesameplank/core/quarantine/fingerprints.py
@@ -6,11 +6,13 @@
 """
 
 import hashlib
+import re
 
 from ...ids import Fingerprint
 
 DIGEST_BYTES = 16
 LENGTH_BYTES = 8
+FINGERPRINT_FORM = re.compile(r"[0-9a-f]{32}")
 NO_FINGERPRINT = Fingerprint("")
 
 
@@ -25,4 +27,4 @@
 
 def is_fingerprint(text: str) -> bool:
     """Return whether a text has the form of a fingerprint."""
-    return len(text) == 2 * DIGEST_BYTES and text.isalnum()
+    return FINGERPRINT_FORM.fullmatch(text) is not None
--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -22,6 +22,7 @@
 from ..core.forwarding.target_reach import TargetReach
 from ..core.published.target_table import TargetRecord, TargetTable
 from ..core.quarantine.sent_request import SentRequest
+from ..crash_guard import CrashGuard
 from ..ids import AttemptId, EntryId, Fingerprint, Incarnation
 from ..peers import PeerContext, PeerLinks
 from .connection_shares import ConnectionShares
@@ -60,6 +61,7 @@
         count: Callable[[str], None],
         on_transmit: Callable[[Call], None],
         reach: TargetReach,
+        crash_guard: CrashGuard,
         get_loop_delay_s: Callable[[], float],
         log: RequestLog,
     ) -> None:
@@ -73,6 +75,7 @@
         self.count = count
         self.on_transmit = on_transmit
         self.reach = reach
+        self.crash_guard = crash_guard
         self.get_loop_delay_s = get_loop_delay_s
         self.log = log
         self.batches: dict[BatchKey, ServedBatch] = {}
@@ -247,7 +250,7 @@
             self.note_failure(call, failure)
             self.fail(index, failure)
             return
-        self.request.is_answered = True
+        self.server.crash_guard.note_answer(self.request)
         elapsed_s = self.server.placement.note_answer(call.target.id, call.id, now)
         self.merge.add(outcome.body)
         self.answers.append(
@@ -268,6 +271,7 @@
         if answer.not_run:
             self.server.placement.note_shed(call.target.id, call.id, now)
         else:
+            self.server.crash_guard.note_answer(self.request)
             self.server.placement.note_answer(call.target.id, call.id, now)
         returned = BatchedResponse(
             index, response.status, tuple(response.headers), bytes(response.body)
@@ -292,14 +296,16 @@
         if failure.reason is FailureReason.UNREACHED:
             self.fail(index, Failure(FailureReason.CANCELLED, failure.ran))
             return
-        self.server.count("batch_limited")
+        is_limited = failure.reason is FailureReason.LIMITED
+        self.server.count("batch_limited" if is_limited else "batch_quarantined")
         self.report(
             BatchedFailure(
                 index,
                 FailureReason.REFUSED,
-                Ran.NOT_RUN,
-                is_refusal=True,
-                is_limited=True,
+                failure.ran,
+                is_refusal=failure.ran is Ran.NOT_RUN,
+                is_limited=is_limited,
+                is_quarantined=not is_limited,
             )
         )
 
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -8,7 +8,7 @@
 import msgspec
 from gevent.event import Event
 
-from ..core.common.outcomes import OWN_REASONS, Failure, Ran
+from ..core.common.outcomes import OWN_REASONS, Failure, FailureReason, Ran
 from ..core.forwarding.fanout import Fanout, Verdict
 from ..core.forwarding.fanout_calls import Call, CallKind, FanoutPlan
 from ..core.forwarding.fanout_plans import make_fanout_plan
@@ -17,12 +17,11 @@
 from ..core.published.routes import Route, RoutingConfiguration
 from ..core.published.target_table import TargetRecord
 from ..core.quarantine.sent_request import SentRequest
-from ..ids import AttemptId, ServiceName, TargetId
+from ..ids import AttemptId, Fingerprint, ServiceName, TargetId
 from .answer_accounts import CloseCause
 from .dialect import RequestMetadata, TargetAnswer, find_failure
 from .http_messages import Request, RequestEncoder, Response
 from .request_batches import RequestBatches
-from .request_fingerprints import find_fingerprint
 from .request_handling import Reply, RequestContext
 from .target_connections import Exchange
 
@@ -55,6 +54,7 @@
         request: Request,
         metadata: RequestMetadata,
         context: RequestContext,
+        fingerprint: Fingerprint,
     ) -> None:
         self.forwarder = forwarder
         self.clock = forwarder.clock
@@ -69,7 +69,7 @@
         self.extra_calls = 0
         self.exchanges: dict[AttemptId, Exchange] = {}
         self.batches = RequestBatches(self)
-        self.sent_request = SentRequest(metadata.request_id, find_fingerprint(request))
+        self.sent_request = SentRequest(metadata.request_id, fingerprint)
         self.encoder = RequestEncoder(
             request.method,
             request.target,
@@ -108,6 +108,13 @@
         self.fanout.end_by(at)
         self.wake.set()
 
+    def note_standing(self, *, is_quarantined: bool) -> None:
+        """Record that such requests are suspected, or known, to crash targets."""
+        self.fanout.is_suspect = True
+        if is_quarantined:
+            self.fanout.is_quarantined = True
+            self.wake.set()
+
     def run(self) -> Reply:
         """Forward the request, wait for its outcome and return the reply."""
         self.forwarder.count("requests")
@@ -338,7 +345,7 @@
                 self.forwarder.placement.note_relative_latency(
                     call.target.id, elapsed_s / self.plan.usual_call_s, now
                 )
-        self.sent_request.is_answered = True
+        self.forwarder.crash_guard.note_answer(self.sent_request)
         if not self.fanout.on_answer(call, now, elapsed_s):
             return False
         self.abandon_other_calls(call.shard)
@@ -393,6 +400,8 @@
             placement.note_failure(
                 call.target.id, call.id, now, is_scattered=failure.is_scattered
             )
+        if failure.reason is FailureReason.CRASHED:
+            self.fanout.is_suspect = True
         self.forwarder.count(f"call_{failure.reason.value}")
         self.forwarder.log.note_call(
             "call_failed",
@@ -471,8 +480,11 @@
         if not self.route.is_gather and self.error_part is not None:
             return self.relay_response(self.error_part)
         if self.fanout.is_certainly_not_run:
+            hold_s = self.forwarder.quarantine.get_hold_s(
+                self.sent_request.fingerprint, self.clock.now()
+            )
             return self.forwarder.refuse(
-                self.metadata.request_id, 503, NOT_RUN_RETRY_AFTER_S
+                self.metadata.request_id, 503, hold_s or NOT_RUN_RETRY_AFTER_S
             )
         status = 504 if verdict is Verdict.EXPIRED else 502
         return self.forwarder.refuse(self.metadata.request_id, status)
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -13,7 +13,13 @@
 from ..core.published.routes import Route, RoutingConfiguration
 from ..core.published.target_table import TargetRecord, TargetTable
 from ..core.published.weighting import WeightedRoundRobin
-from ..ids import RequestId, ServiceName
+from ..core.quarantine.request_quarantine import (
+    CrashRecord,
+    QuarantineEvent,
+    Standing,
+)
+from ..crash_guard import CrashGuard
+from ..ids import Fingerprint, RequestId, ServiceName
 from .call_batches import CallBatches
 from .connection_shares import ConnectionShares
 from .dialect import Dialect, RequestMetadata
@@ -22,6 +28,7 @@
 from .late_notices import LateNotices
 from .metrics import FrontMetrics
 from .replaced_targets import ReplacedTargets
+from .request_fingerprints import find_fingerprint
 from .request_handling import Reply, RequestContext
 from .request_log import RequestLog
 
@@ -44,6 +51,7 @@
         connection_shares: ConnectionShares,
         limits: TargetLimits,
         reach: TargetReach,
+        crash_guard: CrashGuard,
     ) -> None:
         self.clock = clock
         self.dialect = dialect
@@ -53,6 +61,8 @@
         self.connection_shares = connection_shares
         self.limits = limits
         self.reach = reach
+        self.crash_guard = crash_guard
+        self.quarantine = crash_guard.quarantine
         self.times = CallTimes()
         self.rotation = WeightedRoundRobin()
         self.routing: RoutingConfiguration | None = None
@@ -122,9 +132,14 @@
             return self.refuse_and_log(
                 metadata, 503, "no links to targets", LOST_RETRY_AFTER_S
             )
+        fingerprint = find_fingerprint(request)
+        standing = self.quarantine.get_standing(fingerprint, self.clock.now())
+        if standing is Standing.QUARANTINED:
+            return self.refuse_quarantined(metadata, fingerprint)
         forwarded = ForwardedRequest(
-            self, self.routing, route, request, metadata, context
+            self, self.routing, route, request, metadata, context, fingerprint
         )
+        forwarded.fanout.is_suspect = standing is Standing.SUSPECT
         retry_after_s = self.get_retry_after_s(forwarded.plan, route)
         if retry_after_s is not None:
             return self.refuse_and_log(
@@ -138,6 +153,38 @@
             )
         return self.run(forwarded)
 
+    def refuse_quarantined(
+        self, metadata: RequestMetadata, fingerprint: Fingerprint
+    ) -> Reply:
+        """Refuse a request that crashes targets, until its quarantine ends."""
+        self.count("refused_quarantined")
+        now = self.clock.now()
+        return self.refuse_and_log(
+            metadata,
+            503,
+            "such requests crash targets",
+            self.quarantine.get_hold_s(fingerprint, now),
+            fingerprint=fingerprint,
+            **self.quarantine.describe(fingerprint, now),
+        )
+
+    def on_quarantine_change(
+        self, event: QuarantineEvent, fingerprint: Fingerprint, record: CrashRecord
+    ) -> None:
+        """End the requests in progress that turn out to crash targets.
+
+        One of them that has an answer clears them all.
+        """
+        if event is QuarantineEvent.CLEARED:
+            return
+        for forwarded in list(self.in_progress):
+            if forwarded.sent_request.fingerprint != fingerprint:
+                continue
+            if forwarded.sent_request.is_answered:
+                self.crash_guard.note_answer(forwarded.sent_request)
+                return
+            forwarded.note_standing(is_quarantined=event is QuarantineEvent.QUARANTINED)
+
     def has_way_to_targets(self) -> bool:
         """Return whether calls can be sent, by this VM or through others."""
         if not self.reach.is_lost or self.batches is None:
@@ -186,6 +233,7 @@
         status: int,
         reason: str,
         retry_after_s: float | None = None,
+        **fields: object,
     ) -> Reply:
         """Refuse a request before any call is sent for it, and log the reason."""
         self.log.note_failure(
@@ -194,6 +242,7 @@
             status=status,
             reason=reason,
             version=self.routing.version if self.routing else 0,
+            **fields,
         )
         return self.refuse(metadata.request_id, status, retry_after_s)
 
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -32,8 +32,13 @@
 from ..core.published.routes import RequestLimits, RoutingConfiguration
 from ..core.published.target_table import TargetTable
 from ..core.published.versions import AcceptedConfiguration, ConfigurationStore
-from ..crash_reports import CrashReports
-from ..ids import DataCentre, EntryId, RequestId
+from ..core.quarantine.request_quarantine import (
+    CrashRecord,
+    QuarantineEvent,
+    RequestQuarantine,
+)
+from ..crash_guard import CrashGuard
+from ..ids import DataCentre, EntryId, Fingerprint, RequestId
 from ..limit_log import LimitLog
 from ..logs import log_event
 from ..net import Address
@@ -44,6 +49,8 @@
 from ..peers.membership import MembershipService
 from ..peers.relayed_documents import make_front_documents
 from ..published.follower import PublicationFollower, PublicationSource
+from ..quarantine_log import QuarantineLog
+from ..quarantine_notices import QuarantineNotices
 from ..reach_probes import ReachProbes
 from .answer_accounts import AnswerAccounts
 from .batch_server import BatchServer
@@ -116,14 +123,16 @@
         limit_log = LimitLog(clock, lambda: {"targets_revision": self.table.revision})
         limit_log.follow(self.limits)
         self.reach = TargetReach(rng, clock.now())
-        self.crash_reports = CrashReports(
+        self.quarantine = RequestQuarantine()
+        self.crash_guard = CrashGuard(
             clock,
+            self.quarantine,
             self.reach,
             lambda target: self.table.find_ready(target) is not None,
             lambda: {"targets_revision": self.table.revision},
         )
         self.pools = TargetPools(
-            clock, dialect, settings.vm, self.limits, self.reach, self.crash_reports
+            clock, dialect, settings.vm, self.limits, self.reach, self.crash_guard
         )
         self.reach_probes = ReachProbes(
             self.reach,
@@ -143,6 +152,7 @@
             self.connection_shares,
             self.limits,
             self.reach,
+            self.crash_guard,
         )
         self.links = PeerLinks(
             settings.vm,
@@ -206,6 +216,7 @@
             self.forwarder.count,
             lambda call: self.forwarder.count_transmitted(call, BATCH),
             self.reach,
+            self.crash_guard,
             lambda: self.housekeeping.get_delay_s(clock.now()),
             self.forwarder.log,
         )
@@ -230,6 +241,16 @@
             self.table,
             self.get_other_active,
         )
+        self.quarantine_notices = QuarantineNotices(
+            self.links,
+            clock,
+            rng,
+            self.quarantine,
+            self.get_other_active,
+            self.membership.get_present,
+        )
+        self.quarantine.listeners.append(self.on_quarantine_change)
+        QuarantineLog(clock, self.quarantine, self.forwarder.count)
         self.reach_probes.listeners.append(self.on_reach_change)
         self.store.listeners.append(self.on_accepted)
         self.pauses = PauseDetector(BootClock())
@@ -355,6 +376,14 @@
             is_silent = self.clock.now() - self.reach.heard_at >= SILENCE_S
             self.pools.give_up(is_silent=is_silent)
 
+    def on_quarantine_change(
+        self, event: QuarantineEvent, fingerprint: Fingerprint, record: CrashRecord
+    ) -> None:
+        """Apply a change of what is known of a request to the calls in progress."""
+        self.forwarder.on_quarantine_change(event, fingerprint, record)
+        if event is QuarantineEvent.QUARANTINED:
+            self.pools.stop_calls(fingerprint)
+
     def run_housekeeping(self) -> None:
         """Run the periodic tasks of the process until killed."""
         while True:
@@ -363,6 +392,7 @@
             self.apply_table_changes()
             self.update_shares()
             self.update_limits()
+            self.quarantine_notices.repeat()
             is_active = self.is_active
             self.reach_probes.check(is_active=is_active)
             if is_active:
--- a/sesameplank/forwarding/front_report.py
+++ b/sesameplank/forwarding/front_report.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from ..core.quarantine.request_quarantine import Standing
+
 if TYPE_CHECKING:
     from .front import Front
 
@@ -21,6 +23,8 @@
         "targets": len(front.table.records),
         "targets_limited": len(front.limits.limits),
         "targets_lost": int(front.reach.is_lost),
+        "requests_in_quarantine": front.quarantine.count(Standing.QUARANTINED, now),
+        "requests_suspect": front.quarantine.count(Standing.SUSPECT, now),
         "targets_heard_age_s": round(now - front.reach.heard_at, 3),
         "in_flight": front.caller_server.in_flight,
         "requests_pending": front.caller_server.pending,
@@ -43,6 +47,10 @@
         "is_ready": front.is_ready,
         "is_stopping": front.shutdown.is_requested,
         "gauges": make_gauges(front),
+        "quarantine": {
+            fingerprint: front.quarantine.describe(fingerprint, now)
+            for fingerprint in front.quarantine.records
+        },
         "members": {
             member.id: {
                 "address": member.address,
--- a/sesameplank/forwarding/late_notices.py
+++ b/sesameplank/forwarding/late_notices.py
@@ -12,13 +12,13 @@
 from ..core.membership.peer_messages import TargetsLate
 from ..ids import EntryId, TargetId
 from ..peers import PeerContext, PeerLinks
-from .collected_notices import CollectedNotices
+from ..peers.collected_notices import CollectedNotices
 
 MAX_NOTIFIED = 16  # VMs
 MAX_NOTICE_AGE_S = 0.1
 
 
-class LateNotices(CollectedNotices):
+class LateNotices(CollectedNotices[TargetId]):
     """Sends and receives the notices of this process."""
 
     max_notified = MAX_NOTIFIED
--- a/sesameplank/forwarding/limit_notices.py
+++ b/sesameplank/forwarding/limit_notices.py
@@ -16,7 +16,7 @@
 from ..core.published.target_table import TargetTable
 from ..ids import EntryId, TargetId
 from ..peers import PeerContext, PeerLinks
-from .collected_notices import CollectedNotices
+from ..peers.collected_notices import CollectedNotices
 
 REPEAT_INTERVAL_S = 2.0
 REPEATED_TO = 4  # VMs
@@ -24,7 +24,7 @@
 MAX_NOTICE_AGE_S = 1.0
 
 
-class LimitNotices(CollectedNotices):
+class LimitNotices(CollectedNotices[TargetId]):
     """Sends and receives the notices of this process."""
 
     max_notified = MAX_NOTIFIED
--- a/sesameplank/forwarding/request_batches.py
+++ b/sesameplank/forwarding/request_batches.py
@@ -143,6 +143,8 @@
             return
         if item.is_limited:
             self.process_limited(call)
+        elif item.is_quarantined:
+            self.process_quarantined(call, item)
         elif item.is_other_target:
             self.request.process_misdirected(call, item.answered_by)
         elif item.is_refusal:
@@ -160,6 +162,15 @@
         retries = self.request.fanout.on_limited(call, self.clock.now())
         self.request.dispatch(retries)
 
+    def process_quarantined(self, call: Call, item: BatchedFailure) -> None:
+        """Process a call that another VM withheld, as such requests crash targets.
+
+        Its notice of that may come later.
+        """
+        self.forwarder.placement.note_withdrawn(call.target.id, call.id)
+        self.request.note_standing(is_quarantined=True)
+        self.request.fanout.on_failure(call, item.ran, self.clock.now())
+
     def process_returned(self, batch: CallBatch, call: Call, ran: Ran) -> None:
         """Process a call that the VM of its batch returns instead of making it."""
         self.forwarder.count("batched_calls_returned")
--- a/sesameplank/forwarding/target_pools.py
+++ b/sesameplank/forwarding/target_pools.py
@@ -12,8 +12,8 @@
 from ..core.forwarding.target_reach import SILENCE_S, TargetReach
 from ..core.limits.target_limits import LimitStatement, TargetLimits
 from ..core.published.target_table import TargetRecord
-from ..crash_reports import CrashReports
-from ..ids import TargetId
+from ..crash_guard import CrashGuard
+from ..ids import Fingerprint, TargetId
 from ..net import Address, set_no_delay
 from .dialect import Dialect
 from .target_connections import (
@@ -47,11 +47,11 @@
         source_host: str,
         limits: TargetLimits,
         reach: TargetReach,
-        crash_reports: CrashReports,
+        crash_guard: CrashGuard,
     ) -> None:
         self.record = record
         self.limit = limit
-        self.crash_reports = crash_reports
+        self.crash_guard = crash_guard
         self.broken: list[BrokenCall] = []
         self.limits = limits
         self.reach = reach
@@ -86,18 +86,27 @@
             self.start_dial()
 
     def transmit(self, connection: TargetConnection, exchange: Exchange) -> bool:
-        """Send a call on a free connection, or fail it if the limit is used up.
+        """Send a call on a free connection, or fail it if it must not be sent.
 
         Return whether it was sent.
         """
-        if not self.limits.take(self.record.id, self.clock.now()):
+        reason = self.find_reason_to_hold(exchange)
+        if reason is not None:
             # Fail in a new greenlet: the code that submits the call is still changing
             # the state of its request, which the failure of the call changes too.
-            gevent.spawn(exchange.fail, FailureReason.LIMITED)
+            gevent.spawn(exchange.fail, reason)
             return False
         connection.send(exchange)
         return True
 
+    def find_reason_to_hold(self, exchange: Exchange) -> FailureReason | None:
+        """Return why a call must not be sent now, or None if it may be."""
+        if not self.crash_guard.may_send(exchange.request):
+            return FailureReason.QUARANTINED
+        if not self.limits.take(self.record.id, self.clock.now()):
+            return FailureReason.LIMITED
+        return None
+
     @property
     def needs_warm_up(self) -> bool:
         """Return whether no connection is open and no warm-up was tried recently."""
@@ -201,7 +210,7 @@
 
     def find_reason(self, call: BrokenCall) -> FailureReason:
         """Return why the call of a target that has ended failed."""
-        is_crash = self.crash_reports.note_ended(
+        is_crash = self.crash_guard.note_ended(
             self.record.id, call.exchange.request, call.sent_at
         )
         return FailureReason.CRASHED if is_crash else call.reason
@@ -278,6 +287,17 @@
             elif exchange.is_idempotent and now - connection.sent_at >= SILENCE_S:
                 connection.close(FailureReason.UNREACHED)
 
+    def stop_calls(self, fingerprint: Fingerprint) -> None:
+        """Fail the calls of a quarantined request, and close their connections."""
+        for exchange in list(self.waiting):
+            if exchange.request.fingerprint == fingerprint:
+                self.waiting.remove(exchange)
+                gevent.spawn(exchange.fail, FailureReason.QUARANTINED)
+        for connection in list(self.connections):
+            exchange = connection.exchange
+            if exchange and exchange.request.fingerprint == fingerprint:
+                gevent.spawn(connection.close, FailureReason.QUARANTINED)
+
     def close(self) -> None:
         """Close the idle connections; calls in progress are not interrupted."""
         for connection in list(self.idle):
@@ -294,14 +314,14 @@
         source_host: str,
         limits: TargetLimits,
         reach: TargetReach,
-        crash_reports: CrashReports,
+        crash_guard: CrashGuard,
     ) -> None:
         self.clock = clock
         self.dialect = dialect
         self.source_host = source_host
         self.limits = limits
         self.reach = reach
-        self.crash_reports = crash_reports
+        self.crash_guard = crash_guard
         self.pools: dict[TargetId, TargetPool] = {}
 
     def get(self, record: TargetRecord, limit: int) -> TargetPool:
@@ -321,7 +341,7 @@
                 self.source_host,
                 self.limits,
                 self.reach,
-                self.crash_reports,
+                self.crash_guard,
             )
             self.pools[record.id] = pool
         pool.limit = limit
@@ -350,6 +370,11 @@
         for pool in list(self.pools.values()):
             pool.give_up(is_silent=is_silent)
 
+    def stop_calls(self, fingerprint: Fingerprint) -> None:
+        """Fail the calls of a quarantined request that are waiting or in flight."""
+        for pool in list(self.pools.values()):
+            pool.stop_calls(fingerprint)
+
     def get_longest_wait_s(self, now: float) -> float:
         """Return for how long a call or a new connection has waited, in seconds."""
         waits = (pool.get_longest_wait_s(now) for pool in self.pools.values())
--- a/tests/forwarding/test_batch_server.py
+++ b/tests/forwarding/test_batch_server.py
@@ -10,6 +10,8 @@
 from sesameplank.core.forwarding.placement import Placement
 from sesameplank.core.forwarding.target_reach import TargetReach
 from sesameplank.core.published.target_table import TargetPhase, TargetRecord
+from sesameplank.core.quarantine.request_quarantine import RequestQuarantine
+from sesameplank.crash_guard import CrashGuard
 from sesameplank.forwarding.batch_server import BatchServer
 from sesameplank.forwarding.http_messages import Response
 from sesameplank.forwarding.request_log import RequestLog
@@ -71,6 +73,7 @@
         self.targets = Targets()
         self.counts: list[str] = []
         rng = random.Random(1)
+        reach = TargetReach(rng, self.clock.now())
         self.server = BatchServer(
             self.links,
             self.clock,
@@ -81,7 +84,10 @@
             None,
             self.counts.append,
             lambda call: None,
-            TargetReach(rng, self.clock.now()),
+            reach,
+            CrashGuard(
+                self.clock, RequestQuarantine(), reach, lambda target: True, dict
+            ),
             lambda: 0.0,
             RequestLog(self.clock),
         )
--- a/tests/forwarding/test_late_notices.py
+++ b/tests/forwarding/test_late_notices.py
@@ -9,13 +9,13 @@
 from sesameplank.core.forwarding.placement import MIN_REMAINING_PAUSE_S, Placement
 from sesameplank.core.membership.peer_messages import TargetsLate
 from sesameplank.core.published.target_table import TargetPhase, TargetRecord
-from sesameplank.forwarding.collected_notices import COLLECT_S
 from sesameplank.forwarding.late_notices import (
     MAX_NOTICE_AGE_S,
     MAX_NOTIFIED,
     LateNotices,
 )
 from sesameplank.peers import PeerContext
+from sesameplank.peers.collected_notices import COLLECT_S
 
 from .test_lookup_notices import FakeLinks
 
--- a/tests/forwarding/test_limit_notices.py
+++ b/tests/forwarding/test_limit_notices.py
@@ -8,7 +8,6 @@
 from sesameplank.core.common.clock import ManualClock
 from sesameplank.core.limits.limit_parts import ActiveVmParts
 from sesameplank.core.limits.target_limits import LimitNews, TargetLimits
-from sesameplank.forwarding.collected_notices import COLLECT_S
 from sesameplank.forwarding.limit_notices import (
     MAX_NOTICE_AGE_S,
     REPEAT_INTERVAL_S,
@@ -16,6 +15,7 @@
     LimitNotices,
 )
 from sesameplank.peers import PeerContext
+from sesameplank.peers.collected_notices import COLLECT_S
 
 TARGET = "t1"
 OTHERS = [f"vm{number}" for number in range(1, 9)]
