--- a/sesameplank/core/quarantine/request_quarantine.py
+++ b/sesameplank/core/quarantine/request_quarantine.py
@@ -26,6 +26,7 @@
 SUSPICION_S = 60.0  # After the latest crash.
 FIRST_HOLD_S = 60.0
 MAX_HOLD_S = 900.0
+MAX_HOLDS = 10  # That are counted; the hold no longer grows then.
 # A crash in a mass failure makes every request in flight suspect.
 MAX_RECORDS = 2_000
 MAX_QUARANTINED = 500
@@ -123,6 +124,10 @@
         self.crashes = crashes
         return True
 
+    def note_holds(self, holds: int) -> None:
+        """Record that the request has been in quarantine for so many times."""
+        self.holds = max(1, self.holds, min(holds, MAX_HOLDS))
+
     def get_standing(self, now: float) -> Standing:
         """Return what may be done with the request."""
         if now < self.held_until:
@@ -203,7 +208,7 @@
         if record.holds:
             record.crashes = record.crashes[-1:]
         record.held_until = until
-        record.holds = max(record.holds, holds)
+        record.note_holds(holds)
         self.notify(QuarantineEvent.QUARANTINED, fingerprint, record)
         self.drop_excess()
 
@@ -224,7 +229,7 @@
         record.source = source
         if was_held:
             record.held_until = until
-            record.holds = max(record.holds, holds)
+            record.note_holds(holds)
         else:
             self.hold(fingerprint, record, until, holds)
 
--- a/tests/core/forwarding/test_fanout.py
+++ b/tests/core/forwarding/test_fanout.py
@@ -290,3 +290,80 @@
     def test_seeds(self):
         for seed in range(300):
             self.run_schedule(seed)
+
+
+class SuspectTests(FanoutTestCase):
+    """A request that may crash targets reaches one at a time until one answers."""
+
+    def make_suspect(self, **options) -> Fanout:
+        fanout = self.make(**options)
+        fanout.is_suspect = True
+        return fanout
+
+    def transmit(self, calls):
+        for call in calls:
+            self.fanout.note_transmitted(call)
+        return calls
+
+    def test_first_call_is_alone_and_its_answer_releases_the_others(self):
+        fanout = self.make_suspect(shards=4, required=4)
+        (canary,) = self.transmit(fanout.start(100.0))
+        self.assertEqual([], fanout.on_timer(100.03))
+        fanout.on_answer(canary, 100.04)
+        self.assertLessEqual(fanout.due_at, 100.04)
+        others = self.transmit(fanout.on_timer(100.04))
+        self.assertEqual(
+            [CallKind.FIRST] * 3, [call.kind for call in others], "not extra load"
+        )
+        for call in others:
+            fanout.on_answer(call, 100.05)
+        self.assertIs(Verdict.ANSWERED, fanout.get_verdict(100.05))
+
+    def test_calls_that_crash_targets_are_not_repeated_while_others_are_in_flight(self):
+        calls = self.start(shards=4, required=4)
+        self.fanout.is_suspect = True
+        for call in calls[:3]:
+            self.assertEqual([], self.fanout.on_failure(call, Ran.UNKNOWN, 100.03))
+        self.assertEqual([], self.fanout.on_timer(100.06))
+        (canary,) = self.fanout.on_failure(calls[3], Ran.UNKNOWN, 100.07)
+        self.assertEqual([], self.fanout.on_timer(100.1))
+        self.assertEqual("s3", canary.shard)
+
+    def test_calls_held_after_a_crash_follow_the_first_answer(self):
+        calls = self.start(shards=4, required=4)
+        self.fanout.is_suspect = True
+        self.fanout.on_failure(calls[0], Ran.UNKNOWN, 100.03)
+        self.fanout.on_answer(calls[1], 100.04)
+        (retry,) = self.fanout.on_timer(100.04)
+        self.assertEqual("s0", retry.shard)
+
+    def test_suspect_request_is_not_hedged_before_an_answer(self):
+        fanout = self.make_suspect(shards=1, required=1)
+        self.transmit(fanout.start(100.0))
+        self.assertEqual([], fanout.on_timer(100.04))
+
+    def test_canary_at_a_silent_target_is_not_waited_for_long(self):
+        fanout = self.make_suspect(shards=3, required=3)
+        self.transmit(fanout.start(100.0))
+        self.assertNotEqual([], fanout.on_timer(100.0 + 4.0 * 0.02 + 0.001))
+
+    def test_canary_that_was_refused_is_sent_to_another_target(self):
+        fanout = self.make_suspect(shards=2)
+        (canary,) = self.transmit(fanout.start(100.0))
+        (retry,) = fanout.on_failure(canary, Ran.NOT_RUN, 100.01)
+        self.assertNotEqual(canary.target, retry.target)
+
+    def test_quarantined_request_ends_at_once_without_further_calls(self):
+        fanout = self.make_suspect(shards=3)
+        (canary,) = self.transmit(fanout.start(100.0))
+        fanout.is_quarantined = True
+        self.assertIs(Verdict.QUARANTINED, fanout.get_verdict(100.01))
+        self.assertEqual([], fanout.on_failure(canary, Ran.UNKNOWN, 100.02))
+        self.assertEqual([], fanout.on_timer(100.03))
+        self.assertFalse(fanout.is_certainly_not_run)
+
+    def test_quarantined_request_without_a_transmitted_call_has_not_run(self):
+        fanout = self.make_suspect(shards=3)
+        fanout.start(100.0)
+        fanout.is_quarantined = True
+        self.assertTrue(fanout.is_certainly_not_run)
