Send suspect requests only where a replica is spare, and skip targets that are down

Cause: the first crash of a request takes one replica of each shard. Change: a strongly suspected request goes where the most replicas are up, and is withheld (503, Retry-After) where none is spare. Crashed targets, and those that refuse a connection, get no calls for 2 s, also at processes that only hear of it. A round with five or more crashes at different moments counts twice, so that one canary is enough then.

--- a/sesameplank/core/forwarding/fanout.py
+++ b/sesameplank/core/forwarding/fanout.py
@@ -47,6 +47,7 @@
 # for.
 CANARY_LATE_FACTOR = 4.0
 CANARY_RECHECK_S = 0.02
+MIN_TARGETS_WITH_SPARE = 2
 
 FindTargets = Callable[[ServiceName], Sequence[TargetRecord]]
 
@@ -56,7 +57,7 @@
 
     A request is hopeless if too few shards can still answer, and expired if there
     is too little time left for an answer. It is quarantined if it crashes the targets
-    that run it.
+    that run it, and withheld if it may, and too few of them are left to find out.
     """
 
     OPEN = "open"
@@ -64,6 +65,7 @@
     HOPELESS = "hopeless"
     EXPIRED = "expired"
     QUARANTINED = "quarantined"
+    WITHHELD = "withheld"
 
 
 class Fanout:
@@ -71,8 +73,9 @@
 
     `answered` and `abandoned` are numbers of shards. `sorted_latencies_s` holds the
     latencies of the answered calls in ascending order. `is_suspect` says that a target
-    crashed under such a request, and `is_quarantined` that no further call is to be
-    sent.
+    crashed under such a request, `needs_spare` that it must not reach the last replica
+    of a shard, `is_withheld` that every shard has only one, and `is_quarantined` that
+    no further call is to be sent.
     """
 
     def __init__(
@@ -93,6 +96,8 @@
         self.may_have_run = False
         self.ran_out_of_time = False
         self.is_suspect = False
+        self.needs_spare = False
+        self.is_withheld = False
         self.is_quarantined = False
         self.transmitted_calls: set[AttemptId] = set()
         self.sorted_latencies_s: list[float] = []
@@ -119,6 +124,8 @@
             return Verdict.ANSWERED
         if self.is_quarantined:
             return Verdict.QUARANTINED
+        if self.is_withheld:
+            return Verdict.WITHHELD
         if total - self.abandoned < self.plan.required:
             return Verdict.EXPIRED if self.ran_out_of_time else Verdict.HOPELESS
         if self.answered >= self.plan.required:
@@ -333,13 +340,36 @@
                 late_s = BATCH_LATE_FACTOR * self.plan.usual_call_s
                 self.schedule_hedge(shard, call.sent_at + late_s)
 
-    def must_hold(self, now: float) -> bool:
-        """Return whether a call has to wait for the outcome of the canary.
+    def hold(self, shard: ShardState, now: float) -> bool:
+        """Return whether a call of a suspect request has to wait.
 
-        A suspect request has no other call in flight until a target answers it.
+        It waits for the outcome of the canary, or if another shard can lose a target
+        more easily. The request is withheld if none should lose any.
         """
-        if not self.is_suspect or self.answered:
-            return False
+        if self.has_canary_in_flight(now):
+            self.schedule_retry(shard, now + CANARY_RECHECK_S)
+            return True
+        most = max(
+            len(self.find_targets(item.service)) for item in self.open_shards.values()
+        )
+        if self.needs_spare and most < MIN_TARGETS_WITH_SPARE:
+            self.is_withheld = True
+            return True
+        if len(self.find_targets(shard.service)) < most:
+            self.schedule_retry(shard, now + CANARY_RECHECK_S)
+            self.start_canary_elsewhere(most, now)
+            return True
+        return False
+
+    def start_canary_elsewhere(self, targets: int, now: float) -> None:
+        """Let a shard with so many targets make the next call of a suspect request."""
+        for shard in self.open_shards.values():
+            if len(self.find_targets(shard.service)) == targets:
+                self.schedule_retry(shard, now)
+                return
+
+    def has_canary_in_flight(self, now: float) -> bool:
+        """Return whether the outcome of a recent call is still open."""
         sent_after = now - CANARY_LATE_FACTOR * self.plan.usual_call_s
         return any(
             call.sent_at > sent_after
@@ -362,8 +392,7 @@
         if self.is_quarantined:
             self.abandon(shard)
             return []
-        if self.must_hold(now):
-            self.schedule_retry(shard, now + CANARY_RECHECK_S)
+        if self.is_suspect and not self.answered and self.hold(shard, now):
             return []
         targets = self.find_targets(shard.service)
         allowed = self.get_allowed_targets(shard, targets)
--- a/sesameplank/core/quarantine/request_quarantine.py
+++ b/sesameplank/core/quarantine/request_quarantine.py
@@ -23,7 +23,9 @@
 
 OWN_CALL = "own_call"
 MIN_ROUNDS = 3  # Of independent evidence, for a quarantine.
-SUSPICION_S = 60.0  # After the latest crash.
+MANY_CRASHES = 5  # A round with so many, and no answer, counts twice.
+COMMON_CAUSE_S = 0.01  # Targets that are lost together end within less.
+SUSPICION_S = 300.0  # After the latest crash.
 FIRST_HOLD_S = 60.0
 MAX_HOLD_S = 900.0
 MAX_HOLDS = 10  # That are counted; the hold no longer grows then.
@@ -77,16 +79,25 @@
     """Return the number of rounds of calls that crashed targets.
 
     A call belongs to a new round if it was sent after the first crash of the round
-    before it had been noticed.
+    before it had been noticed. A round with MANY_CRASHES at different moments counts
+    twice.
     """
-    rounds = 0
+    rounds: list[list[Crash]] = []
     noticed_at = -math.inf
     for crash in sorted(crashes, key=lambda item: item.sent_at):
         if crash.sent_at > noticed_at:
-            rounds += 1
+            rounds.append([])
             noticed_at = crash.ended_at
+        rounds[-1].append(crash)
         noticed_at = min(noticed_at, crash.ended_at)
-    return rounds
+    return sum(map(weigh_round, rounds))
+
+
+def weigh_round(crashes: list[Crash]) -> int:
+    """Return for how many rounds the crashes of one round count."""
+    ends = [item.ended_at for item in crashes]
+    is_spread = max(ends) - min(ends) >= COMMON_CAUSE_S
+    return 2 if len(crashes) >= MANY_CRASHES and is_spread else 1
 
 
 class CrashRecord:
@@ -110,6 +121,18 @@
         """The time of the latest crash, or minus infinity."""
         return max((item.ended_at for item in self.crashes), default=-math.inf)
 
+    @property
+    def is_strongly_suspected(self) -> bool:
+        """Whether the request should no longer reach the last replica of a shard.
+
+        Several targets have ended under it, and not all at one moment, as in the loss
+        of a rack.
+        """
+        if len(self.crashes) < MIN_ROUNDS:
+            return False
+        first_at = min(item.ended_at for item in self.crashes)
+        return self.latest_crash_at - first_at >= COMMON_CAUSE_S
+
     def add(self, crash: Crash) -> bool:
         """Add a crash, and return whether it is news.
 
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -16,6 +16,7 @@
 from ..core.forwarding.placement import LoadReport
 from ..core.published.routes import Route, RoutingConfiguration
 from ..core.published.target_table import TargetRecord
+from ..core.quarantine.request_quarantine import CrashRecord, Standing
 from ..core.quarantine.sent_request import SentRequest
 from ..ids import AttemptId, Fingerprint, ServiceName, TargetId
 from .answer_accounts import CloseCause
@@ -29,6 +30,7 @@
     from .forwarder import Forwarder
 
 NOT_RUN_RETRY_AFTER_S = 0.2
+WITHHELD_RETRY_AFTER_S = 2.0  # Targets that have crashed take seconds to start again.
 LATE_WAKE_S = 0.05
 MAX_READ_S = 0.02
 
@@ -108,12 +110,17 @@
         self.fanout.end_by(at)
         self.wake.set()
 
-    def note_standing(self, *, is_quarantined: bool) -> None:
-        """Record that such requests are suspected, or known, to crash targets."""
+    def note_record(self, record: CrashRecord) -> None:
+        """Record what is known of targets that crashed under such requests."""
         self.fanout.is_suspect = True
-        if is_quarantined:
-            self.fanout.is_quarantined = True
-            self.wake.set()
+        self.fanout.needs_spare = record.is_strongly_suspected
+        if record.get_standing(self.clock.now()) is Standing.QUARANTINED:
+            self.note_quarantine()
+
+    def note_quarantine(self) -> None:
+        """End the request, since such requests crash targets."""
+        self.fanout.is_quarantined = True
+        self.wake.set()
 
     def run(self) -> Reply:
         """Forward the request, wait for its outcome and return the reply."""
@@ -470,6 +477,14 @@
             headers.append((b"Content-Length", length.encode()))
         return Reply(response.status, headers, None)
 
+    def get_retry_after_s(self, verdict: Verdict) -> float:
+        """Return when to repeat the request, which has not run, in seconds."""
+        if verdict is Verdict.WITHHELD:
+            return WITHHELD_RETRY_AFTER_S
+        fingerprint = self.sent_request.fingerprint
+        hold_s = self.forwarder.quarantine.get_hold_s(fingerprint, self.clock.now())
+        return hold_s or NOT_RUN_RETRY_AFTER_S
+
     def make_error_reply(self, verdict: Verdict) -> Reply:
         """Return the reply to a request that was not answered.
 
@@ -480,11 +495,8 @@
         if not self.route.is_gather and self.error_part is not None:
             return self.relay_response(self.error_part)
         if self.fanout.is_certainly_not_run:
-            hold_s = self.forwarder.quarantine.get_hold_s(
-                self.sent_request.fingerprint, self.clock.now()
-            )
             return self.forwarder.refuse(
-                self.metadata.request_id, 503, hold_s or NOT_RUN_RETRY_AFTER_S
+                self.metadata.request_id, 503, self.get_retry_after_s(verdict)
             )
         status = 504 if verdict is Verdict.EXPIRED else 502
         return self.forwarder.refuse(self.metadata.request_id, status)
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -3,6 +3,7 @@
 from ..core.common.clock import Clock
 from ..core.common.stop_schedule import StopSchedule
 from ..core.forwarding.call_times import CallTimes
+from ..core.forwarding.down_targets import DownTargets
 from ..core.forwarding.extra_load import ExtraLoadBudget
 from ..core.forwarding.fanout_calls import Call, FanoutPlan
 from ..core.forwarding.placement import Placement
@@ -52,6 +53,7 @@
         limits: TargetLimits,
         reach: TargetReach,
         crash_guard: CrashGuard,
+        down_targets: DownTargets,
     ) -> None:
         self.clock = clock
         self.dialect = dialect
@@ -62,6 +64,7 @@
         self.limits = limits
         self.reach = reach
         self.crash_guard = crash_guard
+        self.down_targets = down_targets
         self.quarantine = crash_guard.quarantine
         self.times = CallTimes()
         self.rotation = WeightedRoundRobin()
@@ -139,7 +142,8 @@
         forwarded = ForwardedRequest(
             self, self.routing, route, request, metadata, context, fingerprint
         )
-        forwarded.fanout.is_suspect = standing is Standing.SUSPECT
+        if standing is Standing.SUSPECT:
+            forwarded.note_record(self.quarantine.records[fingerprint])
         retry_after_s = self.get_retry_after_s(forwarded.plan, route)
         if retry_after_s is not None:
             return self.refuse_and_log(
@@ -183,7 +187,7 @@
             if forwarded.sent_request.is_answered:
                 self.crash_guard.note_answer(forwarded.sent_request)
                 return
-            forwarded.note_standing(is_quarantined=event is QuarantineEvent.QUARANTINED)
+            forwarded.note_record(record)
 
     def has_way_to_targets(self) -> bool:
         """Return whether calls can be sent, by this VM or through others."""
@@ -262,6 +266,7 @@
     ) -> list[TargetRecord]:
         """Return the targets that may get a call, the preferred ones first.
 
+        Those that are down are left out, unless all are.
         Targets that are draining or were removed recently follow as a last resort if
         every ready target failed recently, or if none is ready. Targets whose rate
         limit leaves no room are left out, unless other VMs send the calls. If this VM
@@ -269,8 +274,8 @@
         `limit_reserve` is the share of the saved room that the request leaves to
         others.
         """
-        ready = self.table.get_ready(service)
         now = self.clock.now()
+        ready = self.down_targets.exclude(self.table.get_ready(service), now)
         targets = ready
         if all(self.placement.is_avoided(item.id, now) for item in ready):
             targets = [*ready, *self.table.get_last_resort(service, now)]
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -12,6 +12,7 @@
 from ..core.common.pauses import BootClock, PauseDetector
 from ..core.common.recent_maximum import RecentMaximum
 from ..core.forwarding.batches import AggregatorChoice
+from ..core.forwarding.down_targets import DownTargets
 from ..core.forwarding.extra_load import ExtraLoadBounds, ExtraLoadBudget
 from ..core.forwarding.placement import Placement
 from ..core.forwarding.target_reach import (
@@ -124,6 +125,7 @@
         limit_log.follow(self.limits)
         self.reach = TargetReach(rng, clock.now())
         self.quarantine = RequestQuarantine()
+        self.down_targets = DownTargets()
         self.crash_guard = CrashGuard(
             clock,
             self.quarantine,
@@ -132,7 +134,13 @@
             lambda: {"targets_revision": self.table.revision},
         )
         self.pools = TargetPools(
-            clock, dialect, settings.vm, self.limits, self.reach, self.crash_guard
+            clock,
+            dialect,
+            settings.vm,
+            self.limits,
+            self.reach,
+            self.crash_guard,
+            self.down_targets,
         )
         self.reach_probes = ReachProbes(
             self.reach,
@@ -153,6 +161,7 @@
             self.limits,
             self.reach,
             self.crash_guard,
+            self.down_targets,
         )
         self.links = PeerLinks(
             settings.vm,
@@ -380,10 +389,20 @@
         self, event: QuarantineEvent, fingerprint: Fingerprint, record: CrashRecord
     ) -> None:
         """Apply a change of what is known of a request to the calls in progress."""
+        self.note_crashed_targets(record)
         self.forwarder.on_quarantine_change(event, fingerprint, record)
         if event is QuarantineEvent.QUARANTINED:
             self.pools.stop_calls(fingerprint)
 
+    def note_crashed_targets(self, record: CrashRecord) -> None:
+        """Avoid the targets that have just crashed, also under calls of other VMs."""
+        now = self.clock.now()
+        for crash in record.crashes:
+            listed = self.table.find_ready(crash.target)
+            if listed is not None:
+                age_s = now - crash.ended_at
+                self.down_targets.note_down(listed, now, age_s)
+
     def run_housekeeping(self) -> None:
         """Run the periodic tasks of the process until killed."""
         while True:
--- a/sesameplank/forwarding/request_batches.py
+++ b/sesameplank/forwarding/request_batches.py
@@ -168,7 +168,7 @@
         Its notice of that may come later.
         """
         self.forwarder.placement.note_withdrawn(call.target.id, call.id)
-        self.request.note_standing(is_quarantined=True)
+        self.request.note_quarantine()
         self.request.fanout.on_failure(call, item.ran, self.clock.now())
 
     def process_returned(self, batch: CallBatch, call: Call, ran: Ran) -> None:
--- a/sesameplank/forwarding/target_pools.py
+++ b/sesameplank/forwarding/target_pools.py
@@ -9,6 +9,7 @@
 
 from ..core.common.clock import Clock
 from ..core.common.outcomes import FailureReason
+from ..core.forwarding.down_targets import DownTargets
 from ..core.forwarding.target_reach import SILENCE_S, TargetReach
 from ..core.limits.target_limits import LimitStatement, TargetLimits
 from ..core.published.target_table import TargetRecord
@@ -48,7 +49,9 @@
         limits: TargetLimits,
         reach: TargetReach,
         crash_guard: CrashGuard,
+        down_targets: DownTargets,
     ) -> None:
+        self.down_targets = down_targets
         self.record = record
         self.limit = limit
         self.crash_guard = crash_guard
@@ -163,6 +166,8 @@
             sock = self.connect()
         except OSError as error:
             self.dialling -= 1
+            if isinstance(error, ConnectionRefusedError):
+                self.note_refused()
             self.reach.note_suspicion()
             if self.waiting:
                 self.waiting.popleft().fail(FailureReason.CONNECT, repr(error))
@@ -170,9 +175,16 @@
         self.dialling -= 1
         self.adopt(sock)
 
+    def note_refused(self) -> None:
+        """Record that nothing listens at the target's address."""
+        self.reach.note_suspicion()
+        if not self.reach.is_lost:
+            self.down_targets.note_down(self.record, self.clock.now())
+
     def adopt(self, sock: socket.socket) -> None:
         """Add a new connection to the pool."""
         self.opened += 1
+        self.down_targets.note_up(self.record.id)
         self.reach.note_heard(self.clock.now())
         connection = TargetConnection(self, sock)
         self.connections.add(connection)
@@ -197,7 +209,7 @@
             sock = self.connect(CRASH_CHECK_TIMEOUT_S)
         except ConnectionRefusedError:
             has_ended = True
-            self.reach.note_suspicion()
+            self.note_refused()
         except OSError:
             self.reach.note_suspicion()
         self.dialling -= 1
@@ -315,7 +327,9 @@
         limits: TargetLimits,
         reach: TargetReach,
         crash_guard: CrashGuard,
+        down_targets: DownTargets,
     ) -> None:
+        self.down_targets = down_targets
         self.clock = clock
         self.dialect = dialect
         self.source_host = source_host
@@ -342,6 +356,7 @@
                 self.limits,
                 self.reach,
                 self.crash_guard,
+                self.down_targets,
             )
             self.pools[record.id] = pool
         pool.limit = limit
--- a/tests/core/quarantine/test_request_quarantine.py
+++ b/tests/core/quarantine/test_request_quarantine.py
@@ -206,4 +206,4 @@
 
     def test_constants_fit_each_other(self):
         self.assertLess(MAX_QUARANTINED, MAX_RECORDS)
-        self.assertGreaterEqual(request_quarantine.FIRST_HOLD_S, SUSPICION_S)
+        self.assertGreater(request_quarantine.SUSPICION_S, FIRST_HOLD_S)
