Entries: keep queries and bookings that crash targets from them

The same guard, quarantine and notices as in forwarding processes. It is asked in the process that sends a call to a target, for first calls, hedges, retries, probes, bookings and calls that are relayed for other entries, by a fingerprint of the encoded message. A suspect query has one call in flight until a target answers; one in quarantine is refused as not run with the remaining hold.

--- a/sesameplank/core/search/query.py
+++ b/sesameplank/core/search/query.py
@@ -22,6 +22,7 @@
 
 MAX_RETRY_ROUNDS = 4  # in addition to the first round
 BASE_RETRY_DELAY_S = 0.01  # doubles with each round
+CANARY_RECHECK_S = 0.02
 HEDGE_RECHECK_DELAY_S = 0.05  # after the hedge budget refused a hedge
 REFUSAL_REASONS = {
     ShardStatus.SNAPSHOT_MISSING: MissingReason.SNAPSHOT_GONE,
@@ -72,13 +73,15 @@
 
     HEDGE = "hedge"
     RETRY = "retry"
+    CANARY = "canary"
 
 
 class QueryState:
     """Decides which calls a query sends next, and when the query is done.
 
-    A shard is open until it has a result or is abandoned. In one round each
-    replica of a shard is called at most once.
+    If `is_suspect`, targets crashed under such queries. One call is then in flight at a
+    time until a target answers. A shard is open until it has a result or is abandoned.
+    In one round each replica of a shard is called at most once.
     """
 
     def __init__(
@@ -100,6 +103,8 @@
         self.may_have_redundant_attempts = False
         self.snapshot_missing = False
         self.map_outdated = False
+        self.is_suspect = False
+        self.is_answered = False
 
     def start(self, now: float) -> list[Attempt]:
         """Return the first attempts, one for each target that is called."""
@@ -138,6 +143,7 @@
                 continue
             result = results.get(shard_id)
             if result is not None and result.status is ShardStatus.OK:
+                self.is_answered = True
                 self.record_result(progress, attempt, result, now)
                 served_count += 1
             else:
@@ -237,7 +243,7 @@
         """
         while self.timers:
             time, _, kind, subject = self.timers[0]
-            if kind is TimerKind.RETRY or subject in self.attempts:
+            if kind is not TimerKind.HEDGE or subject in self.attempts:
                 return time
             heapq.heappop(self.timers)
         return None
@@ -246,17 +252,26 @@
         """Return hedges for late attempts, and retries whose delay is over."""
         hedges: list[ShardProgress] = []
         retries: list[ShardProgress] = []
+        held: list[ShardProgress] = []
         while (time := self.get_next_timer()) is not None and time <= now:
             _, _, kind, subject = heapq.heappop(self.timers)
             if kind is TimerKind.HEDGE:
                 hedges += self.start_hedge(self.attempts[subject], now)
+            elif kind is TimerKind.CANARY:
+                held += self.get_held(self.shards[subject])
             elif (progress := self.shards[subject]).result is None:
                 retries += self.start_retry_round(progress, now)
         return [
             *self.make_attempts(AttemptKind.HEDGE, hedges, now),
             *self.make_attempts(AttemptKind.RETRY, retries, now),
+            *self.make_attempts(AttemptKind.FIRST, held, now),
         ]
 
+    def get_held(self, progress: ShardProgress) -> list[ShardProgress]:
+        """Return a shard whose call was held, if it is still needed."""
+        is_needed = progress.result is None and not progress.in_flight
+        return [progress] if is_needed else []
+
     def start_retry_round(
         self, progress: ShardProgress, now: float
     ) -> list[ShardProgress]:
@@ -275,7 +290,7 @@
         If the hedge budget refuses, the timer is set again.
         """
         hedgeable = self.get_hedgeable_shards(attempt)
-        if not hedgeable:
+        if not hedgeable or (self.is_suspect and not self.is_answered):
             return []
         if not self.hedge_policy.take_hedge(len(hedgeable)):
             self.add_timer(now + HEDGE_RECHECK_DELAY_S, TimerKind.HEDGE, attempt.id)
@@ -306,6 +321,10 @@
             candidates = progress.get_untried()
             if not candidates:
                 continue
+            if self.must_hold(by_target):
+                recheck_at = now + CANARY_RECHECK_S
+                self.add_timer(recheck_at, TimerKind.CANARY, progress.planned.id)
+                continue
             target = self.chooser.choose_replica(candidates, counts)
             counts[target] = counts.get(target, 0) + 1
             by_target.setdefault(target, []).append(progress.planned.id)
@@ -314,6 +333,12 @@
             for target, shard_ids in by_target.items()
         ]
 
+    def must_hold(self, chosen: dict[TargetId, list[ShardId]]) -> bool:
+        """Return whether a further call has to wait for the outcome of another one."""
+        if not self.is_suspect or self.is_answered:
+            return False
+        return bool(self.attempts or chosen)
+
     def add_attempt(
         self, kind: AttemptKind, target: TargetId, shard_ids: list[ShardId], now: float
     ) -> Attempt:
--- a/sesameplank/crash_guard.py
+++ b/sesameplank/crash_guard.py
@@ -65,6 +65,13 @@
         now = self.clock.now()
         return not self.quarantine.is_quarantined(request.fingerprint, now)
 
+    def may_send_any(self, make_request: Callable[[], SentRequest]) -> bool:
+        """Return whether calls of a request may be sent, which is made only if needed.
+
+        There is hardly ever a suspect request.
+        """
+        return not self.quarantine.records or self.may_send(make_request())
+
     def note_answer(self, request: SentRequest) -> None:
         """Record that a target has answered a call of a request."""
         request.is_answered = True
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -33,14 +33,16 @@
 from .core.membership.peer_messages import RelayedCall
 from .core.published.leaving import LeavingTargets
 from .core.published.versions import AcceptedConfiguration, ConfigurationStore
+from .core.quarantine.request_quarantine import RequestQuarantine
 from .core.search.admission import AdmissionController, Permit, is_load_sample
 from .core.search.counters import RefusalReason
 from .core.search.messages import SearchAnswer, SearchRequest
 from .core.search.policies import LoadPolicies
 from .core.search.snapshots import SnapshotTracker
+from .crash_guard import CrashGuard
 from .draining import Drain
 from .exceptions import StopReached
-from .ids import DataCentre, EntryId, Incarnation
+from .ids import DataCentre, EntryId, Incarnation, TargetId
 from .limit_log import LimitLog
 from .logs import log_event
 from .monitoring import DecisionLog, RequestLedger
@@ -50,6 +52,8 @@
 from .peers import PeerLinks
 from .peers.incarnations import make_incarnation
 from .peers.websocket_transport import WebSocketTransport
+from .quarantine_log import QuarantineLog
+from .quarantine_notices import QuarantineNotices
 from .queries import QueryRunner
 from .reach_probes import ReachProbes
 from .serving import (
@@ -119,12 +123,34 @@
         limit_log = LimitLog(self.clock, lambda: {"config_version": self.store.version})
         limit_log.follow(self.limits)
         self.reach = TargetReach(self.rng, self.clock.now())
+        self.quarantine = RequestQuarantine()
+        self.crash_guard = CrashGuard(
+            self.clock,
+            self.quarantine,
+            self.reach,
+            self.is_in_use,
+            lambda: {"config_version": self.store.version},
+        )
         self.direct_dispatcher = DirectDispatcher(
             self.clock,
             self.connection_plan,
             self.leaving_targets,
             self.limits,
             self.reach,
+            self.crash_guard,
+        )
+        self.quarantine_notices = QuarantineNotices(
+            self.links,
+            self.clock,
+            self.rng,
+            self.quarantine,
+            self.get_other_entries,
+            self.get_other_entries,
+        )
+        QuarantineLog(
+            self.clock,
+            self.quarantine,
+            lambda event: self.decisions.note("quarantine", event),
         )
         self.reach_probes = ReachProbes(
             self.reach,
@@ -158,6 +184,7 @@
             self.policies,
             lambda: self.store.current,
             filter_replicas=self.leaving_targets.exclude_leaving,
+            quarantine=self.quarantine,
         )
         self.admission = AdmissionController(
             self.clock, self.rng, self.policies.counters
@@ -216,6 +243,7 @@
             gevent.spawn(self.poller.run),
             gevent.spawn(self.direct_dispatcher.run),
             gevent.spawn(self.reach_probes.run),
+            gevent.spawn(self.quarantine_notices.run),
         ]
 
     def make_coordination(self) -> Coordination:
@@ -278,6 +306,17 @@
         self.connection_plan.update([vm.id for vm in vms.vms], self.clock.now())
         self.direct_dispatcher.update_pools()
 
+    def is_in_use(self, target: TargetId) -> bool:
+        """Return whether a target is to get new calls."""
+        current = self.store.current
+        is_listed = current is not None and target in current.configuration.targets
+        return is_listed and not self.leaving_targets.is_leaving(target)
+
+    def get_other_entries(self) -> list[EntryId]:
+        """Return the ids of the other entries that are running."""
+        present = self.coordination.membership.get_present()
+        return [item for item in present if item != self.settings.entry_id]
+
     def search(self, call: CallerContext, request: SearchRequest) -> SearchAnswer:
         """Answer a caller's query, or raise Refusal."""
         try:
--- a/sesameplank/monitoring/dump.py
+++ b/sesameplank/monitoring/dump.py
@@ -119,6 +119,7 @@
     connections: ConnectionsState
     targets: dict[str, TargetDump]
     leaving_targets: dict[str, str]
+    quarantine: dict[str, dict]
     relayed_calls: int
     calls_served_for_peers: int
     budgets: dict[str, BudgetState]
@@ -154,6 +155,10 @@
             target: mark.source.value
             for target, mark in entry.leaving_targets.marks.items()
         },
+        quarantine={
+            fingerprint: entry.quarantine.describe(fingerprint, entry.clock.now())
+            for fingerprint in entry.quarantine.records
+        },
         relayed_calls=entry.dispatcher.relayed_calls,
         calls_served_for_peers=entry.dispatcher.calls_served_for_peers,
         budgets=dump_budgets(entry),
--- a/sesameplank/monitoring/metrics.py
+++ b/sesameplank/monitoring/metrics.py
@@ -8,6 +8,7 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 
 from ..conf import PresetName
+from ..core.quarantine.request_quarantine import Standing
 from .dump import dump_admission, dump_budgets, dump_connections, dump_targets
 
 if TYPE_CHECKING:
@@ -82,6 +83,7 @@
         ("targets", "gauge", "Targets by state.", ("state",)),
         ("targets_limited", "gauge", "Targets that name a rate limit."),
         ("targets_lost", "gauge", "1 if no target can be reached."),
+        ("requests_in_quarantine", "gauge", "Requests that crash targets."),
         ("target_calls_in_flight", "gauge", "Calls to targets in flight."),
         ("target_calls_waiting", "gauge", "Calls that wait for a connection."),
         ("budget_tokens", "gauge", "Tokens left of a budget.", ("budget",)),
@@ -259,6 +261,9 @@
         "targets": make_labelled_samples(counts),
         "targets_limited": make_unlabelled_sample(len(entry.limits.limits)),
         "targets_lost": make_unlabelled_sample(int(entry.reach.is_lost)),
+        "requests_in_quarantine": make_unlabelled_sample(
+            entry.quarantine.count(Standing.QUARANTINED, entry.clock.now())
+        ),
         "target_calls_in_flight": make_unlabelled_sample(
             sum(item.in_flight for item in targets)
         ),
--- a/sesameplank/net.py
+++ b/sesameplank/net.py
@@ -108,3 +108,15 @@
     sock = gevent.socket.create_connection(address, timeout_s, source)
     set_no_delay(sock)
     return sock
+
+
+def is_refusing(address: Address, timeout_s: float) -> bool:
+    """Return whether nothing listens at an address: it refuses a connection at once."""
+    try:
+        sock = gevent.socket.create_connection(tuple(address), timeout_s)
+    except ConnectionRefusedError:
+        return True
+    except OSError:  # Whether anything listens there is unknown.
+        return False
+    sock.close()
+    return False
--- a/sesameplank/quarantine_notices.py
+++ b/sesameplank/quarantine_notices.py
@@ -9,6 +9,8 @@
 import random
 from collections.abc import Callable, Sequence
 
+import gevent
+
 from .core.common.clock import Clock
 from .core.membership.peer_messages import RequestCrashes, RequestCrashNotice
 from .core.quarantine.fingerprints import is_fingerprint
@@ -67,6 +69,12 @@
         if record.source == OWN_CALL:
             self.collect(fingerprint)
 
+    def run(self) -> None:
+        """Repeat what is known periodically, until killed."""
+        while True:
+            gevent.sleep(REPEAT_INTERVAL_S)
+            self.repeat()
+
     def repeat(self) -> None:
         """Forget what is outdated, and tell a few others the rest, if it is time."""
         now = self.clock.now()
--- a/sesameplank/queries.py
+++ b/sesameplank/queries.py
@@ -7,10 +7,11 @@
 import msgspec
 from gevent.queue import Empty, SimpleQueue
 
-from .callers.problems import Refusal
+from .callers.problems import ProblemKind, Refusal
 from .core.common.clock import Clock
-from .core.common.outcomes import Failure
+from .core.common.outcomes import Failure, Ran
 from .core.published.versions import AcceptedConfiguration
+from .core.quarantine.request_quarantine import RequestQuarantine, Standing
 from .core.search.attempts import Attempt, AttemptKind
 from .core.search.choice import ReplicaChooser
 from .core.search.hedging import HedgePolicy
@@ -21,6 +22,7 @@
     SearchRequest,
     ShardExplanation,
     ShardRequest,
+    ShardStatus,
     TargetSearch,
     TargetSearchAnswer,
 )
@@ -31,6 +33,7 @@
 from .ids import AttemptId, RequestId, TargetId
 from .planning import GetNewestConfiguration, QueryPlanner
 from .targets import Dispatcher
+from .targets.fingerprints import find_search_fingerprint
 
 RETURN_MARGIN_S = 0.002  # time to return the answer before the deadline
 PROBE_TIMEOUT_S = 1.0
@@ -62,6 +65,7 @@
         get_newest_configuration: GetNewestConfiguration = lambda: None,
         sleep: Callable[[float], None] = gevent.sleep,
         filter_replicas: Callable[[Sequence[TargetId]], Sequence[TargetId]] = tuple,
+        quarantine: RequestQuarantine | None = None,
     ) -> None:
         self.dispatcher = dispatcher
         self.snapshots = snapshots
@@ -72,6 +76,7 @@
         self.get_newest_configuration = get_newest_configuration
         self.sleep = sleep
         self.filter_replicas = filter_replicas
+        self.quarantine = quarantine or RequestQuarantine()
 
     def run(
         self,
@@ -124,6 +129,7 @@
         self.waited_s = 0.0
         self.slowest_s = 0.0
         self.cancelled: set[AttemptId] = set()
+        self.fingerprint = find_search_fingerprint(request)
 
     def run(self) -> QueryResult:
         """Run plans until an answer is complete or no better plan is expected in time.
@@ -131,6 +137,7 @@
         Raise Refusal if no plan can be made or no target holds the snapshot.
         """
         best: QueryState | None = None
+        self.check_quarantine()
         while True:
             try:
                 plan = self.planner.next_plan()
@@ -150,6 +157,30 @@
             self.observer.note_missing(answer.coverage.missing)
         return QueryResult(answer, self.calls > 0, self.waited_s)
 
+    def check_quarantine(self) -> None:
+        """Raise Refusal if such queries crash the targets that run them."""
+        quarantine = self.runner.quarantine
+        now = self.clock.now()
+        if not quarantine.is_quarantined(self.fingerprint, now):
+            return
+        hold_s = quarantine.get_hold_s(self.fingerprint, now)
+        raise Refusal(
+            ProblemKind.TARGET_UNAVAILABLE,
+            f"such queries crash the targets that run them ({self.fingerprint})",
+            "change the query, or send it again after the stated time",
+            ran=Ran.UNKNOWN if self.calls else Ran.NOT_RUN,
+            retry_after_ms=int(hold_s * 1_000),
+        )
+
+    def note_suspicion(self, state: QueryState) -> None:
+        """Apply what is known of targets that crashed under such queries."""
+        self.check_quarantine()
+        standing = self.runner.quarantine.get_standing(
+            self.fingerprint, self.clock.now()
+        )
+        if standing is Standing.SUSPECT:
+            state.is_suspect = True
+
     def wait(self, seconds: float) -> None:
         """Sleep for a time that the planner chose, and add it to `waited_s`."""
         started_at = self.clock.now()
@@ -168,6 +199,7 @@
             self.runner.make_hedge_policy(self.pinned),
             first_attempt_id=self.calls,
         )
+        self.note_suspicion(state)
         events: SimpleQueue = SimpleQueue()
         greenlets: dict[int, gevent.Greenlet] = {}
         self.send_all(plan, state.start(self.clock.now()), events, greenlets)
@@ -197,6 +229,8 @@
             next_attempts = state.on_timer(self.clock.now())
         else:
             greenlets.pop(attempt.id, None)
+            if isinstance(outcome, Failure):
+                self.note_suspicion(state)
             next_attempts = self.record_outcome(plan, state, attempt, outcome)
         self.send_all(plan, next_attempts, events, greenlets)
         for redundant in state.pop_redundant_attempts():
@@ -234,6 +268,8 @@
         self.slowest_s = max(self.slowest_s, now - attempt.sent_at)
         if isinstance(outcome, Failure):
             return state.on_failure(attempt.id, outcome, now)
+        if any(result.status is ShardStatus.OK for result in outcome.results):
+            self.runner.quarantine.note_answer(self.fingerprint, now)
         for result in outcome.results:
             self.runner.snapshots.observe(
                 plan.collection,
--- a/sesameplank/targets/dispatch.py
+++ b/sesameplank/targets/dispatch.py
@@ -21,6 +21,7 @@
 )
 from ..core.membership.homes import HOLD_DOWN_S, ConnectionPlan, get_connection_share
 from ..core.published.leaving import LeavingSource, LeavingTargets
+from ..core.quarantine.sent_request import SentRequest
 from ..core.search.messages import (
     CancelRequest,
     TargetBooking,
@@ -29,8 +30,10 @@
     TargetSearch,
     TargetSearchAnswer,
 )
+from ..crash_guard import CrashGuard
 from ..ids import RequestId, TargetId
-from ..net import Address
+from ..net import Address, is_refusing
+from .fingerprints import find_message_fingerprint
 from .pool import TargetPool
 
 WARM_INTERVAL_S = 0.5
@@ -44,9 +47,22 @@
     {FailureReason.CONNECT, FailureReason.RESET, FailureReason.TIMEOUT}
 )
 TARGET_LEAVING = Failure(FailureReason.REFUSED, Ran.NOT_RUN, "the target is leaving")
+BROKEN_OFF_REASONS = frozenset(
+    {FailureReason.RESET, FailureReason.TRUNCATED, FailureReason.BAD_ANSWER}
+)
+CRASH_CHECK_TIMEOUT_S = 0.1
+QUARANTINED = Failure(
+    FailureReason.QUARANTINED, Ran.NOT_RUN, "such requests crash targets"
+)
 NO_POOL = Failure(FailureReason.CONNECT, Ran.NOT_RUN, "not in the configuration")
 
 
+class RequestIdOnly(msgspec.Struct):
+    """The request id of any call that carries one."""
+
+    request_id: RequestId = RequestId("")
+
+
 class StatedLimit(msgspec.Struct):
     """The rate limit in any answer of a target."""
 
@@ -179,8 +195,10 @@
         leaving: LeavingTargets,
         limits: TargetLimits,
         reach: TargetReach,
+        crash_guard: CrashGuard,
     ) -> None:
         self.clock = clock
+        self.crash_guard = crash_guard
         self.plan = plan
         self.leaving = leaving
         self.limits = limits
@@ -284,6 +302,8 @@
             return NO_POOL
         method = "GET" if path == HEALTH_PATH else "POST"
         sent_at = self.clock.now()
+        if not self.crash_guard.may_send_any(lambda: make_sent_request(path, body)):
+            return QUARANTINED
 
         def decode_and_note(payload: bytes):
             answer = decode(payload)
@@ -293,8 +313,27 @@
 
         outcome = pool.call(method, path, body, deadline_at, decode_and_note, answer_by)
         self.note_reach(outcome)
+        if path in NEW_WORK_PATHS and is_broken_off(outcome):
+            return self.check_crash(target, pool, path, body, sent_at, outcome)
         return outcome
 
+    def check_crash(
+        self,
+        target: TargetId,
+        pool: TargetPool,
+        path: str,
+        body: bytes,
+        sent_at: float,
+        failure: Failure,
+    ) -> Failure:
+        """Return the failure of a call, with its reason if the target has crashed."""
+        if not is_refusing(pool.address, CRASH_CHECK_TIMEOUT_S):
+            return failure
+        request = make_sent_request(path, body)
+        if not self.crash_guard.note_ended(target, request, sent_at):
+            return failure
+        return msgspec.structs.replace(failure, reason=FailureReason.CRASHED)
+
     def note_reach(self, outcome: object) -> None:
         """Record whether the outcome of a call shows that a target can be reached."""
         if not isinstance(outcome, Failure):
@@ -327,6 +366,19 @@
         self.limits.note_answer(target, statement, sent_at, self.clock.now())
 
 
+def make_sent_request(path: str, body: bytes) -> SentRequest:
+    """Return what an encoded call shows of its request."""
+    request_id = msgspec.json.decode(body, type=RequestIdOnly).request_id
+    return SentRequest(request_id, find_message_fingerprint(path, body))
+
+
+def is_broken_off(outcome: object) -> bool:
+    """Return whether the connection of a call that may have run has ended."""
+    if not isinstance(outcome, Failure) or outcome.ran is Ran.NOT_RUN:
+        return False
+    return outcome.reason in BROKEN_OFF_REASONS
+
+
 def decode_answer(payload: bytes, answer_type):
     """Return the typed answer, or a Failure if the payload is malformed."""
     try:
--- /dev/null
+++ b/sesameplank/targets/fingerprints.py
@@ -0,0 +1,43 @@
+"""Fingerprints of the search calls and bookings that targets get.
+
+They are taken from the encoded message, so that a call of another entry has the same
+one as a call of this process. What differs between attempts is left out.
+"""
+
+import msgspec
+
+from ..core.quarantine.fingerprints import NO_FINGERPRINT, make_fingerprint
+from ..core.search.messages import SearchRequest, TargetBooking, TargetSearch
+from ..ids import Fingerprint
+
+SEARCH_PATH = "/search"
+BOOKING_PATH = "/book"
+
+
+def find_search_fingerprint(request: SearchRequest | TargetSearch) -> Fingerprint:
+    """Return the fingerprint of a caller's query, or of a call for it."""
+    return make_fingerprint(
+        SEARCH_PATH.encode(),
+        msgspec.json.encode(
+            (
+                request.collection,
+                request.terms,
+                request.filters,
+                request.order,
+                request.limit,
+            )
+        ),
+    )
+
+
+def find_message_fingerprint(path: str, body: bytes) -> Fingerprint:
+    """Return the fingerprint of an encoded call, none if it is no new work."""
+    if path == SEARCH_PATH:
+        return find_search_fingerprint(msgspec.json.decode(body, type=TargetSearch))
+    if path != BOOKING_PATH:
+        return NO_FINGERPRINT
+    booking = msgspec.json.decode(body, type=TargetBooking)
+    return make_fingerprint(
+        path.encode(),
+        msgspec.json.encode((booking.collection, booking.record, booking.quantity)),
+    )
--- a/sesameplank/targets/relay.py
+++ b/sesameplank/targets/relay.py
@@ -119,8 +119,8 @@
     ) -> RelayedAnswer | Failure:
         """Forward another entry's call to a target on a connection of this process.
 
-        Failures with reasons of this process are told as those of a relay: other
-        releases don't know these reasons.
+        Failures with reasons of this process are told as those of a relay, and crashes
+        as truncated answers: other releases don't know these reasons.
         """
         if message.path in NEW_WORK_PATHS and self.leaving.is_leaving(message.target):
             return TARGET_LEAVING
@@ -139,6 +139,8 @@
             return RelayedAnswer(payload)
         if payload.reason in OWN_REASONS:
             return msgspec.structs.replace(payload, reason=FailureReason.RELAY)
+        if payload.reason is FailureReason.CRASHED:
+            return msgspec.structs.replace(payload, reason=FailureReason.TRUNCATED)
         return payload
 
     def notify_leaving(self, target: TargetId) -> None:
--- a/tests/forwarding/test_batch_server.py
+++ b/tests/forwarding/test_batch_server.py
@@ -10,14 +10,14 @@
 from sesameplank.core.forwarding.placement import Placement
 from sesameplank.core.forwarding.target_reach import TargetReach
 from sesameplank.core.published.target_table import TargetPhase, TargetRecord
-from sesameplank.core.quarantine.request_quarantine import RequestQuarantine
-from sesameplank.crash_guard import CrashGuard
 from sesameplank.forwarding.batch_server import BatchServer
 from sesameplank.forwarding.http_messages import Response
 from sesameplank.forwarding.request_log import RequestLog
 from sesameplank.peers import PeerContext
 from sesameplank.platform.headers import PlatformDialect
 
+from ..crash_guards import make_crash_guard
+
 TARGETS = ("s0a", "s1a", "s2b")
 CONTEXT = PeerContext("vm2", 1, 0.0, float("inf"))
 
@@ -85,9 +85,7 @@
             self.counts.append,
             lambda call: None,
             reach,
-            CrashGuard(
-                self.clock, RequestQuarantine(), reach, lambda target: True, dict
-            ),
+            make_crash_guard(self.clock, reach),
             lambda: 0.0,
             RequestLog(self.clock),
         )
--- a/tests/targets/test_limits.py
+++ b/tests/targets/test_limits.py
@@ -22,6 +22,8 @@
 from sesameplank.net import Address
 from sesameplank.targets import DirectDispatcher, TargetPool
 
+from ..crash_guards import make_crash_guard
+
 TARGET = "t1"
 HOMES = ("e1", "e2", "e3", "e4")
 CALL_TIMEOUT_S = 5.0
@@ -64,12 +66,14 @@
         plan = ConnectionPlan(entry, len(HOMES), 0)
         plan.update(HOMES, self.clock.now())
         limits = TargetLimits(HomeParts(plan))
+        reach = TargetReach(random.Random(1), self.clock.now())
         dispatcher = DirectDispatcher(
             self.clock,
             plan,
             LeavingTargets(self.clock),
             limits,
-            TargetReach(random.Random(1), self.clock.now()),
+            reach,
+            make_crash_guard(self.clock, reach),
         )
         dispatcher.pools[TARGET] = TargetPool(
             self.address, 2, self.clock, lambda path: dispatcher.admit(TARGET, path)
--- a/tests/targets/test_relay.py
+++ b/tests/targets/test_relay.py
@@ -20,6 +20,8 @@
 from sesameplank.targets.pool import LIMITED
 from sesameplank.targets.relay import RelayDispatcher
 
+from ..crash_guards import make_crash_guard
+
 TARGET = "t1"
 ENTRIES = ("e1", "e2", "e3")
 ANSWER = TargetSearchAnswer("r1", 1, ())
@@ -73,12 +75,14 @@
         """Return the dispatcher of a home of the target."""
         plan = ConnectionPlan(entry, len(ENTRIES), 0)
         plan.update(ENTRIES, self.clock.now())
+        reach = TargetReach(random.Random(1), self.clock.now())
         direct = DirectDispatcher(
             self.clock,
             plan,
             LeavingTargets(self.clock),
             TargetLimits(HomeParts(plan)),
-            TargetReach(random.Random(1), self.clock.now()),
+            reach,
+            make_crash_guard(self.clock, reach),
         )
         direct.pools[TARGET] = Pool()
         return RelayDispatcher(direct, plan, self.links, self.clock, list)
