Heed targets that leave, or want no requests, as they say in their answers

Cause: nothing read either; the list of targets shows a leaving one later, if at all. Change: both are read on every answer, hold for the incarnation whatever the store says later, and are checked where a call is transmitted. A leaving target is told to the other VMs, and is a last resort for 1 s. A paused one is left out; if too many shards of a request are paused it is refused at once with the shortest true wait.

--- a/sesameplank/core/membership/peer_messages.py
+++ b/sesameplank/core/membership/peer_messages.py
@@ -189,6 +189,16 @@
     target: TargetId
 
 
+class TargetAnnouncedLeaving(PeerMessage, frozen=True):
+    """A notification that an incarnation of a target has said that it leaves.
+
+    `started_ms` is the Unix time of its start in ms, 0 if unknown.
+    """
+
+    target: TargetId
+    started_ms: int
+
+
 class TargetsLate(PeerMessage, frozen=True):
     """A notification that calls to targets are late, with the age of each in ms."""
 
--- a/sesameplank/core/published/target_table.py
+++ b/sesameplank/core/published/target_table.py
@@ -78,14 +78,15 @@
 class TargetTable:
     """The newest list of targets that this process has received.
 
-    `leaving` holds draining or removed targets that may be used as a last resort
-    until the time in `use_until`. `tombstones` maps removed targets to the revision
-    of their removal, and `removed_records` to their last record, if known. Changes
-    since a revision before `history_floor`, or inside one of the `gaps`, are not
-    known. `held_until` holds the listed targets that get no calls until a time,
-    because they had left before the store was restored, or because another target
-    has taken over their address. `known_era` is the highest
-    era that this process has heard of.
+    `leaving` holds draining or removed targets that may be used as a last resort until
+    the time in `use_until`. `tombstones` maps removed targets to the revision of their
+    removal, and `removed_records` to their last record, if known. Changes since a
+    revision before `history_floor`, or inside one of the `gaps`, are not known.
+    `held_until` holds the listed targets that get no calls until a time, because they
+    had left before the store was restored, or because another target has taken over
+    their address. `announced` holds the targets that have said in their answers that
+    they leave, with the start of that incarnation. `known_era` is the highest era that
+    this process has heard of.
     """
 
     def __init__(self) -> None:
@@ -100,6 +101,7 @@
         self.held_until: dict[TargetId, float] = {}
         self.use_until: dict[TargetId, float] = {}
         self.leaving: dict[TargetId, TargetRecord] = {}
+        self.announced: dict[TargetId, int] = {}
         self.by_service: dict[ServiceName, list[TargetRecord]] = {}
 
     @property
@@ -222,12 +224,14 @@
             return
         self.tombstones.pop(record.id, None)
         self.removed_records.pop(record.id, None)
-        self.use_until.pop(record.id, None)
-        self.leaving.pop(record.id, None)
+        if not self.has_announced(record):
+            self.use_until.pop(record.id, None)
+            self.leaving.pop(record.id, None)
+            self.announced.pop(record.id, None)
         was_held = known is not None and self.release(record.id)
         if record.phase is TargetPhase.DRAINING:
             was_ready = known is not None and known.phase is TargetPhase.READY
-            if was_ready and not was_held:
+            if was_ready and not was_held and not self.has_announced(record):
                 self.leaving[record.id] = record
                 self.use_until[record.id] = now + REMOVAL_GRACE_S
         self.records[record.id] = record
@@ -250,7 +254,9 @@
             oldest = min(self.tombstones, key=self.tombstones.get)
             self.history_floor = max(self.history_floor, self.tombstones.pop(oldest))
             self.removed_records.pop(oldest, None)
-        if record is not None and record.phase is TargetPhase.READY and not was_held:
+        if record is None or was_held or self.has_announced(record):
+            return
+        if record.phase is TargetPhase.READY:
             self.leaving[target] = record
             self.use_until[target] = use_until
 
@@ -273,6 +279,37 @@
             self.index()
         return is_news
 
+    def note_announced(self, target: TargetId, started_ms: int, now: float) -> bool:
+        """Record that an incarnation of a target has said that it leaves.
+
+        The list shows that later, if at all; no entry of that incarnation undoes it.
+        The target is a last resort for REMOVAL_GRACE_S. Return whether it is news.
+        """
+        record = self.records.get(target) or self.leaving.get(target)
+        if record is None or record.started_ms != started_ms:
+            return False
+        if self.announced.get(target) == started_ms:
+            return False
+        if len(self.announced) >= MAX_TOMBSTONES:
+            self.announced.pop(next(iter(self.announced)))
+        is_news = self.find_ready(target) is not None
+        self.announced[target] = started_ms
+        if is_news:
+            self.leaving[target] = record
+            self.use_until[target] = now + REMOVAL_GRACE_S
+            self.index()
+        return is_news
+
+    def has_announced(self, record: TargetRecord) -> bool:
+        """Return whether an incarnation of a target has said that it leaves."""
+        return self.announced.get(record.id) == record.started_ms
+
+    def may_call(self, record: TargetRecord, now: float) -> bool:
+        """Return whether a target may get calls, if only as a last resort."""
+        return (
+            not self.has_announced(record) or self.use_until.get(record.id, 0.0) > now
+        )
+
     def expire(self, now: float) -> None:
         """End the holds and the grace periods of last-resort targets that are over."""
         for target in [item for item, at in self.use_until.items() if at <= now]:
@@ -288,7 +325,7 @@
         """Group the ready targets that may get calls by service."""
         self.by_service = {}
         for record in self.records.values():
-            is_held = record.id in self.held_until
+            is_held = record.id in self.held_until or self.has_announced(record)
             if record.phase is TargetPhase.READY and not is_held:
                 self.by_service.setdefault(record.service, []).append(record)
 
@@ -299,7 +336,7 @@
     def find_ready(self, target: TargetId) -> TargetRecord | None:
         """Return a target if it accepts new calls, else None."""
         record = self.records.get(target)
-        if record is None or target in self.held_until:
+        if record is None or target in self.held_until or self.has_announced(record):
             return None
         return record if record.phase is TargetPhase.READY else None
 
--- a/sesameplank/forwarding/dialect.py
+++ b/sesameplank/forwarding/dialect.py
@@ -36,12 +36,16 @@
     `request_id` is the id of the request that it belongs to, and `idle_timeout_s` how
     long the target keeps an idle connection open, in seconds; each is None if the
     response does not contain it. `limit` is what it says of the target's rate limit,
-    None if it comes from another target.
+    None if it comes from another target. `is_leaving` says that the target leaves, and
+    `pause_s` for how many seconds it wants no requests from this process, None if it
+    does not say so.
     """
 
     request_id: RequestId | None
     idle_timeout_s: float | None
     limit: LimitStatement | None = None
+    is_leaving: bool = False
+    pause_s: float | None = None
 
 
 class TargetAnswer(msgspec.Struct, frozen=True):
@@ -98,7 +102,7 @@
 
     @abstractmethod
     def read_response_metadata(self, response: Response) -> ResponseMetadata:
-        """Return the request id and the idle timeout from a target's headers."""
+        """Return what a target's headers say besides its answer."""
 
     @abstractmethod
     def read_answer(self, response: Response) -> TargetAnswer:
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -32,6 +32,7 @@
 from .request_fingerprints import find_fingerprint
 from .request_handling import Reply, RequestContext
 from .request_log import RequestLog
+from .target_retreats import TargetRetreats
 
 BATCH = "batch"  # The origin of a call that is made for another VM.
 STARTING_RETRY_AFTER_S = 0.3
@@ -54,6 +55,7 @@
         reach: TargetReach,
         crash_guard: CrashGuard,
         down_targets: DownTargets,
+        retreats: TargetRetreats,
     ) -> None:
         self.clock = clock
         self.dialect = dialect
@@ -65,6 +67,7 @@
         self.reach = reach
         self.crash_guard = crash_guard
         self.down_targets = down_targets
+        self.retreats = retreats
         self.quarantine = crash_guard.quarantine
         self.times = CallTimes()
         self.rotation = WeightedRoundRobin()
@@ -149,6 +152,12 @@
             return self.refuse_and_log(
                 metadata, 503, "target queues are too long", retry_after_s
             )
+        retry_after_s = self.get_pause_retry_s(forwarded.plan)
+        if retry_after_s is not None:
+            self.count("refused_paused")
+            return self.refuse_and_log(
+                metadata, 503, "targets want no requests", retry_after_s
+            )
         retry_after_s = self.get_limit_retry_s(forwarded)
         if retry_after_s is not None:
             self.count("refused_limited")
@@ -222,6 +231,16 @@
             self.clock.now(),
         )
 
+    def get_pause_retry_s(self, plan: FanoutPlan) -> float | None:
+        """Return the time until enough targets want requests, or None if they do."""
+        if not self.retreats.pauses.pauses:
+            return None
+        waits = sorted(
+            self.retreats.get_wait_s(self.table.get_ready(service))
+            for service in plan.shards
+        )
+        return waits[plan.required - 1] or None
+
     def get_limit_retry_s(self, forwarded: ForwardedRequest) -> float | None:
         """Return the time until targets have room in seconds, or None to admit."""
         if self.reach.is_lost:
@@ -266,19 +285,21 @@
     ) -> list[TargetRecord]:
         """Return the targets that may get a call, the preferred ones first.
 
-        Those that are down are left out, unless all are.
-        Targets that are draining or were removed recently follow as a last resort if
-        every ready target failed recently, or if none is ready. Targets whose rate
+        Those that want no requests are left out, and those that are down, unless all
+        are. Targets that are draining or were removed recently follow as a last resort
+        if every ready target failed recently, or if none is ready. Targets whose rate
         limit leaves no room are left out, unless other VMs send the calls. If this VM
         has no part of any limit, targets are returned that others have parts of.
         `limit_reserve` is the share of the saved room that the request leaves to
         others.
         """
         now = self.clock.now()
-        ready = self.down_targets.exclude(self.table.get_ready(service), now)
+        ready = self.retreats.pauses.exclude(self.table.get_ready(service), now)
+        ready = self.down_targets.exclude(ready, now)
         targets = ready
         if all(self.placement.is_avoided(item.id, now) for item in ready):
-            targets = [*ready, *self.table.get_last_resort(service, now)]
+            last_resort = self.table.get_last_resort(service, now)
+            targets = [*ready, *self.retreats.pauses.exclude(last_resort, now)]
         if not self.limits.limits or self.reach.is_lost:
             return targets
         waits = {
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -69,6 +69,7 @@
 from .replaced_targets import ReplacedTargets
 from .shutdown import Shutdown
 from .target_pools import TargetPools
+from .target_retreats import TargetRetreats
 
 HOUSEKEEPING_INTERVAL_S = 0.1
 FLEET_SIZE_WINDOW_S = 60.0
@@ -133,6 +134,21 @@
             lambda target: self.table.find_ready(target) is not None,
             lambda: {"targets_revision": self.table.revision},
         )
+        self.links = PeerLinks(
+            settings.vm,
+            make_incarnation(),
+            settings.peer_address,
+            clock,
+            rng,
+            FramedTransport(),
+        )
+        self.retreats = TargetRetreats(
+            self.links,
+            clock,
+            self.table,
+            self.get_other_active,
+            lambda event: self.forwarder.count(event),
+        )
         self.pools = TargetPools(
             clock,
             dialect,
@@ -141,6 +157,7 @@
             self.reach,
             self.crash_guard,
             self.down_targets,
+            self.retreats,
         )
         self.reach_probes = ReachProbes(
             self.reach,
@@ -162,14 +179,7 @@
             self.reach,
             self.crash_guard,
             self.down_targets,
-        )
-        self.links = PeerLinks(
-            settings.vm,
-            make_incarnation(),
-            settings.peer_address,
-            clock,
-            rng,
-            FramedTransport(),
+            self.retreats,
         )
         self.membership = Membership(self.make_own_member(), rng, clock.now())
         self.relay = DocumentRelay(
@@ -412,6 +422,7 @@
             self.update_shares()
             self.update_limits()
             self.quarantine_notices.repeat()
+            self.retreats.pauses.drop_ended(self.clock.now())
             is_active = self.is_active
             self.reach_probes.check(is_active=is_active)
             if is_active:
--- a/sesameplank/forwarding/target_connections.py
+++ b/sesameplank/forwarding/target_connections.py
@@ -185,6 +185,7 @@
         self.exchange = None
         self.served += 1
         self.pool.note_limit(metadata.limit, self.sent_at)
+        self.pool.note_statements(metadata)
         if metadata.idle_timeout_s is not None:
             self.idle_timeout_s = metadata.idle_timeout_s
         is_reusable = response.keep_alive and self.reader.has_length
--- a/sesameplank/platform/headers.py
+++ b/sesameplank/platform/headers.py
@@ -24,10 +24,12 @@
 TARGET_LIMIT = b"Server-Limit"
 NOT_RUN = b"X-Not-Executed"
 RETRY_AFTER = b"Retry-After"
+TARGET_LEAVING = b"Server-Leaving"
 PART_SIGNATURES = b"X-Part-Stamps"
 MISSING_PARTS = b"X-Missing-Parts"
 PER_CALL_HEADERS = frozenset({DEADLINE.lower(), EXPECTED_TARGET.lower()})
 MISDIRECTED = 421
+UNAVAILABLE = 503
 SLOWDOWN_SCALE = 100.0  # Targets report the slowdown in hundredths.
 MIN_LOAD_FIELDS = 3
 PARSE_CACHE_SIZE = 512
@@ -65,12 +67,14 @@
         ]
 
     def read_response_metadata(self, response: Response) -> ResponseMetadata:
-        """Return the request id, the idle timeout and the target's rate limit."""
+        """Return what the response says besides the target's answer."""
         request_id = response.get(REQUEST_ID.lower())
         return ResponseMetadata(
             RequestId(request_id) if request_id else None,
             parse_idle_timeout_s(response.get(b"keep-alive")),
             read_limit(response),
+            is_leaving=is_leaving(response),
+            pause_s=read_pause_s(response),
         )
 
     def read_answer(self, response: Response) -> TargetAnswer:
@@ -147,6 +151,28 @@
     return LoadReport(fields[0], fields[1], fields[2], slowdown)
 
 
+def is_leaving(response: Response) -> bool:
+    """Return whether a response says that its target leaves, not that another does."""
+    if response.status == MISDIRECTED:
+        return False
+    return (response.get(TARGET_LEAVING.lower()) or "").strip() == "1"
+
+
+def read_pause_s(response: Response) -> float | None:
+    """Return for how many seconds a target wants no requests, or None.
+
+    Only a refusal says so. Anything but one decimal number is ignored, also a date.
+    """
+    name = RETRY_AFTER.lower()
+    if response.status != UNAVAILABLE or name not in response.first_values:
+        return None
+    values = [value for key, value in response.headers if key.lower() == name]
+    text = values[0].decode("latin-1").strip()
+    if len(values) > 1 or not DECIMAL_NUMBER.fullmatch(text):
+        return None
+    return float(text)
+
+
 def read_limit(response: Response) -> LimitStatement | None:
     """Return what a response says of the target's rate limit.
 
--- a/sesameplank/standins/front_targets.py
+++ b/sesameplank/standins/front_targets.py
@@ -25,7 +25,9 @@
     MISDIRECTED,
     NOT_RUN,
     REQUEST_ID,
+    RETRY_AFTER,
     SIGNATURE,
+    TARGET_LEAVING,
     TARGET_LIMIT,
 )
 from .packet_loss import lose_packets
@@ -113,8 +115,10 @@
     run them. Its `crashes` are counted; it listens again after RESTART_S, once
     `on_restart` has been called.
 
-    `stated_limit` is the rate limit that its answers name, None for none, and
-    `arrived_at` the time of arrival of every request.
+    `stated_limit` is the rate limit that its answers name, None for none. With
+    `is_leaving` they say that it leaves. `retry_after` is when requests that it refuses
+    may come again, in seconds. `arrived_at` holds the time of arrival of every request,
+    and `callers` the host that it came from.
 
     `executed_ids` holds the IDs of the executed requests in order, and
     `misdirected_ids` those of requests that were meant for another target.
@@ -127,7 +131,10 @@
         self.fault_mode = TargetFaultMode.NONE
         self.delay_s = 0.0
         self.stated_limit: bytes | None = None
+        self.is_leaving = False
+        self.retry_after: bytes | None = None
         self.arrived_at: list[float] = []
+        self.callers: list[str] = []
         self.executed_ids: list[str] = []
         self.misdirected_ids: list[str] = []
         self.requests: list[Request] = []
@@ -216,6 +223,7 @@
     def answer(self, sock: gevent.socket.socket, request: Request) -> bool:
         """Answer a request; return whether to keep the connection open."""
         self.arrived_at.append(time.monotonic())
+        self.callers.append(self.sockets[sock])
         expected = request.get(EXPECTED_TARGET.lower())
         if expected not in (None, self.name):
             self.misdirected_ids.append(request.get(REQUEST_ID.lower()) or "")
@@ -223,7 +231,10 @@
             sock.sendall(self.encode(MISDIRECTED, headers, b""))
             return True
         if self.fault_mode is TargetFaultMode.SHED:
-            sock.sendall(self.encode(503, [(NOT_RUN, b"1")], b""))
+            headers = [(NOT_RUN, b"1")]
+            if self.retry_after is not None:
+                headers.append((RETRY_AFTER, self.retry_after))
+            sock.sendall(self.encode(503, headers, b""))
             return True
         request_id = request.get(REQUEST_ID.lower()) or ""
         if bytes(request.target) in self.deadly_targets:
@@ -317,6 +328,8 @@
             headers.append((SIGNATURE, signature.encode()))
         if self.fault_mode is TargetFaultMode.ENCODED:
             headers.append((b"Content-Encoding", b"gzip"))
+        if self.is_leaving:
+            headers.append((TARGET_LEAVING, b"1"))
         if self.stated_limit is not None:
             headers.append((TARGET_LIMIT, self.stated_limit))
         return headers
--- a/tests/core/published/test_target_table.py
+++ b/tests/core/published/test_target_table.py
@@ -179,6 +179,63 @@
     )
 
 
+class AnnouncedLeavingTests(testtools.TestCase):
+    """A target that says that it leaves gets no calls, whatever the list says."""
+
+    def setUp(self):
+        super().setUp()
+        self.table = TargetTable()
+        self.put(make_started("a", 1), make_started("b", 2))
+
+    def put(self, *records: TargetRecord, removed=()) -> None:
+        revision = max((item.revision for item in records), default=9)
+        changes = TargetChanges(revision, records, tuple(removed))
+        self.assertTrue(self.table.apply(changes, 10.0, False))
+
+    def get_ready(self) -> list[str]:
+        return sorted(item.id for item in self.table.get_ready("orders"))
+
+    def test_target_is_a_last_resort_for_a_moment(self):
+        self.assertTrue(self.table.note_announced("a", 1, 10.0))
+        self.assertEqual(["b"], self.get_ready())
+        self.assertIsNone(self.table.find_ready("a"))
+        record = self.table.records["a"]
+        for now, may_call in ((10.5, True), (10.0 + REMOVAL_GRACE_S, False)):
+            last_resort = self.table.get_last_resort("orders", now)
+            self.assertEqual([record] if may_call else [], last_resort)
+            self.assertEqual(may_call, self.table.may_call(record, now))
+
+    def test_it_is_news_once_and_only_of_the_incarnation_that_is_listed(self):
+        for started_ms, is_news in ((2, False), (1, True), (1, False)):
+            self.assertEqual(is_news, self.table.note_announced("a", started_ms, 10.0))
+        self.assertFalse(self.table.note_announced("unknown", 1, 10.0))
+
+    def test_entries_of_the_same_incarnation_do_not_undo_it(self):
+        self.table.note_announced("a", 1, 10.0)
+        for phase in (TargetPhase.READY, TargetPhase.DRAINING, TargetPhase.READY):
+            self.put(make_started("a", self.table.revision + 1, phase))
+            self.assertEqual(["b"], self.get_ready())
+            self.assertFalse(self.table.may_call(self.table.records["a"], 12.0))
+
+    def test_removed_entry_makes_it_no_last_resort_again(self):
+        self.table.note_announced("a", 1, 10.0)
+        self.table.expire(12.0)
+        self.put(removed=[("a", 9)])
+        self.assertEqual([], self.table.get_last_resort("orders", 12.0))
+
+    def test_next_incarnation_gets_calls(self):
+        self.table.note_announced("a", 1, 10.0)
+        self.put(make_started("a", 5, started_ms=2))
+        self.assertEqual(["a", "b"], self.get_ready())
+
+    def test_store_that_comes_back_from_a_copy_does_not_undo_it(self):
+        self.table.note_announced("a", 1, 10.0)
+        records = (make_started("a", 1), make_started("b", 2))
+        changes = TargetChanges(3, records, (), is_whole=True, era=1)
+        self.table.apply(changes, 11.0, False)
+        self.assertEqual(["b"], self.get_ready())
+
+
 class RestoredStoreTests(testtools.TestCase):
     """The list follows a store that was restored from a copy some seconds old."""
 
--- /dev/null
+++ b/tests/integration/test_target_retreats.py
@@ -0,0 +1,133 @@
+"""Tests of targets that leave or want no requests, as they say in their answers."""
+
+from collections import Counter
+
+import gevent
+
+from sesameplank.standins.front_targets import TargetFaultMode
+
+from .front_world import SHARD_SERVICES, FrontTestCase, make_request
+
+KINDS = (("/all/x", "GET"), ("/one/x", "GET"), ("/book/x", "POST"))
+SERVICES = (*SHARD_SERVICES, "single")
+REQUESTS = 30
+LAST_RESORT_S = 1.5
+PAUSE_S = 3.0
+ANSWER_TO_HOLD_S = 0.5
+MAX_ARRIVALS_IN_PAUSE = 2
+
+
+class TargetRetreatTestCase(FrontTestCase):
+    """Starts several processes with replicas a and b of each service."""
+
+    front_count = 3
+
+    def setUp(self):
+        super().setUp()
+        for front in range(self.front_count):
+            self.wait_for_state(
+                front, lambda state: len(state["members"]) >= self.front_count
+            )
+
+    def send_all(self, name: str) -> Counter:
+        """Send requests of each kind to all processes, and count their statuses."""
+        statuses: Counter = Counter()
+        for number in range(REQUESTS):
+            for path, method in KINDS:
+                data = make_request(path, f"{name}{path[1:4]}{number}", method=method)
+                response = self.request(data, number % self.front_count)
+                statuses[response.status] += 1
+        return statuses
+
+    def count_arrivals(self, letter: str) -> dict[str, int]:
+        """Return how many requests have reached the targets with a letter."""
+        return {
+            service: len(self.targets[f"{service}{letter}"].arrived_at)
+            for service in SERVICES
+        }
+
+
+class LeavingTests(TargetRetreatTestCase):
+    """A target that says that it leaves gets no new requests of any process."""
+
+    def test_targets_that_say_that_they_leave_get_no_more_requests(self):
+        for service in SERVICES:
+            self.targets[f"{service}a"].is_leaving = True
+        self.send_all("before")
+        gevent.sleep(LAST_RESORT_S)
+        before = self.count_arrivals("a")
+        self.assertEqual({200}, set(self.send_all("after")))
+        self.assertEqual(before, self.count_arrivals("a"))
+
+    def test_later_entry_of_the_same_incarnation_does_not_undo_it(self):
+        self.targets["singlea"].is_leaving = True
+        self.send_all("before")
+        self.list_target("singlea", "single", seq=7)
+        gevent.sleep(LAST_RESORT_S)
+        before = self.count_arrivals("a")["single"]
+        self.send_all("after")
+        self.assertEqual(before, self.count_arrivals("a")["single"])
+
+    def test_leaving_target_is_told_to_processes_that_have_not_called_it(self):
+        self.targets["singlea"].is_leaving = True
+        while not self.count_arrivals("a")["single"]:
+            self.send("/one/x", 0)
+        gevent.sleep(LAST_RESORT_S)
+        before = self.count_arrivals("a")["single"]
+        for number in range(REQUESTS):
+            self.assertEqual(200, self.send("/one/x", 1 + number % 2))
+        self.assertEqual(before, self.count_arrivals("a")["single"])
+
+    def send(self, path: str, front: int) -> int:
+        """Send a request and return the status of its answer."""
+        return self.request(make_request(path), front).status
+
+
+class PauseTests(TargetRetreatTestCase):
+    """A target that refuses with a time gets nothing from that process for so long."""
+
+    def pause(self, letters: str) -> None:
+        """Let targets refuse every request, with the time for which they want none."""
+        for service in SERVICES:
+            for letter in letters:
+                target = self.targets[f"{service}{letter}"]
+                target.fault_mode = TargetFaultMode.SHED
+                target.retry_after = b"%g" % PAUSE_S
+
+    def assert_pauses_are_kept(self, letters: str) -> None:
+        """Assert that each process kept from targets that had refused its request."""
+        for service in SERVICES:
+            for letter in letters:
+                self.assert_pause_is_kept(self.targets[f"{service}{letter}"])
+
+    def assert_pause_is_kept(self, target) -> None:
+        """Assert that no process sent more than a few requests during a pause."""
+        for host in set(target.callers):
+            times = [
+                at
+                for at, caller in zip(target.arrived_at, target.callers, strict=True)
+                if caller == host
+            ]
+            for refused_at in times:
+                begin, end = refused_at + ANSWER_TO_HOLD_S, refused_at + PAUSE_S
+                in_pause = sum(begin <= at < end for at in times)
+                self.assertLessEqual(in_pause, MAX_ARRIVALS_IN_PAUSE, target.name)
+
+    def test_paused_targets_get_nothing_and_others_serve(self):
+        self.pause("a")
+        for number in range(3):
+            self.assertEqual({200}, set(self.send_all(f"r{number}")))
+            gevent.sleep(ANSWER_TO_HOLD_S)
+        self.assert_pauses_are_kept("a")
+
+    def test_requests_are_refused_at_once_with_the_time_if_all_targets_pause(self):
+        self.pause("ab")
+        self.send_all("before")
+        for path, method in KINDS:
+            response = self.request(make_request(path, "r", method=method))
+            self.assertEqual(503, response.status)
+            self.assertGreater(float(response.get(b"retry-after")), 0.0)
+            self.assertLessEqual(float(response.get(b"retry-after")), PAUSE_S)
+        gevent.sleep(ANSWER_TO_HOLD_S)
+        self.send_all("after")
+        self.assert_pauses_are_kept("ab")
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -158,3 +158,51 @@
         for values in ((), (b"5",)):
             metadata = self.read(*values, status=421)
             self.assertIsNone(metadata.limit, values)
+
+
+class RetreatTests(testtools.TestCase):
+    """Whether a target leaves, and for how long it wants no requests."""
+
+    def read(self, status: int, *headers: tuple[bytes, bytes]):
+        """Return what a response with these headers says."""
+        response = Response()
+        response.status = status
+        for name, value in headers:
+            response.add(name, value)
+        return PlatformDialect().read_response_metadata(response)
+
+    def test_target_that_leaves(self):
+        for status, value, is_leaving in (
+            (200, b"1", True),
+            (503, b" 1 ", True),
+            (500, b"1", True),
+            (421, b"1", False),
+            (200, b"0", False),
+            (200, b"", False),
+        ):
+            metadata = self.read(status, (b"Server-Leaving", value))
+            self.assertEqual(is_leaving, metadata.is_leaving, (status, value))
+        self.assertFalse(self.read(200).is_leaving)
+
+    def test_pause(self):
+        for status, value, pause_s in (
+            (503, b"2", 2.0),
+            (503, b"0.25", 0.25),
+            (503, b"0", 0.0),
+            (200, b"2", None),
+            (429, b"2", None),
+            (421, b"2", None),
+            (503, b"-1", None),
+            (503, b"nan", None),
+            (503, b"inf", None),
+            (503, b"1e9", None),
+            (503, b"", None),
+            (503, b"9" * 400, None),
+            (503, b"Fri, 04 Dec 2026 15:00:00 GMT", None),
+        ):
+            metadata = self.read(status, (b"Retry-After", value))
+            self.assertEqual(pause_s, metadata.pause_s, (status, value))
+
+    def test_pause_that_is_stated_twice_is_ignored(self):
+        headers = (b"Retry-After", b"2"), (b"retry-after", b"3")
+        self.assertIsNone(self.read(503, *headers).pause_s)
