--- a/tests/integration/front_world.py
+++ b/tests/integration/front_world.py
@@ -78,7 +78,8 @@
     """A forwarding process with its own settings file; a context manager.
 
     Callers connect to `caller_address`. `ready_address` serves the readiness check,
-    and `directory_address` the directory of processes.
+    and `directory_address` the directory of processes. `source` is the folder of the
+    release that runs.
     """
 
     def __init__(
@@ -90,7 +91,9 @@
         module: str = "sesameplank.platform",
         store: str | None = None,
         retry_slack: int = 4000,
+        source: Path = ROOT,
     ) -> None:
+        self.source = source
         self.module = module
         self.host = f"{block}.1.{number}"
         self.caller_address = Address(self.host, 8104)
@@ -126,7 +129,7 @@
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
                 [sys.executable, "-m", self.module],
-                cwd=ROOT,
+                cwd=self.source,
                 env={**os.environ, "SESAMEPLANK_BOOT": str(self.settings_path)},
                 stdout=log,
                 stderr=log,
@@ -227,7 +230,11 @@
         self.fronts = [
             self.enterContext(
                 FrontProcess(
-                    self.block, number, self.grace_s, retry_slack=self.retry_slack
+                    self.block,
+                    number,
+                    self.grace_s,
+                    retry_slack=self.retry_slack,
+                    source=self.get_source(number),
                 )
             )
             for number in range(1, self.front_count + 1)
@@ -236,6 +243,10 @@
             self.wait_for(front.is_ready, "ready")
         self.addOnException(self.attach_logs)
 
+    def get_source(self, number: int) -> Path:
+        """Return the folder of the release that a process runs."""
+        return ROOT
+
     def attach_logs(self, exc_info) -> None:
         """Attach the end of each process's log to the result of a failed test."""
         for front in self.fronts:
