A failure that can't be read costs only its call, not the link

Cause: a failure with a reason that this release doesn't know raised in the loop that reads the link, which ended with all calls on it. Change: it is decoded like a reply; its call fails as a malformed answer. Evidence: the new test failed before (timeout instead of bad_answer).

--- a/sesameplank/peers/frames.py
+++ b/sesameplank/peers/frames.py
@@ -7,6 +7,7 @@
 import cbor2
 import msgspec
 
+from ..core.common.outcomes import Failure
 from ..exceptions import PeerProtocolError
 from ..ids import EntryId, Incarnation
 from .messages import PeerMessage
@@ -58,6 +59,17 @@
         ) from error
 
 
+def unpack_failure(body: list) -> Failure:
+    """Return the failure that a peer reports, or raise PeerProtocolError."""
+    try:
+        return msgspec.convert(body[0], Failure)
+    except (msgspec.ValidationError, IndexError) as error:
+        raise PeerProtocolError(
+            f"a failure from a peer is malformed: {error}; "
+            "run the same release on every entry"
+        ) from error
+
+
 def encode_envelope(envelope: Envelope) -> bytes:
     """Return an envelope encoded as a CBOR item."""
     return cbor2.dumps(msgspec.to_builtins(envelope, builtin_types=CBOR_TYPES))
--- a/sesameplank/peers/links.py
+++ b/sesameplank/peers/links.py
@@ -25,6 +25,7 @@
     decode_frame,
     encode_envelope,
     pack_message,
+    unpack_failure,
     unpack_message,
 )
 from .messages import PeerMessage
@@ -296,11 +297,12 @@
         if pending is None:
             self.counters.count_dropped("late_reply")
             return
-        if envelope.kind is EnvelopeKind.FAILURE:
-            pending.result.set(msgspec.convert(envelope.body[0], Failure))
-            return
         try:
-            pending.result.set(unpack_message(envelope.body, pending.reply_type))
+            if envelope.kind is EnvelopeKind.FAILURE:
+                result = unpack_failure(envelope.body)
+            else:
+                result = unpack_message(envelope.body, pending.reply_type)
+            pending.result.set(result)
         except PeerProtocolError as error:
             pending.fail(FailureReason.BAD_ANSWER, str(error))
 
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -13,7 +13,8 @@
 from sesameplank.net import Address
 from sesameplank.peers import PeerLinks, PeerMessage
 from sesameplank.peers import links as links_module
-from sesameplank.peers.channel import MAX_FRAME_BYTES
+from sesameplank.peers.channel import MAX_FRAME_BYTES, QueuedMessage
+from sesameplank.peers.frames import Envelope, EnvelopeKind, encode_envelope
 from sesameplank.peers.websocket_transport import WebSocketTransport
 from sesameplank.standins.fleet import reserve_block
 
@@ -87,6 +88,35 @@
         )
         self.assertEqual(1, len(self.links["b"].channels["a"].connections))
 
+    def test_failure_of_an_unknown_kind_costs_nothing_but_its_call(self):
+        bodies = [[{"reason": "unheard_of", "ran": "unknown"}], [{}], [], ["x"], [3]]
+        peer = self.links["b"]
+        plain_reply = peer.reply
+
+        def reply(channel, envelope, outcome):
+            if not bodies:
+                return plain_reply(channel, envelope, outcome)
+            failure = Envelope(
+                EnvelopeKind.FAILURE,
+                "b",
+                peer.incarnation,
+                int(self.clock.now() * 1_000),
+                envelope.name,
+                bodies.pop(),
+                envelope.call_id,
+            )
+            return channel.enqueue(
+                QueuedMessage("Echo.reply", encode_envelope(failure))
+            )
+
+        peer.reply = reply
+        while bodies:
+            outcome = self.call(Echo(b"1"), wait_s=5.0)
+            self.assertIs(FailureReason.BAD_ANSWER, outcome.reason)
+            self.assertIs(Ran.UNKNOWN, outcome.ran)
+        self.assertEqual(EchoReply(b"2", "a"), self.call(Echo(b"2")))
+        self.assertEqual(1, len(self.links["a"].channels["b"].connections))
+
     def test_one_way_messages_arrive_in_order(self):
         received = Queue()
         self.links["b"].register(
