Never take a copy of an earlier answer without an id for the next request's

Callers could get another request's answer: a target that sends its answer twice, the second time without a request id, answered the next call on the connection with it. Cause: a response without an id was taken for the call in progress, and a connection was reused although a further response had arrived on it already. Change: only the first response on a connection may lack an id, and a connection with more bytes behind a response is closed.

--- a/sesameplank/forwarding/target_connections.py
+++ b/sesameplank/forwarding/target_connections.py
@@ -159,24 +159,29 @@
     def process_responses(self) -> None:
         """Process the complete responses; close on any unexpected bytes."""
         complete, self.reader.complete = self.reader.complete, []
-        for response in complete:
-            self.process_response(response)
+        for number, response in enumerate(complete, 1):
+            self.process_response(response, has_more=number < len(complete))
         if self.reader.is_corrupt:
             self.close(FailureReason.BAD_ANSWER, "bytes that are not an HTTP response")
         elif self.exchange is None and self.reader.in_message:
             self.close(FailureReason.FOREIGN, "an unsolicited response")
 
-    def process_response(self, response: Response) -> None:
+    def process_response(self, response: Response, *, has_more: bool) -> None:
         """Finish the call in progress with a response that belongs to it.
 
         Ignore a few responses to other requests, but do not reuse the connection
-        after one of them.
+        after one of them. A response without a request id may be a second copy of an
+        earlier one, unless it is the first on its connection. `has_more` says that
+        another response has arrived behind it.
         """
         exchange = self.exchange
         if exchange is None:
             self.close(FailureReason.FOREIGN, "an unsolicited response")
             return
         metadata = self.pool.dialect.read_response_metadata(response)
+        if metadata.request_id is None and self.served:
+            self.close(FailureReason.FOREIGN, "a response that names no request")
+            return
         if metadata.request_id not in (None, exchange.request.request_id):
             self.mismatched += 1
             if self.mismatched > MAX_MISMATCHED_RESPONSES:
@@ -192,7 +197,7 @@
         is_reusable = is_reusable and not exchange.is_head
         if not is_reusable or self.mismatched or self.sender is not None:
             self.close(FailureReason.RESET, "the connection cannot be reused")
-        elif self.reader.is_corrupt or self.reader.in_message:
+        elif has_more or self.reader.is_corrupt or self.reader.in_message:
             self.close(FailureReason.FOREIGN, "unsolicited bytes after a response")
         else:
             self.release()
--- a/sesameplank/standins/front_targets.py
+++ b/sesameplank/standins/front_targets.py
@@ -58,6 +58,8 @@
     ENCODED         declare a content encoding that the body does not have
     UNSIGNED        leave out the signature
     LATE_EXTRA      send the answer again after LATE_S
+    COPIED          send the answer again at once, without a request id
+    LATE_COPY       send the answer again after LATE_S, without a request id
     ENDLESS_HEAD    send a header that doesn't end until the client closes
     ENDLESS_BODY    send a body that doesn't end until the client closes
     """
@@ -77,6 +79,8 @@
     ENCODED = "encoded"
     UNSIGNED = "unsigned"
     LATE_EXTRA = "late_extra"
+    COPIED = "copied"
+    LATE_COPY = "late_copy"
     ENDLESS_HEAD = "endless_head"
     ENDLESS_BODY = "endless_body"
 
@@ -227,11 +231,15 @@
         expected = request.get(EXPECTED_TARGET.lower())
         if expected not in (None, self.name):
             self.misdirected_ids.append(request.get(REQUEST_ID.lower()) or "")
-            headers = [(ANSWERING_TARGET, self.name.encode())]
+            headers = [
+                (ANSWERING_TARGET, self.name.encode()),
+                (REQUEST_ID, (request.get(REQUEST_ID.lower()) or "").encode()),
+            ]
             sock.sendall(self.encode(MISDIRECTED, headers, b""))
             return True
         if self.fault_mode is TargetFaultMode.SHED:
-            headers = [(NOT_RUN, b"1")]
+            request_id = request.get(REQUEST_ID.lower()) or ""
+            headers = [(NOT_RUN, b"1"), (REQUEST_ID, request_id.encode())]
             if self.retry_after is not None:
                 headers.append((RETRY_AFTER, self.retry_after))
             sock.sendall(self.encode(503, headers, b""))
@@ -281,6 +289,12 @@
             return self.send_endless(sock, request_id, ENDLESS_BEGINNINGS[fault_mode])
         elif fault_mode is TargetFaultMode.TWICE:
             sock.sendall(answer + self.make_answer("another"))
+        elif fault_mode is TargetFaultMode.COPIED:
+            sock.sendall(answer + self.make_answer(request_id, has_id=False))
+        elif fault_mode is TargetFaultMode.LATE_COPY:
+            sock.sendall(answer)
+            copy = self.make_answer(request_id, has_id=False)
+            gevent.spawn_later(LATE_S, self.send_extra, sock, copy)
         elif fault_mode is TargetFaultMode.LATE_EXTRA:
             sock.sendall(answer)
             gevent.spawn_later(LATE_S, self.send_extra, sock, answer)
@@ -320,9 +334,9 @@
         reset_socket(sock)
         return False
 
-    def make_headers(self, request_id: str) -> Headers:
+    def make_headers(self, request_id: str, *, has_id: bool = True) -> Headers:
         """Return the headers of an answer, with the fault in force."""
-        headers: Headers = [(REQUEST_ID, request_id.encode())]
+        headers: Headers = [(REQUEST_ID, request_id.encode())] if has_id else []
         if self.fault_mode is not TargetFaultMode.UNSIGNED:
             signature = f"{self.name}.{request_id}"
             headers.append((SIGNATURE, signature.encode()))
@@ -334,9 +348,9 @@
             headers.append((TARGET_LIMIT, self.stated_limit))
         return headers
 
-    def make_answer(self, request_id: str) -> bytes:
+    def make_answer(self, request_id: str, *, has_id: bool = True) -> bytes:
         """Return the bytes of an answer, with the fault in force."""
-        headers = self.make_headers(request_id)
+        headers = self.make_headers(request_id, has_id=has_id)
         if self.fault_mode is TargetFaultMode.FAIL:
             return self.encode(500, headers, b"failed")
         if self.fault_mode is not TargetFaultMode.CHUNKED:
--- a/tests/integration/test_forwarding.py
+++ b/tests/integration/test_forwarding.py
@@ -1,6 +1,7 @@
 """Tests of requests through a real process to healthy and faulty targets."""
 
 import gevent
+import gevent.pool
 
 from sesameplank.core.forwarding.record_merge import merge_parts
 from sesameplank.standins.front_targets import TargetFaultMode
@@ -202,6 +203,27 @@
                 self.assertIn(f".q{number}", answer.get(b"x-server-stamp"))
                 gevent.sleep(0.05)
 
+    def test_copy_without_an_id_never_answers_the_next_request(self):
+        for fault in (TargetFaultMode.COPIED, TargetFaultMode.LATE_COPY):
+            self.set_fault(fault)
+            for name in SINGLE_TARGETS:
+                self.targets[name].delay_s = 0.02
+            pool = gevent.pool.Pool(24)
+            answers = {}
+
+            def ask(request_id, answers=answers):
+                answer = self.request(make_request("/one/x", request_id))
+                answers[request_id] = answer.get(b"x-server-stamp")
+
+            for number in range(200):
+                pool.spawn(ask, f"{fault.value}{number}")
+                gevent.sleep(0.005)
+            pool.join(raise_error=True)
+            for request_id, stamp in answers.items():
+                self.assertIn(
+                    stamp, {f"{item}.{request_id}" for item in SINGLE_TARGETS}
+                )
+
     def test_one_shard_without_targets_is_missing_and_two_fail_the_gather(self):
         for name in ("shard0a", "shard0b"):
             self.store.remove_target(name)
