Never take what an earlier incarnation asked for as the answer to one's own call

Callers could get another request's answer after a process had started again: a peer still served a call or batch of the earlier incarnation, whose number the new one used too, and its reply went over the new link. Bookings that entries forward were affected as well. Cause: numbers of calls and batches began with 1 in each process. Change: they begin with the incarnation, which grows faster than calls are made. Evidence: both new tests failed before (the reply of the first call came for the second).

--- a/sesameplank/forwarding/call_batches.py
+++ b/sesameplank/forwarding/call_batches.py
@@ -87,7 +87,8 @@
         self.choice = choice
         self.get_members = get_members
         self.count = count
-        self.ids = itertools.count(1)
+        # Answers to batches of an earlier incarnation may still arrive.
+        self.ids = itertools.count(links.incarnation)
         self.batches: dict[int, CallBatch] = {}
         links.register(BatchedAnswers, self.on_message)
 
--- a/sesameplank/peers/links.py
+++ b/sesameplank/peers/links.py
@@ -85,7 +85,8 @@
         self.dials: dict[EntryId, gevent.Greenlet] = {}
         self.backoff = Backoff(rng)
         self.delay_estimates: dict[tuple[EntryId, Incarnation], DelayEstimate] = {}
-        self.call_ids = itertools.count(1)
+        # Replies to calls of an earlier incarnation may still arrive.
+        self.call_ids = itertools.count(incarnation)
         self.handler_pool = Pool(MAX_RUNNING_HANDLERS)
         self.resources = contextlib.ExitStack()
 
--- a/tests/forwarding/test_call_batches.py
+++ b/tests/forwarding/test_call_batches.py
@@ -7,7 +7,7 @@
 
 from sesameplank.conf import Vm
 from sesameplank.core.common.clock import ManualClock
-from sesameplank.core.forwarding.batch_messages import BatchedCalls
+from sesameplank.core.forwarding.batch_messages import BatchedAnswers, BatchedCalls
 from sesameplank.core.forwarding.batches import AggregatorChoice
 from sesameplank.core.forwarding.fanout_calls import Call, CallKind
 from sesameplank.core.limits.limit_parts import ActiveVmParts
@@ -16,6 +16,7 @@
 from sesameplank.core.published.target_table import TargetPhase, TargetRecord
 from sesameplank.forwarding.call_batches import BatchRequest, CallBatches
 from sesameplank.forwarding.http_messages import RequestEncoder
+from sesameplank.peers import PeerContext
 
 OWN = "vm0"
 DATA_CENTRES = ("dc0", "dc1")
@@ -31,7 +32,8 @@
 class Links:
     """Links to some VMs, which record what is sent."""
 
-    def __init__(self, connected) -> None:
+    def __init__(self, connected, incarnation: int = 1) -> None:
+        self.incarnation = incarnation
         self.connected = set(connected)
         self.sent: list[tuple[str, BatchedCalls]] = []
         self.dialled: list[str] = []
@@ -60,8 +62,8 @@
 class CallBatchesTestCase(testtools.TestCase):
     """Sends calls of a VM through others whose links are stand-ins."""
 
-    def make(self, members, connected) -> CallBatches:
-        self.links = Links(connected)
+    def make(self, members, connected, incarnation: int = 1) -> CallBatches:
+        self.links = Links(connected, incarnation)
         choice = AggregatorChoice(OWN, random.Random(1))
         return CallBatches(
             self.links,
@@ -201,3 +203,25 @@
 
     def test_vms_that_cannot_return_single_responses_get_none(self):
         self.assertEqual([], self.send_limited("vm0", 1.0, serves_single_calls=False))
+
+
+class IncarnationTests(CallBatchesTestCase):
+    """A process that starts again gets answers to batches of before."""
+
+    def test_answers_to_batches_of_an_earlier_incarnation_are_ignored(self):
+        members = [make_member(number) for number in range(3)]
+        received = []
+        ids = []
+        for incarnation in (1_000, 2_000):
+            batches = self.make(members, ["vm1"], incarnation)
+            request = msgspec.structs.replace(
+                self.make_request(), on_answers=lambda *item: received.append(item)
+            )
+            calls = self.make_calls(CallKind.FIRST)
+            (batch, *_) = batches.send_through_deputies(calls, request)
+            ids.append(batch.id)
+        context = PeerContext("vm1", 1, 0.0, float("inf"))
+        batches.on_message(BatchedAnswers(ids[0]), context)
+        self.assertEqual([], received)
+        batches.on_message(BatchedAnswers(ids[1]), context)
+        self.assertEqual(1, len(received))
--- a/tests/peers/test_links.py
+++ b/tests/peers/test_links.py
@@ -117,6 +117,38 @@
         self.assertEqual(EchoReply(b"2", "a"), self.call(Echo(b"2")))
         self.assertEqual(1, len(self.links["a"].channels["b"].connections))
 
+    def test_reply_to_an_earlier_incarnation_is_not_taken_for_ones_own(self):
+        released = {b"1": Event(), b"2": Event()}
+        arrived = Queue()
+
+        def hold(message, context):
+            arrived.put(message.payload)
+            released[message.payload].wait(WAIT_S)
+            return EchoReply(message.payload, context.sender)
+
+        self.links["b"].register(Echo, hold)
+        earlier = self.links["a"]
+        gevent.spawn(self.call, Echo(b"1"))
+        self.assertEqual(b"1", arrived.get(timeout=WAIT_S))
+        earlier.__exit__()
+        self.links["a"] = self.enterContext(
+            PeerLinks(
+                "a",
+                earlier.incarnation + 5_000,
+                earlier.address,
+                self.clock,
+                random.Random(1),
+                WebSocketTransport(),
+            )
+        )
+        self.exchange_addresses()
+        later = gevent.spawn(self.call, Echo(b"2"))
+        self.assertEqual(b"2", arrived.get(timeout=WAIT_S))
+        for payload in (b"1", b"2"):
+            released[payload].set()
+            gevent.sleep(0.2)
+        self.assertEqual(b"2", later.get(timeout=WAIT_S).payload)
+
     def test_one_way_messages_arrive_in_order(self):
         received = Queue()
         self.links["b"].register(
