--- a/sesameplank/monitoring/timeline.py
+++ b/sesameplank/monitoring/timeline.py
@@ -33,6 +33,17 @@
         "config_refused",
         "target_entry_refused",
         "target_limit_unreadable",
+        "target_leaving",
+        "target_paused",
+    }
+)
+# What became known of all requests with the same fingerprint, at any process.
+QUARANTINE_EVENTS = frozenset(
+    {
+        "target_crashed",
+        "request_suspected",
+        "request_quarantined",
+        "request_cleared",
     }
 )
 
@@ -81,16 +92,18 @@
 ) -> list[LogLine]:
     """Return the lines of a request in order of time, with their context.
 
-    The context consists of the lines with CONTEXT_EVENTS from the processes that
-    logged the request. It starts `context_s` seconds before the first line
-    of the request and ends with the last one. Older lines belong to it if they began a
-    condition that still lasted. If a process was stopping at its last line about the
+    The context consists of the lines with CONTEXT_EVENTS from the processes that logged
+    the request. It starts `context_s` seconds before the first line of the request and
+    ends with the last one. Older lines belong to it if they began a condition that
+    still lasted. What any process found out about requests with the same fingerprint
+    belongs to it, however old. If a process was stopping at its last line about the
     request, all steps of that stop belong to the context.
     """
     all_lines = list(lines)
     request_lines = [line for line in all_lines if line.is_about(request_id)]
     if not request_lines:
         return []
+    fingerprints = {line.fields.get("fingerprint") for line in request_lines} - {None}
     last_lines = {line.source: line for line in request_lines}
     last = max(line.time for line in request_lines)
     first = min(line.time for line in request_lines) - context_s
@@ -105,6 +118,8 @@
         for line in all_lines
         if line.is_about(request_id)
         or id(line) in kept
+        or line.event in QUARANTINE_EVENTS
+        and line.fields.get("fingerprint") in fingerprints
         or line.source in last_lines
         and line.event in CONTEXT_EVENTS
         and first <= line.time <= last
--- a/tests/monitoring/test_timeline.py
+++ b/tests/monitoring/test_timeline.py
@@ -48,6 +48,19 @@
 THIRD = [make_line(20.0, "store_lost", reason="other"), 'half a line "\n', "\n"]
 
 
+FINGERPRINT = "ab" * 16
+CRASHED_HERE = [
+    make_line(30.0, "request_refused", request="r7", fingerprint=FINGERPRINT),
+    make_line(30.1, "request_refused", request="r8", fingerprint="cd" * 16),
+]
+CRASHED_ELSEWHERE = [
+    make_line(3.0, "target_crashed", request="r0", fingerprint=FINGERPRINT),
+    make_line(3.1, "request_quarantined", fingerprint=FINGERPRINT, targets=20),
+    make_line(3.2, "request_suspected", fingerprint="cd" * 16),
+    make_line(29.9, "request_answered", request="r0", fingerprint=FINGERPRINT),
+]
+
+
 class FindTimelineTests(testtools.TestCase):
     """A timeline has the lines of a request and their context."""
 
@@ -55,6 +68,15 @@
         logs = {"a": FIRST, "b": SECOND, "c": THIRD}
         return [line for name, log in logs.items() for line in parse_lines(name, log)]
 
+    def test_crashes_under_requests_of_the_same_fingerprint_belong_to_it(self):
+        logs = {"a": CRASHED_HERE, "b": CRASHED_ELSEWHERE}
+        lines = [line for name, log in logs.items() for line in parse_lines(name, log)]
+        timeline = find_timeline(lines, "r7", 5.0)
+        self.assertEqual(
+            ["target_crashed", "request_quarantined", "request_refused"],
+            [line.event for line in timeline],
+        )
+
     def test_lines_are_in_order_of_time_with_their_context(self):
         timeline = find_timeline(self.read_lines(), "r1", 5.0)
         self.assertEqual(
