Judge crashes only once all processes have told theirs, and let them explain each other

Cause: their calls lay at the targets that the deadly request was ending one after the other, and their next call at another such target counted as independent evidence. Change: a crash that a request with more crashes explains, at any process, doesn't speak against another one; it is judged 20 ms later, when the others' notices are in, and a suspect request sends nothing in the meantime. 64 crashes of a request are kept and told.

--- a/sesameplank/core/forwarding/fanout.py
+++ b/sesameplank/core/forwarding/fanout.py
@@ -47,6 +47,7 @@
 # for.
 CANARY_LATE_FACTOR = 4.0
 CANARY_RECHECK_S = 0.02
+CANARY_DELAY_S = 0.03  # After a crash, for its judgement.
 MIN_TARGETS_WITH_SPARE = 2
 
 FindTargets = Callable[[ServiceName], Sequence[TargetRecord]]
@@ -96,6 +97,7 @@
         self.may_have_run = False
         self.ran_out_of_time = False
         self.is_suspect = False
+        self.quiet_until = -math.inf
         self.needs_spare = False
         self.is_withheld = False
         self.is_quarantined = False
@@ -278,6 +280,14 @@
             return []
         return self.prepare_call(shard, CallKind.RETRY, now)
 
+    def note_crash(self, now: float) -> None:
+        """Record that a target crashed under a call; the next one waits a little.
+
+        What other processes saw of the crash may explain it.
+        """
+        self.is_suspect = True
+        self.quiet_until = now + CANARY_DELAY_S
+
     def on_misdirected(
         self, call: Call, service: ServiceName | None, now: float
     ) -> list[Call]:
@@ -346,7 +356,7 @@
         It waits for the outcome of the canary, or if another shard can lose a target
         more easily. The request is withheld if none should lose any.
         """
-        if self.has_canary_in_flight(now):
+        if now < self.quiet_until or self.has_canary_in_flight(now):
             self.schedule_retry(shard, now + CANARY_RECHECK_S)
             return True
         most = max(
--- a/sesameplank/core/quarantine/request_quarantine.py
+++ b/sesameplank/core/quarantine/request_quarantine.py
@@ -9,6 +9,9 @@
 suspect again, so that a request which no longer crashes its targets is served; the next
 crash renews the quarantine at once, for longer.
 
+A crash speaks against a request only if no other request explains it: one that had a
+call at the same target, and under which more targets have crashed.
+
 The crashes that several processes observe are added up. Times are in seconds.
 """
 
@@ -32,7 +35,9 @@
 # A crash in a mass failure makes every request in flight suspect.
 MAX_RECORDS = 2_000
 MAX_QUARANTINED = 500
-MAX_CRASHES = 16  # Kept for each request, besides one for each further round.
+MAX_CRASHES = 64  # Kept for each request, besides one for each further round.
+# Time in which all processes have told what they saw of a crash, before it is judged.
+JUDGE_DELAY_S = 0.02
 # Two processes see the same crash at times that differ by the delay of their messages.
 SAME_CRASH_S = 0.2
 
@@ -121,18 +126,6 @@
         """The time of the latest crash, or minus infinity."""
         return max((item.ended_at for item in self.crashes), default=-math.inf)
 
-    @property
-    def is_strongly_suspected(self) -> bool:
-        """Whether the request should no longer reach the last replica of a shard.
-
-        Several targets have ended under it, and not all at one moment, as in the loss
-        of a rack.
-        """
-        if len(self.crashes) < MIN_ROUNDS:
-            return False
-        first_at = min(item.ended_at for item in self.crashes)
-        return self.latest_crash_at - first_at >= COMMON_CAUSE_S
-
     def add(self, crash: Crash) -> bool:
         """Add a crash, and return whether it is news.
 
@@ -170,10 +163,15 @@
 
 
 class RequestQuarantine:
-    """The records of all suspect requests, the least recently changed first."""
+    """The records of all suspect requests, the least recently changed first.
+
+    `by_target` holds the requests with a crash of each target. `judge` is to be called
+    JUDGE_DELAY_S after each crash that was noted.
+    """
 
     def __init__(self) -> None:
         self.records: OrderedDict[Fingerprint, CrashRecord] = OrderedDict()
+        self.by_target: dict[TargetId, set[Fingerprint]] = {}
         self.listeners: list[QuarantineListener] = []
 
     def get_standing(self, fingerprint: Fingerprint, now: float) -> Standing:
@@ -203,23 +201,65 @@
         standing = record.get_standing(now)
         if crash.ended_at <= record.cleared_at or not record.add(crash):
             return
+        self.by_target.setdefault(crash.target, set()).add(fingerprint)
         record.source = source
         is_first = standing is Standing.CLEAR
         event = QuarantineEvent.SUSPECTED if is_first else QuarantineEvent.CRASHED
         self.notify(event, fingerprint, record)
-        if standing is not Standing.QUARANTINED and self.is_proved(record, crash):
+
+    def judge(self, fingerprint: Fingerprint, now: float) -> None:
+        """Quarantine a request if the known crashes prove that it causes them."""
+        record = self.records.get(fingerprint)
+        if record is None or record.get_standing(now) is not Standing.SUSPECT:
+            return
+        if self.is_proved(fingerprint, record):
             hold_s = min(MAX_HOLD_S, FIRST_HOLD_S * 2**record.holds)
+            record.source = OWN_CALL
             self.hold(fingerprint, record, now + hold_s, record.holds + 1)
 
-    def is_proved(self, record: CrashRecord, crash: Crash) -> bool:
-        """Return whether a request is to be quarantined after a crash.
+    def is_proved(self, fingerprint: Fingerprint, record: CrashRecord) -> bool:
+        """Return whether a request is to be quarantined.
 
         After an earlier quarantine, one crash under a call that was sent since is
         enough.
         """
-        if record.holds and crash.sent_at >= record.held_until > record.cleared_at:
-            return True
-        return count_rounds(record.crashes) >= MIN_ROUNDS
+        crashes = self.find_unexplained(fingerprint, record)
+        if record.holds and record.held_until > record.cleared_at:
+            return any(item.sent_at >= record.held_until for item in crashes)
+        return count_rounds(crashes) >= MIN_ROUNDS
+
+    def is_strongly_suspected(self, fingerprint: Fingerprint) -> bool:
+        """Return whether a request should not reach the last replica of a shard.
+
+        Several targets have ended under it, and not all at one moment, as in the loss
+        of a rack.
+        """
+        record = self.records.get(fingerprint)
+        if record is None or len(record.crashes) < MIN_ROUNDS:
+            return False
+        ends = [item.ended_at for item in self.find_unexplained(fingerprint, record)]
+        return len(ends) >= MIN_ROUNDS and max(ends) - min(ends) >= COMMON_CAUSE_S
+
+    def find_unexplained(
+        self, fingerprint: Fingerprint, record: CrashRecord
+    ) -> list[Crash]:
+        """Return the crashes that no request with more of them explains."""
+        return [
+            crash
+            for crash in record.crashes
+            if not any(
+                self.explains(other, record, crash)
+                for other in self.by_target.get(crash.target, ())
+                if other != fingerprint
+            )
+        ]
+
+    def explains(self, other: Fingerprint, record: CrashRecord, crash: Crash) -> bool:
+        """Return whether another request explains a crash under a record's request."""
+        crashes = self.records[other].crashes
+        if len(crashes) <= len(record.crashes):
+            return False
+        return any(crash.is_same(item) for item in crashes)
 
     def hold(
         self, fingerprint: Fingerprint, record: CrashRecord, until: float, holds: int
@@ -229,7 +269,7 @@
         From the second time on, the crashes of earlier rounds are no longer needed.
         """
         if record.holds:
-            record.crashes = record.crashes[-1:]
+            self.set_crashes(fingerprint, record, record.crashes[-1:])
         record.held_until = until
         record.note_holds(holds)
         self.notify(QuarantineEvent.QUARANTINED, fingerprint, record)
@@ -270,15 +310,31 @@
             return
         standing = record.get_standing(now)
         record.cleared_at = cleared_at
-        record.crashes = [
-            crash for crash in record.crashes if crash.ended_at > cleared_at
-        ]
+        later = [item for item in record.crashes if item.ended_at > cleared_at]
+        self.set_crashes(fingerprint, record, later)
         if not record.crashes:
             record.held_until = min(record.held_until, now)
         record.source = source
         if standing is not Standing.CLEAR and not record.crashes:
             self.notify(QuarantineEvent.CLEARED, fingerprint, record)
 
+    def set_crashes(
+        self, fingerprint: Fingerprint, record: CrashRecord, crashes: list[Crash]
+    ) -> None:
+        """Keep only these crashes of a request."""
+        kept = {item.target for item in crashes}
+        for target in {item.target for item in record.crashes} - kept:
+            requests = self.by_target.get(target, set())
+            requests.discard(fingerprint)
+            if not requests:
+                self.by_target.pop(target, None)
+        record.crashes = crashes
+
+    def drop(self, fingerprint: Fingerprint) -> None:
+        """Forget a request."""
+        self.set_crashes(fingerprint, self.records[fingerprint], [])
+        del self.records[fingerprint]
+
     def get_record(self, fingerprint: Fingerprint, now: float) -> CrashRecord:
         """Return the record of a request; create it on first use."""
         record = self.records.get(fingerprint)
@@ -294,19 +350,19 @@
             return
         quarantined = [key for key, item in self.records.items() if item.holds]
         for fingerprint in quarantined[: max(0, len(quarantined) - MAX_QUARANTINED)]:
-            del self.records[fingerprint]
+            self.drop(fingerprint)
         excess = len(self.records) - MAX_RECORDS
         if excess <= 0:
             return
         suspects = [key for key, item in self.records.items() if not item.holds]
         for fingerprint in suspects[:excess]:
-            del self.records[fingerprint]
+            self.drop(fingerprint)
 
     def drop_outdated(self, now: float) -> None:
         """Drop the records that say nothing any more."""
         outdated = [key for key, item in self.records.items() if item.is_outdated(now)]
         for fingerprint in outdated:
-            del self.records[fingerprint]
+            self.drop(fingerprint)
 
     def count(self, standing: Standing, now: float) -> int:
         """Return the number of requests of a standing, other than CLEAR."""
@@ -328,6 +384,7 @@
         return {
             "standing": record.get_standing(now).value,
             "targets": len(record.crashes),
+            "unexplained": len(self.find_unexplained(fingerprint, record)),
             "rounds": count_rounds(record.crashes),
             "holds": record.holds,
             "held_ms": int(max(0.0, record.held_until - now) * 1_000),
--- a/sesameplank/core/search/query.py
+++ b/sesameplank/core/search/query.py
@@ -7,6 +7,7 @@
 """
 
 import heapq
+import math
 from collections.abc import Iterable
 from enum import Enum
 
@@ -23,6 +24,7 @@
 MAX_RETRY_ROUNDS = 4  # in addition to the first round
 BASE_RETRY_DELAY_S = 0.01  # doubles with each round
 CANARY_RECHECK_S = 0.02
+CANARY_DELAY_S = 0.03  # After a crash, for its judgement.
 HEDGE_RECHECK_DELAY_S = 0.05  # after the hedge budget refused a hedge
 REFUSAL_REASONS = {
     ShardStatus.SNAPSHOT_MISSING: MissingReason.SNAPSHOT_GONE,
@@ -105,6 +107,7 @@
         self.map_outdated = False
         self.is_suspect = False
         self.is_answered = False
+        self.quiet_until = -math.inf
 
     def start(self, now: float) -> list[Attempt]:
         """Return the first attempts, one for each target that is called."""
@@ -321,7 +324,7 @@
             candidates = progress.get_untried()
             if not candidates:
                 continue
-            if self.must_hold(by_target):
+            if self.must_hold(by_target, now):
                 recheck_at = now + CANARY_RECHECK_S
                 self.add_timer(recheck_at, TimerKind.CANARY, progress.planned.id)
                 continue
@@ -333,11 +336,16 @@
             for target, shard_ids in by_target.items()
         ]
 
-    def must_hold(self, chosen: dict[TargetId, list[ShardId]]) -> bool:
+    def note_crash(self, now: float) -> None:
+        """Record that a target crashed under a call; the next one waits a little."""
+        self.is_suspect = True
+        self.quiet_until = now + CANARY_DELAY_S
+
+    def must_hold(self, chosen: dict[TargetId, list[ShardId]], now: float) -> bool:
         """Return whether a further call has to wait for the outcome of another one."""
         if not self.is_suspect or self.is_answered:
             return False
-        return bool(self.attempts or chosen)
+        return now < self.quiet_until or bool(self.attempts or chosen)
 
     def add_attempt(
         self, kind: AttemptKind, target: TargetId, shard_ids: list[ShardId], now: float
--- a/sesameplank/crash_guard.py
+++ b/sesameplank/crash_guard.py
@@ -9,11 +9,17 @@
 
 from collections.abc import Callable
 
+import gevent
+
 from .core.common.clock import Clock
 from .core.forwarding.target_reach import TargetReach
-from .core.quarantine.request_quarantine import Crash, RequestQuarantine
+from .core.quarantine.request_quarantine import (
+    JUDGE_DELAY_S,
+    Crash,
+    RequestQuarantine,
+)
 from .core.quarantine.sent_request import SentRequest
-from .ids import TargetId
+from .ids import Fingerprint, TargetId
 from .logs import LogLimiter, log_event
 
 LINES_PER_S = 20.0
@@ -56,8 +62,13 @@
             now = self.clock.now()
             crash = Crash(target, sent_at, now)
             self.quarantine.note_crash(request.fingerprint, crash, now)
+            gevent.spawn_later(JUDGE_DELAY_S, self.judge, request.fingerprint)
         return True
 
+    def judge(self, fingerprint: Fingerprint) -> None:
+        """Quarantine a request if it is proved to crash targets."""
+        self.quarantine.judge(fingerprint, self.clock.now())
+
     def may_send(self, request: SentRequest) -> bool:
         """Return whether calls of a request may be sent to targets now."""
         if not self.quarantine.records:
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -113,7 +113,9 @@
     def note_record(self, record: CrashRecord) -> None:
         """Record what is known of targets that crashed under such requests."""
         self.fanout.is_suspect = True
-        self.fanout.needs_spare = record.is_strongly_suspected
+        self.fanout.needs_spare = self.forwarder.quarantine.is_strongly_suspected(
+            self.sent_request.fingerprint
+        )
         if record.get_standing(self.clock.now()) is Standing.QUARANTINED:
             self.note_quarantine()
 
@@ -408,7 +410,7 @@
                 call.target.id, call.id, now, is_scattered=failure.is_scattered
             )
         if failure.reason is FailureReason.CRASHED:
-            self.fanout.is_suspect = True
+            self.fanout.note_crash(now)
         self.forwarder.count(f"call_{failure.reason.value}")
         self.forwarder.log.note_call(
             "call_failed",
--- a/sesameplank/quarantine_notices.py
+++ b/sesameplank/quarantine_notices.py
@@ -15,6 +15,7 @@
 from .core.membership.peer_messages import RequestCrashes, RequestCrashNotice
 from .core.quarantine.fingerprints import is_fingerprint
 from .core.quarantine.request_quarantine import (
+    JUDGE_DELAY_S,
     MAX_CRASHES,
     OWN_CALL,
     SUSPICION_S,
@@ -128,9 +129,14 @@
         for item in message.requests[:MAX_TOLD]:
             if is_fingerprint(item.fingerprint):
                 self.apply(item, told_at, context.sender)
+                gevent.spawn_later(JUDGE_DELAY_S, self.judge, item.fingerprint)
             else:
                 log_event("crash_notice_refused", vm=context.sender)
 
+    def judge(self, fingerprint: Fingerprint) -> None:
+        """Quarantine a request if what all processes have told proves it."""
+        self.quarantine.judge(fingerprint, self.clock.now())
+
     def apply(self, item: RequestCrashes, told_at: float, source: EntryId) -> None:
         """Record what another process knew of a request at a time."""
         quarantine = self.quarantine
--- a/sesameplank/queries.py
+++ b/sesameplank/queries.py
@@ -9,7 +9,7 @@
 
 from .callers.problems import ProblemKind, Refusal
 from .core.common.clock import Clock
-from .core.common.outcomes import Failure, Ran
+from .core.common.outcomes import Failure, FailureReason, Ran
 from .core.published.versions import AcceptedConfiguration
 from .core.quarantine.request_quarantine import RequestQuarantine, Standing
 from .core.search.attempts import Attempt, AttemptKind
@@ -172,6 +172,12 @@
             retry_after_ms=int(hold_s * 1_000),
         )
 
+    def note_failure(self, state: QueryState, failure: Failure) -> None:
+        """Apply what a failed call shows of the query."""
+        if failure.reason is FailureReason.CRASHED:
+            state.note_crash(self.clock.now())
+        self.note_suspicion(state)
+
     def note_suspicion(self, state: QueryState) -> None:
         """Apply what is known of targets that crashed under such queries."""
         self.check_quarantine()
@@ -230,7 +236,7 @@
         else:
             greenlets.pop(attempt.id, None)
             if isinstance(outcome, Failure):
-                self.note_suspicion(state)
+                self.note_failure(state, outcome)
             next_attempts = self.record_outcome(plan, state, attempt, outcome)
         self.send_all(plan, next_attempts, events, greenlets)
         for redundant in state.pop_redundant_attempts():
--- a/tests/test_crash_guard.py
+++ b/tests/test_crash_guard.py
@@ -31,6 +31,7 @@
         """Record the end of a target under a call that was just sent."""
         self.clock.advance(0.1)
         is_crash = self.guard.note_ended(target, self.request, self.clock.now() - 0.05)
+        self.guard.judge(self.request.fingerprint)
         self.clock.advance(0.1)
         return is_crash
 
