Move what follows the quarantine out of two large modules; one kind of hold

Front and Forwarder no longer apply changes of the quarantine themselves. Pauses and targets that are down share the holds of single incarnations. No change of behaviour.

--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -14,11 +14,7 @@
 from ..core.published.routes import Route, RoutingConfiguration
 from ..core.published.target_table import TargetRecord, TargetTable
 from ..core.published.weighting import WeightedRoundRobin
-from ..core.quarantine.request_quarantine import (
-    CrashRecord,
-    QuarantineEvent,
-    Standing,
-)
+from ..core.quarantine.request_quarantine import Standing
 from ..crash_guard import CrashGuard
 from ..ids import Fingerprint, RequestId, ServiceName
 from .call_batches import CallBatches
@@ -181,23 +177,6 @@
             **self.quarantine.describe(fingerprint, now),
         )
 
-    def on_quarantine_change(
-        self, event: QuarantineEvent, fingerprint: Fingerprint, record: CrashRecord
-    ) -> None:
-        """End the requests in progress that turn out to crash targets.
-
-        One of them that has an answer clears them all.
-        """
-        if event is QuarantineEvent.CLEARED:
-            return
-        for forwarded in list(self.in_progress):
-            if forwarded.sent_request.fingerprint != fingerprint:
-                continue
-            if forwarded.sent_request.is_answered:
-                self.crash_guard.note_answer(forwarded.sent_request)
-                return
-            forwarded.note_record(record)
-
     def has_way_to_targets(self) -> bool:
         """Return whether calls can be sent, by this VM or through others."""
         if not self.reach.is_lost or self.batches is None:
@@ -233,7 +212,7 @@
 
     def get_pause_retry_s(self, plan: FanoutPlan) -> float | None:
         """Return the time until enough targets want requests, or None if they do."""
-        if not self.retreats.pauses.pauses:
+        if not self.retreats.pauses.holds:
             return None
         waits = sorted(
             self.retreats.get_wait_s(self.table.get_ready(service))
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -33,13 +33,9 @@
 from ..core.published.routes import RequestLimits, RoutingConfiguration
 from ..core.published.target_table import TargetTable
 from ..core.published.versions import AcceptedConfiguration, ConfigurationStore
-from ..core.quarantine.request_quarantine import (
-    CrashRecord,
-    QuarantineEvent,
-    RequestQuarantine,
-)
+from ..core.quarantine.request_quarantine import RequestQuarantine
 from ..crash_guard import CrashGuard
-from ..ids import DataCentre, EntryId, Fingerprint, RequestId
+from ..ids import DataCentre, EntryId, RequestId
 from ..limit_log import LimitLog
 from ..logs import log_event
 from ..net import Address
@@ -68,6 +64,7 @@
 from .loop_delay import LoopDelay
 from .replaced_targets import ReplacedTargets
 from .shutdown import Shutdown
+from .suspect_requests import SuspectRequests
 from .target_pools import TargetPools
 from .target_retreats import TargetRetreats
 
@@ -268,7 +265,14 @@
             self.get_other_active,
             self.membership.get_present,
         )
-        self.quarantine.listeners.append(self.on_quarantine_change)
+        self.suspect_requests = SuspectRequests(
+            clock,
+            self.crash_guard,
+            self.table,
+            self.down_targets,
+            self.pools,
+            self.forwarder,
+        )
         QuarantineLog(clock, self.quarantine, self.forwarder.count)
         self.reach_probes.listeners.append(self.on_reach_change)
         self.store.listeners.append(self.on_accepted)
@@ -395,24 +399,6 @@
             is_silent = self.clock.now() - self.reach.heard_at >= SILENCE_S
             self.pools.give_up(is_silent=is_silent)
 
-    def on_quarantine_change(
-        self, event: QuarantineEvent, fingerprint: Fingerprint, record: CrashRecord
-    ) -> None:
-        """Apply a change of what is known of a request to the calls in progress."""
-        self.note_crashed_targets(record)
-        self.forwarder.on_quarantine_change(event, fingerprint, record)
-        if event is QuarantineEvent.QUARANTINED:
-            self.pools.stop_calls(fingerprint)
-
-    def note_crashed_targets(self, record: CrashRecord) -> None:
-        """Avoid the targets that have just crashed, also under calls of other VMs."""
-        now = self.clock.now()
-        for crash in record.crashes:
-            listed = self.table.find_ready(crash.target)
-            if listed is not None:
-                age_s = now - crash.ended_at
-                self.down_targets.note_down(listed, now, age_s)
-
     def run_housekeeping(self) -> None:
         """Run the periodic tasks of the process until killed."""
         while True:
--- a/sesameplank/forwarding/target_pools.py
+++ b/sesameplank/forwarding/target_pools.py
@@ -189,7 +189,7 @@
     def adopt(self, sock: socket.socket) -> None:
         """Add a new connection to the pool."""
         self.opened += 1
-        self.down_targets.note_up(self.record.id)
+        self.down_targets.release(self.record.id)
         self.reach.note_heard(self.clock.now())
         connection = TargetConnection(self, sock)
         self.connections.add(connection)
--- a/sesameplank/forwarding/target_retreats.py
+++ b/sesameplank/forwarding/target_retreats.py
@@ -48,14 +48,14 @@
     def may_send(self, record: TargetRecord) -> bool:
         """Return whether a target may get a call now."""
         now = self.clock.now()
-        if self.pauses.pauses and self.pauses.get_wait_s(record, now):
+        if self.pauses.get_remaining_s(record, now):
             return False
         return not self.table.announced or self.table.may_call(record, now)
 
     def get_wait_s(self, records: Sequence[TargetRecord]) -> float:
         """Return the time until one of the targets may be called, 0 without any."""
         now = self.clock.now()
-        waits = (self.pauses.get_wait_s(item, now) for item in records)
+        waits = (self.pauses.get_remaining_s(item, now) for item in records)
         return min(waits, default=0.0)
 
     def note_leaving(self, record: TargetRecord) -> None:
