--- a/sesameplank/forwarding/target_pools.py
+++ b/sesameplank/forwarding/target_pools.py
@@ -149,10 +149,14 @@
 
     def start_dial(self) -> None:
         """Open a connection in the background."""
+        self.note_dial()
+        gevent.spawn(self.dial)
+
+    def note_dial(self) -> None:
+        """Record that a connection is being opened."""
         if not self.dialling:
             self.dialled_at = self.clock.now()
         self.dialling += 1
-        gevent.spawn(self.dial)
 
     def get_longest_wait_s(self, now: float) -> float:
         """Return for how long a call or a new connection has waited, in seconds."""
@@ -199,7 +203,7 @@
         """Fail a call whose connection the target ended, after a crash check."""
         self.broken.append(broken)
         if len(self.broken) == 1:
-            self.dialling += 1
+            self.note_dial()
             gevent.spawn(self.check_crash)
 
     def check_crash(self) -> None:
--- a/sesameplank/quarantine_notices.py
+++ b/sesameplank/quarantine_notices.py
@@ -33,6 +33,8 @@
 REPEAT_INTERVAL_S = 2.0
 REPEATED_TO = 4  # Processes
 MAX_NOTIFIED = 64  # Processes; the others hear from repetitions.
+REPEATED_CRASHES = 4  # Of each request; all are told at once when they are seen.
+REPEATED_SUSPICION_S = 10.0  # Repetitions tell of suspects for so long after a crash.
 MAX_TOLD = 64  # Requests in one notice
 MAX_NOTICE_AGE_S = 5.0
 NO_ANSWER = -1
@@ -83,19 +85,28 @@
             return
         self.repeat_at = now + REPEAT_INTERVAL_S
         self.quarantine.drop_outdated(now)
-        standings = (Standing.QUARANTINED, Standing.SUSPECT)
         told = [
-            item
-            for standing in standings
-            for item in self.quarantine.find((standing,), now)
+            *self.quarantine.find((Standing.QUARANTINED,), now),
+            *self.find_recent_suspects(now),
         ]
         if not told:
             return
-        notice = self.make_notice(dict.fromkeys(told, 0.0))
+        notice = RequestCrashNotice(
+            tuple(self.pack(item, REPEATED_CRASHES) for item in told[:MAX_TOLD])
+        )
         others = [item for item in self.get_all() if item != self.links.entry_id]
         for entry in self.rng.sample(others, min(REPEATED_TO, len(others))):
             self.links.send(entry, notice)
 
+    def find_recent_suspects(self, now: float) -> list[Fingerprint]:
+        """Return the suspect requests under which a target crashed recently."""
+        records = self.quarantine.records
+        return [
+            item
+            for item in self.quarantine.find((Standing.SUSPECT,), now)
+            if now - records[item].latest_crash_at < REPEATED_SUSPICION_S
+        ]
+
     def make_notice(
         self, subjects: dict[Fingerprint, float]
     ) -> RequestCrashNotice | None:
@@ -103,10 +114,12 @@
         known = [item for item in subjects if item in self.quarantine.records]
         if not known:
             return None
-        return RequestCrashNotice(tuple(map(self.pack, known[:MAX_TOLD])))
+        return RequestCrashNotice(
+            tuple(self.pack(item, MAX_CRASHES) for item in known[:MAX_TOLD])
+        )
 
-    def pack(self, fingerprint: Fingerprint) -> RequestCrashes:
-        """Return what is known of a request, with ages."""
+    def pack(self, fingerprint: Fingerprint, max_crashes: int) -> RequestCrashes:
+        """Return what is known of a request, with ages and its latest crashes."""
         record = self.quarantine.records[fingerprint]
         now = self.clock.now()
         has_answer = now - record.cleared_at < SUSPICION_S
@@ -114,7 +127,7 @@
             fingerprint,
             tuple(
                 (item.target, to_ms(now - item.sent_at), to_ms(now - item.ended_at))
-                for item in record.crashes[-MAX_CRASHES:]
+                for item in record.crashes[-max_crashes:]
             ),
             to_ms(max(0.0, record.held_until - now)),
             record.holds,
--- a/tests/test_quarantine_notices.py
+++ b/tests/test_quarantine_notices.py
@@ -25,6 +25,7 @@
     MAX_NOTICE_AGE_S,
     MAX_TOLD,
     REPEAT_INTERVAL_S,
+    REPEATED_SUSPICION_S,
     REPEATED_TO,
     QuarantineNotices,
 )
@@ -143,6 +144,17 @@
         self.clock.advance(FIRST_HOLD_S)
         self.assertIs(Standing.SUSPECT, self.second.get_standing())
 
+    def test_suspects_are_repeated_for_a_moment_only(self):
+        self.first.crash(1)
+        repetitions = 0
+        for _ in range(20):
+            self.first.links.sent.clear()
+            self.clock.advance(REPEAT_INTERVAL_S)
+            self.first.notices.repeat()
+            repetitions += bool(self.first.links.sent)
+        self.assertLessEqual(repetitions, REPEATED_SUSPICION_S / REPEAT_INTERVAL_S)
+        self.assertGreater(repetitions, 0)
+
     def test_nothing_is_repeated_without_a_suspect_request(self):
         for _ in range(5):
             self.clock.advance(REPEAT_INTERVAL_S)
