--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -28,7 +28,7 @@
 from .request_fingerprints import find_fingerprint
 from .request_handling import Reply, RequestContext
 from .request_log import RequestLog
-from .target_retreats import TargetRetreats
+from .target_availability import TargetAvailability
 
 BATCH = "batch"  # The origin of a call that is made for another VM.
 STARTING_RETRY_AFTER_S = 0.3
@@ -51,7 +51,7 @@
         reach: TargetReach,
         crash_guard: CrashGuard,
         down_targets: DownTargets,
-        retreats: TargetRetreats,
+        availability: TargetAvailability,
     ) -> None:
         self.clock = clock
         self.dialect = dialect
@@ -63,7 +63,7 @@
         self.reach = reach
         self.crash_guard = crash_guard
         self.down_targets = down_targets
-        self.retreats = retreats
+        self.availability = availability
         self.quarantine = crash_guard.quarantine
         self.times = CallTimes()
         self.rotation = WeightedRoundRobin()
@@ -212,10 +212,10 @@
 
     def get_pause_retry_s(self, plan: FanoutPlan) -> float | None:
         """Return the time until enough targets want requests, or None if they do."""
-        if not self.retreats.pauses.holds:
+        if not self.availability.pauses.holds:
             return None
         waits = sorted(
-            self.retreats.get_wait_s(self.table.get_ready(service))
+            self.availability.get_wait_s(self.table.get_ready(service))
             for service in plan.shards
         )
         return waits[plan.required - 1] or None
@@ -273,12 +273,12 @@
         others.
         """
         now = self.clock.now()
-        ready = self.retreats.pauses.exclude(self.table.get_ready(service), now)
+        ready = self.availability.pauses.exclude(self.table.get_ready(service), now)
         ready = self.down_targets.exclude(ready, now)
         targets = ready
         if all(self.placement.is_avoided(item.id, now) for item in ready):
             last_resort = self.table.get_last_resort(service, now)
-            targets = [*ready, *self.retreats.pauses.exclude(last_resort, now)]
+            targets = [*ready, *self.availability.pauses.exclude(last_resort, now)]
         if not self.limits.limits or self.reach.is_lost:
             return targets
         waits = {
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -65,8 +65,8 @@
 from .replaced_targets import ReplacedTargets
 from .shutdown import Shutdown
 from .suspect_requests import SuspectRequests
+from .target_availability import TargetAvailability
 from .target_pools import TargetPools
-from .target_retreats import TargetRetreats
 
 HOUSEKEEPING_INTERVAL_S = 0.1
 FLEET_SIZE_WINDOW_S = 60.0
@@ -139,7 +139,7 @@
             rng,
             FramedTransport(),
         )
-        self.retreats = TargetRetreats(
+        self.availability = TargetAvailability(
             self.links,
             clock,
             self.table,
@@ -154,7 +154,7 @@
             self.reach,
             self.crash_guard,
             self.down_targets,
-            self.retreats,
+            self.availability,
         )
         self.reach_probes = ReachProbes(
             self.reach,
@@ -176,7 +176,7 @@
             self.reach,
             self.crash_guard,
             self.down_targets,
-            self.retreats,
+            self.availability,
         )
         self.membership = Membership(self.make_own_member(), rng, clock.now())
         self.relay = DocumentRelay(
@@ -408,7 +408,7 @@
             self.update_shares()
             self.update_limits()
             self.quarantine_notices.repeat()
-            self.retreats.pauses.drop_ended(self.clock.now())
+            self.availability.pauses.drop_ended(self.clock.now())
             is_active = self.is_active
             self.reach_probes.check(is_active=is_active)
             if is_active:
--- a/sesameplank/forwarding/target_retreats.py
+++ b/sesameplank/forwarding/target_availability.py
@@ -21,7 +21,7 @@
 OWN_CALL = "own_call"
 
 
-class TargetRetreats:
+class TargetAvailability:
     """What targets have said of their leaving and their pauses.
 
     `get_others` returns the other VMs that callers are sent to, and `count` gets the
--- a/sesameplank/forwarding/target_pools.py
+++ b/sesameplank/forwarding/target_pools.py
@@ -17,13 +17,13 @@
 from ..ids import Fingerprint, TargetId
 from ..net import Address, set_no_delay
 from .dialect import Dialect, ResponseMetadata
+from .target_availability import TargetAvailability
 from .target_connections import (
     DEFAULT_IDLE_TIMEOUT_S,
     BrokenCall,
     Exchange,
     TargetConnection,
 )
-from .target_retreats import TargetRetreats
 
 CONNECT_TIMEOUT_S = 1.0
 TCP_USER_TIMEOUT_MS = 4_000
@@ -51,10 +51,10 @@
         reach: TargetReach,
         crash_guard: CrashGuard,
         down_targets: DownTargets,
-        retreats: TargetRetreats,
+        availability: TargetAvailability,
     ) -> None:
         self.down_targets = down_targets
-        self.retreats = retreats
+        self.availability = availability
         self.record = record
         self.limit = limit
         self.crash_guard = crash_guard
@@ -109,7 +109,7 @@
         """Return why a call must not be sent now, or None if it may be."""
         if not self.crash_guard.may_send(exchange.request):
             return FailureReason.QUARANTINED
-        if not self.retreats.may_send(self.record):
+        if not self.availability.may_send(self.record):
             return FailureReason.LIMITED
         if not self.limits.take(self.record.id, self.clock.now()):
             return FailureReason.LIMITED
@@ -268,9 +268,9 @@
     def note_statements(self, metadata: ResponseMetadata) -> None:
         """Record that the target has said that it leaves, or wants no requests."""
         if metadata.is_leaving:
-            self.retreats.note_leaving(self.record)
+            self.availability.note_leaving(self.record)
         if metadata.pause_s is not None:
-            self.retreats.note_pause(self.record, metadata.pause_s)
+            self.availability.note_pause(self.record, metadata.pause_s)
 
     def remove(self, connection: TargetConnection) -> None:
         """Remove a closed connection; open a new one if a waiting call needs one."""
@@ -344,10 +344,10 @@
         reach: TargetReach,
         crash_guard: CrashGuard,
         down_targets: DownTargets,
-        retreats: TargetRetreats,
+        availability: TargetAvailability,
     ) -> None:
         self.down_targets = down_targets
-        self.retreats = retreats
+        self.availability = availability
         self.clock = clock
         self.dialect = dialect
         self.source_host = source_host
@@ -375,7 +375,7 @@
                 self.reach,
                 self.crash_guard,
                 self.down_targets,
-                self.retreats,
+                self.availability,
             )
             self.pools[record.id] = pool
         pool.record = record
--- a/sesameplank/standins/front_targets.py
+++ b/sesameplank/standins/front_targets.py
@@ -115,7 +115,7 @@
     `link_faults` holds the faults of its links by the other host, and `sockets` the
     open connections with theirs.
 
-    `deadly_targets` holds the request targets that crash this target when it begins to
+    `crashing_paths` holds the request targets that crash this target when it begins to
     run them. Its `crashes` are counted; it listens again after RESTART_S, once
     `on_restart` has been called.
 
@@ -146,8 +146,8 @@
         self.sockets: dict[gevent.socket.socket, str] = {}
         self.open_connections = 0
         self.peak_connections = 0
-        self.deadly_targets: set[bytes] = set()
-        self.deadly_arrivals: list[float] = []
+        self.crashing_paths: set[bytes] = set()
+        self.crashing_arrivals: list[float] = []
         self.crashes = 0
         self.on_restart: Callable[[FrontTarget], None] = lambda target: None
         self.restart: gevent.Greenlet | None = None
@@ -245,8 +245,8 @@
             sock.sendall(self.encode(503, headers, b""))
             return True
         request_id = request.get(REQUEST_ID.lower()) or ""
-        if bytes(request.target) in self.deadly_targets:
-            self.deadly_arrivals.append(time.monotonic())
+        if bytes(request.target) in self.crashing_paths:
+            self.crashing_arrivals.append(time.monotonic())
             gevent.sleep(CRASH_DELAY_S)
             self.crash()
             return False
--- a/tests/integration/test_mixed_releases.py
+++ b/tests/integration/test_mixed_releases.py
@@ -16,8 +16,8 @@
 REQUESTS = 20
 REQUEST_GAP_S = 0.02
 CONCURRENCY = 8
-DEADLY = "/all/deadly"
-DEADLY_REPETITIONS = 4
+CRASHING = "/all/crashing"
+CRASHING_REPETITIONS = 4
 STOP_WAIT_S = 10.0
 
 
@@ -48,7 +48,7 @@
         unpack_release(EARLIER_RELEASE, self.earlier_source)
         super().setUp()
         for target in self.targets.values():
-            target.deadly_targets = {DEADLY.encode()}
+            target.crashing_paths = {CRASHING.encode()}
             target.on_restart = self.list_again
         for front in range(self.front_count):
             self.wait_for_state(
@@ -121,12 +121,12 @@
         """Send a request and record the status of its answer."""
         statuses.append(self.send("/all/x", request_id, front).status)
 
-    def test_deadly_request_and_leaving_targets_beside_the_earlier_release(self):
-        for number in range(DEADLY_REPETITIONS):
+    def test_crashing_request_and_leaving_targets_beside_the_earlier_release(self):
+        for number in range(CRASHING_REPETITIONS):
             for front in range(self.front_count):
-                self.send(DEADLY, f"deadly{front}-{number}", front)
+                self.send(CRASHING, f"crashing{front}-{number}", front)
         for front in (2, 3):
-            self.assertEqual(503, self.send(DEADLY, "last", front).status)
+            self.assertEqual(503, self.send(CRASHING, "last", front).status)
         for service in SHARD_SERVICES:
             self.targets[f"{service}a"].is_leaving = True
         self.wait_for(
--- a/tests/integration/test_target_retreats.py
+++ b/tests/integration/test_target_availability.py
@@ -17,7 +17,7 @@
 MAX_ARRIVALS_IN_PAUSE = 2
 
 
-class TargetRetreatTestCase(FrontTestCase):
+class TargetAvailabilityTestCase(FrontTestCase):
     """Starts several processes with replicas a and b of each service."""
 
     front_count = 3
@@ -47,7 +47,7 @@
         }
 
 
-class LeavingTests(TargetRetreatTestCase):
+class LeavingTests(TargetAvailabilityTestCase):
     """A target that says that it leaves gets no new requests of any process."""
 
     def test_targets_that_say_that_they_leave_get_no_more_requests(self):
@@ -83,7 +83,7 @@
         return self.request(make_request(path), front).status
 
 
-class PauseTests(TargetRetreatTestCase):
+class PauseTests(TargetAvailabilityTestCase):
     """A target that refuses with a time gets nothing from that process for so long."""
 
     def pause(self, letters: str) -> None:
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -160,7 +160,7 @@
             self.assertIsNone(metadata.limit, values)
 
 
-class RetreatTests(testtools.TestCase):
+class AvailabilityTests(testtools.TestCase):
     """Whether a target leaves, and for how long it wants no requests."""
 
     def read(self, status: int, *headers: tuple[bytes, bytes]):
--- a/tests/test_deadly_queries.py
+++ b/tests/test_crashing_queries.py
@@ -44,8 +44,8 @@
 
 SHARDS = 4
 REPLICAS = "ab"
-DEADLY = b"deadly"
-DEADLY_QUERY = SearchRequest("orders", terms=("deadly",), at_least_snapshot=3)
+CRASHING = b"crashing"
+CRASHING_QUERY = SearchRequest("orders", terms=("crashing",), at_least_snapshot=3)
 INNOCENT_QUERY = SearchRequest("orders", terms=("fine",), at_least_snapshot=3)
 TIMEOUT_S = 5.0
 HOLD_S = 0.01
@@ -53,7 +53,7 @@
 
 
 class CrashingTarget:
-    """A target that crashes when it begins to run a call with DEADLY in it."""
+    """A target that crashes when it begins to run a call with CRASHING in it."""
 
     def __init__(self) -> None:
         self.server = StreamServer(("127.0.0.1", 0), self.serve)
@@ -70,7 +70,7 @@
             while reader.complete:
                 body = bytes(reader.complete.pop(0).body)
                 self.arrivals += 1
-                if DEADLY in body:
+                if CRASHING in body:
                     gevent.sleep(HOLD_S)
                     self.crash()
                     sock.close()
@@ -101,7 +101,7 @@
             self.server.start()
 
 
-class DeadlyQueryTestCase(testtools.TestCase):
+class CrashingQueryTestCase(testtools.TestCase):
     """Makes targets, and what an entry calls them with."""
 
     def setUp(self):
@@ -189,12 +189,12 @@
         return sum(target.crashes for target in self.targets.values())
 
 
-class QueryTests(DeadlyQueryTestCase):
+class QueryTests(CrashingQueryTestCase):
     """A query that crashes targets is refused, and other queries are served."""
 
     def test_query_that_crashes_targets_reaches_few_of_them(self):
         for _ in range(12):
-            last = self.run_query(DEADLY_QUERY)
+            last = self.run_query(CRASHING_QUERY)
             self.restart_all()
         self.assertLessEqual(self.count_crashes(), SHARDS + MAX_SENDS)
         self.assertEqual(ProblemKind.TARGET_UNAVAILABLE, last.kind)
@@ -203,7 +203,7 @@
 
     def test_other_queries_are_served(self):
         for _ in range(6):
-            self.run_query(DEADLY_QUERY)
+            self.run_query(CRASHING_QUERY)
             self.restart_all()
             answer = self.run_query(INNOCENT_QUERY)
             self.assertTrue(answer.coverage.is_whole)
@@ -219,17 +219,17 @@
         self.assertIs(Standing.CLEAR, standing)
 
 
-class CallTests(DeadlyQueryTestCase):
+class CallTests(CrashingQueryTestCase):
     """Every call that runs something counts, whoever it is sent for."""
 
-    def search(self, target: str, terms=("deadly",), request_id="r1"):
+    def search(self, target: str, terms=("crashing",), request_id="r1"):
         """Return the outcome of a search call."""
         message = TargetSearch(request_id, "orders", 3, 900, (), terms=terms)
         return self.dispatcher.search(target, message, self.clock.now() + TIMEOUT_S)
 
     def book(self, target: str, key: str):
         """Return the outcome of a booking."""
-        message = TargetBooking("r1", key, "orders", "deadly", 1, 900)
+        message = TargetBooking("r1", key, "orders", "crashing", 1, 900)
         deadline_at = self.clock.now() + TIMEOUT_S
         return self.dispatcher.book(target, message, deadline_at, deadline_at)
 
