Entries: poll and cancel as before while a request is suspect

Cause: the guard read a fingerprint from every call, also from those without a body, and raised; health polls and cancellations would have failed as long as any request was suspect. A relayed call that can't be read raised as well. Change: only calls that run something are looked at, and one that can't be read has no fingerprint. Found when reading the diff; both new tests failed before.

--- a/sesameplank/targets/dispatch.py
+++ b/sesameplank/targets/dispatch.py
@@ -302,7 +302,9 @@
             return NO_POOL
         method = "GET" if path == HEALTH_PATH else "POST"
         sent_at = self.clock.now()
-        if not self.crash_guard.may_send_any(lambda: make_sent_request(path, body)):
+        if path in NEW_WORK_PATHS and not self.crash_guard.may_send_any(
+            lambda: make_sent_request(path, body)
+        ):
             return QUARANTINED
 
         def decode_and_note(payload: bytes):
@@ -368,7 +370,10 @@
 
 def make_sent_request(path: str, body: bytes) -> SentRequest:
     """Return what an encoded call shows of its request."""
-    request_id = msgspec.json.decode(body, type=RequestIdOnly).request_id
+    try:
+        request_id = msgspec.json.decode(body, type=RequestIdOnly).request_id
+    except msgspec.DecodeError:  # The target refuses it.
+        request_id = RequestId("")
     return SentRequest(request_id, find_message_fingerprint(path, body))
 
 
--- a/sesameplank/targets/fingerprints.py
+++ b/sesameplank/targets/fingerprints.py
@@ -31,13 +31,26 @@
 
 
 def find_message_fingerprint(path: str, body: bytes) -> Fingerprint:
-    """Return the fingerprint of an encoded call, none if it is no new work."""
-    if path == SEARCH_PATH:
-        return find_search_fingerprint(msgspec.json.decode(body, type=TargetSearch))
-    if path != BOOKING_PATH:
+    """Return the fingerprint of an encoded call.
+
+    There is none if it is no new work, or if it can't be read: targets refuse it.
+    """
+    try:
+        if path == SEARCH_PATH:
+            search = msgspec.json.decode(body, type=TargetSearch)
+            return find_search_fingerprint(search)
+        if path == BOOKING_PATH:
+            return find_booking_fingerprint(
+                msgspec.json.decode(body, type=TargetBooking)
+            )
+    except msgspec.DecodeError:
         return NO_FINGERPRINT
-    booking = msgspec.json.decode(body, type=TargetBooking)
+    return NO_FINGERPRINT
+
+
+def find_booking_fingerprint(booking: TargetBooking) -> Fingerprint:
+    """Return the fingerprint of a booking, whatever its key."""
     return make_fingerprint(
-        path.encode(),
+        BOOKING_PATH.encode(),
         msgspec.json.encode((booking.collection, booking.record, booking.quantity)),
     )
--- a/tests/test_crashing_queries.py
+++ b/tests/test_crashing_queries.py
@@ -38,7 +38,10 @@
 from sesameplank.forwarding.http_messages import RequestReader, encode_response
 from sesameplank.queries import QueryRunner
 from sesameplank.targets import DirectDispatcher
-from sesameplank.targets.fingerprints import find_search_fingerprint
+from sesameplank.targets.fingerprints import (
+    find_message_fingerprint,
+    find_search_fingerprint,
+)
 
 from .crash_guards import make_crash_guard
 
@@ -78,7 +81,9 @@
                 sock.sendall(self.answer(body))
 
     def answer(self, body: bytes) -> bytes:
-        """Return the answer to a search call."""
+        """Return the answer to a search call, or one without a body."""
+        if b'"shards"' not in body:
+            return encode_response(200, "OK", [], b"", close=False)
         call = msgspec.json.decode(body, type=TargetSearch)
         results = tuple(
             ShardResult(item.shard, ShardStatus.OK, 1, 9) for item in call.shards
@@ -249,6 +254,20 @@
             )
             self.restart_all()
 
+    def test_calls_that_run_nothing_are_sent_beside_a_suspect_request(self):
+        self.search("0a")
+        self.assertNotEqual({}, dict(self.quarantine.records))
+        deadline_at = self.clock.now() + TIMEOUT_S
+        health = self.dispatcher.get_health("1a", deadline_at)
+        self.assertIs(FailureReason.BAD_ANSWER, health.reason)  # No answer to polls.
+        self.assertEqual(1, self.targets["1a"].arrivals)
+        self.dispatcher.cancel("1b", "r1", deadline_at)
+        self.assertEqual(1, self.targets["1b"].arrivals)
+
+    def test_call_that_cannot_be_read_has_no_fingerprint(self):
+        for path, body in (("/search", b"{"), ("/book", b""), ("/cancel", b"{}")):
+            self.assertEqual("", find_message_fingerprint(path, body))
+
     def test_target_that_only_ends_the_connection_has_not_crashed(self):
         target = self.targets["0a"]
         target.crash = lambda: None
