Revert "Refuse at once what needs shards of which no target is up"

Cause: a target that starts again under its id, with an entry that shows no new start, is taken to be down for up to 2 s, and its requests were refused for as long; until then they were served once it was back.

--- a/sesameplank/core/forwarding/down_targets.py
+++ b/sesameplank/core/forwarding/down_targets.py
@@ -19,14 +19,6 @@
         if age_s < DOWN_S:
             self.hold(record, now - age_s + DOWN_S)
 
-    def get_outage_s(self, records: list[TargetRecord], now: float) -> float:
-        """Return the time until one of the targets is tried again, 0 if one is up.
-
-        It is 0 as well without any target.
-        """
-        waits = (self.get_remaining_s(item, now) for item in records)
-        return min(waits, default=0.0)
-
     def exclude(self, records: list[TargetRecord], now: float) -> list[TargetRecord]:
         """Return the targets that are up, or all if none is."""
         return super().exclude(records, now) or records
--- a/sesameplank/forwarding/forwarder.py
+++ b/sesameplank/forwarding/forwarder.py
@@ -154,15 +154,6 @@
             return self.refuse_and_log(
                 metadata, 503, "targets want no requests", retry_after_s
             )
-        retry_after_s = self.get_outage_retry_s(forwarded.plan)
-        if retry_after_s is not None:
-            self.count("refused_down")
-            return self.refuse_and_log(
-                metadata,
-                503,
-                "too many shards have no target that is up",
-                retry_after_s,
-            )
         retry_after_s = self.get_limit_retry_s(forwarded)
         if retry_after_s is not None:
             self.count("refused_limited")
@@ -229,21 +220,6 @@
         )
         return waits[plan.required - 1] or None
 
-    def get_outage_retry_s(self, plan: FanoutPlan) -> float | None:
-        """Return when to try again if too many shards have no target that is up.
-
-        Return None to admit a request, also while the links of this VM may be the
-        cause.
-        """
-        if not self.down_targets.holds or self.reach.is_lost or self.reach.is_suspected:
-            return None
-        now = self.clock.now()
-        waits = sorted(
-            self.down_targets.get_outage_s(self.table.get_ready(service), now)
-            for service in plan.shards
-        )
-        return waits[plan.required - 1] or None
-
     def get_limit_retry_s(self, forwarded: ForwardedRequest) -> float | None:
         """Return the time until targets have room in seconds, or None to admit."""
         if self.reach.is_lost:
--- a/tests/core/forwarding/test_down_targets.py
+++ b/tests/core/forwarding/test_down_targets.py
@@ -30,14 +30,6 @@
         self.assertEqual("b", self.exclude(10.0 + DOWN_S - 0.1))
         self.assertEqual("ab", self.exclude(10.0 + DOWN_S))
 
-    def test_outage_lasts_until_the_first_target_is_tried_again(self):
-        self.assertEqual(0.0, self.down.get_outage_s([], 10.0))
-        self.down.note_down(self.records[0], 10.0)
-        self.assertEqual(0.0, self.down.get_outage_s(self.records, 10.0))
-        self.down.note_down(self.records[1], 10.5)
-        outage_s = self.down.get_outage_s(self.records, 11.0)
-        self.assertAlmostEqual(DOWN_S - 1.0, outage_s)
-
     def test_all_are_tried_if_none_is_up(self):
         for record in self.records:
             self.down.note_down(record, 10.0)
--- a/tests/integration/front_world.py
+++ b/tests/integration/front_world.py
@@ -263,9 +263,7 @@
         self.list_target(name, service)
         return target
 
-    def list_target(
-        self, name: str, service: str, state="ready", seq=1, born=1
-    ) -> None:
+    def list_target(self, name: str, service: str, state="ready", seq=1) -> None:
         """Write the item of a target to the store."""
         self.store.put_target(
             name,
@@ -278,7 +276,7 @@
                 "state": state,
                 "cold_left_ms": 0,
                 "seq": seq,
-                "born": born,
+                "born": 1,
             },
         )
 
