--- a/review/world.py
+++ b/review/world.py
@@ -12,6 +12,7 @@
 import shlex
 import signal
 import socket
+import struct
 import subprocess
 import tempfile
 import time
@@ -86,7 +87,8 @@
 
     It runs `slots` requests at a time, queues `queue` more and refuses the rest.
     `runs` holds the id and the time of each request that it began to run, and
-    `arrivals` those of all requests that were meant for it.
+    `arrivals` those of all
+    requests that were meant for it, with the host that they came from.
     """
 
     def __init__(
@@ -108,13 +110,16 @@
         self.queue = queue
         self.work_s = work_s
         self.is_leaving = False
+        self.notes_arrivals = False
         self.extra_share = 0.0
         self.extras = 0
         self.rng = random.Random()
         self.running = 0
+        self.cut_hosts: set[str] = set()
+        self.sockets: dict[gevent.socket.socket, str] = {}
         self.waiting: deque[gevent.event.Event] = deque()
         self.runs: list[tuple[str, float]] = []
-        self.arrivals: list[tuple[str, float]] = []
+        self.arrivals: list[tuple[str, float, str]] = []
         self.server = StreamServer(tuple(address), self.handle)
 
     def __enter__(self) -> "Searcher":
@@ -140,6 +145,10 @@
 
     def handle(self, sock: gevent.socket.socket, source: tuple) -> None:
         """Serve one connection, one request at a time."""
+        if source[0] in self.cut_hosts:
+            reset(sock)
+            return
+        self.sockets[sock] = source[0]
         reader = RequestReader(MAX_BYTES, MAX_BYTES)
         extra = b""
         try:
@@ -150,15 +159,27 @@
                     if extra:
                         self.send_extra(sock, extra)
                         extra = b""
-                    answer = self.answer(request)
+                    answer = self.answer(request, source[0])
                     sock.sendall(answer)
                     if self.rng.random() < self.extra_share:
                         extra = answer
         except (OSError, MessageError):
             return
         finally:
+            del self.sockets[sock]
             sock.close()
 
+    def cut(self, host: str) -> None:
+        """Reset all connections of a host, open and new ones, until `restore`."""
+        self.cut_hosts.add(host)
+        for sock, other in list(self.sockets.items()):
+            if other == host:
+                reset(sock)
+
+    def restore(self, host: str) -> None:
+        """Accept the connections of a host again."""
+        self.cut_hosts.discard(host)
+
     def send_extra(self, sock: gevent.socket.socket, answer: bytes) -> None:
         """Send an earlier answer again, where the next answer is expected."""
         self.extras += 1
@@ -168,7 +189,7 @@
         self.record.note("extra_answer", server=self.name, id=owner, status=status)
         sock.sendall(answer)
 
-    def answer(self, request: Request) -> bytes:
+    def answer(self, request: Request, host: str) -> bytes:
         """Run or refuse a request, and return the answer."""
         if request.path == "/healthz":
             return self.encode(503 if self.is_leaving else 200, [])
@@ -178,7 +199,9 @@
         echo = [("X-Request-Id", request_id)]
         if request.get(b"x-expect-instance") not in (None, self.name):
             return self.encode(421, [*echo, ("X-Not-Executed", "1")])
-        self.arrivals.append((request_id, time.monotonic()))
+        self.arrivals.append((request_id, time.monotonic(), host))
+        if self.notes_arrivals:
+            self.record.note("arrived", server=self.name, id=request_id, host=host)
         if self.running >= self.slots:
             if len(self.waiting) >= self.queue:
                 self.record.note("refused", server=self.name, id=request_id)
@@ -216,6 +239,12 @@
         return head.encode() + body
 
 
+def reset(sock: gevent.socket.socket) -> None:
+    """Close a connection with a TCP reset."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
 class Front:
     """One process of the program of the deploy file, with its settings file."""
 
