--- a/review/world.py
+++ b/review/world.py
@@ -14,6 +14,7 @@
 import socket
 import struct
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
@@ -421,6 +422,8 @@
         self.fronts: list[Front] = []
 
     def __enter__(self) -> "World":
+        # A script that is stopped from outside ends its processes too.
+        gevent.signal_handler(signal.SIGTERM, sys.exit, COULD_NOT_RUN)
         enter = self.resources.enter_context
         self.block = enter(reserve_block())
         self.folder = enter(tempfile.TemporaryDirectory())
