Loops: go on after a failed round, and report each loop's last whole one

What callers saw: with an unexpected error in one round, the loop that reads the store ended for good. Nothing said so: /readyz stayed 200, membership and metrics were as before, and only a traceback outside the log's format named the greenlet. The loops of the membership, the relay, the housekeeping and the entry's ten ended in the same way.

Cause: each loop was a bare greenlet with its own `while True`, which any exception that the loop didn't expect left.

Change: a loop is now a round, and BackgroundLoops repeats it. The tasks of the housekeeping fail one by one. The follower reads everything again after an unexpected error, and offers the configuration even if the targets can't be applied. A writer to a peer that fails closes its connection, and an unreadable address of a member is skipped. To end the process instead was ruled out: one entry in the store would end the whole fleet, again after each restart.

An operator sees task_failures and task_max_age_s (front), task_failures_total and task_age_seconds (entry), `tasks` in the dumps, and task_failed in the log.

--- a/sesameplank/coordination.py
+++ b/sesameplank/coordination.py
@@ -16,6 +16,7 @@
 from .core.published.versions import AcceptedConfiguration, ConfigurationStore, VmStore
 from .ids import DataCentre, EntryId
 from .logs import log_event
+from .loops import BackgroundLoops
 from .net import Address
 from .peers import PeerLinks
 from .peers.document_relay import DocumentRelay
@@ -132,24 +133,23 @@
         log_event("config_in_force", version=accepted.version, after_s=delay_s)
         self.document_relay.notify()
 
-    def start(self) -> list[gevent.Greenlet]:
-        """Start the background loops and return their greenlets."""
+    def add_loops(self, loops: BackgroundLoops) -> None:
+        """Add the loops of this component, which run as long as the process."""
         policy = ReadPolicy(
             self.reader_election.is_elected,
             lambda: len(self.membership.get_present()),
             self.settings.start_spread_s,
         )
-        loops = (
-            self.membership_service.run,
-            self.document_relay.run,
-            self.watch_pauses,
-            VmWatch(self.vms, self.vm_reader, policy, self.clock, self.rng).run,
-            ConfigurationWatch(
-                self.store, self.config_reader, policy, self.clock, self.rng
-            ).run,
-            self.become_ready,
+        vms = VmWatch(self.vms, self.vm_reader, policy, self.clock, self.rng)
+        configuration = ConfigurationWatch(
+            self.store, self.config_reader, policy, self.clock, self.rng
         )
-        return [gevent.spawn(loop) for loop in loops]
+        loops.add("membership", self.membership_service.run_round)
+        loops.add("relay", self.document_relay.run_round)
+        loops.add("pauses", self.watch_pauses)
+        loops.add("vms", vms.run_round)
+        loops.add("configuration", configuration.run_round)
+        loops.add_once("start", self.become_ready)
 
     def become_ready(self) -> None:
         """Open the gate when this entry has a VM list and a configuration.
@@ -172,11 +172,10 @@
         return sorted({*listed, *self.membership.get_present()})
 
     def watch_pauses(self) -> None:
-        """Check periodically for pauses of this process, until killed."""
-        while True:
-            self.event_age.note_round()
-            self.check_pause()
-            gevent.sleep(PAUSE_CHECK_INTERVAL_S)
+        """Check for a pause of this process, and wait for PAUSE_CHECK_INTERVAL_S."""
+        self.event_age.note_round()
+        self.check_pause()
+        gevent.sleep(PAUSE_CHECK_INTERVAL_S)
 
     def check_pause(self) -> None:
         """Refuse new requests and start a refresh if this process was paused.
@@ -199,11 +198,15 @@
         since their callers may have abandoned them long ago.
         """
         started_at = self.clock.now()
-        answers = self.document_relay.catch_up(self.get_peers())
-        gevent.sleep(max(0.0, MIN_REFRESH_S - (self.clock.now() - started_at)))
-        log_event("refreshed", peers_asked=answers, config_version=self.store.version)
-        if self.gate.state is ServingState.REFRESHING:
-            self.gate.set_state(ServingState.OPEN)
+        try:
+            answers = self.document_relay.catch_up(self.get_peers())
+            gevent.sleep(max(0.0, MIN_REFRESH_S - (self.clock.now() - started_at)))
+            log_event(
+                "refreshed", peers_asked=answers, config_version=self.store.version
+            )
+        finally:
+            if self.gate.state is ServingState.REFRESHING:
+                self.gate.set_state(ServingState.OPEN)
 
     def get_addresses(self) -> list[str]:
         """Return the addresses of the entries that callers may use.
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -4,7 +4,6 @@
 import random
 import secrets
 
-import gevent
 import msgspec
 from gevent.event import Event
 
@@ -45,6 +44,7 @@
 from .ids import DataCentre, EntryId, Incarnation, TargetId
 from .limit_log import LimitLog
 from .logs import log_event
+from .loops import BackgroundLoops
 from .monitoring import DecisionLog, RequestLedger
 from .monitoring.dump import make_dump
 from .monitoring.metrics import EntryMetrics
@@ -218,7 +218,8 @@
             self.clock,
         )
         self.resources = contextlib.ExitStack()
-        self.greenlets: list[gevent.Greenlet] = []
+        self.loops = BackgroundLoops(self.clock)
+        self.add_loops()
 
     def __enter__(self) -> "Entry":
         with contextlib.ExitStack() as stack:
@@ -226,8 +227,7 @@
             stack.enter_context(self.links)
             self.server.start()
             stack.callback(self.server.stop)
-            stack.callback(lambda: gevent.killall(self.greenlets))
-            self.start_loops()
+            stack.enter_context(self.loops)
             self.resources = stack.pop_all()
         log_event("entry_started", entry=self.settings.entry_id)
         return self
@@ -236,15 +236,14 @@
         self.resources.close()
         log_event("entry_stopped", entry=self.settings.entry_id)
 
-    def start_loops(self) -> None:
-        """Start the loops that update the configuration, VM list and target health."""
-        self.greenlets += self.coordination.start()
-        self.greenlets += [
-            gevent.spawn(self.poller.run),
-            gevent.spawn(self.direct_dispatcher.run),
-            gevent.spawn(self.reach_probes.run),
-            gevent.spawn(self.quarantine_notices.run),
-        ]
+    def add_loops(self) -> None:
+        """Add the loops that update the configuration, VM list and target health."""
+        self.coordination.add_loops(self.loops)
+        self.loops.add("health", self.poller.run_round)
+        self.loops.add("connections", self.direct_dispatcher.run_round)
+        self.loops.add("reach", self.reach_probes.run_round)
+        self.loops.add("quarantine", self.quarantine_notices.run_round)
+        self.loops.add("links", self.links.close_idle)
 
     def make_coordination(self) -> Coordination:
         """Return the component that coordinates this entry with the others."""
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -38,6 +38,7 @@
 from ..ids import DataCentre, EntryId, RequestId
 from ..limit_log import LimitLog
 from ..logs import log_event
+from ..loops import BackgroundLoops, Task
 from ..net import Address
 from ..peers import PeerLinks
 from ..peers.document_relay import DocumentRelay
@@ -296,8 +297,32 @@
             self.membership_service,
             self.housekeeping,
         )
+        self.loops = BackgroundLoops(clock)
+        self.housekeeping_tasks: list[Task] = []
+        self.add_loops()
         self.resources = contextlib.ExitStack()
 
+    def add_loops(self) -> None:
+        """Add the loops of this process, and the tasks of its housekeeping."""
+        self.loops.add("membership", self.membership_service.run_round)
+        self.loops.add("relay", self.relay.run_round)
+        self.loops.add("store", self.follower.run_round)
+        self.loops.add("links", self.links.close_idle)
+        self.loops.add("housekeeping", self.run_housekeeping)
+        tasks = (
+            ("pauses", self.check_pause),
+            ("targets", self.apply_table_changes),
+            ("shares", self.update_shares),
+            ("limits", self.update_limits),
+            ("quarantine", self.quarantine_notices.repeat),
+            ("target_pauses", self.drop_ended_pauses),
+            ("reach", self.check_reach),
+            ("warm_up", self.warm_up),
+            ("counts", self.log_counts),
+        )
+        for name, function in tasks:
+            self.housekeeping_tasks.append(self.loops.add_task(name, function))
+
     def make_own_member(self) -> Member:
         """Return the membership record of this process."""
         settings = self.settings
@@ -313,14 +338,7 @@
         with contextlib.ExitStack() as stack:
             stack.enter_context(self.links)
             self.add_seed_peers(self.settings.peers)
-            loops = (
-                self.membership_service.run,
-                self.relay.run,
-                self.follower.run,
-                self.run_housekeeping,
-            )
-            for loop in loops:
-                stack.callback(gevent.spawn(loop).kill)
+            stack.enter_context(self.loops)
             stack.enter_context(self.caller_server)
             self.resources = stack.pop_all()
         log_event("started", vm=self.settings.vm, zone=self.settings.data_centre)
@@ -400,21 +418,24 @@
             self.pools.give_up(is_silent=is_silent)
 
     def run_housekeeping(self) -> None:
-        """Run the periodic tasks of the process until killed."""
-        while True:
-            self.housekeeping.note_round(self.clock.now())
-            self.check_pause()
-            self.apply_table_changes()
-            self.update_shares()
-            self.update_limits()
-            self.quarantine_notices.repeat()
-            self.availability.pauses.drop_ended(self.clock.now())
-            is_active = self.is_active
-            self.reach_probes.check(is_active=is_active)
-            if is_active:
-                self.connection_shares.warm_up(WARM_UP_TARGETS)
-            self.log_counts()
-            gevent.sleep(HOUSEKEEPING_INTERVAL_S)
+        """Run each of the periodic tasks, and wait for HOUSEKEEPING_INTERVAL_S."""
+        self.housekeeping.note_round(self.clock.now())
+        for task in self.housekeeping_tasks:
+            task.run()
+        gevent.sleep(HOUSEKEEPING_INTERVAL_S)
+
+    def drop_ended_pauses(self) -> None:
+        """Forget the pauses that targets asked for and that are over."""
+        self.availability.pauses.drop_ended(self.clock.now())
+
+    def check_reach(self) -> None:
+        """Probe targets if it is time to."""
+        self.reach_probes.check(is_active=self.is_active)
+
+    def warm_up(self) -> None:
+        """Open first connections to targets if callers are sent here."""
+        if self.is_active:
+            self.connection_shares.warm_up(WARM_UP_TARGETS)
 
     def check_pause(self) -> None:
         """Refresh members, targets and documents after a pause of this process."""
--- a/sesameplank/forwarding/front_report.py
+++ b/sesameplank/forwarding/front_report.py
@@ -30,6 +30,8 @@
         "requests_pending": front.caller_server.pending,
         "caller_connections": len(front.caller_server.connections),
         "loop_delay_s": front.housekeeping.get_delay_s(now),
+        "task_failures": front.loops.failures,
+        "task_max_age_s": round(front.loops.max_age_s, 3),
         "connections_opened": front.pools.opened,
         "copies_refused": front.budget.refused,
         "copies_taken": front.budget.taken,
@@ -47,6 +49,7 @@
         "is_ready": front.is_ready,
         "is_stopping": front.shutdown.is_requested,
         "gauges": make_gauges(front),
+        "tasks": front.loops.describe(),
         "quarantine": {
             fingerprint: front.quarantine.describe(fingerprint, now)
             for fingerprint in front.quarantine.records
--- a/sesameplank/monitoring/dump.py
+++ b/sesameplank/monitoring/dump.py
@@ -115,6 +115,7 @@
     refused: RefusedConfigurationState | None
     vms: PublishedVms | None
     fleet: dict
+    tasks: dict[str, dict[str, float]]
     requests: RequestsState
     connections: ConnectionsState
     targets: dict[str, TargetDump]
@@ -148,6 +149,7 @@
         and RefusedConfigurationState(store.refused.version, store.refused.reason),
         vms=entry.coordination.vms.current,
         fleet=entry.coordination.get_state(),
+        tasks=entry.loops.describe(),
         requests=entry.ledger.get_state(),
         connections=dump_connections(entry),
         targets=dump_targets(entry),
--- a/sesameplank/monitoring/metrics.py
+++ b/sesameplank/monitoring/metrics.py
@@ -79,6 +79,13 @@
         ),
         ("peer_dropped_total", "counter", "Messages dropped.", ("reason",)),
         ("platform_calls_total", "counter", "Calls to the platform's service."),
+        ("task_failures_total", "counter", "Failures of background tasks.", ("task",)),
+        (
+            "task_age_seconds",
+            "gauge",
+            "Seconds since a background task last completed.",
+            ("task",),
+        ),
         ("pauses_total", "counter", "Times that the process woke up late."),
         ("targets", "gauge", "Targets by state.", ("state",)),
         ("targets_limited", "gauge", "Targets that name a rate limit."),
@@ -247,6 +254,12 @@
         ],
         "peer_dropped_total": make_labelled_samples(counters.dropped),
         "platform_calls_total": make_unlabelled_sample(fleet["platform_calls"]),
+        "task_failures_total": [
+            ((name,), task.failures) for name, task in entry.loops.tasks.items()
+        ],
+        "task_age_seconds": [
+            ((name,), task.age_s) for name, task in entry.loops.tasks.items()
+        ],
         "pauses_total": make_unlabelled_sample(fleet["pauses"]),
     }
 
--- a/sesameplank/peers/channel.py
+++ b/sesameplank/peers/channel.py
@@ -9,6 +9,7 @@
 
 from ..core.common.outcomes import Failure, FailureReason, Ran
 from ..ids import EntryId
+from ..logs import log_event
 from .messages import PeerMessage
 from .traffic import TrafficCounters
 from .transport import MAX_FRAME_BYTES, PeerConnection
@@ -160,16 +161,21 @@
     def write(self, connection: PeerConnection) -> None:
         """Send queued messages until this connection closes.
 
-        While another connection is the current one, wait without sending.
+        While another connection is the current one, wait without sending. An unexpected
+        error closes the connection, since nothing else would send on it any more.
         """
-        while connection in self.connections:
-            if self.current is not connection or not self.queue:
-                self.wake.clear()
-                self.wake.wait()
-                continue
-            frame = self.pop_batch(connection)
-            if frame and not self.send_frame(connection, frame):
-                return
+        try:
+            while connection in self.connections:
+                if self.current is not connection or not self.queue:
+                    self.wake.clear()
+                    self.wake.wait()
+                    continue
+                frame = self.pop_batch(connection)
+                if frame and not self.send_frame(connection, frame):
+                    return
+        except Exception as error:
+            log_event("peer_write_failed", peer=self.peer, error=repr(error))
+            connection.close_socket()
 
     def pop_batch(self, connection: PeerConnection) -> bytes:
         """Remove messages from the queue and return them joined into one frame.
--- a/sesameplank/peers/document_relay.py
+++ b/sesameplank/peers/document_relay.py
@@ -25,6 +25,7 @@
 from .links import PeerContext, PeerLinks
 from .relayed_documents import RelayedDocument
 
+WAKE_INTERVAL_S = 0.5
 FETCH_TIMEOUT_S = 2.0
 VERSIONS_TIMEOUT_S = 1.0
 CATCH_UP_TIMEOUT_S = 2.0
@@ -90,15 +91,14 @@
         document = self.documents.get(kind)
         return document.version if document else DocumentVersion()
 
-    def run(self) -> None:
-        """Fetch newer documents and announce newer versions, until killed."""
-        while True:
-            self.wake.wait(timeout=0.5)
-            self.wake.clear()
-            for kind in self.documents:
-                self.fetch_newest(kind)
-            self.announce()
-            gevent.sleep(self.announcement_interval_s)
+    def run_round(self) -> None:
+        """Wait for news, then fetch newer documents and announce newer versions."""
+        self.wake.wait(timeout=WAKE_INTERVAL_S)
+        self.wake.clear()
+        for kind in self.documents:
+            self.fetch_newest(kind)
+        self.announce()
+        gevent.sleep(self.announcement_interval_s)
 
     def announce(self) -> None:
         """Announce the versions to the neighbours if one changed.
--- a/sesameplank/peers/links.py
+++ b/sesameplank/peers/links.py
@@ -33,6 +33,7 @@
 from .transport import PeerConnection, PeerTransport
 
 IDLE_TIMEOUT_S = 30.0
+IDLE_CHECK_INTERVAL_S = IDLE_TIMEOUT_S / 3
 MAX_RUNNING_HANDLERS = 512
 
 
@@ -97,8 +98,6 @@
             )
             server.start()
             stack.callback(server.stop, timeout=0)
-            reaper = gevent.spawn(self.close_idle)
-            stack.callback(reaper.kill)
             stack.callback(self.close_channels)
             self.resources = stack.pop_all()
         return self
@@ -254,7 +253,7 @@
         try:
             for envelope, size in decode_frame(frame):
                 self.receive_envelope(channel, envelope, size)
-        except PeerProtocolError as error:
+        except Exception as error:  # A message of one peer concerns no other link.
             log_event("peer_frame_refused", peer=channel.peer, reason=str(error))
             self.counters.count_dropped("malformed")
             channel.close()
@@ -376,22 +375,21 @@
         self.get_channel(sender).run(connection, dialled=False)
 
     def close_idle(self) -> None:
-        """Close idle links and redundant connections periodically, until killed.
+        """Wait for IDLE_CHECK_INTERVAL_S, and close idle and redundant connections.
 
         Also remove the delay estimates of peers without a link.
         """
-        while True:
-            gevent.sleep(IDLE_TIMEOUT_S / 3)
-            now = self.clock.now()
-            for key in [
-                item for item in self.delay_estimates if item[0] not in self.channels
-            ]:
-                del self.delay_estimates[key]
-            for peer, channel in list(self.channels.items()):
-                idle = now - channel.used_at > IDLE_TIMEOUT_S
-                if idle and not channel.calls and not channel.queue:
-                    channel.close()
-                    if not channel.connections:
-                        del self.channels[peer]
-                else:
-                    channel.close_redundant()
+        gevent.sleep(IDLE_CHECK_INTERVAL_S)
+        now = self.clock.now()
+        for key in [
+            item for item in self.delay_estimates if item[0] not in self.channels
+        ]:
+            del self.delay_estimates[key]
+        for peer, channel in list(self.channels.items()):
+            idle = now - channel.used_at > IDLE_TIMEOUT_S
+            if idle and not channel.calls and not channel.queue:
+                channel.close()
+                if not channel.connections:
+                    del self.channels[peer]
+            else:
+                channel.close_redundant()
--- a/sesameplank/peers/membership.py
+++ b/sesameplank/peers/membership.py
@@ -19,6 +19,7 @@
     Versions,
 )
 from ..ids import EntryId, Incarnation
+from ..logs import log_event
 from ..net import Address
 from .links import PeerContext, PeerLinks
 
@@ -51,14 +52,13 @@
         for message_type in MESSAGE_TYPES:
             links.register(message_type, self.on_message)
 
-    def run(self) -> None:
-        """Call `Membership.on_tick` every `TICK_INTERVAL_S` seconds until killed.
+    def run_round(self) -> None:
+        """Call `Membership.on_tick`, and wait `TICK_INTERVAL_S` seconds.
 
         `on_tick` returns the messages that are due and updates its view of the members.
         """
-        while True:
-            self.send(self.membership.on_tick(self.clock.now()))
-            gevent.sleep(TICK_INTERVAL_S)
+        self.send(self.membership.on_tick(self.clock.now()))
+        gevent.sleep(TICK_INTERVAL_S)
 
     def on_contact(
         self, sender: EntryId, incarnation: Incarnation, age_s: float
@@ -121,4 +121,11 @@
             self.links.remove_address(entry)
         for entry, member in self.membership.members.items():
             address = self.published_addresses.get(entry, member.peer_address)
-            self.links.set_address(entry, Address.parse(address))
+            self.set_address(entry, address)
+
+    def set_address(self, entry: EntryId, text: str) -> None:
+        """Set the address of a link; log one that can't be read, and keep the old."""
+        try:
+            self.links.set_address(entry, Address.parse(text))
+        except ValueError as error:
+            log_event("peer_address_refused", peer=entry, reason=str(error))
--- a/sesameplank/platform/command.py
+++ b/sesameplank/platform/command.py
@@ -46,6 +46,8 @@
     def __init__(self, settings: VmSettings, front: Front) -> None:
         self.settings = settings
         self.front = front
+        self.settings_state = get_file_state()
+        front.loops.add("settings", self.watch_settings)
 
     def serve_ready(self, request: Request, context: RequestContext) -> Reply:
         """Respond with 200 if callers should be sent here, else with 503."""
@@ -91,7 +93,6 @@
         gevent.signal_handler(signal.SIGHUP, self.reload)
         gevent.signal_handler(signal.SIGUSR1, self.dump)
         log_event("listening", metrics=self.settings.metrics_address)
-        gevent.spawn(self.watch_settings)
         servers = [
             self.make_server(self.settings.ready_address, self.serve_ready),
             self.make_server(self.settings.directory_address, self.serve_addresses),
@@ -109,14 +110,12 @@
         log_event("state", dump=msgspec.json.encode(self.front.get_state()).decode())
 
     def watch_settings(self) -> None:
-        """Reload the settings file whenever it changes, until killed."""
-        last_state = get_file_state()
-        while True:
-            gevent.sleep(SETTINGS_CHECK_INTERVAL_S)
-            state = get_file_state()
-            if state not in (None, last_state):
-                last_state = state
-                self.reload()
+        """Wait for SETTINGS_CHECK_INTERVAL_S, and reload a changed settings file."""
+        gevent.sleep(SETTINGS_CHECK_INTERVAL_S)
+        state = get_file_state()
+        if state not in (None, self.settings_state):
+            self.settings_state = state
+            self.reload()
 
     def reload(self) -> None:
         """Reload the settings file and connect to peers that are new in it.
--- a/sesameplank/published/follower.py
+++ b/sesameplank/published/follower.py
@@ -90,20 +90,26 @@
         self.failed_at = float("-inf")
         self.is_failing = False
 
-    def run(self) -> None:
-        """Read and watch until killed."""
-        while True:
-            if not self.is_elected_reader(self.configuration_store.age_s):
-                self.wait_for_election()
-                continue
-            try:
-                self.step()
-            except HistoryGoneError:
-                log_event("store_history_gone", **describe(self.version))
-                self.request_full_read()
-            except PlatformError as error:
-                self.note_failure(error)
-                gevent.sleep(self.rng.uniform(RETRY_DELAY_MIN_S, RETRY_DELAY_MAX_S))
+    def run_round(self) -> None:
+        """Make one call to the store if it is this process's turn, else wait.
+
+        After an unexpected error everything is read again, since a part of the
+        response may not have been applied.
+        """
+        if not self.is_elected_reader(self.configuration_store.age_s):
+            self.wait_for_election()
+            return
+        try:
+            self.step()
+        except HistoryGoneError:
+            log_event("store_history_gone", **describe(self.version))
+            self.request_full_read()
+        except PlatformError as error:
+            self.note_failure(error)
+            gevent.sleep(self.rng.uniform(RETRY_DELAY_MIN_S, RETRY_DELAY_MAX_S))
+        except Exception:
+            self.request_full_read()
+            raise
 
     def wait_for_election(self) -> None:
         """Wait until the next check of the reader election.
@@ -160,14 +166,17 @@
         now = self.clock.now()
         self.version = publication.targets.version
         has_failed_recently = now - self.failed_at < RECENT_FAILURE_S
-        self.table.apply(publication.targets, now, has_failed_recently)
-        if publication.configuration is not None:
-            result = self.configuration_store.offer(publication.configuration)
-            log_event(
-                "config_offered",
-                version=publication.configuration.version,
-                result=result.value,
-            )
+        try:
+            self.table.apply(publication.targets, now, has_failed_recently)
+        finally:
+            self.offer(publication.configuration)
+
+    def offer(self, configuration: PublishedConfiguration | None) -> None:
+        """Offer a published configuration, if there is one, to its store."""
+        if configuration is None:
+            return
+        result = self.configuration_store.offer(configuration)
+        log_event("config_offered", version=configuration.version, result=result.value)
 
     def note_failure(self, error: PlatformError) -> None:
         """Record a failed call; log and report only the first of a series."""
--- a/sesameplank/published/watch.py
+++ b/sesameplank/published/watch.py
@@ -88,29 +88,29 @@
     def confirm(self) -> None:
         """Record that the service holds the version in force."""
 
-    def run(self) -> None:
-        """Read the service whenever it is this entry's turn, until killed.
+    def run_round(self) -> None:
+        """Read the service once if it is this entry's turn, else wait a little.
 
         An elected reader reads all the time. Other entries read only if the version
         was not confirmed for FALLBACK_AGE_S, after a random delay that grows with
         the size of the fleet.
         """
         self.start()
-        while True:
-            if self.policy.is_elected_reader():
-                self.read_as_reader()
-            elif self.get_age_s() > FALLBACK_AGE_S:
-                size = self.policy.get_fleet_size()
-                gevent.sleep(
-                    self.rng.uniform(CALL_DELAY_MIN_S, CALL_DELAY_MAX_S) * size
-                )
-                if self.get_age_s() > FALLBACK_AGE_S:
-                    self.check_service()
-            else:
-                gevent.sleep(ELECTION_CHECK_INTERVAL_S)
+        if self.policy.is_elected_reader():
+            self.read_as_reader()
+        elif self.get_age_s() > FALLBACK_AGE_S:
+            size = self.policy.get_fleet_size()
+            gevent.sleep(self.rng.uniform(CALL_DELAY_MIN_S, CALL_DELAY_MAX_S) * size)
+            if self.get_age_s() > FALLBACK_AGE_S:
+                self.check_service()
+        else:
+            gevent.sleep(ELECTION_CHECK_INTERVAL_S)
 
     def start(self) -> None:
-        """Wait for a first version from peers; read the service if none arrives."""
+        """Wait for a first version from peers; read the service if none arrives.
+
+        Once there is one, return at once.
+        """
         window_s = self.policy.start_window_s
         while not self.version:
             wait_until = self.clock.now() + draw_start_delay(window_s, self.rng)
--- a/sesameplank/quarantine_notices.py
+++ b/sesameplank/quarantine_notices.py
@@ -72,11 +72,10 @@
         if record.source == OWN_CALL:
             self.collect(fingerprint)
 
-    def run(self) -> None:
-        """Repeat what is known periodically, until killed."""
-        while True:
-            gevent.sleep(REPEAT_INTERVAL_S)
-            self.repeat()
+    def run_round(self) -> None:
+        """Wait for REPEAT_INTERVAL_S, and repeat what is known."""
+        gevent.sleep(REPEAT_INTERVAL_S)
+        self.repeat()
 
     def repeat(self) -> None:
         """Forget what is outdated, and tell a few others the rest, if it is time."""
--- a/sesameplank/reach_probes.py
+++ b/sesameplank/reach_probes.py
@@ -50,11 +50,10 @@
         self.listeners: list[Listener] = []
         self.round: gevent.Greenlet | None = None
 
-    def run(self) -> None:
-        """Check every CHECK_INTERVAL_S until killed."""
-        while True:
-            self.check(is_active=True)
-            gevent.sleep(CHECK_INTERVAL_S)
+    def run_round(self) -> None:
+        """Check whether probes are due, and wait for CHECK_INTERVAL_S."""
+        self.check(is_active=True)
+        gevent.sleep(CHECK_INTERVAL_S)
 
     def check(self, *, is_active: bool) -> None:
         """Start a round of probes if one is due and none is running."""
@@ -64,9 +63,9 @@
             self.reach.note_suspicion()
         if self.round is None and self.reach.is_probe_due(now, is_active=is_active):
             sample = self.reach.choose_sample(self.get_targets(), now)
-            self.round = gevent.spawn(self.run_round, sample)
+            self.round = gevent.spawn(self.probe_targets, sample)
 
-    def run_round(self, sample: list[ProbedTarget]) -> None:
+    def probe_targets(self, sample: list[ProbedTarget]) -> None:
         """Probe targets at the same time, and record how many were reached."""
         started_at = self.clock.now()
         try:
--- a/sesameplank/targets/dispatch.py
+++ b/sesameplank/targets/dispatch.py
@@ -237,13 +237,12 @@
                 admit = functools.partial(self.admit, target_id)
                 self.pools[target_id] = TargetPool(address, size, self.clock, admit)
 
-    def run(self) -> None:
-        """Keep the pools up to date and their connections open, until killed."""
-        while True:
-            self.update_pools()
-            self.limits.update(self.clock.now())
-            self.warm_all()
-            gevent.sleep(WARM_INTERVAL_S)
+    def run_round(self) -> None:
+        """Update the pools, open connections, and wait for WARM_INTERVAL_S."""
+        self.update_pools()
+        self.limits.update(self.clock.now())
+        self.warm_all()
+        gevent.sleep(WARM_INTERVAL_S)
 
     def has_part(self, target: TargetId) -> bool:
         """Return whether this process may use a part of the target's rate limit."""
--- a/sesameplank/targets/health.py
+++ b/sesameplank/targets/health.py
@@ -31,11 +31,10 @@
         self.leaving = dispatcher.direct.leaving
         self.reports = {}
 
-    def run(self) -> None:
-        """Poll until killed."""
-        while True:
-            self.poll_all()
-            gevent.sleep(self.interval_s)
+    def run_round(self) -> None:
+        """Poll each target, and wait for the interval."""
+        self.poll_all()
+        gevent.sleep(self.interval_s)
 
     def poll_all(self) -> None:
         """Poll each target once and wait for all reports."""
--- a/tests/peers/test_document_relay.py
+++ b/tests/peers/test_document_relay.py
@@ -10,6 +10,7 @@
 from sesameplank.core.common.clock import SystemClock
 from sesameplank.core.membership.peer_messages import Versions
 from sesameplank.core.published.versions import ConfigurationStore, VmStore
+from sesameplank.loops import BackgroundLoops
 from sesameplank.net import Address
 from sesameplank.peers import PeerLinks
 from sesameplank.peers.document_relay import DocumentRelay
@@ -59,8 +60,10 @@
             )
 
     def run_relays(self) -> None:
-        loops = [gevent.spawn(relay.run) for relay in self.relays.values()]
-        self.addCleanup(gevent.killall, loops)
+        loops = BackgroundLoops(SystemClock())
+        for name, relay in self.relays.items():
+            loops.add(name, relay.run_round)
+        self.enterContext(loops)
 
     def publish(self, name: str, version: int, document: bytes = VALID) -> None:
         published = PublishedConfiguration(version, msgspec.Raw(document))
@@ -91,8 +94,9 @@
         self.publish("a", 5)
         self.publish("b", 9)
         self.publish("c", 4)
-        loop = gevent.spawn(self.relays["c"].run)
-        self.addCleanup(loop.kill)
+        loops = BackgroundLoops(SystemClock())
+        loops.add("c", self.relays["c"].run_round)
+        self.enterContext(loops)
         self.assertEqual(2, self.relays["c"].catch_up(["a", "b", "c"]))
         self.wait_for(lambda: self.relays["c"].store.version == 9)
 
--- a/tests/published/test_follower.py
+++ b/tests/published/test_follower.py
@@ -66,6 +66,44 @@
         return self.publications.pop(0)
 
 
+class UnexpectedErrorTests(testtools.TestCase):
+    """An error that nothing expects neither ends the reading nor hides a change."""
+
+    def setUp(self):
+        super().setUp()
+        self.source = ScriptedSource()
+        self.table = TargetTable()
+        self.configurations = ConfigurationStore(ManualClock(), bytes)
+        self.follower = PublicationFollower(
+            self.source,
+            self.configurations,
+            self.table,
+            ManualClock(),
+            random.Random(1),
+            lambda: None,
+            lambda age_s: True,
+            lambda is_unavailable: None,
+        )
+        self.source.add(1, 10, "a", version=7)
+        self.follower.run_round()
+
+    def test_next_round_reads_everything_again(self):
+        apply, self.table.apply = self.table.apply, fail
+        self.source.add(1, 12, "b", is_whole=False, version=8)
+        self.assertRaises(OverflowError, self.follower.run_round)
+        self.assertEqual(8, self.configurations.version)
+        self.table.apply = apply
+        self.source.add(1, 12, "a", "b")
+        self.follower.run_round()
+        self.assertEqual(["read", "watch after 10", "read"], self.source.calls)
+        self.assertEqual({"a", "b"}, set(self.table.records))
+
+
+def fail(*arguments) -> None:
+    """Raise an error that no caller expects."""
+    raise OverflowError("too large")
+
+
 class RestoredStoreTests(testtools.TestCase):
     """The follower of a store that may be restored from a copy."""
 
--- /dev/null
+++ b/tests/test_loops.py
@@ -0,0 +1,131 @@
+"""Tests of background loops, which go on after a failed round."""
+
+import gevent
+import testtools
+
+from sesameplank import logs
+from sesameplank.core.common.clock import ManualClock, SystemClock
+from sesameplank.exceptions import StopReached
+from sesameplank.loops import (
+    LOG_INTERVAL_S,
+    RETRY_DELAY_MAX_S,
+    RETRY_DELAY_MIN_S,
+    BackgroundLoops,
+    Task,
+)
+
+WAIT_S = 10.0
+
+
+class Round:
+    """A round of a loop that raises the errors of a list first, then returns."""
+
+    def __init__(self, errors) -> None:
+        self.errors = list(errors)
+        self.calls = 0
+
+    def __call__(self) -> None:
+        """Raise the next error, or wait a moment."""
+        self.calls += 1
+        if self.errors:
+            raise self.errors.pop(0)
+        gevent.sleep(0.01)
+
+
+class TaskTests(testtools.TestCase):
+    """A failure is counted and logged, and delays the next attempt."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock(100.0)
+        self.events: list[str] = []
+        self.patch(logs.output, "write", self.events.append)
+
+    def test_failures_and_recovery(self):
+        task = Task(
+            "store", Round([RecursionError("deep"), ValueError("x")]), self.clock
+        )
+        self.clock.advance(3.0)
+        self.assertEqual([False, False], [task.run(), task.run()])
+        self.assertEqual(
+            (2, 2, 3.0), (task.failures, task.failures_in_a_row, task.age_s)
+        )
+        self.assertTrue(task.run())
+        self.assertEqual(
+            (2, 0, 0.0), (task.failures, task.failures_in_a_row, task.age_s)
+        )
+        names = [line.partition(" ")[0] for line in self.events]
+        self.assertEqual(["event=task_failed", "event=task_recovered"], names)
+        self.assertIn("task=store", self.events[0])
+        self.assertIn("deep", self.events[0])
+        self.assertIn("at=tests/test_loops.py:", self.events[0])
+
+    def test_lines_on_lasting_failures_are_bounded(self):
+        task = Task("store", Round([ValueError("y" * 10_000)] * 100), self.clock)
+        for _ in range(100):
+            task.run()
+            self.clock.advance(LOG_INTERVAL_S / 10)
+        self.assertEqual(10, len(self.events))
+        self.assertLess(max(map(len, self.events)), 1_000)
+
+    def test_delay_grows_up_to_a_bound(self):
+        task = Task("store", Round([ValueError()] * 40), self.clock)
+        delays = []
+        for _ in range(40):
+            task.run()
+            delays.append(task.retry_delay_s)
+        self.assertEqual(RETRY_DELAY_MIN_S, delays[0])
+        self.assertEqual(sorted(delays), delays)
+        self.assertEqual(RETRY_DELAY_MAX_S, delays[-1])
+
+
+class BackgroundLoopsTests(testtools.TestCase):
+    """Guards against a loop that ends at an error, without a word of it."""
+
+    def setUp(self):
+        super().setUp()
+        self.patch(logs.output, "write", lambda line: None)
+        self.loops = BackgroundLoops(SystemClock())
+
+    def wait_for(self, condition) -> None:
+        with gevent.Timeout(WAIT_S):
+            while not condition():
+                gevent.sleep(0.01)
+
+    def test_loops_go_on_after_any_error(self):
+        errors = (RecursionError(), OverflowError(), gevent.Timeout(), StopReached())
+        rounds = {type(error).__name__: Round([error]) for error in errors}
+        for name, run_round in rounds.items():
+            self.loops.add(name, run_round)
+        with self.loops:
+            self.wait_for(lambda: all(item.calls > 3 for item in rounds.values()))
+        self.assertEqual(len(errors), self.loops.failures)
+        described = self.loops.describe()
+        self.assertEqual({1}, {item["failures"] for item in described.values()})
+        self.assertLess(self.loops.max_age_s, 1.0)
+
+    def test_loop_that_fails_each_round_shows_and_does_not_spin(self):
+        failing = Round([ValueError()] * 1_000)
+        self.loops.add("store", failing)
+        with self.loops:
+            gevent.sleep(1.0)
+        self.assertTrue(3 <= failing.calls <= 5, failing.calls)
+        self.assertEqual(failing.calls, self.loops.failures)
+        self.assertGreater(self.loops.max_age_s, 0.9)
+
+    def test_function_that_runs_once_is_repeated_until_it_returns(self):
+        start = Round([ValueError(), ValueError()])
+        self.loops.add_once("start", start)
+        with self.loops:
+            self.wait_for(lambda: start.calls == 3)
+            gevent.sleep(0.3)
+        self.assertEqual(3, start.calls)
+
+    def test_loops_end_with_the_context(self):
+        running = Round([])
+        self.loops.add("store", running)
+        with self.loops:
+            self.wait_for(lambda: running.calls)
+        calls = running.calls
+        gevent.sleep(0.1)
+        self.assertEqual(calls, running.calls)
