Entries of the store: a malformed one costs only itself

Cause: the decoder raises RecursionError beside its own errors. It passed the code that refuses an entry and ended the reading of the store. Other entries passed as targets and did harm later: numbers of hundreds of digits (OverflowError when the list is encoded for peers, and in the shares of connections), hosts that are no IP address, ports over 65,535 (70000 was called as 4464), ids that fit no header.

Change: sesameplank/decoding.py decodes all documents from outside and raises one error, which each place reports in its own way; that covers the entry process's configuration, VM list and targets too. Targets' entries have bounds. Whatever error an entry raises while it is read, it alone is refused, with a log line.

--- a/sesameplank/callers/bodies.py
+++ b/sesameplank/callers/bodies.py
@@ -1,9 +1,9 @@
 """Reads request bodies within limits on size and time."""
 
 import gevent
-import msgspec
 
-from ..exceptions import StopReached
+from ..decoding import decode_json
+from ..exceptions import MalformedDocumentError, StopReached
 from .problems import ProblemKind, Refusal, make_stop_refusal
 
 MAX_BODY_BYTES = 65_536
@@ -14,8 +14,8 @@
     """Return the JSON body decoded as `message_type`, or raise Refusal."""
     payload = read_payload(environ)
     try:
-        return msgspec.json.decode(payload, type=message_type)
-    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        return decode_json(payload, message_type)
+    except MalformedDocumentError as error:
         raise Refusal(
             ProblemKind.BAD_REQUEST,
             f"the body is refused: {error}",
--- a/sesameplank/client/connections.py
+++ b/sesameplank/client/connections.py
@@ -6,7 +6,13 @@
 import msgspec
 from geventhttpclient import HTTPClient
 
-from ..exceptions import CallError, ForeignAnswerError, TruncatedAnswerError
+from ..decoding import decode_json
+from ..exceptions import (
+    CallError,
+    ForeignAnswerError,
+    MalformedDocumentError,
+    TruncatedAnswerError,
+)
 from ..ids import CallerName
 from ..net import Address
 
@@ -51,7 +57,7 @@
         payload = self.call(
             address, "POST", path, body, all_headers, budget_s, margin_s
         )
-        return msgspec.json.decode(payload, type=answer_type)
+        return decode_answer(payload, answer_type)
 
     def get(
         self,
@@ -65,7 +71,7 @@
         """Return the typed answer to a request without body, or raise CallError."""
         headers = {"X-Caller": self.caller}
         payload = self.call(address, method, path, b"", headers, budget_s, margin_s)
-        return msgspec.json.decode(payload, type=answer_type)
+        return decode_answer(payload, answer_type)
 
     def call(
         self,
@@ -144,9 +150,21 @@
         )
 
 
+def decode_answer(payload: bytes, answer_type: type):
+    """Return the typed answer, or raise CallError if it is malformed."""
+    try:
+        return decode_json(payload, answer_type)
+    except MalformedDocumentError as error:
+        raise CallError(
+            f"the entry's answer is malformed: {error}; use a client of its release",
+            kind="bad-answer",
+            ran="unknown",
+        ) from error
+
+
 def make_call_error(payload: bytes) -> CallError:
     """Return the error that a problem document describes."""
-    problem = msgspec.json.decode(payload)
+    problem = decode_answer(payload, dict)
     retry_after_ms = problem.get("retry_after_ms")
     return CallError(
         f"{problem['detail']}; {problem['remedy']}",
--- a/sesameplank/conf/validation.py
+++ b/sesameplank/conf/validation.py
@@ -2,7 +2,8 @@
 
 import msgspec
 
-from ..exceptions import ConfigurationError
+from ..decoding import decode_json
+from ..exceptions import ConfigurationError, MalformedDocumentError
 from .documents import Configuration
 from .rules import DocumentFault, find_faults
 
@@ -14,8 +15,8 @@
     content is checked against the module `rules` only if the structure is valid.
     """
     try:
-        value = msgspec.json.decode(document)
-    except msgspec.DecodeError as error:
+        value = decode_json(document)
+    except MalformedDocumentError as error:
         return [DocumentFault("$", f"not JSON: {error}", "correct the syntax")]
     import jsonschema  # Only this check needs it, and importing it takes 3 MB.
 
@@ -27,8 +28,8 @@
     if faults:
         return faults
     try:
-        return find_faults(msgspec.json.decode(document, type=Configuration))
-    except msgspec.DecodeError as error:
+        return find_faults(decode_json(document, Configuration))
+    except MalformedDocumentError as error:
         return [DocumentFault("$", str(error), "correct the field; see docs/ref")]
 
 
@@ -38,8 +39,8 @@
     The error message contains the path of the first fault.
     """
     try:
-        configuration = msgspec.json.decode(document, type=Configuration)
-    except msgspec.DecodeError as error:
+        configuration = decode_json(document, Configuration)
+    except MalformedDocumentError as error:
         raise ConfigurationError(
             f"the configuration document is refused: {error}; correct that field "
             "and publish again"
--- a/sesameplank/exceptions.py
+++ b/sesameplank/exceptions.py
@@ -13,6 +13,10 @@
     """A published document or a setting violates a rule."""
 
 
+class MalformedDocumentError(SesameplankError):
+    """A document from outside this process cannot be decoded."""
+
+
 class SettingsError(ConfigurationError):
     """A flag or an environment variable holds an unusable value."""
 
--- a/sesameplank/net.py
+++ b/sesameplank/net.py
@@ -1,12 +1,15 @@
 """Addresses, and the socket options that all processes of the project use."""
 
 import fcntl
+import re
 import socket
 import struct
 import termios
 
 import gevent.socket
 
+PORT_PATTERN = re.compile("[0-9]{1,5}")
+MAX_PORT = 65_535
 # Layout of `struct tcp_info` of Linux; the offsets are in bytes.
 TCP_INFO_BYTES = 104
 UNACCEPTED_OFFSET = 24
@@ -27,8 +30,10 @@
     def parse(cls, text: str) -> "Address":
         """Parse `host:port`, or raise ValueError, which states the expected form."""
         host, separator, port = text.rpartition(":")
-        if not separator or not host or not port.isdigit():
+        if not separator or not host or not PORT_PATTERN.fullmatch(port):
             raise ValueError(f"{text!r} is not an address; write it as IP:PORT")
+        if int(port) > MAX_PORT:
+            raise ValueError(f"{text!r} has a port over {MAX_PORT}; write a lower one")
         return cls(host, int(port))
 
     @property
--- a/sesameplank/peers/relayed_documents.py
+++ b/sesameplank/peers/relayed_documents.py
@@ -10,6 +10,8 @@
 from ..core.published.document_version import DocumentVersion
 from ..core.published.target_table import TargetChanges, TargetTable
 from ..core.published.versions import ConfigurationStore, OfferResult, VmStore
+from ..decoding import decode_json, decode_msgpack
+from ..exceptions import MalformedDocumentError
 
 
 class RelayedDocument(ABC):
@@ -51,8 +53,8 @@
     def offer(self, payload: bytes) -> OfferResult:
         """Decode a published configuration and offer it to the store."""
         try:
-            published = msgspec.json.decode(payload, type=PublishedConfiguration)
-        except msgspec.DecodeError:
+            published = decode_json(payload, PublishedConfiguration)
+        except MalformedDocumentError:
             return OfferResult.REFUSED
         return self.store.offer(published)
 
@@ -88,8 +90,8 @@
     def offer(self, payload: bytes) -> OfferResult:
         """Decode a list and offer it to the store."""
         try:
-            return self.vms.offer(msgspec.json.decode(payload, type=PublishedVms))
-        except msgspec.DecodeError:
+            return self.vms.offer(decode_json(payload, PublishedVms))
+        except MalformedDocumentError:
             return OfferResult.REFUSED
 
 
@@ -116,8 +118,8 @@
     def offer(self, payload: bytes) -> OfferResult:
         """Apply the changes that a peer sent."""
         try:
-            changes = msgspec.msgpack.decode(payload, type=TargetChanges)
-        except msgspec.DecodeError:
+            changes = decode_msgpack(payload, TargetChanges)
+        except MalformedDocumentError:
             return OfferResult.REFUSED
         if self.table.apply(changes, self.clock.now(), source_was_unavailable=True):
             return OfferResult.ACCEPTED
--- a/sesameplank/platform/items.py
+++ b/sesameplank/platform/items.py
@@ -6,6 +6,8 @@
 
 import base64
 import binascii
+import ipaddress
+import re
 from typing import Annotated
 
 import msgspec
@@ -18,7 +20,8 @@
     WeightedService,
 )
 from ..core.published.target_table import TargetPhase, TargetRecord
-from ..exceptions import ConfigurationError
+from ..decoding import decode_json
+from ..exceptions import ConfigurationError, MalformedDocumentError
 from ..ids import ConfigVersion, DataCentre, ServiceName, TargetId
 from ..net import Address
 
@@ -26,8 +29,16 @@
 TARGET_PREFIX = "servers/"
 IDEMPOTENT_TYPE = "safe"
 PHASES = {"ready": TargetPhase.READY, "draining": TargetPhase.DRAINING}
-NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
+# The integers that every encoding of the project can carry.
+MAX_INTEGER = 2**63 - 1
+MAX_SLOTS = 65_535
+MAX_WARM_UP_MS = 24 * 3_600 * 1_000
+MAX_NAME_CHARACTERS = 200
+MAX_LOGGED_CHARACTERS = 300
+TARGET_ID_PATTERN = re.compile("[!-~]+")  # It is sent in a header.
+NonNegativeInt = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 NonEmptyStr = Annotated[str, msgspec.Meta(min_length=1)]
+ShortStr = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
 
 
 class WireWeightedService(msgspec.Struct):
@@ -99,15 +110,15 @@
     is the Unix time of its start in milliseconds, 0 if unknown.
     """
 
-    service: NonEmptyStr
-    addr: NonEmptyStr
-    zone: str
-    slots: NonNegativeInt
+    service: Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARACTERS)]
+    addr: ShortStr
+    zone: ShortStr
+    slots: Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
     state: str
     version: str
     seq: NonNegativeInt
-    cold_left_ms: float = 0.0
-    born: int = 0
+    cold_left_ms: Annotated[float, msgspec.Meta(le=MAX_WARM_UP_MS)] = 0.0
+    born: NonNegativeInt = 0
 
 
 def decode_value(text: str) -> bytes:
@@ -126,8 +137,8 @@
     Raises ConfigurationError if the document is malformed.
     """
     try:
-        wire = msgspec.json.decode(document, type=WireConfig)
-    except msgspec.DecodeError as error:
+        wire = decode_json(document, WireConfig)
+    except MalformedDocumentError as error:
         raise ConfigurationError(
             f"the configuration is malformed: {error}; correct that field"
         ) from error
@@ -175,21 +186,31 @@
 def decode_target(key: str, value: bytes, revision: int) -> TargetRecord:
     """Return the target that an item describes, or raise ConfigurationError."""
     try:
-        wire = msgspec.json.decode(value, type=WireTarget)
-        Address.parse(wire.addr)
+        target = parse_target_id(key)
+        wire = decode_json(value, WireTarget)
+        ipaddress.IPv4Address(Address.parse(wire.addr).host)
         phase = PHASES[wire.state]
-    except (msgspec.DecodeError, ValueError, KeyError) as error:
+    except (MalformedDocumentError, ValueError, KeyError) as error:
+        reason = repr(error)[:MAX_LOGGED_CHARACTERS]
         raise ConfigurationError(
-            f"the item {key!r} is not a valid target: {error!r}; check its writer"
+            f"the item {key!r} is not a valid target: {reason}; check its writer"
         ) from error
     return TargetRecord(
-        id=TargetId(key.removeprefix(TARGET_PREFIX)),
+        id=target,
         service=ServiceName(wire.service),
         address=wire.addr,
         data_centre=DataCentre(wire.zone),
         slots=max(1, wire.slots),
         phase=phase,
-        warm_up_ms=int(wire.cold_left_ms),
+        warm_up_ms=max(0, int(wire.cold_left_ms)),
         started_ms=wire.born,
         revision=revision,
     )
+
+
+def parse_target_id(key: str) -> TargetId:
+    """Return the target's id that ends a key, or raise ValueError."""
+    name = key.removeprefix(TARGET_PREFIX)
+    if not TARGET_ID_PATTERN.fullmatch(name):
+        raise ValueError(f"{name!r} is no target's id; use printable ASCII characters")
+    return TargetId(name)
--- a/sesameplank/platform/source.py
+++ b/sesameplank/platform/source.py
@@ -7,7 +7,7 @@
 from ..conf import PublishedConfiguration
 from ..core.published.document_version import DocumentVersion
 from ..core.published.target_table import TargetChanges, TargetRecord
-from ..exceptions import ConfigurationError, PlatformError
+from ..exceptions import PlatformError
 from ..ids import ConfigVersion, TargetId
 from ..logs import log_event
 from ..published.follower import Publication, PublicationSource
@@ -89,10 +89,13 @@
 
 
 def read_target(item: WireItem) -> TargetRecord | None:
-    """Return an item's target, or log the error and return None if malformed."""
+    """Return an item's target, or log the error and return None if malformed.
+
+    Any program may write items, so that no error of one may concern the others.
+    """
     try:
         return decode_target(item.key, decode_value(item.value), item.rev)
-    except ConfigurationError as error:
+    except Exception as error:
         log_event("target_entry_refused", key=item.key, reason=str(error))
         return None
 
@@ -102,7 +105,7 @@
     try:
         document = decode_value(item.value)
         version = decode_routing(document).version
-    except ConfigurationError as error:
+    except Exception as error:  # The last accepted configuration stays in force.
         log_event("config_refused", revision=item.rev, reason=str(error))
         return None
     return PublishedConfiguration(
--- a/sesameplank/platform/store.py
+++ b/sesameplank/platform/store.py
@@ -7,7 +7,8 @@
 import gevent.socket
 import msgspec
 
-from ..exceptions import HistoryGoneError, PlatformError
+from ..decoding import decode_json
+from ..exceptions import HistoryGoneError, MalformedDocumentError, PlatformError
 from ..forwarding.http_messages import Response, ResponseReader, encode_request
 from ..logs import log_event
 from ..net import Address, set_no_delay
@@ -156,8 +157,8 @@
     def decode(self, response: Response, kind: type) -> WirePage | WireEvents:
         """Return the typed body with the store's era, or raise PlatformError."""
         try:
-            decoded = msgspec.json.decode(bytes(response.body), type=kind)
-        except msgspec.DecodeError as error:
+            decoded = decode_json(bytes(response.body), kind)
+        except MalformedDocumentError as error:
             raise PlatformError(
                 f"the store's answer is malformed: {error}; check its version"
             ) from error
--- a/sesameplank/published/reader.py
+++ b/sesameplank/published/reader.py
@@ -1,11 +1,11 @@
 """Client for the platform's configuration service and VM list over HTTP."""
 
-import msgspec
 from gevent import Timeout
 from geventhttpclient import HTTPClient
 
 from ..conf import PublishedConfiguration, PublishedVms
-from ..exceptions import PlatformError
+from ..decoding import decode_json
+from ..exceptions import MalformedDocumentError, PlatformError
 from ..net import Address
 
 READ_MARGIN_S = 2.0  # Added to the time that the service may wait.
@@ -69,8 +69,8 @@
     def decode(self, body: bytes, kind):
         """Return the typed body, or raise PlatformError if it is malformed."""
         try:
-            return msgspec.json.decode(body, type=kind)
-        except msgspec.DecodeError as error:
+            return decode_json(body, kind)
+        except MalformedDocumentError as error:
             raise PlatformError(
                 f"the platform's answer is malformed: {error}; check its version"
             ) from error
--- a/sesameplank/targets/dispatch.py
+++ b/sesameplank/targets/dispatch.py
@@ -31,6 +31,8 @@
     TargetSearchAnswer,
 )
 from ..crash_guard import CrashGuard
+from ..decoding import decode_json
+from ..exceptions import MalformedDocumentError
 from ..ids import RequestId, TargetId
 from ..net import Address, is_refusing
 from .fingerprints import find_message_fingerprint
@@ -370,8 +372,8 @@
 def make_sent_request(path: str, body: bytes) -> SentRequest:
     """Return what an encoded call shows of its request."""
     try:
-        request_id = msgspec.json.decode(body, type=RequestIdOnly).request_id
-    except msgspec.DecodeError:  # The target refuses it.
+        request_id = decode_json(body, RequestIdOnly).request_id
+    except MalformedDocumentError:  # The target refuses it.
         request_id = RequestId("")
     return SentRequest(request_id, find_message_fingerprint(path, body))
 
@@ -386,8 +388,8 @@
 def decode_answer(payload: bytes, answer_type):
     """Return the typed answer, or a Failure if the payload is malformed."""
     try:
-        return msgspec.json.decode(payload, type=answer_type)
-    except msgspec.DecodeError as error:
+        return decode_json(payload, answer_type)
+    except MalformedDocumentError as error:
         return Failure(FailureReason.BAD_ANSWER, Ran.UNKNOWN, str(error))
 
 
--- a/sesameplank/targets/fingerprints.py
+++ b/sesameplank/targets/fingerprints.py
@@ -8,6 +8,8 @@
 
 from ..core.quarantine.fingerprints import NO_FINGERPRINT, make_fingerprint
 from ..core.search.messages import SearchRequest, TargetBooking, TargetSearch
+from ..decoding import decode_json
+from ..exceptions import MalformedDocumentError
 from ..ids import Fingerprint
 
 SEARCH_PATH = "/search"
@@ -37,13 +39,11 @@
     """
     try:
         if path == SEARCH_PATH:
-            search = msgspec.json.decode(body, type=TargetSearch)
+            search = decode_json(body, TargetSearch)
             return find_search_fingerprint(search)
         if path == BOOKING_PATH:
-            return find_booking_fingerprint(
-                msgspec.json.decode(body, type=TargetBooking)
-            )
-    except msgspec.DecodeError:
+            return find_booking_fingerprint(decode_json(body, TargetBooking))
+    except MalformedDocumentError:
         return NO_FINGERPRINT
     return NO_FINGERPRINT
 
--- /dev/null
+++ b/tests/integration/test_store_entries.py
@@ -0,0 +1,127 @@
+"""Tests of entries of other writers in the platform's store, with real processes."""
+
+import json
+import time
+
+import msgspec
+
+from .front_world import FrontTestCase, make_config, make_request
+
+PROPAGATION_S = 3.0
+DEPTH = 2_000
+NESTED = b"[" * DEPTH + b"]" * DEPTH
+
+
+def encode(**fields) -> bytes:
+    """Return an entry of a target as JSON; `fields` replace its usual ones."""
+    entry = {
+        "service": "single",
+        "addr": "127.0.0.1:1",
+        "zone": "dc-0",
+        "version": "v1",
+        "slots": 2,
+        "state": "ready",
+        "cold_left_ms": 0,
+        "seq": 1,
+        "born": 1,
+    }
+    return json.dumps({**entry, **fields}).encode()
+
+
+ENTRIES = {
+    "servers/nested-field": b'{"owner":' + NESTED + b"}",
+    "servers/nested-in-a-whole-entry": encode()[:-1] + b',"owner":' + NESTED + b"}",
+    "servers/nested-list": NESTED,
+    "servers/many-slots": encode(slots=10**309),
+    "servers/long-warm-up": encode(cold_left_ms=1e300),
+    "servers/late-start": encode(born=10**400),
+    "servers/high-port": encode(addr="127.0.0.1:70000"),
+    "servers/long-port": encode(addr="127.0.0.1:" + "9" * 5_000),
+    "servers/long-host": encode(addr="a" * 64 + ".example:80"),
+    "servers/long-service": encode(service="s" * 900_000),
+    "servers/not-utf-8": encode().replace(b"dc-0", b"\xff"),
+    "servers/half-a-surrogate": encode().replace(b"dc-0", b"\\ud800"),
+    "servers/line\r\nbreak": encode(),
+    "servers/\u00e9": encode(),
+    "servers/": encode(),
+}
+
+
+class OtherWritersTests(FrontTestCase):
+    """Guards against an entry that ends the reading of the store in each process."""
+
+    front_count = 3
+
+    def wait_for_tables(self) -> None:
+        """Wait until each process has read the store up to its last change."""
+        for front in range(self.front_count):
+            self.wait_for_state(
+                front,
+                lambda state: (
+                    state["gauges"]["targets_revision"] >= self.store.revision
+                ),
+            )
+
+    def move_route(self, version: int, service: str) -> None:
+        """Publish a version that moves the plain route, and wait until it is due."""
+        document = make_config(version)
+        document["routes"][1]["service"] = service
+        self.store.put_config(document)
+        time.sleep(PROPAGATION_S)
+
+    def check_changes_are_learnt(self, version: int) -> None:
+        """Move a route to a new target, which has to get all its requests."""
+        service = f"moved{version}"
+        self.add_target(f"{service}a", service)
+        self.move_route(version, service)
+        for number in range(6 * self.front_count):
+            data = make_request("/one/x", f"v{version}-{number}")
+            response = self.request(data, number % self.front_count)
+            self.assertEqual(200, response.status, number)
+        self.assertEqual(6 * self.front_count, self.get_runs(f"{service}a"))
+
+    def check_tasks(self) -> None:
+        """Check that no background task has failed."""
+        for front in range(self.front_count):
+            tasks = self.get_state(front)["tasks"]
+            self.assertEqual(set(), {k for k, v in tasks.items() if v["failures"]})
+
+    def test_entries_cost_only_themselves(self):
+        for key, value in ENTRIES.items():
+            self.store.put(key, value)
+        self.wait_for_tables()
+        self.check_changes_are_learnt(5)
+        for front in self.fronts:
+            front.process.kill()
+            front.process.wait()
+            front.start()
+        for front in self.fronts:
+            self.wait_for(front.is_ready, "ready")
+        self.check_changes_are_learnt(8)
+        self.check_tasks()
+        targets = self.get_state(0)["targets"]
+        self.assertEqual(set(self.targets), set(targets))
+
+    def test_entry_that_replaces_a_good_one_removes_only_its_target(self):
+        for key, value in (
+            ("servers/singlea", ENTRIES["servers/nested-in-a-whole-entry"]),
+            ("servers/shard0a", ENTRIES["servers/many-slots"]),
+            ("servers/shard1b", ENTRIES["servers/high-port"]),
+        ):
+            self.store.put(key, value)
+        self.wait_for_tables()
+        for front in range(self.front_count):
+            listed = self.get_state(front)["targets"]
+            removed = {"singlea", "shard0a", "shard1b"}
+            self.assertEqual(set(self.targets) - removed, set(listed))
+        self.list_target("singlea", "single", seq=2)
+        self.check_changes_are_learnt(5)
+        self.assertIn("singlea", self.get_state(1)["targets"])
+
+    def test_configuration_that_cannot_be_read_leaves_the_last_one_in_force(self):
+        document = msgspec.json.encode(make_config(9))
+        self.store.put("op/config", document[:-1] + b',"owner":' + NESTED + b"}")
+        self.wait_for_tables()
+        self.assertEqual(200, self.request(make_request("/one/x", "kept")).status)
+        self.check_changes_are_learnt(10)
+        self.check_tasks()
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -1,6 +1,7 @@
 """Tests of the items of the platform's store."""
 
 import base64
+import json
 
 import msgspec
 import testtools
@@ -82,15 +83,49 @@
             {"state": "resting"},
             {"slots": -1},
             {"slots": "2"},
+            {"slots": 10**309},
+            {"slots": 70_000},
+            {"cold_left_ms": 1e300},
+            {"born": 10**400},
+            {"born": 2**63},
+            {"addr": "10.0.0.9:65536"},
+            {"addr": "10.0.0.9:\u0663"},
+            {"addr": "10.0.0.9:" + "9" * 5_000},
+            {"addr": "a" * 64 + ".example:80"},
+            {"addr": "10.0.0.9\0:80"},
+            {"service": "s" * 201},
             {"born": 1.5},
             {"seq": None},
         ):
-            value = encode({**TARGET, **change})
+            value = json.dumps({**TARGET, **change}).encode()
             self.assertRaises(ConfigurationError, decode_target, "k", value, 1)
         for name in ("service", "addr", "zone", "slots", "state", "seq"):
             value = encode({k: v for k, v in TARGET.items() if k != name})
             self.assertRaises(ConfigurationError, decode_target, "k", value, 1)
 
+    def test_nested_items_are_refused(self):
+        # The decoder raises RecursionError, which once ended the reading of the store.
+        for depth in (900, 2_000, 100_000):
+            nested = b"[" * depth + b"]" * depth
+            item = encode(TARGET)
+            for value in (nested, b'{"owner":' + nested + b"}", nested + item):
+                self.assertRaises(ConfigurationError, decode_target, "k", value, 1)
+
+    def test_nested_unknown_field_of_a_whole_item(self):
+        nested = b'"owner":' + b"[" * 2_000 + b"]" * 2_000
+        value = encode(TARGET)[:-1] + b"," + nested + b"}"
+        self.assertRaises(ConfigurationError, decode_target, "k", value, 1)
+
+    def test_ids_that_fit_no_header_are_refused(self):
+        for name in ("", "a b", "a\r\nX-Evil: 1", "\u00e9", "a\0"):
+            key = f"servers/{name}"
+            self.assertRaises(ConfigurationError, decode_target, key, encode(TARGET), 1)
+
+    def test_message_is_short(self):
+        value = encode({**TARGET, "addr": "x" * 150, "state": "y" * 1_000_000})
+        error = self.assertRaises(ConfigurationError, decode_target, "k", value, 1)
+        self.assertLess(len(str(error)), 1_000)
+
     @FIXED
     @given(st.binary(max_size=60))
     def test_random_bytes_are_refused(self, value):
@@ -115,7 +150,8 @@
         self.assertEqual(15.0, routing.limits.idle_timeout_s)
 
     def test_malformed_documents_are_refused(self):
-        for value in (b"", b"{", b"[]", b'{"version":"7"}', b'{"routes":[]}'):
+        nested = b'{"version":7,"x":' + b"[" * 2_000 + b"]" * 2_000 + b"}"
+        for value in (b"", b"{", b"[]", b'{"version":"7"}', b'{"routes":[]}', nested):
             self.assertRaises(ConfigurationError, decode_routing, value)
 
 
