Requests whose caller has left: no call is sent any more

The targets' slots were missing to other callers.

Cause: a request ended early for a caller that had left only if it was idempotent. The counter calls_after_caller_left_*, added first, showed that all late calls of the case were retries after a refusal. Found beside it: calls that wait for a connection, here or at the VM that makes them; a connection with eight requests queued isn't read, so its close was seen only when an answer was written.

Change: the close itself ends the sending (Fanout.note_caller_left), on every path: retries after a refusal, for the budget, a pause or a canary; calls that wait for a connection are taken back, also at another VM (BatchWithdrawal, which older releases ignore). A call that a target has got is left to it if it may run only once: it may be running, so nothing else is sent and what is known stays true. While the queue of pipelined requests is full, the close is read from the state of the connection.

--- a/sesameplank/core/forwarding/batch_messages.py
+++ b/sesameplank/core/forwarding/batch_messages.py
@@ -129,6 +129,15 @@
     responses: tuple[BatchedResponse, ...] = ()
 
 
+class BatchWithdrawal(PeerMessage, frozen=True):
+    """A request to return the calls of a batch that no target has got yet.
+
+    Older releases don't know this message, and ignore it.
+    """
+
+    batch: int
+
+
 class BatchCancel(PeerMessage, frozen=True):
     """A request to cancel the calls of a batch that are still in flight."""
 
--- a/sesameplank/core/forwarding/fanout.py
+++ b/sesameplank/core/forwarding/fanout.py
@@ -57,14 +57,17 @@
     """The outcome of a request so far.
 
     A request is hopeless if too few shards can still answer, and expired if there
-    is too little time left for an answer. It is quarantined if it crashes the targets
-    that run it, and withheld if it may, and too few of them are left to find out.
+    is too little time left for an answer. CALLER_LEFT means that its caller has left,
+    and no call is in flight that has to be left to its target. It is quarantined if
+    it crashes the targets that run it, and withheld if it may, and too few of them are
+    left to find out.
     """
 
     OPEN = "open"
     ANSWERED = "answered"
     HOPELESS = "hopeless"
     EXPIRED = "expired"
+    CALLER_LEFT = "caller_left"
     QUARANTINED = "quarantined"
     WITHHELD = "withheld"
 
@@ -76,7 +79,8 @@
     latencies of the answered calls in ascending order. `is_suspect` says that a target
     crashed under such a request, `needs_spare` that it must not reach the last replica
     of a shard, `is_withheld` that every shard has only one, and `is_quarantined` that
-    no further call is to be sent.
+    no further call is to be sent. Nor is one after the caller has left
+    (`has_caller_left`).
     """
 
     def __init__(
@@ -101,6 +105,7 @@
         self.needs_spare = False
         self.is_withheld = False
         self.is_quarantined = False
+        self.has_caller_left = False
         self.transmitted_calls: set[AttemptId] = set()
         self.sorted_latencies_s: list[float] = []
         self.answered_calls: list[tuple[Call, float]] = []
@@ -128,6 +133,8 @@
             return Verdict.QUARANTINED
         if self.is_withheld:
             return Verdict.WITHHELD
+        if self.has_caller_left and self.may_end_early:
+            return Verdict.CALLER_LEFT
         if total - self.abandoned < self.plan.required:
             return Verdict.EXPIRED if self.ran_out_of_time else Verdict.HOPELESS
         if self.answered >= self.plan.required:
@@ -138,6 +145,20 @@
             return Verdict.EXPIRED
         return Verdict.OPEN
 
+    @property
+    def may_end_early(self) -> bool:
+        """Whether no call is in flight that has to be left to its target.
+
+        A request that is not idempotent may be running at the target that has it.
+        """
+        if self.plan.idempotent:
+            return True
+        return not any(shard.calls for shard in self.shards.values())
+
+    def note_caller_left(self) -> None:
+        """Send no further calls, since nobody waits for the answer any more."""
+        self.has_caller_left = True
+
     def end_by(self, at: float) -> None:
         """Move the latency objective and the deadline to a time if they are later."""
         self.plan = msgspec.structs.replace(
@@ -399,7 +420,7 @@
         The list holds at most one call. Return no call and abandon the shard if no
         target is allowed, or if there is too little time left for a retry.
         """
-        if self.is_quarantined:
+        if not self.may_call:
             self.abandon(shard)
             return []
         if self.is_suspect and not self.answered and self.hold(shard, now):
@@ -423,6 +444,11 @@
             return []
         return [self.make_call(shard, kind, untried, now)]
 
+    @property
+    def may_call(self) -> bool:
+        """Whether any further call may be sent."""
+        return not self.is_quarantined and not self.has_caller_left
+
     def is_too_late(self, now: float) -> bool:
         """Return whether a call sent now is expected to end after the deadline.
 
@@ -485,7 +511,7 @@
         """
         if not shard.calls or not self.plan.idempotent:
             return []
-        if self.is_quarantined or (self.is_suspect and not self.answered):
+        if not self.may_call or (self.is_suspect and not self.answered):
             return []
         self.late_calls += shard.calls.values()
         targets = self.find_targets(shard.service)
--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -14,6 +14,7 @@
     BatchedFailure,
     BatchedLoad,
     BatchedResponse,
+    BatchWithdrawal,
 )
 from ..core.forwarding.batches import NEVER, FlushSchedule
 from ..core.forwarding.fanout_calls import Call, CallKind
@@ -82,6 +83,7 @@
         self.is_stopping = False
         links.register(BatchedCalls, self.on_calls)
         links.register(BatchCancel, self.on_cancel)
+        links.register(BatchWithdrawal, self.on_withdrawal)
 
     def on_calls(self, message: BatchedCalls, context: PeerContext) -> None:
         """Make the calls of a batch, or return it at once.
@@ -128,6 +130,12 @@
         if batch is not None:
             batch.cancel()
 
+    def on_withdrawal(self, message: BatchWithdrawal, context: PeerContext) -> None:
+        """Return the calls of a batch that no target has got yet."""
+        batch = self.batches.get(make_key(message.batch, context))
+        if batch is not None:
+            batch.return_unsent()
+
 
 class ServedBatch:
     """One batch in progress: its calls in flight and the answers to return."""
@@ -195,6 +203,27 @@
             )
         self.cancel()
 
+    def return_unsent(self) -> None:
+        """Return the calls that have not been transmitted, and keep the others."""
+        unsent = [
+            index
+            for index, exchange in self.exchanges.items()
+            if not exchange.is_transmitted
+        ]
+        for index in unsent:
+            self.withdraw(index)
+        self.return_failures(unsent, Ran.NOT_RUN)
+        if not self.exchanges:
+            self.flush()
+
+    def withdraw(self, index: int) -> None:
+        """Take back a call that has not been transmitted."""
+        exchange = self.exchanges.pop(index)
+        call = exchange.call
+        self.server.connection_shares.get_pool(call.target).cancel(exchange)
+        self.server.placement.note_withdrawn(call.target.id, call.id)
+        self.schedule.note_done(self.server.clock.now(), has_answer=False)
+
     def return_failures(self, indexes: Iterable[int], ran: Ran) -> None:
         """Return calls as failed because this process doesn't make them."""
         failures = tuple(
--- a/sesameplank/forwarding/call_batches.py
+++ b/sesameplank/forwarding/call_batches.py
@@ -10,7 +10,12 @@
 import msgspec
 
 from ..core.common.clock import Clock
-from ..core.forwarding.batch_messages import BatchCancel, BatchedAnswers, BatchedCalls
+from ..core.forwarding.batch_messages import (
+    BatchCancel,
+    BatchedAnswers,
+    BatchedCalls,
+    BatchWithdrawal,
+)
 from ..core.forwarding.batches import (
     AggregatorChoice,
     find_deputies,
@@ -229,6 +234,11 @@
             self.count("batches_late")
             self.choice.note_silence(batch.peer, self.clock.now())
 
+    def withdraw_unsent(self, batch: CallBatch) -> None:
+        """Ask for the calls of the batch that no target has got yet."""
+        if batch.id in self.batches:
+            self.links.send(batch.peer, BatchWithdrawal(batch.id))
+
     def cancel(self, batch: CallBatch) -> None:
         """Cancel the calls of a batch that are in flight."""
         if self.batches.pop(batch.id, None) is not None:
--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -21,6 +21,7 @@
     count_unread_bytes,
     get_receive_age_s,
     get_round_trip_s,
+    has_peer_closed,
     set_no_delay,
 )
 from .answer_accounts import AnswerStage, CloseCause, PendingRequest
@@ -37,6 +38,7 @@
 MIN_WAIT_S = 0.02
 FIRST_REQUEST_TIMEOUT_S = 0.2  # Callers connect when they have a request to send.
 MAX_PIPELINED = 8
+CLOSE_CHECK_INTERVAL_S = 0.1
 CONNECT_ROUND_TRIPS = 1
 LOOKUP_ROUND_TRIPS = 2  # One to connect to the directory, one for the look-up.
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -119,12 +121,15 @@
     def receive(self, reader: RequestReader, limits: RequestLimits) -> bytes:
         """Return the next bytes, or b"" at the end of the stream or idle timeout.
 
-        Wait while the queue of pipelined requests is full. Raise MessageError if a
+        Wait while the queue of pipelined requests is full; a caller that leaves
+        meanwhile ends the stream, although bytes are unread. Raise MessageError if a
         request has arrived only in part and no bytes follow within the timeout. Bytes
         that arrived in time are read even if the process is late.
         """
         while len(self.queue) >= MAX_PIPELINED and self.worker is not None:
-            self.worker.join()
+            self.worker.join(CLOSE_CHECK_INTERVAL_S)
+            if has_peer_closed(self.sock):
+                return b""
         while True:
             self.sock.settimeout(self.get_timeout_s(reader, limits))
             try:
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -94,7 +94,7 @@
         self.fanout = Fanout(
             plan, self.find_targets, forwarder.placement, forwarder.budget
         )
-        context.on_disconnect = self.wake.set
+        context.on_disconnect = self.note_caller_left
 
     @property
     def plan(self) -> FanoutPlan:
@@ -110,6 +110,19 @@
         self.fanout.end_by(at)
         self.wake.set()
 
+    def note_caller_left(self) -> None:
+        """Send no further calls, and withdraw those that no target has got.
+
+        A call that a target has got is cancelled only if the request is idempotent.
+        Otherwise it may be running, and its outcome is waited for.
+        """
+        self.fanout.note_caller_left()
+        for exchange in list(self.exchanges.values()):
+            if not exchange.is_transmitted:
+                self.withdraw(exchange)
+        self.batches.withdraw_unsent()
+        self.wake.set()
+
     def note_record(self, record: CrashRecord) -> None:
         """Record what is known of targets that crashed under such requests."""
         self.fanout.is_suspect = True
@@ -175,17 +188,12 @@
         )
 
     def wait(self) -> Verdict:
-        """Send hedges and retries as they fall due, until there is a verdict.
-
-        An idempotent request expires early if its caller disconnects.
-        """
+        """Send hedges and retries as they fall due, until there is a verdict."""
         while True:
             now = self.clock.now()
             verdict = self.fanout.get_verdict(now)
             if verdict is not Verdict.OPEN:
                 return verdict
-            if self.context.is_disconnected and self.route.idempotent:
-                return Verdict.EXPIRED
             calls = self.fanout.on_timer(now)
             self.note_late_calls(now)
             if calls:
@@ -285,6 +293,8 @@
     def note_transmitted(self, call: Call) -> None:
         """Record that a call is being transmitted."""
         self.forwarder.count_transmitted(call, call.kind.value)
+        if self.context.is_disconnected:
+            self.forwarder.count(f"calls_after_caller_left_{call.kind.value}")
         self.context.calls += 1
         self.fanout.note_transmitted(call)
 
@@ -433,6 +443,14 @@
                 self.abandon(exchange)
             self.batches.withdraw(call)
 
+    def withdraw(self, exchange: Exchange) -> None:
+        """Take back a call that has not been transmitted, so it has not run."""
+        call = exchange.call
+        del self.exchanges[call.id]
+        self.forwarder.connection_shares.get_pool(call.target).cancel(exchange)
+        self.forwarder.placement.note_withdrawn(call.target.id, call.id)
+        self.dispatch(self.fanout.on_failure(call, Ran.NOT_RUN, self.clock.now()))
+
     def abandon_all(self) -> None:
         """Cancel all calls that are in flight."""
         for exchange in list(self.exchanges.values()):
@@ -500,5 +518,6 @@
             return self.forwarder.refuse(
                 self.metadata.request_id, 503, self.get_retry_after_s(verdict)
             )
-        status = 504 if verdict is Verdict.EXPIRED else 502
+        is_timeout = verdict in (Verdict.EXPIRED, Verdict.CALLER_LEFT)
+        status = 504 if is_timeout else 502
         return self.forwarder.refuse(self.metadata.request_id, status)
--- a/sesameplank/forwarding/request_batches.py
+++ b/sesameplank/forwarding/request_batches.py
@@ -174,7 +174,8 @@
     def process_returned(self, batch: CallBatch, call: Call, ran: Ran) -> None:
         """Process a call that the VM of its batch returns instead of making it."""
         self.forwarder.count("batched_calls_returned")
-        self.forwarder.batches.note_returned(batch)
+        if not self.request.context.is_disconnected:  # Nothing was asked for then.
+            self.forwarder.batches.note_returned(batch)
         self.forwarder.placement.note_withdrawn(call.target.id, call.id)
         retries = self.request.fanout.on_returned(call, ran, self.clock.now())
         self.request.dispatch(retries)
@@ -184,6 +185,16 @@
         if self.pending.pop(call.id, None) is not None:
             self.forwarder.placement.note_withdrawn(call.target.id, call.id)
 
+    def withdraw_unsent(self) -> None:
+        """Ask for the calls that no target has got yet.
+
+        Those of an idempotent request are cancelled at its end.
+        """
+        if self.request.route.idempotent:
+            return
+        for batch in self.sent:
+            self.forwarder.batches.withdraw_unsent(batch)
+
     def cancel(self) -> None:
         """Cancel all calls that are in flight."""
         for batch in self.sent:
--- a/sesameplank/net.py
+++ b/sesameplank/net.py
@@ -10,9 +10,12 @@
 
 PORT_PATTERN = re.compile("[0-9]{1,5}")
 MAX_PORT = 65_535
+# Of the connection states of Linux: closed, and closed by the peer alone.
+ENDED_STATES = frozenset({7, 8})
 # Layout of `struct tcp_info` of Linux; the offsets are in bytes.
 TCP_INFO_BYTES = 104
 UNACCEPTED_OFFSET = 24
+STATE_OFFSET = 0
 LAST_DATA_RECEIVED_MS_OFFSET = 52
 ROUND_TRIP_US_OFFSET = 68
 
@@ -72,6 +75,12 @@
     return read_tcp_info(sock, ROUND_TRIP_US_OFFSET) / 1_000_000
 
 
+def has_peer_closed(sock: socket.socket) -> bool:
+    """Return whether the peer has closed a connection, even if bytes are unread."""
+    info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
+    return info[STATE_OFFSET] in ENDED_STATES
+
+
 def read_tcp_info(sock: socket.socket, offset: int) -> int:
     """Return the unsigned 32-bit integer at an offset of the kernel's `tcp_info`."""
     info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
--- a/sesameplank/standins/front_targets.py
+++ b/sesameplank/standins/front_targets.py
@@ -122,7 +122,7 @@
     `stated_limit` is the rate limit that its answers name, None for none. With
     `is_leaving` they say that it leaves. `retry_after` is when requests that it refuses
     may come again, in seconds. `arrived_at` holds the time of arrival of every request,
-    and `callers` the host that it came from.
+    `arrived_ids` its id, and `callers` the host that it came from.
 
     `executed_ids` holds the IDs of the executed requests in order, and
     `misdirected_ids` those of requests that were meant for another target.
@@ -138,6 +138,7 @@
         self.is_leaving = False
         self.retry_after: bytes | None = None
         self.arrived_at: list[float] = []
+        self.arrived_ids: list[str] = []
         self.callers: list[str] = []
         self.executed_ids: list[str] = []
         self.misdirected_ids: list[str] = []
@@ -227,6 +228,7 @@
     def answer(self, sock: gevent.socket.socket, request: Request) -> bool:
         """Answer a request; return whether to keep the connection open."""
         self.arrived_at.append(time.monotonic())
+        self.arrived_ids.append(request.get(REQUEST_ID.lower()) or "")
         self.callers.append(self.sockets[sock])
         expected = request.get(EXPECTED_TARGET.lower())
         if expected not in (None, self.name):
--- a/tests/core/forwarding/test_fanout.py
+++ b/tests/core/forwarding/test_fanout.py
@@ -367,3 +367,50 @@
         fanout.start(100.0)
         fanout.is_quarantined = True
         self.assertTrue(fanout.is_certainly_not_run)
+
+
+class DepartedCallerTests(FanoutTestCase):
+    """Nothing is sent any more once the caller has left, whatever happens then."""
+
+    def test_no_call_follows_any_event(self):
+        events = (
+            ("refused", lambda call: self.fanout.on_failure(call, Ran.NOT_RUN, 100.02)),
+            ("failed", lambda call: self.fanout.on_failure(call, Ran.UNKNOWN, 100.02)),
+            ("limited", lambda call: self.fanout.on_limited(call, 100.02)),
+            ("moved", lambda call: self.fanout.on_misdirected(call, None, 100.02)),
+            (
+                "returned",
+                lambda call: self.fanout.on_returned(call, Ran.NOT_RUN, 100.02),
+            ),
+        )
+        for idempotent in (False, True):
+            for name, event in events:
+                (call,) = self.start(shards=1, required=1, idempotent=idempotent)
+                self.fanout.note_caller_left()
+                self.assertEqual([], event(call), name)
+                self.assertEqual([], self.fanout.on_timer(100.9), name)
+                verdict = self.fanout.get_verdict(100.02)
+                self.assertIs(Verdict.CALLER_LEFT, verdict, name)
+
+    def test_retry_that_waits_for_the_budget_is_not_sent(self):
+        (call,) = self.start(
+            shards=1, required=1, idempotent=False, bounds=NO_EXTRA_LOAD
+        )
+        self.assertEqual([], self.fanout.on_failure(call, Ran.NOT_RUN, 100.02))
+        self.fanout.note_caller_left()
+        self.assertIs(Verdict.CALLER_LEFT, self.fanout.get_verdict(100.02))
+        self.assertTrue(self.fanout.is_certainly_not_run)
+
+    def test_call_that_may_be_running_is_awaited_unless_it_may_run_again(self):
+        for idempotent, verdict in ((True, Verdict.CALLER_LEFT), (False, Verdict.OPEN)):
+            self.start(shards=1, required=1, idempotent=idempotent)
+            self.fanout.note_caller_left()
+            self.assertIs(verdict, self.fanout.get_verdict(100.02))
+            self.assertEqual([], self.fanout.on_timer(100.9))
+            self.assertFalse(self.fanout.is_certainly_not_run)
+
+    def test_answer_after_the_caller_left_ends_the_request(self):
+        (call,) = self.start(shards=1, required=1, idempotent=False)
+        self.fanout.note_caller_left()
+        self.fanout.on_answer(call, 100.5)
+        self.assertIs(Verdict.ANSWERED, self.fanout.get_verdict(100.5))
--- a/tests/forwarding/test_batch_server.py
+++ b/tests/forwarding/test_batch_server.py
@@ -6,7 +6,11 @@
 
 from sesameplank.core.common.clock import ManualClock
 from sesameplank.core.common.outcomes import FailureReason, Ran
-from sesameplank.core.forwarding.batch_messages import BatchedAnswers, BatchedCalls
+from sesameplank.core.forwarding.batch_messages import (
+    BatchedAnswers,
+    BatchedCalls,
+    BatchWithdrawal,
+)
 from sesameplank.core.forwarding.placement import Placement
 from sesameplank.core.forwarding.target_reach import TargetReach
 from sesameplank.core.published.target_table import TargetPhase, TargetRecord
@@ -123,6 +127,42 @@
         self.assertEqual(["batches_returned"], self.counts)
 
 
+class WithdrawalTests(BatchServerTestCase):
+    """A VM whose caller has left takes back what no target has got yet."""
+
+    def test_calls_that_no_target_has_got_are_returned(self):
+        self.serve(wants_responses=True, is_idempotent=False)
+        sent, *waiting = self.targets.exchanges
+        sent.is_transmitted = True
+        self.server.on_withdrawal(BatchWithdrawal(7), CONTEXT)
+        (message,) = self.get_messages()
+        self.assertEqual(
+            [(1, Ran.NOT_RUN), (2, Ran.NOT_RUN)],
+            [(item.index, item.ran) for item in message.failures],
+        )
+        self.assertEqual([sent], self.targets.exchanges)
+        self.assertEqual(1, len(self.server.batches))
+        self.answer(sent)
+        self.assertEqual({}, self.server.batches)
+        self.assertEqual(1, len(self.get_messages()[-1].responses))
+
+    def test_batch_of_which_no_target_has_got_a_call_ends(self):
+        self.serve(wants_responses=True, is_idempotent=False)
+        self.server.on_withdrawal(BatchWithdrawal(7), CONTEXT)
+        self.assertEqual({}, self.server.batches)
+        self.assertEqual([], self.targets.exchanges)
+
+    def test_batches_of_others_are_kept(self):
+        self.serve()
+        other = PeerContext("vm3", 1, 0.0, float("inf"))
+        for message, context in (
+            (BatchWithdrawal(8), CONTEXT),
+            (BatchWithdrawal(7), other),
+        ):
+            self.server.on_withdrawal(message, context)
+        self.assertEqual(3, len(self.targets.exchanges))
+
+
 class WholeResponseTests(BatchServerTestCase):
     """Calls whose responses are returned whole, and not merged."""
 
