Searches of the own interface end when their caller leaves

What callers saw: nothing; a search went on until its deadline after its caller had closed the connection, and held slots of the targets that others needed.

Cause: the WSGI server doesn't read a connection while its request runs, so nothing told the search.

A booking goes on: its caller may ask for its status by the key. Also, the client library reports an answer that it can't decode as `no-answer`.

--- a/sesameplank/callers/app.py
+++ b/sesameplank/callers/app.py
@@ -18,7 +18,7 @@
     SearchRequest,
     WriterAnswer,
 )
-from ..exceptions import StopReached
+from ..exceptions import CallerLeftError, StopReached
 from ..ids import CallerName, EntryId, IdempotencyKey, RequestId
 from ..logs import log_event
 from ..monitoring import DecisionLog, RequestLedger
@@ -38,19 +38,22 @@
 BOOKINGS_PATH = "/v1/bookings"
 RECEIVE_AGE_KEY = "sesameplank.receive_age_s"
 REQUEST_ID_KEY = "sesameplank.request_id"
+HAS_LEFT_KEY = "sesameplank.has_left"
 
 
 class CallerContext(msgspec.Struct, frozen=True):
     """The context of a caller's request: its id, caller, configuration and deadline.
 
     `pinned` is the configuration that was current when the request was read.
-    `deadline_at` is in seconds of the process's clock.
+    `deadline_at` is in seconds of the process's clock. `has_left` returns whether the
+    caller has closed its connection.
     """
 
     request_id: RequestId
     caller: CallerName
     pinned: AcceptedConfiguration
     deadline_at: float
+    has_left: Callable[[], bool] = lambda: False
 
 
 SearchHandler = Callable[[CallerContext, SearchRequest], SearchAnswer]
@@ -134,6 +137,9 @@
             status, content_type, body = make_refusal_response(refusal, request_id)
             headers = get_refusal_headers(refusal)
             outcome, detail = refusal.kind.value, refusal.detail
+        except CallerLeftError:
+            outcome = CANCELLED
+            return self.end_without_answer(start_response)
         except StopReached:  # The handlers answer it more exactly.
             refusal = make_stop_refusal(Ran.UNKNOWN)
             status, content_type, body = make_refusal_response(refusal, request_id)
@@ -158,6 +164,14 @@
         start_response(status, headers)
         return [body]
 
+    def end_without_answer(self, start_response: Callable) -> Iterable[bytes]:
+        """End a request whose caller has left; nobody reads the response."""
+        start_response(
+            STATUSES[ProblemKind.REQUEST_TIMEOUT],
+            [("Content-Length", "0"), ("Connection", "close")],
+        )
+        return [b""]
+
     def make_request_id(self) -> RequestId:
         """Return a request id that is unique to this process."""
         return RequestId(f"{self.entry_id}-{next(self.counter)}")
@@ -244,7 +258,8 @@
                 "send the whole request at once, or allow a longer deadline_ms",
             )
         deadline_at = min(deadline_at, self.get_latest_deadline())
-        return CallerContext(request_id, caller, pinned, deadline_at)
+        has_left = environ.get(HAS_LEFT_KEY, lambda: False)
+        return CallerContext(request_id, caller, pinned, deadline_at, has_left)
 
 
 def is_printable_ascii(text: str, max_length: int) -> bool:
--- a/sesameplank/callers/server.py
+++ b/sesameplank/callers/server.py
@@ -13,9 +13,9 @@
 from ..exceptions import StopReached
 from ..ids import RequestId
 from ..logs import LogLimiter, log_event
-from ..net import Address, get_receive_age_s
+from ..net import Address, get_receive_age_s, has_peer_closed
 from ..wsgi import QuietHandler, WsgiApp
-from .app import RECEIVE_AGE_KEY, REQUEST_ID_KEY
+from .app import HAS_LEFT_KEY, RECEIVE_AGE_KEY, REQUEST_ID_KEY
 from .problems import (
     PROBLEM_JSON,
     STATUSES,
@@ -246,8 +246,16 @@
         )
         environ["wsgi.input_terminated"] = True
         environ[RECEIVE_AGE_KEY] = get_receive_age_s(self.socket)
+        environ[HAS_LEFT_KEY] = self.has_caller_left
         return environ
 
+    def has_caller_left(self) -> bool:
+        """Return whether the caller has closed the connection."""
+        try:
+            return has_peer_closed(self.socket)
+        except OSError:
+            return True
+
     def handle_one_response(self) -> None:
         """Answer one request, and close the connection if its body is not drained."""
         self.stage = Stage.RUNNING
--- a/sesameplank/client/connections.py
+++ b/sesameplank/client/connections.py
@@ -157,7 +157,7 @@
     except MalformedDocumentError as error:
         raise CallError(
             f"the entry's answer is malformed: {error}; use a client of its release",
-            kind="bad-answer",
+            kind="no-answer",
             ran="unknown",
         ) from error
 
--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -334,7 +334,11 @@
             )
         with self.admit(call, request) as permit:
             result = self.queries.run(
-                call.request_id, request, call.pinned, call.deadline_at
+                call.request_id,
+                request,
+                call.pinned,
+                call.deadline_at,
+                call.has_left,
             )
             permit.is_load_sample = is_load_sample(result.answer.coverage)
             permit.waited_s = result.waited_s
--- a/sesameplank/exceptions.py
+++ b/sesameplank/exceptions.py
@@ -60,6 +60,10 @@
     """An answer goes on beyond the greatest size, and may never end."""
 
 
+class CallerLeftError(SesameplankError):
+    """The caller has closed its connection, so its request needs no answer."""
+
+
 class CallError(SesameplankError):
     """A call of the client library was refused or its outcome is unknown.
 
--- a/sesameplank/queries.py
+++ b/sesameplank/queries.py
@@ -30,6 +30,7 @@
 from .core.search.plan import Plan
 from .core.search.query import QueryState
 from .core.search.snapshots import HeldSnapshots, SnapshotTracker
+from .exceptions import CallerLeftError
 from .ids import AttemptId, RequestId, TargetId
 from .planning import GetNewestConfiguration, QueryPlanner
 from .targets import Dispatcher
@@ -38,6 +39,7 @@
 RETURN_MARGIN_S = 0.002  # time to return the answer before the deadline
 PROBE_TIMEOUT_S = 1.0
 CANCEL_TIMEOUT_S = 0.1
+CALLER_CHECK_INTERVAL_S = 0.1
 
 
 class QueryResult(msgspec.Struct, frozen=True):
@@ -84,15 +86,19 @@
         request: SearchRequest,
         pinned: AcceptedConfiguration,
         deadline_at: float,
+        has_caller_left: Callable[[], bool] = lambda: False,
     ) -> QueryResult:
         """Return the answer with the highest coverage found before the deadline.
 
         An answer comes from a single snapshot. The configuration stays pinned
         unless targets report that its shard map is outdated and a newer
         configuration is in force. The query is then planned again.
-        `deadline_at` is in seconds of the process's clock.
+        `deadline_at` is in seconds of the process's clock. Raises CallerLeftError if
+        `has_caller_left` returns True meanwhile, after which no call is sent.
         """
-        execution = QueryExecution(self, request_id, request, pinned, deadline_at)
+        execution = QueryExecution(
+            self, request_id, request, pinned, deadline_at, has_caller_left
+        )
         return execution.run()
 
 
@@ -106,7 +112,9 @@
         request: SearchRequest,
         pinned: AcceptedConfiguration,
         deadline_at: float,
+        has_caller_left: Callable[[], bool],
     ) -> None:
+        self.has_caller_left = has_caller_left
         self.runner = runner
         self.observer = runner.observer
         self.clock = runner.clock
@@ -190,9 +198,17 @@
     def wait(self, seconds: float) -> None:
         """Sleep for a time that the planner chose, and add it to `waited_s`."""
         started_at = self.clock.now()
-        self.runner.sleep(seconds)
+        wait_until = started_at + seconds
+        while (remaining_s := wait_until - self.clock.now()) > 0:
+            self.runner.sleep(min(remaining_s, CALLER_CHECK_INTERVAL_S))
+            self.check_caller()
         self.waited_s += self.clock.now() - started_at
 
+    def check_caller(self) -> None:
+        """Raise CallerLeftError if nobody waits for the answer any more."""
+        if self.has_caller_left():
+            raise CallerLeftError(f"the caller of {self.request_id} has left")
+
     def is_better(self, state: QueryState, best: QueryState) -> bool:
         """Return whether `state` covers at least as much as the earlier `best`."""
         return state.get_coverage().fraction >= best.get_coverage().fraction
@@ -213,8 +229,12 @@
             gevent.spawn(self.send_probe, plan, probe)
         try:
             while not state.is_done and not self.planner.has_better_plan(state):
+                self.check_caller()
                 if not self.step(plan, state, events, greenlets):
                     break
+        except CallerLeftError:
+            self.cancel_all(state, greenlets)
+            raise
         finally:
             gevent.killall(list(greenlets.values()), block=False)
         return state
@@ -228,7 +248,9 @@
         if now >= self.stop_at:
             return False
         timer = state.get_next_timer()
-        wake_at = self.stop_at if timer is None else min(self.stop_at, timer)
+        wake_at = min(self.stop_at, now + CALLER_CHECK_INTERVAL_S)
+        if timer is not None:
+            wake_at = min(wake_at, timer)
         try:
             attempt, outcome = events.get(timeout=max(0.0, wake_at - now))
         except Empty:
@@ -245,6 +267,13 @@
                 gevent.spawn(self.cancel, redundant, greenlet)
         return True
 
+    def cancel_all(self, state: QueryState, greenlets) -> None:
+        """Cancel the attempts that are in flight."""
+        for attempt in list(state.attempts.values()):
+            greenlet = greenlets.pop(attempt.id, None)
+            if greenlet is not None:
+                gevent.spawn(self.cancel, attempt, greenlet)
+
     def cancel(self, redundant: Attempt, greenlet: gevent.Greenlet) -> None:
         """Request that a target cancel a call, to free its slot and connection.
 
