--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -127,8 +127,7 @@
         that arrived in time are read even if the process is late.
         """
         while len(self.queue) >= MAX_PIPELINED and self.worker is not None:
-            self.worker.join(CLOSE_CHECK_INTERVAL_S)
-            if has_peer_closed(self.sock):
+            if not self.wait_for_worker():
                 return b""
         while True:
             self.sock.settimeout(self.get_timeout_s(reader, limits))
@@ -142,6 +141,15 @@
         self.close(CloseCause.CONNECTION_CLOSED)
         return b""
 
+    def wait_for_worker(self) -> bool:
+        """Wait until the queue is served; return False if the caller leaves first."""
+        worker = self.worker
+        while not worker.ready():
+            worker.join(CLOSE_CHECK_INTERVAL_S)
+            if has_peer_closed(self.sock):
+                return False
+        return True
+
     def get_timeout_s(
         self, reader: RequestReader, limits: RequestLimits
     ) -> float | None:
