--- a/sesameplank/standins/front_targets.py
+++ b/sesameplank/standins/front_targets.py
@@ -37,6 +37,8 @@
 LATE_S = 0.3
 RESTART_S = 0.6
 CRASH_DELAY_S = 0.02
+HEAD_END = b"\r\n\r\n"
+CUT_STEP_BYTES = 7
 # A `struct linger` with a timeout of 0: close() sends a TCP reset, not a FIN.
 LINGER_RESET = struct.pack("ii", 1, 0)
 
@@ -49,6 +51,9 @@
     SILENT          send no answer
     LATE            send the answer after LATE_S
     CUT             close the connection before the end of the answer
+    CUT_HEAD        close the connection in the answer's head, each time further on
+    CUT_HEAD_RESET  the same, but reset the connection
+    CUT_NEXT_HEAD   send the answer and part of another head, then close
     RESET           reset the connection instead of answering
     GARBAGE         send bytes that are not HTTP
     TWICE           send two answers at once
@@ -70,6 +75,9 @@
     SILENT = "silent"
     LATE = "late"
     CUT = "cut"
+    CUT_HEAD = "cut_head"
+    CUT_HEAD_RESET = "cut_head_reset"
+    CUT_NEXT_HEAD = "cut_next_head"
     RESET = "reset"
     GARBAGE = "garbage"
     TWICE = "twice"
@@ -85,6 +93,13 @@
     ENDLESS_BODY = "endless_body"
 
 
+CUT_HEAD_MODES = frozenset(
+    {
+        TargetFaultMode.CUT_HEAD,
+        TargetFaultMode.CUT_HEAD_RESET,
+        TargetFaultMode.CUT_NEXT_HEAD,
+    }
+)
 ENDLESS_BEGINNINGS = {
     TargetFaultMode.ENDLESS_HEAD: b"X: ",
     TargetFaultMode.ENDLESS_BODY: b"\r\n",
@@ -137,6 +152,7 @@
         self.stated_limit: bytes | None = None
         self.is_leaving = False
         self.retry_after: bytes | None = None
+        self.cut_at = 0
         self.arrived_at: list[float] = []
         self.arrived_ids: list[str] = []
         self.callers: list[str] = []
@@ -287,6 +303,8 @@
             sock.sendall(b"\x00\x01 no response\r\n\r\n")
         elif fault_mode in (TargetFaultMode.UNFRAMED, TargetFaultMode.UNFRAMED_RESET):
             return self.send_unframed(sock, request_id)
+        elif fault_mode in CUT_HEAD_MODES:
+            return self.send_cut_head(sock, answer)
         elif fault_mode in ENDLESS_BEGINNINGS:
             return self.send_endless(sock, request_id, ENDLESS_BEGINNINGS[fault_mode])
         elif fault_mode is TargetFaultMode.TWICE:
@@ -304,6 +322,22 @@
             sock.sendall(answer)
         return True
 
+    def send_cut_head(self, sock: gevent.socket.socket, answer: bytes) -> bool:
+        """Send a head in part, and end the connection; always return False.
+
+        Each head is cut CUT_STEP_BYTES behind the end of the one before.
+        """
+        if self.fault_mode is TargetFaultMode.CUT_NEXT_HEAD:
+            sock.sendall(answer)
+        head_bytes = answer.index(HEAD_END) + len(HEAD_END)
+        self.cut_at = self.cut_at % (head_bytes - 1) + 1
+        sock.sendall(answer[: self.cut_at])
+        self.cut_at += CUT_STEP_BYTES - 1
+        if self.fault_mode is TargetFaultMode.CUT_HEAD_RESET:
+            gevent.sleep(LATE_S / 10)
+            reset_socket(sock)
+        return False
+
     def send_extra(self, sock: gevent.socket.socket, data: bytes) -> None:
         """Send an answer again."""
         with contextlib.suppress(OSError):
--- a/sesameplank/standins/proxy.py
+++ b/sesameplank/standins/proxy.py
@@ -36,6 +36,7 @@
     are held back until the stall is removed. Reset rates are the probabilities,
     for each chunk, that the connection is reset before the chunk is forwarded.
     `reset_at_byte` resets a connection after that many request bytes.
+    `close_in_answer_at_byte` closes it after that many bytes of a chunk of an answer.
     """
 
     refuse: bool = False
@@ -45,6 +46,7 @@
     request_reset_rate: float = 0.0
     answer_reset_rate: float = 0.0
     reset_at_byte: int | None = None
+    close_in_answer_at_byte: int | None = None
 
 
 def reset_socket(sock) -> None:
@@ -84,6 +86,10 @@
                 if not self.apply_faults(direction, chunk, sink):
                     self.reset()
                     return
+                cut_at = self.proxy.get_faults(self.source).close_in_answer_at_byte
+                if direction is Direction.ANSWER and cut_at is not None:
+                    sink.sendall(chunk[:cut_at])
+                    break
                 sink.sendall(chunk)
             sink.shutdown(socket.SHUT_WR)
         except OSError:
--- a/tests/integration/test_bookings.py
+++ b/tests/integration/test_bookings.py
@@ -20,6 +20,7 @@
 LONG_DEADLINE_MS = 20_000
 SHORT_DEADLINE_MS = 500
 LOOK_UP_DEADLINE_MS = 5_000
+CUTS = (0, 5, 9, 15, 17, 40, 70)  # Bytes of an answer's head.
 REFUSE = Faults(refuse=True)
 RESET_REQUEST = Faults(reset_at_byte=60)
 LOSE_ANSWER = Faults(answer_reset_rate=1.0)
@@ -110,6 +111,16 @@
         self.check_ran_once(key)
         self.assertIs(BookingState.UNKNOWN, self.look_up(key, 1).state)
 
+    def test_outcome_stays_unknown_if_the_answer_ends_in_its_head(self):
+        for cut_at in CUTS:
+            key = self.make_key()
+            for target in self.get_replicas():
+                faults = Faults(close_in_answer_at_byte=cut_at)
+                self.tier.target_proxies[target].set_faults(faults)
+            error = self.assert_booking_fails(key, [cut_at % ENTRIES])
+            self.tier.heal()
+            self.assertEqual(("unknown", 1), (error.ran, self.get_runs(key)), cut_at)
+
     def test_answer_after_the_deadline_is_returned_to_a_later_attempt(self):
         key = self.make_key()
         for target in self.get_replicas():
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -3,6 +3,7 @@
 import time
 
 import testtools
+from gevent.server import StreamServer
 
 from sesameplank.core.published.document_version import DocumentVersion
 from sesameplank.exceptions import PlatformError
@@ -39,6 +40,39 @@
             self.assertEqual(era, self.read_era(value), value)
 
 
+class CutAnswerTests(testtools.TestCase):
+    """An answer that ends before it is whole fails the call, wherever it ends."""
+
+    ANSWER = (
+        b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nStore-Era: 1\r\n"
+        b'Content-Length: 42\r\n\r\n{"items":[],"has_more":false,"as_of":1000}'
+    )
+
+    def setUp(self):
+        super().setUp()
+        block = self.enterContext(reserve_block())
+        self.address = Address(f"{block}.200.1", 8102)
+        self.data = b""
+        server = StreamServer(tuple(self.address), self.handle)
+        server.start()
+        self.addCleanup(server.stop, 0)
+        self.client = StoreClient(self.address, f"{block}.1.1")
+        self.addCleanup(self.client.close)
+
+    def handle(self, sock, source) -> None:
+        """Send the prepared bytes to each call, and end the connection."""
+        sock.recv(65_536)
+        sock.sendall(self.data)
+        sock.close()
+
+    def test_cut_answers(self):
+        for length in range(len(self.ANSWER)):
+            self.data = self.ANSWER[:length]
+            self.assertRaises(PlatformError, self.client.read_page, "")
+        self.data = self.ANSWER
+        self.assertEqual(1000, self.client.read_page("").as_of)
+
+
 class SourceTests(testtools.TestCase):
     """Reads and watches of a store that is restored from a copy."""
 
