Targets: a connection that has carried a refusal carries no retry of that request

Cause: an answer is matched by the request's id, which the retry of a refused call shares, often on the same connection. A second copy of the refusal, arriving there late, was taken for the answer to the retry, while the target ran it.

Change: a connection remembers the requests of which it has carried a refusal (32 at most; one that has forgotten any carries no retries). Such a request gets another connection, or a new one in its place. On the own interface each call of a booking has an id of its own. To tell copies apart by time was ruled out: a retry may come at any time.

--- a/sesameplank/bookings/runner.py
+++ b/sesameplank/bookings/runner.py
@@ -1,5 +1,7 @@
 """Runs a booking on one of the targets that own its record."""
 
+import itertools
+
 import gevent
 
 from ..callers.app import CallerContext
@@ -16,7 +18,7 @@
     TargetBookingStatus,
 )
 from ..core.search.ranges import get_position
-from ..ids import IdempotencyKey, TargetId
+from ..ids import IdempotencyKey, RequestId, TargetId
 from ..targets import Dispatcher
 from .refusals import make_outcome_unknown
 
@@ -40,6 +42,7 @@
         self.dispatcher = dispatcher
         self.store = store
         self.clock = clock
+        self.call_numbers = itertools.count(1)
 
     def run(
         self, call: CallerContext, key: IdempotencyKey, request: BookingRequest
@@ -103,11 +106,12 @@
         """Send the booking to one target, and return its answer or a Failure.
 
         Wait for the answer up to `LATE_ANSWER_GRACE_S` beyond the deadline, because a
-        late answer still determines the state of the key.
+        late answer still determines the state of the key. Each call has an id of its
+        own, so that a second copy of a refusal is no answer to the next call.
         """
         stop_at = call.deadline_at - RETURN_MARGIN_S
         message = TargetBooking(
-            request_id=call.request_id,
+            request_id=RequestId(f"{call.request_id}.{next(self.call_numbers)}"),
             idempotency_key=key,
             collection=request.collection,
             record=request.record,
--- a/sesameplank/forwarding/dialect.py
+++ b/sesameplank/forwarding/dialect.py
@@ -38,7 +38,7 @@
     response does not contain it. `limit` is what it says of the target's rate limit,
     None if it comes from another target. `is_leaving` says that the target leaves, and
     `pause_s` for how many seconds it wants no requests from this process, None if it
-    does not say so.
+    does not say so. `not_run` says that the target did not run the request.
     """
 
     request_id: RequestId | None
@@ -46,6 +46,7 @@
     limit: LimitStatement | None = None
     is_leaving: bool = False
     pause_s: float | None = None
+    not_run: bool = False
 
 
 class TargetAnswer(msgspec.Struct, frozen=True):
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -228,6 +228,7 @@
                 self.on_done,
                 is_idempotent=self.route.idempotent,
                 is_head=self.is_head,
+                may_be_repeated=call.kind is CallKind.RETRY,
             )
             self.exchanges[call.id] = exchange
             pool.submit(exchange)
--- a/sesameplank/forwarding/target_connections.py
+++ b/sesameplank/forwarding/target_connections.py
@@ -17,6 +17,7 @@
 from ..core.common.outcomes import Failure, FailureReason, Ran
 from ..core.forwarding.fanout_calls import Call
 from ..core.quarantine.sent_request import SentRequest
+from ..ids import RequestId
 from .http_messages import Response, ResponseReader
 
 if TYPE_CHECKING:
@@ -28,6 +29,7 @@
 MAX_BODY_BYTES = 8 * 1024 * 1024
 MAX_MISMATCHED_RESPONSES = 4
 ABANDONED_CALL_GRACE_S = 0.25
+MAX_REFUSED_IDS = 32
 DEFAULT_IDLE_TIMEOUT_S = 20.0
 IDLE_TIMEOUT_MARGIN_S = 0.5
 
@@ -39,7 +41,8 @@
 
     `encode` is called when a connection is free for the call, and `on_transmit`
     right before the first bytes are written. `on_done` gets the outcome, once; it is
-    None afterwards, and also if the call was cancelled.
+    None afterwards, and also if the call was cancelled. `may_be_repeated` says that the
+    target may have got a call of the same request before.
     """
 
     def __init__(
@@ -52,8 +55,10 @@
         *,
         is_idempotent: bool,
         is_head: bool = False,
+        may_be_repeated: bool = True,
     ) -> None:
         self.call = call
+        self.may_be_repeated = may_be_repeated
         self.request = request
         self.encode = encode
         self.on_transmit = on_transmit
@@ -86,6 +91,11 @@
 class TargetConnection:
     """One connection to one target.
 
+    A second copy of a refusal may arrive where the answer to the next call is due. If
+    that is a call of the same request, the copy says that it has not run, while it
+    does. So no connection carries a request of which it has carried a refusal:
+    `refused_ids` holds the ids of such requests, the latest MAX_REFUSED_IDS of them.
+
     It is read in a callback of the event loop instead of a greenlet, because a
     fan-out over many shards would spend most of its time on switching between
     greenlets. Nothing that the callback calls may block.
@@ -97,6 +107,8 @@
         self.reader = ResponseReader(MAX_HEADER_BYTES, MAX_BODY_BYTES)
         self.exchange: Exchange | None = None
         self.mismatched = 0
+        self.refused_ids: dict[RequestId, None] = {}
+        self.has_forgotten_refusals = False
         self.served = 0
         self.idle_since = pool.clock.now()
         self.sent_at = self.idle_since
@@ -107,6 +119,19 @@
         self.read_watcher = gevent.get_hub().loop.io(sock.fileno(), READ_EVENT)
         self.read_watcher.start(self.on_readable)
 
+    def may_carry(self, exchange: Exchange) -> bool:
+        """Return whether no refusal of the same request may still arrive here."""
+        if exchange.request.request_id in self.refused_ids:
+            return False
+        return not (self.has_forgotten_refusals and exchange.may_be_repeated)
+
+    def note_refused(self, request_id: RequestId) -> None:
+        """Record that a refusal of a request has arrived."""
+        self.refused_ids[request_id] = None
+        if len(self.refused_ids) > MAX_REFUSED_IDS:
+            del self.refused_ids[next(iter(self.refused_ids))]
+            self.has_forgotten_refusals = True
+
     def send(self, exchange: Exchange) -> None:
         """Send a call; its outcome is reported when the connection is read."""
         self.exchange = exchange
@@ -189,6 +214,8 @@
             return
         self.exchange = None
         self.served += 1
+        if metadata.not_run:
+            self.note_refused(exchange.request.request_id)
         self.pool.note_limit(metadata.limit, self.sent_at)
         self.pool.note_statements(metadata)
         if metadata.idle_timeout_s is not None:
--- a/sesameplank/forwarding/target_pools.py
+++ b/sesameplank/forwarding/target_pools.py
@@ -130,21 +130,25 @@
 
         Close those that have been idle for too long. A call that is not idempotent
         has a shorter limit, and leaves the connections that exceed it open for
-        other calls unless the pool is full.
+        other calls unless the pool is full. If no connection may carry the call and the
+        pool is full, close one.
         """
         idle_limit_s = (
             DEFAULT_IDLE_TIMEOUT_S
             if exchange.is_idempotent
             else NON_IDEMPOTENT_MAX_IDLE_S
         )
-        while self.idle:
-            connection = self.idle[-1]
+        for connection in reversed(list(self.idle)):
             if connection.is_fresh(idle_limit_s):
-                return self.idle.pop()
-            if exchange.is_idempotent or self.size >= self.limit:
+                if connection.may_carry(exchange):
+                    self.idle.remove(connection)
+                    return connection
+            elif exchange.is_idempotent or self.size >= self.limit:
                 connection.close(FailureReason.CANCELLED, "idle for too long")
             else:
                 return None
+        if self.idle and self.size >= self.limit:
+            self.idle[0].close(FailureReason.CANCELLED, "a new one is needed")
         return None
 
     def start_dial(self) -> None:
@@ -252,12 +256,34 @@
         return plain
 
     def put_back(self, connection: TargetConnection) -> None:
-        """Use a free connection for the next waiting call, or mark it as idle."""
-        while self.waiting:
-            exchange = self.waiting.popleft()
-            if exchange.on_done is not None and self.transmit(connection, exchange):
+        """Use a free connection for the next waiting call, or mark it as idle.
+
+        Calls that it must not carry wait for a new one, which replaces it if the pool
+        is full.
+        """
+        while (exchange := self.pop_waiting(connection)) is not None:
+            if self.transmit(connection, exchange):
                 return
         self.idle.append(connection)
+        if len(self.waiting) <= self.dialling:
+            return
+        if self.size < self.limit:
+            self.start_dial()
+        else:
+            connection.close(FailureReason.CANCELLED, "a new one is needed")
+
+    def pop_waiting(self, connection: TargetConnection) -> Exchange | None:
+        """Remove and return the next waiting call that a connection may carry.
+
+        Also remove the calls before it that have been cancelled.
+        """
+        for exchange in list(self.waiting):
+            if exchange.on_done is None:
+                self.waiting.remove(exchange)
+            elif connection.may_carry(exchange):
+                self.waiting.remove(exchange)
+                return exchange
+        return None
 
     def note_limit(self, statement: LimitStatement | None, sent_at: float) -> None:
         """Record what the answer to a call sent at `sent_at` says of the rate limit."""
--- a/sesameplank/platform/headers.py
+++ b/sesameplank/platform/headers.py
@@ -75,6 +75,7 @@
             read_limit(response),
             is_leaving=is_leaving(response),
             pause_s=read_pause_s(response),
+            not_run=is_not_run(response),
         )
 
     def read_answer(self, response: Response) -> TargetAnswer:
@@ -84,7 +85,7 @@
         answered_by = response.get(ANSWERING_TARGET.lower())
         return TargetAnswer(
             status=response.status,
-            not_run=is_misdirected or response.get(NOT_RUN.lower()) is not None,
+            not_run=is_not_run(response),
             is_other_target=is_misdirected,
             signature=response.get(SIGNATURE.lower()),
             is_usable=encoding in (None, "identity"),
@@ -151,6 +152,12 @@
     return LoadReport(fields[0], fields[1], fields[2], slowdown)
 
 
+def is_not_run(response: Response) -> bool:
+    """Return whether a response says that no target ran the request."""
+    is_misdirected = response.status == MISDIRECTED
+    return is_misdirected or response.get(NOT_RUN.lower()) is not None
+
+
 def is_leaving(response: Response) -> bool:
     """Return whether a response says that its target leaves, not that another does."""
     if response.status == MISDIRECTED:
--- a/sesameplank/standins/front_targets.py
+++ b/sesameplank/standins/front_targets.py
@@ -35,6 +35,7 @@
 READ_BYTES = 65_536
 MAX_BYTES = 1_048_576
 LATE_S = 0.3
+COPY_DELAY_S = 1.0
 RESTART_S = 0.6
 CRASH_DELAY_S = 0.02
 HEAD_END = b"\r\n\r\n"
@@ -47,6 +48,7 @@
     """The fault that a target injects into each request.
 
     SHED            refuse the request without executing it
+    SHED_ONCE       refuse the first call of each request, again after COPY_DELAY_S
     FAIL            answer with status 500
     SILENT          send no answer
     LATE            send the answer after LATE_S
@@ -71,6 +73,7 @@
 
     NONE = "none"
     SHED = "shed"
+    SHED_ONCE = "shed_once"
     FAIL = "fail"
     SILENT = "silent"
     LATE = "late"
@@ -255,14 +258,16 @@
             ]
             sock.sendall(self.encode(MISDIRECTED, headers, b""))
             return True
-        if self.fault_mode is TargetFaultMode.SHED:
-            request_id = request.get(REQUEST_ID.lower()) or ""
+        request_id = request.get(REQUEST_ID.lower()) or ""
+        if self.is_shed(request_id):
             headers = [(NOT_RUN, b"1"), (REQUEST_ID, request_id.encode())]
             if self.retry_after is not None:
                 headers.append((RETRY_AFTER, self.retry_after))
-            sock.sendall(self.encode(503, headers, b""))
+            refusal = self.encode(503, headers, b"")
+            sock.sendall(refusal)
+            if self.fault_mode is TargetFaultMode.SHED_ONCE:
+                gevent.spawn_later(COPY_DELAY_S, self.send_extra, sock, refusal)
             return True
-        request_id = request.get(REQUEST_ID.lower()) or ""
         if bytes(request.target) in self.crashing_paths:
             self.crashing_arrivals.append(time.monotonic())
             gevent.sleep(CRASH_DELAY_S)
@@ -276,6 +281,12 @@
             return True
         return self.send(sock, request_id)
 
+    def is_shed(self, request_id: str) -> bool:
+        """Return whether to refuse a call that has just arrived."""
+        if self.fault_mode is TargetFaultMode.SHED_ONCE:
+            return self.arrived_ids.count(request_id) == 1
+        return self.fault_mode is TargetFaultMode.SHED
+
     def send(self, sock: gevent.socket.socket, request_id: str) -> bool:
         """Send the answer of an executed request, with the fault in force.
 
--- /dev/null
+++ b/tests/bookings/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of `sesameplank.bookings`."""
--- a/tests/integration/test_forwarding.py
+++ b/tests/integration/test_forwarding.py
@@ -4,7 +4,7 @@
 import gevent.pool
 
 from sesameplank.core.forwarding.record_merge import merge_parts
-from sesameplank.standins.front_targets import TargetFaultMode
+from sesameplank.standins.front_targets import COPY_DELAY_S, TargetFaultMode
 
 from .front_world import (
     SHARD_SERVICES,
@@ -224,6 +224,28 @@
                     stamp, {f"{item}.{request_id}" for item in SINGLE_TARGETS}
                 )
 
+    def test_second_copy_of_a_refusal_is_no_answer_to_the_next_call(self):
+        # Such a copy once made an unsafe request run twice, or refused what had run.
+        services = make_config(5)["services"]
+        services[-1]["max_conns"] = 1
+        limits = {"timeout_ms": 6_000, "goal_ms": 6_000}
+        routes = [{**item, **limits} for item in make_config(5)["routes"]]
+        self.store.put_config(make_config(5, services=services, routes=routes))
+        self.wait_for_state(0, lambda state: state["gauges"]["config_version"] == 5)
+        self.set_fault(TargetFaultMode.SHED_ONCE, SINGLE_TARGETS)
+        for name in SINGLE_TARGETS:
+            self.targets[name].delay_s = 1.5 * COPY_DELAY_S
+        for number in range(4):
+            path, method = (("/book/x", "POST"), ("/one/x", "GET"))[number % 2]
+            request_id = f"copied{number}"
+            data = make_request(path, request_id, 6_000, method)
+            status = self.request(data).status
+            runs = sum(
+                self.targets[name].executed_ids.count(request_id)
+                for name in SINGLE_TARGETS
+            )
+            self.assertEqual((200, 1), (status, runs), request_id)
+
     def test_one_shard_without_targets_is_missing_and_two_fail_the_gather(self):
         for name in ("shard0a", "shard0b"):
             self.store.remove_target(name)
