Callers' connections: the limits in force hold on kept connections

Cause: a connection read the limits once, when it was accepted. Seen beside it: a read that began while a request was in flight had no timeout, so a connection that had carried one was never closed for being idle.

Change: the limits are read with each read, and a request that is arriving keeps the higher ones. A timeout is compared with the one in force, and counts from the last answer.

--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -14,7 +14,6 @@
 import gevent
 import gevent.socket
 
-from ..core.published.routes import RequestLimits
 from ..logs import log_event
 from ..net import (
     count_unacknowledged_bytes,
@@ -36,6 +35,7 @@
 LINGER_TIMEOUT_S = 2.0
 MAX_LINGERING = 256  # Connections of one server, to leave descriptors for others.
 MIN_WAIT_S = 0.02
+MIN_READ_TIMEOUT_S = 0.01
 FIRST_REQUEST_TIMEOUT_S = 0.2  # Callers connect when they have a request to send.
 MAX_PIPELINED = 8
 CLOSE_CHECK_INTERVAL_S = 0.1
@@ -65,6 +65,7 @@
         self.is_finishing = False
         self.linger_timer: gevent.Greenlet | None = None
         self.finished_at = 0.0
+        self.answered_at = self.accepted_at
         self.discarded_bytes = 0
         self.served = 0
         self.round_trip_s = 0.0
@@ -91,18 +92,23 @@
         reader = RequestReader(limits.max_header_bytes, limits.max_body_bytes)
         self.reader = reader
         try:
-            self.read_requests(reader, limits)
+            self.read_requests(reader)
             self.discard_rest()
         except OSError:
             pass  # A reset is handled like an orderly close by the caller.
         finally:
             self.disconnect()
 
-    def read_requests(self, reader: RequestReader, limits: RequestLimits) -> None:
-        """Read requests until the caller closes or this process ends the connection."""
+    def read_requests(self, reader: RequestReader) -> None:
+        """Read requests until the caller closes or this process ends the connection.
+
+        The limits in force may change meanwhile.
+        """
         try:
             while self.is_open and not self.is_finishing:
-                data = self.receive(reader, limits)
+                data = self.receive(reader)
+                limits = self.server.get_limits()
+                reader.set_limits(limits.max_header_bytes, limits.max_body_bytes)
                 if not data:
                     self.disconnect()
                 elif self.is_end_announced:
@@ -118,23 +124,28 @@
         while self.is_open and (data := self.sock.recv(READ_BYTES)):
             self.discarded_bytes += len(data)
 
-    def receive(self, reader: RequestReader, limits: RequestLimits) -> bytes:
+    def receive(self, reader: RequestReader) -> bytes:
         """Return the next bytes, or b"" at the end of the stream or idle timeout.
 
         Wait while the queue of pipelined requests is full; a caller that leaves
         meanwhile ends the stream, although bytes are unread. Raise MessageError if a
         request has arrived only in part and no bytes follow within the timeout. Bytes
-        that arrived in time are read even if the process is late.
+        that arrived in time are read even if the process is late. The timeouts in force
+        may change while this waits.
         """
         while len(self.queue) >= MAX_PIPELINED and self.worker is not None:
             if not self.wait_for_worker():
                 return b""
+        waiting_since = self.server.now()
         while True:
-            self.sock.settimeout(self.get_timeout_s(reader, limits))
+            self.sock.settimeout(
+                max(MIN_WAIT_S, self.get_rest_s(reader, waiting_since))
+            )
             try:
                 return self.sock.recv(READ_BYTES)
             except TimeoutError:
-                if not self.in_flight and not count_unread_bytes(self.sock):
+                is_over = self.get_rest_s(reader, waiting_since) <= 0.0
+                if is_over and not count_unread_bytes(self.sock):
                     break
         if reader.in_message:
             raise MessageError("the request took too long; send it at once", 408)
@@ -150,13 +161,19 @@
                 return False
         return True
 
-    def get_timeout_s(
-        self, reader: RequestReader, limits: RequestLimits
-    ) -> float | None:
-        """Return the timeout of the next read in seconds, or None to wait forever."""
-        if reader.in_message:
-            return limits.header_timeout_s
-        return None if self.in_flight else limits.idle_timeout_s
+    def get_rest_s(self, reader: RequestReader, waiting_since: float) -> float:
+        """Return how long to wait for further bytes, in seconds.
+
+        Without a request in flight, the time counts from its last answer.
+        """
+        limits = self.server.get_limits()
+        timeout_s = (
+            limits.header_timeout_s if reader.in_message else limits.idle_timeout_s
+        )
+        if self.in_flight:
+            return timeout_s
+        since = max(waiting_since, self.answered_at)
+        return since + timeout_s - self.server.now()
 
     def process_data(self, reader: RequestReader, data: bytes) -> None:
         """Feed bytes to the parser and start serving the complete requests."""
@@ -216,6 +233,7 @@
                 self.is_end_announced = self.is_last(pending.request, reply)
                 self.answer(pending, reply, self.is_end_announced)
                 self.last = None
+                self.answered_at = self.server.now()
                 if self.is_end_announced:
                     self.finish()
         finally:
--- a/sesameplank/forwarding/http_messages.py
+++ b/sesameplank/forwarding/http_messages.py
@@ -128,6 +128,14 @@
         self.in_message = False
         self.has_length = False
 
+    def set_limits(self, max_header_bytes: int, max_body_bytes: int) -> None:
+        """Set the limits; a message that is being read keeps the higher ones."""
+        if self.in_message:
+            max_header_bytes = max(max_header_bytes, self.max_header_bytes)
+            max_body_bytes = max(max_body_bytes, self.max_body_bytes)
+        self.max_header_bytes = max_header_bytes
+        self.max_body_bytes = max_body_bytes
+
     def parse(self, parser, data: bytes) -> None:
         """Parse bytes; raise MessageError after too many without progress."""
         self.has_progressed = False
--- a/tests/integration/test_forwarding.py
+++ b/tests/integration/test_forwarding.py
@@ -305,6 +305,50 @@
             lambda: self.request(make_request("/one/x")).status == 200, "version 9"
         )
 
+    def put_limits(self, version: int, **limits) -> None:
+        """Publish a version with other limits, and wait until it is in force."""
+        config = make_config(version)
+        config["limits"].update(limits)
+        self.store.put_config(config)
+        self.wait_for_state(
+            0, lambda state: state["gauges"]["config_version"] == version
+        )
+
+    def test_changed_limits_hold_on_kept_connections(self):
+        # Such a connection once kept the limits of the time at which it was accepted.
+        with RawConnection(self.fronts[0].caller_address) as client:
+            small, large = b"x" * 15_000, b"x" * 30_000
+            steps = ((5, 20_000, small), (7, 40_000, large), (9, 20_000, small))
+            for version, max_body_bytes, body in steps:
+                self.put_limits(version, max_body_bytes=max_body_bytes)
+                data = make_request("/book/x", f"b{version}", 2500, "POST", body)
+                self.assertEqual(200, client.request(data).status, version)
+            self.put_limits(11, max_header_bytes=16_000)
+            extra = f"X-Long: {'y' * 9_000}\r\n"
+            data = make_request("/one/x", "h11", extra=extra)
+            self.assertEqual(200, client.request(data).status)
+            data = make_request("/book/x", "b11", 2500, "POST", large)
+            self.assertEqual(413, client.request(data).status)
+
+    def test_request_that_arrives_during_a_change_keeps_the_higher_limit(self):
+        with RawConnection(self.fronts[0].caller_address) as client:
+            data = make_request("/book/x", "split", 2500, "POST", b"x" * 15_000)
+            client.sock.sendall(data[:5_000])
+            gevent.sleep(0.1)
+            self.put_limits(5, max_body_bytes=10_000)
+            self.assertEqual(200, client.request(data[5_000:]).status)
+
+    def test_kept_connection_is_closed_after_the_idle_timeout_in_force(self):
+        # After its first request, a connection once had no idle timeout.
+        with RawConnection(self.fronts[0].caller_address) as client:
+            self.assertEqual(200, client.request(make_request("/one/x")).status)
+            self.put_limits(5, idle_timeout_ms=1_500)
+            self.assertEqual(200, client.request(make_request("/one/x")).status)
+            gevent.sleep(1.0)
+            self.assertEqual(200, client.request(make_request("/one/x")).status)
+            client.sock.settimeout(3.0)
+            self.assertTrue(client.is_closed())
+
     def test_items_are_read_again_after_the_store_compacts_its_history(self):
         self.store.compact()
         self.store.remove_target("singlea")
