Leaving targets: a process learns from the answers that it passes on

A process that had lost its links, and the store, passed on an answer that said that the target leaves, and called that target 7 to 11 times over 3 s later, when it had its links back.

Cause: such statements were read only where the process has the connection to the target. The VM that made the call tells others, but left out those without links.

Change: a process reads the leave in each whole answer that another VM returns, and the notice goes to all VMs that serve.

--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -144,7 +144,7 @@
             self.links,
             clock,
             self.table,
-            self.get_other_active,
+            self.get_other_serving,
             lambda event: self.forwarder.count(event),
         )
         self.pools = TargetPools(
@@ -376,6 +376,11 @@
         members = self.membership.members
         return [members[member_id] for member_id in self.membership.get_serving()]
 
+    def get_other_serving(self) -> list[EntryId]:
+        """Return the ids of the other VMs that serve, also those without links."""
+        own = self.settings.vm
+        return [item for item in self.membership.get_serving() if item != own]
+
     def get_limits(self) -> RequestLimits:
         """Return the request limits of the configuration in force, or defaults."""
         routing = self.forwarder.routing
--- a/sesameplank/forwarding/request_batches.py
+++ b/sesameplank/forwarding/request_batches.py
@@ -133,6 +133,9 @@
         for name, value in item.headers:
             response.add(name, value)
         response.body += item.body
+        metadata = self.forwarder.dialect.read_response_metadata(response)
+        if metadata.is_leaving:
+            self.forwarder.availability.note_leaving(call.target)
         self.request.process_response(call, response)
 
     def process_failure(
--- a/sesameplank/forwarding/target_availability.py
+++ b/sesameplank/forwarding/target_availability.py
@@ -24,8 +24,8 @@
 class TargetAvailability:
     """What targets have said of their leaving and their pauses.
 
-    `get_others` returns the other VMs that callers are sent to, and `count` gets the
-    name of a counter.
+    `get_others` returns the other VMs that serve, also those that have lost their links
+    to targets, and `count` gets the name of a counter.
     """
 
     def __init__(
--- a/tests/integration/test_target_availability.py
+++ b/tests/integration/test_target_availability.py
@@ -4,13 +4,15 @@
 
 import gevent
 
-from sesameplank.standins.front_targets import TargetFaultMode
+from sesameplank.standins.front_store import StoreFaultMode
+from sesameplank.standins.front_targets import LinkFault, TargetFaultMode
 
 from .front_world import SHARD_SERVICES, FrontTestCase, make_request
 
 KINDS = (("/all/x", "GET"), ("/one/x", "GET"), ("/book/x", "POST"))
 SERVICES = (*SHARD_SERVICES, "single")
 REQUESTS = 30
+CUT_OFF = 1
 LAST_RESORT_S = 1.5
 PAUSE_S = 3.0
 ANSWER_TO_HOLD_S = 0.5
@@ -53,12 +55,51 @@
     def test_targets_that_say_that_they_leave_get_no_more_requests(self):
         for service in SERVICES:
             self.targets[f"{service}a"].is_leaving = True
-        self.send_all("before")
+        self.wait_for(self.is_each_leaving_target_called, "a call to each target")
         gevent.sleep(LAST_RESORT_S)
         before = self.count_arrivals("a")
         self.assertEqual({200}, set(self.send_all("after")))
         self.assertEqual(before, self.count_arrivals("a"))
 
+    def is_each_leaving_target_called(self) -> bool:
+        """Send requests, and return whether each target could say that it leaves."""
+        self.send_all("before")
+        return all(self.count_arrivals("a").values())
+
+    def test_process_without_links_learns_from_the_answer_that_it_passes_on(self):
+        for target in self.targets.values():
+            target.lose_link(self.fronts[CUT_OFF].host, LinkFault.HANG)
+        self.wait_for_lost(1)
+        host = self.fronts[CUT_OFF].host
+        for front in range(self.front_count):
+            self.wait_for_state(
+                front, lambda state: not state["members"][host]["reaches_targets"]
+            )
+        leaving = self.targets["singlea"]
+        leaving.is_leaving = True
+        self.store.fault_mode = StoreFaultMode.SILENT
+        self.wait_for(self.has_passed_on, "an answer of the leaving target")
+        for target in self.targets.values():
+            target.restore_link(self.fronts[CUT_OFF].host)
+        self.wait_for_lost(0)
+        gevent.sleep(LAST_RESORT_S)
+        before = len(leaving.arrived_at)
+        for number in range(REQUESTS):
+            data = make_request("/one/x", f"regained{number}")
+            self.assertEqual(200, self.request(data, CUT_OFF).status)
+        self.assertEqual(before, len(leaving.arrived_at))
+
+    def wait_for_lost(self, is_lost: int) -> None:
+        """Wait until a process knows whether it reaches targets."""
+        self.wait_for_state(
+            CUT_OFF, lambda state: state["gauges"]["targets_lost"] == is_lost
+        )
+
+    def has_passed_on(self) -> bool:
+        """Send a request through the others; return whether singlea has answered."""
+        answer = self.request(make_request("/one/x", "passed"), CUT_OFF)
+        return (answer.get(b"x-server-stamp") or "").startswith("singlea")
+
     def test_later_entry_of_the_same_incarnation_does_not_undo_it(self):
         self.targets["singlea"].is_leaving = True
         self.send_all("before")
