Targets: what the review had seen on the way

The parser's error counts as a corrupt response, and any error while a connection is read closes it, with a log line, instead of leaving it open and unread (UPGRADE in test_forwarding). - An address that can't be used ended the greenlet that connects, and the call waited until it was hedged or due. It fails at once as not run (test_target_pools); entries of the store are refused for it already, but processes of older releases may list such. - A gather that has enough parts at a deadline before the latency objective was answered 504 instead of with these parts (test_fanout). - Calls that waited for a connection were sent to a target that drains in the list alone; each is checked again when it is sent (test_target_table).

--- a/sesameplank/core/forwarding/fanout.py
+++ b/sesameplank/core/forwarding/fanout.py
@@ -139,7 +139,8 @@
             return Verdict.EXPIRED if self.ran_out_of_time else Verdict.HOPELESS
         if self.answered >= self.plan.required:
             settled = self.answered + self.abandoned == total
-            if settled or now >= self.plan.objective_at:
+            until = min(self.plan.objective_at, self.plan.deadline_at)
+            if settled or now >= until:
                 return Verdict.ANSWERED
         if now >= self.plan.deadline_at:
             return Verdict.EXPIRED
--- a/sesameplank/core/published/target_table.py
+++ b/sesameplank/core/published/target_table.py
@@ -306,9 +306,8 @@
 
     def may_call(self, record: TargetRecord, now: float) -> bool:
         """Return whether a target may get calls, if only as a last resort."""
-        return (
-            not self.has_announced(record) or self.use_until.get(record.id, 0.0) > now
-        )
+        is_ready = self.find_ready(record.id) is not None
+        return is_ready or self.use_until.get(record.id, 0.0) > now
 
     def expire(self, now: float) -> None:
         """End the holds and the grace periods of last-resort targets that are over."""
--- a/sesameplank/forwarding/http_messages.py
+++ b/sesameplank/forwarding/http_messages.py
@@ -253,7 +253,11 @@
         """Parse bytes; set `is_corrupt` if they are malformed or too large."""
         try:
             self.parse(self.parser, data)
-        except (httptools.HttpParserError, MessageError):
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+            MessageError,
+        ):
             self.is_corrupt = True
 
     def finish(self) -> None:
--- a/sesameplank/forwarding/target_availability.py
+++ b/sesameplank/forwarding/target_availability.py
@@ -50,7 +50,7 @@
         now = self.clock.now()
         if self.pauses.get_remaining_s(record, now):
             return False
-        return not self.table.announced or self.table.may_call(record, now)
+        return self.table.may_call(record, now)
 
     def get_wait_s(self, records: Sequence[TargetRecord]) -> float:
         """Return the time until one of the targets may be called, 0 without any."""
--- a/sesameplank/forwarding/target_connections.py
+++ b/sesameplank/forwarding/target_connections.py
@@ -18,6 +18,7 @@
 from ..core.forwarding.fanout_calls import Call
 from ..core.quarantine.sent_request import SentRequest
 from ..ids import RequestId
+from ..logs import log_event
 from .http_messages import Response, ResponseReader
 
 if TYPE_CHECKING:
@@ -164,6 +165,20 @@
         self.sender = None
 
     def on_readable(self) -> None:
+        """Read the bytes that have arrived, and close after an unexpected error.
+
+        The event loop would not call this again after one, and the call in progress
+        would wait until its deadline.
+        """
+        try:
+            self.read()
+        except Exception as error:
+            log_event(
+                "target_read_failed", target=self.pool.record.id, error=repr(error)
+            )
+            self.close(FailureReason.BAD_ANSWER, "an answer that cannot be processed")
+
+    def read(self) -> None:
         """Read the bytes that have arrived, without blocking."""
         try:
             data = self.sock.recv(READ_BYTES)
--- a/sesameplank/forwarding/target_pools.py
+++ b/sesameplank/forwarding/target_pools.py
@@ -177,7 +177,7 @@
         """Open a connection; if that fails, fail the call that waited longest."""
         try:
             sock = self.connect()
-        except OSError as error:
+        except Exception as error:  # Peers may list an address that can't be used.
             self.dialling -= 1
             if isinstance(error, ConnectionRefusedError):
                 self.note_refused()
@@ -223,7 +223,7 @@
         except ConnectionRefusedError:
             has_ended = True
             self.note_refused()
-        except OSError:
+        except Exception:  # The calls fail all the same, with the reason known.
             self.reach.note_suspicion()
         self.dialling -= 1
         broken, self.broken = self.broken, []
--- a/sesameplank/reach_probes.py
+++ b/sesameplank/reach_probes.py
@@ -88,7 +88,7 @@
             )
         except ConnectionRefusedError:
             return ProbeOutcome.REFUSED
-        except OSError:  # `report` logs a round without success.
+        except (OSError, ValueError):  # `report` logs a round without success.
             return ProbeOutcome.FAILED
         with sock:
             return ProbeOutcome.FAILED if is_reset(sock) else ProbeOutcome.REACHED
--- a/sesameplank/standins/front_targets.py
+++ b/sesameplank/standins/front_targets.py
@@ -38,6 +38,9 @@
 COPY_DELAY_S = 1.0
 RESTART_S = 0.6
 CRASH_DELAY_S = 0.02
+UPGRADE_RESPONSE = (
+    b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n"
+)
 HEAD_END = b"\r\n\r\n"
 CUT_STEP_BYTES = 7
 # A `struct linger` with a timeout of 0: close() sends a TCP reset, not a FIN.
@@ -58,6 +61,7 @@
     CUT_NEXT_HEAD   send the answer and part of another head, then close
     RESET           reset the connection instead of answering
     GARBAGE         send bytes that are not HTTP
+    UPGRADE         answer that the connection speaks another protocol from now on
     TWICE           send two answers at once
     UNFRAMED        end the body by closing the connection
     UNFRAMED_RESET  end the body by resetting the connection
@@ -83,6 +87,7 @@
     CUT_NEXT_HEAD = "cut_next_head"
     RESET = "reset"
     GARBAGE = "garbage"
+    UPGRADE = "upgrade"
     TWICE = "twice"
     UNFRAMED = "unframed"
     UNFRAMED_RESET = "unframed_reset"
@@ -312,6 +317,8 @@
             return False
         elif fault_mode is TargetFaultMode.GARBAGE:
             sock.sendall(b"\x00\x01 no response\r\n\r\n")
+        elif fault_mode is TargetFaultMode.UPGRADE:
+            sock.sendall(UPGRADE_RESPONSE)
         elif fault_mode in (TargetFaultMode.UNFRAMED, TargetFaultMode.UNFRAMED_RESET):
             return self.send_unframed(sock, request_id)
         elif fault_mode in CUT_HEAD_MODES:
--- a/tests/core/forwarding/test_fanout.py
+++ b/tests/core/forwarding/test_fanout.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import testtools
 
 from sesameplank.core.common.outcomes import Ran
@@ -98,6 +99,15 @@
         self.assertIs(Verdict.OPEN, self.fanout.get_verdict(100.04))
         self.assertIs(Verdict.ANSWERED, self.fanout.get_verdict(100.05))
 
+    def test_enough_parts_at_a_deadline_before_the_objective_are_answered(self):
+        calls = self.start()
+        for call in calls[:2]:
+            self.fanout.on_answer(call, 100.01)
+        early = msgspec.structs.replace(self.fanout.plan, deadline_at=100.05)
+        self.fanout.plan = early
+        self.assertIs(Verdict.OPEN, self.fanout.get_verdict(100.04))
+        self.assertIs(Verdict.ANSWERED, self.fanout.get_verdict(100.05))
+
     def test_request_cut_short_without_enough_parts_expires(self):
         calls = self.start()
         self.fanout.on_answer(calls[0], 100.01)
--- a/tests/core/published/test_target_table.py
+++ b/tests/core/published/test_target_table.py
@@ -205,6 +205,13 @@
             self.assertEqual([record] if may_call else [], last_resort)
             self.assertEqual(may_call, self.table.may_call(record, now))
 
+    def test_target_that_drains_in_the_list_alone_gets_no_call_that_has_waited(self):
+        ready = self.table.records["a"]
+        self.put(make_started("a", self.table.revision + 1, TargetPhase.DRAINING))
+        for now, may_call in ((10.5, True), (10.0 + REMOVAL_GRACE_S, False)):
+            self.assertEqual(may_call, self.table.may_call(ready, now))
+        self.assertTrue(self.table.may_call(self.table.records["b"], 20.0))
+
     def test_it_is_news_once_and_only_of_the_incarnation_that_is_listed(self):
         for started_ms, is_news in ((2, False), (1, True), (1, False)):
             self.assertEqual(is_news, self.table.note_announced("a", started_ms, 10.0))
--- a/tests/integration/test_forwarding.py
+++ b/tests/integration/test_forwarding.py
@@ -143,6 +143,7 @@
         (TargetFaultMode.CUT, 504, 502, 504),
         (TargetFaultMode.RESET, 504, 502, 504),
         (TargetFaultMode.GARBAGE, 504, 502, 504),
+        (TargetFaultMode.UPGRADE, 504, 502, 504),
         (TargetFaultMode.UNFRAMED_RESET, 504, 502, 504),
         (TargetFaultMode.ENCODED, 504, 502, 504),
         (TargetFaultMode.UNSIGNED, 504, 502, 504),
