Split the forwarding process, its requests and the fan-out into smaller modules

No behaviour changes. Eight test classes waited for the members of a fleet in the same lines; FrontTestCase.wait_for_members does now.

--- a/sesameplank/core/forwarding/fanout.py
+++ b/sesameplank/core/forwarding/fanout.py
@@ -14,19 +14,20 @@
 target answers it. The other shards are called then.
 """
 
-import bisect
-import math
 from collections.abc import Callable, Container, Sequence
-from enum import Enum
+from functools import cached_property
 
 import msgspec
 
 from ...ids import AttemptId, ServiceName, TargetId
 from ..common.outcomes import Ran
 from ..published.target_table import TargetRecord
+from .canaries import Canaries
 from .extra_load import ExtraLoadBudget
 from .fanout_calls import NEVER, Call, CallKind, FanoutPlan, ShardState
 from .placement import Placement
+from .sibling_latencies import SiblingLatencies
+from .verdicts import Verdict
 
 BUDGET_RECHECK_S = 0.03  # Delay before an exhausted budget is checked again.
 HEDGE_RESERVE = 0.25  # Share of the budget that hedges leave for retries.
@@ -34,8 +35,6 @@
 # Share of the budget left by retries that are not needed for an answer within the
 # latency objective.
 OPTIONAL_RETRY_RESERVE = 0.6
-# Least share of the shards that must have answered for a usable median.
-MIN_SIBLING_SHARE = 0.15
 # A noisy neighbour on the same VM makes work take up to 2.5 times as long.
 LATE_FACTOR = 2.6
 LATE_SLACK_S = 0.002
@@ -43,40 +42,14 @@
 HEDGE_DURATION_FACTOR = 1.6
 MIN_LATE_FACTOR = 1.3
 BATCH_LATE_FACTOR = 4.0  # Requests differ in work, so their usual latency says less.
-# A canary without an outcome for so many times the usual latency is no longer waited
-# for.
-CANARY_LATE_FACTOR = 4.0
-CANARY_RECHECK_S = 0.02
-CANARY_DELAY_S = 0.03  # After a crash, for its judgement.
-MIN_TARGETS_WITH_SPARE = 2
 
 FindTargets = Callable[[ServiceName], Sequence[TargetRecord]]
 
 
-class Verdict(Enum):
-    """The outcome of a request so far.
-
-    A request is hopeless if too few shards can still answer, and expired if there
-    is too little time left for an answer. CALLER_LEFT means that its caller has left,
-    and no call is in flight that has to be left to its target. It is quarantined if
-    it crashes the targets that run it, and withheld if it may, and too few of them are
-    left to find out.
-    """
-
-    OPEN = "open"
-    ANSWERED = "answered"
-    HOPELESS = "hopeless"
-    EXPIRED = "expired"
-    CALLER_LEFT = "caller_left"
-    QUARANTINED = "quarantined"
-    WITHHELD = "withheld"
-
-
 class Fanout:
     """The decisions on one request: which calls to send next and when it is finished.
 
-    `answered` and `abandoned` are numbers of shards. `sorted_latencies_s` holds the
-    latencies of the answered calls in ascending order. `is_suspect` says that a target
+    `answered` and `abandoned` are numbers of shards. `is_suspect` says that a target
     crashed under such a request, `needs_spare` that it must not reach the last replica
     of a shard, `is_withheld` that every shard has only one, and `is_quarantined` that
     no further call is to be sent. Nor is one after the caller has left
@@ -101,17 +74,14 @@
         self.may_have_run = False
         self.ran_out_of_time = False
         self.is_suspect = False
-        self.quiet_until = -math.inf
         self.needs_spare = False
         self.is_withheld = False
         self.is_quarantined = False
         self.has_caller_left = False
         self.transmitted_calls: set[AttemptId] = set()
-        self.sorted_latencies_s: list[float] = []
-        self.answered_calls: list[tuple[Call, float]] = []
+        self.latencies = SiblingLatencies(len(plan.shards))
         self.late_calls: list[Call] = []
         self.due_at = plan.deadline_at
-        self.min_siblings = max(1, math.ceil(MIN_SIBLING_SHARE * len(plan.shards)))
 
     def start(self, now: float) -> list[Call]:
         """Return the first call to every shard, or one call of a suspect request."""
@@ -225,23 +195,20 @@
         del self.open_shards[shard.service]
         self.answered += 1
         if self.is_suspect and self.answered == 1:
-            self.release_held_shards(now)
+            self.canaries.release(now)
         if self.answered == self.plan.required:
             self.due_at = min(self.due_at, self.plan.objective_at)
         if elapsed_s is None:
             elapsed_s = now - call.sent_at
-        self.answered_calls.append((call, elapsed_s))
-        bisect.insort(self.sorted_latencies_s, elapsed_s)
-        if len(self.shards) > 1 and self.answered % self.min_siblings == 0:
+        self.latencies.add(call, elapsed_s)
+        if len(self.shards) > 1 and self.answered % self.latencies.min_count == 0:
             self.schedule_sibling_hedges()
         return True
 
-    @property
-    def median_s(self) -> float | None:
-        """The median latency of the answered calls, or None if they are too few."""
-        if len(self.sorted_latencies_s) < self.min_siblings:
-            return None
-        return self.sorted_latencies_s[len(self.sorted_latencies_s) // 2]
+    @cached_property
+    def canaries(self) -> Canaries:
+        """The rules for a suspect request, which few requests need."""
+        return Canaries(self)
 
     def schedule_sibling_hedges(self) -> None:
         """Schedule hedges of the calls in flight by the latency of answered ones.
@@ -250,7 +217,7 @@
         late earlier if its hedge could otherwise not be answered before the latency
         objective, but never before MIN_LATE_FACTOR times the median.
         """
-        median_s = self.median_s
+        median_s = self.latencies.median_s
         if median_s is None or not self.plan.idempotent:
             return
         late_s = LATE_FACTOR * median_s + LATE_SLACK_S
@@ -272,10 +239,10 @@
         flight only if its time so far is clearly above the median. A single-shard
         request reports nothing because its call has no siblings.
         """
-        median_s = self.median_s
+        median_s = self.latencies.median_s
         if median_s is None or len(self.shards) == 1:
             return
-        for call, elapsed_s in self.answered_calls:
+        for call, elapsed_s in self.latencies.calls:
             self.placement.note_relative_latency(
                 call.target.id, elapsed_s / median_s, now
             )
@@ -303,12 +270,9 @@
         return self.prepare_call(shard, CallKind.RETRY, now)
 
     def note_crash(self, now: float) -> None:
-        """Record that a target crashed under a call; the next one waits a little.
-
-        What other processes saw of the crash may explain it.
-        """
+        """Record that a target crashed under a call."""
         self.is_suspect = True
-        self.quiet_until = now + CANARY_DELAY_S
+        self.canaries.note_crash(now)
 
     def on_misdirected(
         self, call: Call, service: ServiceName | None, now: float
@@ -372,49 +336,6 @@
                 late_s = BATCH_LATE_FACTOR * self.plan.usual_call_s
                 self.schedule_hedge(shard, call.sent_at + late_s)
 
-    def hold(self, shard: ShardState, now: float) -> bool:
-        """Return whether a call of a suspect request has to wait.
-
-        It waits for the outcome of the canary, or if another shard can lose a target
-        more easily. The request is withheld if none should lose any.
-        """
-        if now < self.quiet_until or self.has_canary_in_flight(now):
-            self.schedule_retry(shard, now + CANARY_RECHECK_S)
-            return True
-        most = max(
-            len(self.find_targets(item.service)) for item in self.open_shards.values()
-        )
-        if self.needs_spare and most < MIN_TARGETS_WITH_SPARE:
-            self.is_withheld = True
-            return True
-        if len(self.find_targets(shard.service)) < most:
-            self.schedule_retry(shard, now + CANARY_RECHECK_S)
-            self.start_canary_elsewhere(most, now)
-            return True
-        return False
-
-    def start_canary_elsewhere(self, targets: int, now: float) -> None:
-        """Let a shard with so many targets make the next call of a suspect request."""
-        for shard in self.open_shards.values():
-            if len(self.find_targets(shard.service)) == targets:
-                self.schedule_retry(shard, now)
-                return
-
-    def has_canary_in_flight(self, now: float) -> bool:
-        """Return whether the outcome of a recent call is still open."""
-        sent_after = now - CANARY_LATE_FACTOR * self.plan.usual_call_s
-        return any(
-            call.sent_at > sent_after
-            for shard in self.open_shards.values()
-            for call in shard.calls.values()
-        )
-
-    def release_held_shards(self, now: float) -> None:
-        """Call the shards that have waited for the outcome of the canary."""
-        for shard in self.open_shards.values():
-            if not shard.calls and shard.retry_at != NEVER:
-                self.schedule_retry(shard, now)
-
     def prepare_call(self, shard: ShardState, kind: CallKind, now: float) -> list[Call]:
         """Return a call to the best target of a shard, or schedule a retry.
 
@@ -424,7 +345,7 @@
         if not self.may_call:
             self.abandon(shard)
             return []
-        if self.is_suspect and not self.answered and self.hold(shard, now):
+        if self.is_suspect and not self.answered and self.canaries.hold(shard, now):
             return []
         targets = self.find_targets(shard.service)
         allowed = self.get_allowed_targets(shard, targets)
@@ -557,7 +478,7 @@
             return NEVER
         if len(self.shards) == 1:
             return now + self.plan.hedge_after_s
-        median_s = self.median_s
+        median_s = self.latencies.median_s
         return NEVER if median_s is None else now + LATE_FACTOR * median_s
 
     def abandon(self, shard: ShardState) -> None:
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -5,46 +5,35 @@
 from typing import TYPE_CHECKING
 
 import gevent
-import msgspec
 from gevent.event import Event
 
 from ..core.common.outcomes import OWN_REASONS, Failure, FailureReason, Ran
-from ..core.forwarding.fanout import Fanout, Verdict
+from ..core.forwarding.fanout import Fanout
 from ..core.forwarding.fanout_calls import Call, CallKind, FanoutPlan
 from ..core.forwarding.fanout_plans import make_fanout_plan
 from ..core.forwarding.gathered_parts import GatheredParts
 from ..core.forwarding.placement import LoadReport
+from ..core.forwarding.verdicts import Verdict
 from ..core.published.routes import Route, RoutingConfiguration
 from ..core.published.target_table import TargetRecord
 from ..core.quarantine.request_quarantine import CrashRecord, Standing
 from ..core.quarantine.sent_request import SentRequest
 from ..ids import AttemptId, Fingerprint, ServiceName, TargetId
 from .answer_accounts import CloseCause
-from .dialect import RequestMetadata, TargetAnswer, find_failure
+from .dialect import RequestMetadata, find_failure
 from .http_messages import Request, RequestEncoder, Response
 from .request_batches import RequestBatches
 from .request_handling import Reply, RequestContext
+from .request_replies import Part, make_reply
 from .target_connections import Exchange
 
 if TYPE_CHECKING:
     from .forwarder import Forwarder
 
-NOT_RUN_RETRY_AFTER_S = 0.2
-WITHHELD_RETRY_AFTER_S = 2.0  # Targets that have crashed take seconds to start again.
 LATE_WAKE_S = 0.05
 MAX_READ_S = 0.02
 
 
-class Part(msgspec.Struct, frozen=True):
-    """A target's answer and the response that contained it.
-
-    The answer is successful, or an error that may be relayed to the caller.
-    """
-
-    answer: TargetAnswer
-    response: Response
-
-
 class ForwardedRequest:
     """One request in progress, with its calls and their outcomes."""
 
@@ -151,7 +140,7 @@
         self.abandon_all()
         elapsed_s = self.clock.now() - self.context.received_at
         self.forwarder.metrics.observe(self.route.name, elapsed_s)
-        reply = self.make_reply(verdict)
+        reply = make_reply(self, verdict)
         self.log_outcome(verdict, reply.status, elapsed_s)
         return reply
 
@@ -279,7 +268,9 @@
             target=call.target.id,
             kind=call.kind.value,
             after_ms=int((now - self.context.received_at) * 1_000),
-            typical_ms=int((self.fanout.median_s or self.plan.usual_call_s) * 1_000),
+            typical_ms=int(
+                (self.fanout.latencies.median_s or self.plan.usual_call_s) * 1_000
+            ),
             budget_left=budget.get_fill(call.shard, now),
         )
 
@@ -466,59 +457,3 @@
             call.target.id, call.id, self.clock.now()
         )
         self.forwarder.connection_shares.get_pool(call.target).cancel(exchange)
-
-    def make_reply(self, verdict: Verdict) -> Reply:
-        """Return the reply for a verdict."""
-        if verdict is Verdict.ANSWERED:
-            return self.make_answer()
-        return self.make_error_reply(verdict)
-
-    def make_answer(self) -> Reply:
-        """Return the merged answers of the shards, or the single target's response."""
-        if not self.route.is_gather:
-            return self.relay_response(self.answer_part)
-        signatures = self.parts.signatures
-        missing = len(self.plan.shards) - len(signatures)
-        self.forwarder.count("whole" if not missing else "partial")
-        headers = self.forwarder.dialect.make_merged_headers(
-            self.metadata.request_id,
-            signatures.values(),
-            missing,
-        )
-        return Reply(200, headers, self.parts.get_body())
-
-    def relay_response(self, part: Part) -> Reply:
-        """Return a target's response unchanged, except for hop-by-hop headers."""
-        response = part.response
-        headers = response.get_end_to_end()
-        if self.request.method != b"HEAD":
-            return Reply(response.status, headers, bytes(response.body))
-        length = response.get(b"content-length")
-        if length is not None:
-            headers.append((b"Content-Length", length.encode()))
-        return Reply(response.status, headers, None)
-
-    def get_retry_after_s(self, verdict: Verdict) -> float:
-        """Return when to repeat the request, which has not run, in seconds."""
-        if verdict is Verdict.WITHHELD:
-            return WITHHELD_RETRY_AFTER_S
-        fingerprint = self.sent_request.fingerprint
-        hold_s = self.forwarder.quarantine.get_hold_s(fingerprint, self.clock.now())
-        return hold_s or NOT_RUN_RETRY_AFTER_S
-
-    def make_error_reply(self, verdict: Verdict) -> Reply:
-        """Return the reply to a request that was not answered.
-
-        Relay a target's error response, if there is one, unless the route merges
-        shards. Reply 503 only if certainly no target has run or will run the
-        request, otherwise 502 or 504.
-        """
-        if not self.route.is_gather and self.error_part is not None:
-            return self.relay_response(self.error_part)
-        if self.fanout.is_certainly_not_run:
-            return self.forwarder.refuse(
-                self.metadata.request_id, 503, self.get_retry_after_s(verdict)
-            )
-        is_timeout = verdict in (Verdict.EXPIRED, Verdict.CALLER_LEFT)
-        status = 504 if is_timeout else 502
-        return self.forwarder.refuse(self.metadata.request_id, status)
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -4,13 +4,10 @@
 import random
 from collections.abc import Callable, Iterable
 
-import gevent
 import msgspec
 
 from ..conf import PublishedVms, Vm
 from ..core.common.clock import Clock
-from ..core.common.pauses import BootClock, PauseDetector
-from ..core.common.recent_maximum import RecentMaximum
 from ..core.forwarding.batches import AggregatorChoice
 from ..core.forwarding.down_targets import DownTargets
 from ..core.forwarding.extra_load import ExtraLoadBounds, ExtraLoadBudget
@@ -22,7 +19,6 @@
     TargetReach,
 )
 from ..core.limits.limit_parts import ActiveVmParts
-from ..core.limits.slack_share import SlackShare
 from ..core.limits.target_limits import TargetLimits
 from ..core.membership.directory import MAX_ADDRESSES, choose_active
 from ..core.membership.members import make_own_record
@@ -38,7 +34,7 @@
 from ..ids import DataCentre, EntryId, RequestId
 from ..limit_log import LimitLog
 from ..logs import log_event
-from ..loops import BackgroundLoops, Task
+from ..loops import BackgroundLoops
 from ..net import Address
 from ..peers import PeerLinks
 from ..peers.document_relay import DocumentRelay
@@ -58,6 +54,7 @@
 from .dialect import Dialect
 from .forwarder import BATCH, Forwarder
 from .front_report import make_gauges, make_state
+from .housekeeping import HOUSEKEEPING_INTERVAL_S, Housekeeping
 from .http_messages import Request
 from .late_notices import LateNotices
 from .limit_notices import LimitNotices
@@ -69,13 +66,9 @@
 from .target_availability import TargetAvailability
 from .target_pools import TargetPools
 
-HOUSEKEEPING_INTERVAL_S = 0.1
-FLEET_SIZE_WINDOW_S = 60.0
 RELAY_CONFIRMATION_INTERVAL_S = 0.5  # To announce that the view is still current.
 # Over a few hops, this adds little to the seconds that an update may take.
 RELAY_ANNOUNCEMENT_INTERVAL_S = 0.1
-WARM_UP_TARGETS = 8  # Per housekeeping round, to avoid a connection burst at start.
-COUNTS_INTERVAL_S = 10.0
 
 
 class FrontSettings(msgspec.Struct, frozen=True):
@@ -234,7 +227,7 @@
             lambda call: self.forwarder.count_transmitted(call, BATCH),
             self.reach,
             self.crash_guard,
-            lambda: self.housekeeping.get_delay_s(clock.now()),
+            lambda: self.loop_delay.get_delay_s(clock.now()),
             self.forwarder.log,
         )
         self.aggregator_choice = AggregatorChoice(settings.vm, rng)
@@ -277,17 +270,13 @@
         QuarantineLog(clock, self.quarantine, self.forwarder.count)
         self.reach_probes.listeners.append(self.on_reach_change)
         self.store.listeners.append(self.on_accepted)
-        self.pauses = PauseDetector(BootClock())
-        self.fleet_sizes = RecentMaximum(FLEET_SIZE_WINDOW_S)
-        self.slack_share = SlackShare()
-        self.applied_targets = self.table.version
-        self.started_at = self.logged_at = clock.now()
+        self.started_at = clock.now()
         self.first_read_at = self.started_at + draw_start_delay(START_WINDOW_S, rng)
         self.active: list[Member] = []
         self.active_state: tuple | None = None
         self.useful_vms: int | None = None
         self.heard_vms = 1
-        self.housekeeping = LoopDelay(HOUSEKEEPING_INTERVAL_S)
+        self.loop_delay = LoopDelay(HOUSEKEEPING_INTERVAL_S)
         self.shutdown = Shutdown(
             clock,
             settings.stop_timeout_s,
@@ -295,33 +284,20 @@
             self.forwarder,
             self.batch_server,
             self.membership_service,
-            self.housekeeping,
+            self.loop_delay,
         )
         self.loops = BackgroundLoops(clock)
-        self.housekeeping_tasks: list[Task] = []
+        self.housekeeping = Housekeeping(self)
         self.add_loops()
         self.resources = contextlib.ExitStack()
 
     def add_loops(self) -> None:
-        """Add the loops of this process, and the tasks of its housekeeping."""
+        """Add the loops of this process."""
         self.loops.add("membership", self.membership_service.run_round)
         self.loops.add("relay", self.relay.run_round)
         self.loops.add("store", self.follower.run_round)
         self.loops.add("links", self.links.close_idle)
-        self.loops.add("housekeeping", self.run_housekeeping)
-        tasks = (
-            ("pauses", self.check_pause),
-            ("targets", self.apply_table_changes),
-            ("shares", self.update_shares),
-            ("limits", self.update_limits),
-            ("quarantine", self.quarantine_notices.repeat),
-            ("target_pauses", self.drop_ended_pauses),
-            ("reach", self.check_reach),
-            ("warm_up", self.warm_up),
-            ("counts", self.log_counts),
-        )
-        for name, function in tasks:
-            self.housekeeping_tasks.append(self.loops.add_task(name, function))
+        self.loops.add("housekeeping", self.housekeeping.run_round)
 
     def make_own_member(self) -> Member:
         """Return the membership record of this process."""
@@ -422,57 +398,6 @@
             is_silent = self.clock.now() - self.reach.heard_at >= SILENCE_S
             self.pools.give_up(is_silent=is_silent)
 
-    def run_housekeeping(self) -> None:
-        """Run each of the periodic tasks, and wait for HOUSEKEEPING_INTERVAL_S."""
-        self.housekeeping.note_round(self.clock.now())
-        for task in self.housekeeping_tasks:
-            task.run()
-        gevent.sleep(HOUSEKEEPING_INTERVAL_S)
-
-    def drop_ended_pauses(self) -> None:
-        """Forget the pauses that targets asked for and that are over."""
-        self.availability.pauses.drop_ended(self.clock.now())
-
-    def check_reach(self) -> None:
-        """Probe targets if it is time to."""
-        self.reach_probes.check(is_active=self.is_active)
-
-    def warm_up(self) -> None:
-        """Open first connections to targets if callers are sent here."""
-        if self.is_active:
-            self.connection_shares.warm_up(WARM_UP_TARGETS)
-
-    def check_pause(self) -> None:
-        """Refresh members, targets and documents after a pause of this process."""
-        pause_s = self.pauses.check()
-        if not pause_s:
-            return
-        log_event("pause_noticed", pause_s=pause_s)
-        self.reach.note_pause(self.clock.now())
-        self.membership_service.on_pause()
-        self.follower.request_full_read()
-        gevent.spawn(self.relay.catch_up, self.membership.get_present())
-
-    def apply_table_changes(self) -> None:
-        """Expire targets, and release the state of those that are gone."""
-        now = self.clock.now()
-        self.table.expire(now)
-        if self.applied_targets == self.table.version:
-            return
-        self.applied_targets = self.table.version
-        self.pools.keep_only(self.table.is_listed)
-        self.placement.keep_only([*self.table.records, *self.table.leaving])
-        self.limits.keep_only(self.table.is_listed)
-        self.aggregator_choice.keep_only(self.membership.members)
-
-    def log_counts(self) -> None:
-        """Log the gauges and the counters since the start every COUNTS_INTERVAL_S."""
-        now = self.clock.now()
-        if now - self.logged_at < COUNTS_INTERVAL_S:
-            return
-        self.logged_at = now
-        log_event("counts", **self.get_gauges(), **self.forwarder.metrics.counts)
-
     def get_gauges(self) -> dict[str, float]:
         """Return the current values of the gauges, for logs and metrics."""
         return make_gauges(self)
@@ -490,35 +415,6 @@
         """Whether callers are sent to this VM."""
         return any(member.id == self.settings.vm for member in self.get_active())
 
-    def update_shares(self) -> None:
-        """Update this process's parts of the connections and of the extra load.
-
-        The connections are divided among the largest number of VMs that callers were
-        sent to recently. Sizes from before the first configuration don't count:
-        callers were sent to all VMs then, but no request was served.
-        """
-        now = self.clock.now()
-        active = fleet_size = len(self.get_active())
-        if self.store.current is not None:
-            fleet_size = self.fleet_sizes.update(active, now)
-        self.connection_shares.set_fleet_size(fleet_size)
-        share = self.slack_share.update(
-            now,
-            present=self.heard_vms,
-            active=active,
-            useful=self.useful_vms or 0,
-            is_active=self.is_active,
-        )
-        self.budget.set_slack_share(share, now)
-
-    def update_limits(self) -> None:
-        """Update the parts of the targets' rate limits, and pass the limits on."""
-        now = self.clock.now()
-        active = [member.id for member in self.get_active()]
-        self.limit_parts.update(active, self.heard_vms, now)
-        self.limits.update(now)
-        self.limit_notices.repeat()
-
     def get_addresses(self) -> list[str]:
         """Return the addresses that callers should use."""
         return [member.address for member in self.get_active()][:MAX_ADDRESSES]
--- a/sesameplank/forwarding/front_report.py
+++ b/sesameplank/forwarding/front_report.py
@@ -29,7 +29,7 @@
         "in_flight": front.caller_server.in_flight,
         "requests_pending": front.caller_server.pending,
         "caller_connections": len(front.caller_server.connections),
-        "loop_delay_s": front.housekeeping.get_delay_s(now),
+        "loop_delay_s": front.loop_delay.get_delay_s(now),
         "task_failures": front.loops.failures,
         "task_max_age_s": round(front.loops.max_age_s, 3),
         "connections_opened": front.pools.opened,
--- a/sesameplank/forwarding/shutdown.py
+++ b/sesameplank/forwarding/shutdown.py
@@ -23,7 +23,7 @@
     """The steps of a graceful shutdown, from its request to the end of the process.
 
     `timeout_s` is the time after which the process is killed, counted from the stop
-    request. `housekeeping` tells when the event loop last ran, and `finished` is set
+    request. `loop_delay` tells when the event loop last ran, and `finished` is set
     when the process may exit. `other_servers` serve readiness, addresses and the like
     until the end.
     """
@@ -36,7 +36,7 @@
         forwarder: Forwarder,
         batch_server: BatchServer,
         membership_service: MembershipService,
-        housekeeping: LoopDelay,
+        loop_delay: LoopDelay,
     ) -> None:
         self.clock = clock
         self.timeout_s = timeout_s
@@ -44,7 +44,7 @@
         self.forwarder = forwarder
         self.batch_server = batch_server
         self.membership_service = membership_service
-        self.housekeeping = housekeeping
+        self.loop_delay = loop_delay
         self.other_servers: list[CallerServer] = []
         self.schedule: StopSchedule | None = None
         self.finished = Event()
@@ -62,7 +62,7 @@
         if self.is_requested:
             return
         now = self.clock.now()
-        requested_at = self.housekeeping.get_earliest_event_at(now)
+        requested_at = self.loop_delay.get_earliest_event_at(now)
         self.schedule = make_stop_schedule(requested_at, self.timeout_s, now)
         gevent.spawn(self.run, self.schedule)
 
@@ -85,7 +85,7 @@
         self.log_step(
             "leaving",
             stop_timeout_ms=int(self.timeout_s * 1_000),
-            loop_delay_ms=int(self.housekeeping.get_delay_s(self.clock.now()) * 1_000),
+            loop_delay_ms=int(self.loop_delay.get_delay_s(self.clock.now()) * 1_000),
         )
         for server in (self.server, *self.other_servers):
             server.is_stopping = True
--- a/tests/core/forwarding/test_fanout.py
+++ b/tests/core/forwarding/test_fanout.py
@@ -7,9 +7,10 @@
 
 from sesameplank.core.common.outcomes import Ran
 from sesameplank.core.forwarding.extra_load import ExtraLoadBounds, ExtraLoadBudget
-from sesameplank.core.forwarding.fanout import BUDGET_RECHECK_S, Fanout, Verdict
+from sesameplank.core.forwarding.fanout import BUDGET_RECHECK_S, Fanout
 from sesameplank.core.forwarding.fanout_calls import NEVER, CallKind, FanoutPlan
 from sesameplank.core.forwarding.placement import Placement
+from sesameplank.core.forwarding.verdicts import Verdict
 from sesameplank.core.published.target_table import TargetPhase, TargetRecord
 
 AMPLE_EXTRA_LOAD = ExtraLoadBounds(ratio=1.0, slack=1_000.0)
--- a/tests/forwarding/load_simulation.py
+++ b/tests/forwarding/load_simulation.py
@@ -16,7 +16,7 @@
 from sesameplank.core.common.outcomes import Ran
 from sesameplank.core.forwarding.call_times import CallTimes
 from sesameplank.core.forwarding.extra_load import ExtraLoadBounds, ExtraLoadBudget
-from sesameplank.core.forwarding.fanout import Fanout, Verdict
+from sesameplank.core.forwarding.fanout import Fanout
 from sesameplank.core.forwarding.fanout_calls import Call
 from sesameplank.core.forwarding.fanout_plans import get_required, make_fanout_plan
 from sesameplank.core.forwarding.placement import LoadReport, Placement
@@ -24,6 +24,7 @@
     QueueAdmission,
     get_allowed_waits,
 )
+from sesameplank.core.forwarding.verdicts import Verdict
 from sesameplank.core.published.routes import Route
 from sesameplank.core.published.target_table import TargetPhase, TargetRecord
 
--- a/tests/integration/front_world.py
+++ b/tests/integration/front_world.py
@@ -298,6 +298,13 @@
         """Return once the condition holds for the state of a process."""
         self.wait_for(lambda: condition(self.get_state(front)), f"state of {front}")
 
+    def wait_for_members(self) -> None:
+        """Return once each process knows all others."""
+        for front in range(self.front_count):
+            self.wait_for_state(
+                front, lambda state: len(state["members"]) >= self.front_count
+            )
+
     def request(self, data: bytes, front: int = 0) -> Response:
         """Send a request to a process on a new connection and return the response."""
         with RawConnection(self.fronts[front].caller_address) as client:
--- a/tests/integration/test_crashing_requests.py
+++ b/tests/integration/test_crashing_requests.py
@@ -31,10 +31,7 @@
                 path.encode() for path in (CRASHING, CRASHING_SINGLE, CRASHING_BOOKING)
             }
             target.on_restart = self.list_again
-        for front in range(self.front_count):
-            self.wait_for_state(
-                front, lambda state: len(state["members"]) >= self.front_count
-            )
+        self.wait_for_members()
 
     def list_again(self, target) -> None:
         """Write the item of a target that has started again to the store."""
--- a/tests/integration/test_cut_heads.py
+++ b/tests/integration/test_cut_heads.py
@@ -38,8 +38,7 @@
 
     def setUp(self):
         super().setUp()
-        for front in (FAR, NEAR):
-            self.wait_for_state(front, lambda state: len(state["members"]) == 2)
+        self.wait_for_members()
         self.warm()
 
     def warm(self) -> None:
--- a/tests/integration/test_departed_callers.py
+++ b/tests/integration/test_departed_callers.py
@@ -31,10 +31,7 @@
 
     def setUp(self):
         super().setUp()
-        for front in range(self.front_count):
-            self.wait_for_state(
-                front, lambda state: len(state["members"]) == self.front_count
-            )
+        self.wait_for_members()
         services = make_config(5)["services"]
         services[-1]["max_conns"] = self.front_count  # One connection of each process.
         limits = {"timeout_ms": DEADLINE_MS, "goal_ms": DEADLINE_MS}
--- a/tests/integration/test_late_requests.py
+++ b/tests/integration/test_late_requests.py
@@ -33,10 +33,7 @@
 
     def setUp(self):
         super().setUp()
-        for front in range(self.front_count):
-            self.wait_for_state(
-                front, lambda state: len(state["members"]) == self.front_count
-            )
+        self.wait_for_members()
         self.outcomes: dict[str, int | str] = {}
         self.sent_at: dict[str, float] = {}
         self.terminated_at = float("inf")
--- a/tests/integration/test_lost_targets.py
+++ b/tests/integration/test_lost_targets.py
@@ -19,10 +19,7 @@
 
     def setUp(self):
         super().setUp()
-        for front in range(self.front_count):
-            self.wait_for_state(
-                front, lambda state: len(state["members"]) == self.front_count
-            )
+        self.wait_for_members()
         self.serve_all("warm")
 
     def serve(self, path: str, method: str, request_id: str, front: int):
--- a/tests/integration/test_mixed_releases.py
+++ b/tests/integration/test_mixed_releases.py
@@ -50,10 +50,7 @@
         for target in self.targets.values():
             target.crashing_paths = {CRASHING.encode()}
             target.on_restart = self.list_again
-        for front in range(self.front_count):
-            self.wait_for_state(
-                front, lambda state: len(state["members"]) >= self.front_count
-            )
+        self.wait_for_members()
 
     def get_source(self, number: int) -> Path:
         """Return the folder of the release that a process runs."""
--- a/tests/integration/test_target_availability.py
+++ b/tests/integration/test_target_availability.py
@@ -26,10 +26,7 @@
 
     def setUp(self):
         super().setUp()
-        for front in range(self.front_count):
-            self.wait_for_state(
-                front, lambda state: len(state["members"]) >= self.front_count
-            )
+        self.wait_for_members()
 
     def send_all(self, name: str) -> Counter:
         """Send requests of each kind to all processes, and count their statuses."""
--- a/tests/integration/test_target_limits.py
+++ b/tests/integration/test_target_limits.py
@@ -27,10 +27,7 @@
 
     def setUp(self):
         super().setUp()
-        for front in range(self.front_count):
-            self.wait_for_state(
-                front, lambda state: len(state["members"]) == self.front_count
-            )
+        self.wait_for_members()
         self.statuses: dict[int, int] = {}
 
     def send(self, number: int, path: str, method: str) -> None:
