Tests: malformed documents on the own interface, and entries with one odd field

A property test changes one field of an entry at a time and checks that the entry is refused or does no harm where it is used: in the list that peers get, addresses, slots and headers.

--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -3,10 +3,15 @@
 import gevent
 import msgspec
 
+from sesameplank.conf import Vm
+from sesameplank.ids import DataCentre, EntryId
 from sesameplank.standins.fleetmeter import get_state
 
 from .fleets import FleetTestCase
 
+NESTED = b"[" * 2_000 + b"]" * 2_000
+WATCHED_S = 3.0  # Longer than one call to the platform's service.
+
 
 class ConfigurationTests(FleetTestCase):
     """A new configuration takes effect at every entry and is never reverted."""
@@ -36,6 +41,28 @@
         self.assertEqual(1, len(reasons))
         self.wait_for_version(self.fleet.entries, self.publish())
 
+    def test_documents_that_cannot_be_decoded_do_not_end_the_reading(self):
+        # One that is nested too deeply once ended it in each process.
+        self.start_fleet(3)
+        platform = self.world.platform
+        platform.publish_config(b'{"x":' + NESTED + b"}")
+        platform.vms.publish(platform.vms.version + 1, b'{"x":' + NESTED + b"}")
+        gevent.sleep(WATCHED_S)
+        unreadable = Vm(EntryId("unreadable"), "nowhere", "nowhere", DataCentre("dc"))
+        platform.publish_vms((*self.world.published_vms, unreadable))
+        self.wait_for_version(self.fleet.entries, self.publish())
+        platform.publish_vms(self.world.published_vms)
+        self.wait_for_views([self.fleet.entries])
+        for entry in self.fleet.entries:
+            self.wait_for(
+                lambda entry=entry: (
+                    get_state(entry)["vms"]["version"] == platform.vms.version
+                ),
+                "the list of VMs",
+            )
+            tasks = get_state(entry)["tasks"]
+            self.assertEqual(set(), {k for k, v in tasks.items() if v["failures"]})
+
     def test_older_version_from_the_service_is_ignored(self):
         self.start_fleet(3)
         newest = self.publish(9)
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -8,9 +8,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from sesameplank.core.common.clock import ManualClock
 from sesameplank.core.published.document_version import DocumentVersion
-from sesameplank.core.published.target_table import TargetPhase
+from sesameplank.core.published.target_table import TargetPhase, TargetTable
+from sesameplank.core.published.versions import OfferResult
 from sesameplank.exceptions import ConfigurationError
+from sesameplank.net import Address
+from sesameplank.peers.relayed_documents import TargetsDocument
+from sesameplank.platform.headers import PlatformDialect
 from sesameplank.platform.items import decode_routing, decode_target
 from sesameplank.platform.source import make_publication
 from sesameplank.platform.store import WireItem
@@ -132,6 +137,55 @@
         self.assertRaises(ConfigurationError, decode_target, "k", value, 1)
 
 
+# Values of all kinds, among them some at the edge of what encodings can carry.
+ODD_VALUES = st.one_of(
+    st.integers(),
+    st.sampled_from((0, -1, 2**31, 2**53 + 1, 2**63 - 1, 2**63, 2**64, 10**309)),
+    st.floats(allow_nan=False, allow_infinity=False),
+    st.text(max_size=20),
+    st.sampled_from(("10.0.0.9:0", "10.0.0.9:65536", "[::1]:80", "h:1", "::", ":")),
+    st.none(),
+    st.booleans(),
+    st.lists(st.integers(), max_size=2),
+    st.dictionaries(st.text(max_size=3), st.integers(), max_size=2),
+)
+
+
+class OddEntryTests(testtools.TestCase):
+    """An entry is refused, or does no harm where it is used."""
+
+    @FIXED
+    @given(
+        st.dictionaries(
+            st.sampled_from(sorted(TARGET)), ODD_VALUES, min_size=1, max_size=1
+        ),
+        st.text(max_size=20),
+    )
+    def test_entries_with_odd_fields(self, changes, name):
+        value = json.dumps({**TARGET, **changes}).encode()
+        text = base64.b64encode(value).decode()
+        items = [WireItem("servers/good", 3, base64.b64encode(encode(TARGET)).decode())]
+        items.append(WireItem(f"servers/{name}", 4, text))
+        version = DocumentVersion(1, 5)
+        targets = make_publication(items, version, is_whole=True).targets
+        self.assertEqual("good", targets.records[0].id)
+        clock = ManualClock()
+        table, peers_table = TargetTable(), TargetTable()
+        table.apply(targets, 0.0, False)
+        payload = TargetsDocument(table, clock).encode(DocumentVersion())
+        result = TargetsDocument(peers_table, clock).offer(payload)
+        self.assertIs(OfferResult.ACCEPTED, result)
+        self.assertEqual(table.records, peers_table.records)
+        for record in table.records.values():
+            address = Address.parse(record.address)
+            self.assertTrue(0 <= address.port <= 65_535)
+            self.assertTrue(1 <= record.slots <= 65_535)
+            headers = PlatformDialect().make_call_headers(record.id, 1.0)
+            self.assertTrue(
+                all(b"\r" not in item and b"\n" not in item for _, item in headers)
+            )
+
+
 class DecodeRoutingTests(testtools.TestCase):
     """A configuration is decoded into typed routes, services and limits."""
 
