--- a/tests/integration/test_mixed_releases.py
+++ b/tests/integration/test_mixed_releases.py
@@ -8,13 +8,23 @@
 import gevent.pool
 
 from sesameplank.forwarding.http_messages import Response
+from sesameplank.standins.front_targets import LinkFault
 
-from .front_world import ROOT, SHARD_SERVICES, FrontTestCase, make_request
+from .front_world import (
+    ROOT,
+    SHARD_SERVICES,
+    FrontTestCase,
+    RawConnection,
+    make_request,
+)
 
+PREVIOUS_RELEASE = "1901172"
 EARLIER_RELEASE = "351c49d"
+CUT_OFF = 2  # A process of today's release.
 KINDS = (("/all/x", "GET"), ("/one/x", "GET"), ("/book/x", "POST"))
 REQUESTS = 20
 REQUEST_GAP_S = 0.02
+LEFT_WORK_S = 0.3
 CONCURRENCY = 8
 CRASHING = "/all/crashing"
 CRASHING_REPETITIONS = 4
@@ -41,11 +51,12 @@
 
     front_count = 4
     earlier = (1, 2)
+    release = EARLIER_RELEASE
 
     def setUp(self):
         folder = self.enterContext(tempfile.TemporaryDirectory())
         self.earlier_source = Path(folder)
-        unpack_release(EARLIER_RELEASE, self.earlier_source)
+        unpack_release(self.release, self.earlier_source)
         super().setUp()
         for target in self.targets.values():
             target.crashing_paths = {CRASHING.encode()}
@@ -118,6 +129,29 @@
         """Send a request and record the status of its answer."""
         statuses.append(self.send("/all/x", request_id, front).status)
 
+    def test_callers_that_leave_beside_the_earlier_release(self):
+        for target in self.targets.values():
+            target.lose_link(self.fronts[CUT_OFF].host, LinkFault.HANG)
+        self.wait_for_state(CUT_OFF, lambda state: state["gauges"]["targets_lost"] == 1)
+        for name in ("singlea", "singleb"):
+            self.targets[name].delay_s = LEFT_WORK_S
+        for number in range(REQUESTS):
+            data = make_request("/book/x", f"left{number}", method="POST")
+            with RawConnection(self.fronts[CUT_OFF].caller_address) as client:
+                client.sock.sendall(data)
+                gevent.sleep(REQUEST_GAP_S)
+        for name in ("singlea", "singleb"):
+            self.targets[name].delay_s = 0.0
+        for target in self.targets.values():
+            target.restore_link(self.fronts[CUT_OFF].host)
+        self.wait_for_state(CUT_OFF, lambda state: state["gauges"]["targets_lost"] == 0)
+        self.wait_for(self.all_serve_whole, "whole answers of all processes")
+        self.assert_all_serve("after")
+        for number in range(REQUESTS):
+            runs = [item.executed_ids for item in self.targets.values()]
+            times = sum(item.count(f"left{number}") for item in runs)
+            self.assertLessEqual(times, 1, number)
+
     def test_crashing_request_and_leaving_targets_beside_the_earlier_release(self):
         for number in range(CRASHING_REPETITIONS):
             for front in range(self.front_count):
@@ -142,3 +176,9 @@
             for front in range(self.front_count)
         ]
         return all(item.get(b"x-missing-parts") == "0" for item in replies)
+
+
+class PreviousReleaseTests(MixedReleasesTests):
+    """The same, beside the release that runs when this one is rolled out."""
+
+    release = PREVIOUS_RELEASE
