Loops report a start that isn't complete; names of connection states

Read as a newcomer: a start that fails each time was logged but shown by no gauge; it is one of the tasks until it is complete, and its failures stay counted. The read timeout of a caller's connection has a constant of its own, and the kernel's states have names."

--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -138,9 +138,8 @@
                 return b""
         waiting_since = self.server.now()
         while True:
-            self.sock.settimeout(
-                max(MIN_WAIT_S, self.get_rest_s(reader, waiting_since))
-            )
+            rest_s = self.get_rest_s(reader, waiting_since)
+            self.sock.settimeout(max(MIN_READ_TIMEOUT_S, rest_s))
             try:
                 return self.sock.recv(READ_BYTES)
             except TimeoutError:
--- a/sesameplank/forwarding/request_batches.py
+++ b/sesameplank/forwarding/request_batches.py
@@ -177,7 +177,7 @@
     def process_returned(self, batch: CallBatch, call: Call, ran: Ran) -> None:
         """Process a call that the VM of its batch returns instead of making it."""
         self.forwarder.count("batched_calls_returned")
-        if not self.request.context.is_disconnected:  # Nothing was asked for then.
+        if not self.request.context.is_disconnected:  # Else they were asked for.
             self.forwarder.batches.note_returned(batch)
         self.forwarder.placement.note_withdrawn(call.target.id, call.id)
         retries = self.request.fanout.on_returned(call, ran, self.clock.now())
--- a/sesameplank/loops.py
+++ b/sesameplank/loops.py
@@ -90,11 +90,13 @@
     """The loops of a process, as a context manager that runs them.
 
     `tasks` holds the rounds of the loops, and other tasks to report on, by name.
+    `past_failures` counts the failures of tasks that are complete for good.
     """
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
         self.tasks: dict[str, Task] = {}
+        self.past_failures = 0
         self.runners: list[Callable[[], None]] = []
         self.greenlets: list[gevent.Greenlet] = []
 
@@ -120,13 +122,20 @@
 
     def add_once(self, name: str, function: Callable[[], None]) -> None:
         """Add a function that is called until it returns for the first time."""
-        task = Task(name, function, self.clock)
-        self.runners.append(lambda: run_until_complete(task))
+        task = self.add_task(name, function)
+        self.runners.append(lambda: self.complete(task))
+
+    def complete(self, task: Task) -> None:
+        """Run a task until it returns, and report it no longer."""
+        run_until_complete(task)
+        self.past_failures += task.failures
+        del self.tasks[task.name]
 
     @property
     def failures(self) -> int:
         """The number of failures of all tasks since the start."""
-        return sum(task.failures for task in self.tasks.values())
+        current = sum(task.failures for task in self.tasks.values())
+        return self.past_failures + current
 
     @property
     def max_age_s(self) -> float:
--- a/sesameplank/net.py
+++ b/sesameplank/net.py
@@ -10,8 +10,9 @@
 
 PORT_PATTERN = re.compile("[0-9]{1,5}")
 MAX_PORT = 65_535
-# Of the connection states of Linux: closed, and closed by the peer alone.
-ENDED_STATES = frozenset({7, 8})
+# Connection states of Linux: closed, and closed by the peer alone.
+TCP_CLOSE = 7
+TCP_CLOSE_WAIT = 8
 # Layout of `struct tcp_info` of Linux; the offsets are in bytes.
 TCP_INFO_BYTES = 104
 UNACCEPTED_OFFSET = 24
@@ -78,7 +79,7 @@
 def has_peer_closed(sock: socket.socket) -> bool:
     """Return whether the peer has closed a connection, even if bytes are unread."""
     info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO_BYTES)
-    return info[STATE_OFFSET] in ENDED_STATES
+    return info[STATE_OFFSET] in (TCP_CLOSE, TCP_CLOSE_WAIT)
 
 
 def read_tcp_info(sock: socket.socket, offset: int) -> int:
--- a/tests/test_loops.py
+++ b/tests/test_loops.py
@@ -117,9 +117,12 @@
         start = Round([ValueError(), ValueError()])
         self.loops.add_once("start", start)
         with self.loops:
+            self.assertIn("start", self.loops.describe())
             self.wait_for(lambda: start.calls == 3)
             gevent.sleep(0.3)
         self.assertEqual(3, start.calls)
+        self.assertEqual(2, self.loops.failures)
+        self.assertEqual({}, self.loops.describe())
 
     def test_loops_end_with_the_context(self):
         running = Round([])
