Callers' connections: one whose answer is being written is not idle

Cause: the request counts as in flight until its answer is known, not until it is written, and the new idle time ran meanwhile. It runs only while no answer is being written.

Evidence: test_answer_that_is_read_slowly_arrives_whole fails without the change ("connection closed before a response") and passes.

--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -163,13 +163,13 @@
     def get_rest_s(self, reader: RequestReader, waiting_since: float) -> float:
         """Return how long to wait for further bytes, in seconds.
 
-        Without a request in flight, the time counts from its last answer.
+        The time counts from the end of the last answer, which a caller may read slowly.
         """
         limits = self.server.get_limits()
         timeout_s = (
             limits.header_timeout_s if reader.in_message else limits.idle_timeout_s
         )
-        if self.in_flight:
+        if self.in_flight or self.worker is not None:
             return timeout_s
         since = max(waiting_since, self.answered_at)
         return since + timeout_s - self.server.now()
--- a/tests/integration/test_forwarding.py
+++ b/tests/integration/test_forwarding.py
@@ -6,6 +6,7 @@
 from sesameplank.core.forwarding.record_merge import merge_parts
 from sesameplank.standins.front_targets import COPY_DELAY_S, TargetFaultMode
 
+from ..forwarding.caller_world import KernelConnection
 from .front_world import (
     SHARD_SERVICES,
     FrontTestCase,
@@ -15,6 +16,8 @@
 )
 
 SINGLE_TARGETS = ("singlea", "singleb")
+LARGE_BYTES = 8_000_000  # More than the kernel's buffers hold.
+SMALL_BUFFER_BYTES = 16_384
 
 
 class HealthyTargetTests(FrontTestCase):
@@ -350,6 +353,17 @@
             client.sock.settimeout(3.0)
             self.assertTrue(client.is_closed())
 
+    def test_answer_that_is_read_slowly_arrives_whole(self):
+        # A connection is not idle while its answer is being written.
+        for name in SINGLE_TARGETS:
+            self.targets[name].body = b"x" * LARGE_BYTES
+        self.put_limits(5, idle_timeout_ms=300)
+        address = self.fronts[0].caller_address
+        with KernelConnection(address, SMALL_BUFFER_BYTES) as client:
+            client.sock.sendall(make_request("/one/x", "slow"))
+            gevent.sleep(1.5)
+            self.assertEqual(LARGE_BYTES, len(client.read().body))
+
     def test_items_are_read_again_after_the_store_compacts_its_history(self):
         self.store.compact()
         self.store.remove_target("singlea")
