Test of departed callers: look at the call itself, not at all connections

The trace shows one more connection, not one fewer: the call (running-0) was neither cut nor repeated. The test counted all connections to both targets, of which the process may open others, such as probes of silent targets. It now asks whether the call still waits at the process that has its connection, before and after; a call that is cancelled is taken off that count at once, so the check is as strict.

--- a/tests/integration/test_departed_callers.py
+++ b/tests/integration/test_departed_callers.py
@@ -163,14 +163,15 @@
             self.set_targets(delay_s=WORK_S)
             ids = [f"running-{front}"]
             self.send_and_leave(front, path, ids)
-            open_before = self.count_open()
+            self.assertEqual(1, self.count_in_flight(), name)
             gevent.sleep(GONE_S)
-            self.assertEqual(open_before, self.count_open(), name)
+            self.assertEqual(1, self.count_in_flight(), name)
             gevent.sleep(WORK_S)
             runs = [self.targets[item].executed_ids for item in SINGLE_TARGETS]
             self.assertEqual(1, sum(item.count(ids[0]) for item in runs), name)
             self.set_targets(delay_s=0.0)
 
-    def count_open(self) -> int:
-        """Return the number of open connections at the targets."""
-        return sum(self.targets[name].open_connections for name in SINGLE_TARGETS)
+    def count_in_flight(self) -> int:
+        """Return how many calls wait at the process that has the connections."""
+        targets = self.get_state(DIRECT)["targets"]
+        return sum(targets[name]["in_flight"] for name in SINGLE_TARGETS)
