Test of a passed-on leave: the other replica refuses until the answer is passed on

Nothing of the product was at fault.

Now the other replica refuses until the answer of the leaving one has been passed on. The check is as before.

--- a/tests/integration/test_target_availability.py
+++ b/tests/integration/test_target_availability.py
@@ -72,10 +72,13 @@
             self.wait_for_state(
                 front, lambda state: not state["members"][host]["reaches_targets"]
             )
-        leaving = self.targets["singlea"]
+        leaving, other = self.targets["singlea"], self.targets["singleb"]
         leaving.is_leaving = True
+        # With a hedge, an answer of the other replica could be passed on instead.
+        other.fault_mode = TargetFaultMode.SHED
         self.store.fault_mode = StoreFaultMode.SILENT
         self.wait_for(self.has_passed_on, "an answer of the leaving target")
+        other.fault_mode = TargetFaultMode.NONE
         for target in self.targets.values():
             target.restore_link(self.fronts[CUT_OFF].host)
         self.wait_for_lost(0)
