Probes of links: only targets that requests may be sent to

Cause: the sample that is probed was drawn from all entries of the store. It prefers many services, so that a few entries of services without a route, by another writer, are most of it. An idle process that reaches none of them, of 40 in the test, takes that for its own loss.

Now the sample is drawn from the ready targets of routed services. A draining or held target isn't probed either: nothing may be sent to it.

Evidence: test_entries_of_services_without_a_route_do_not_cost_the_links failed before (targets_lost 1) and passes; test_lost_targets passes as before.

--- a/sesameplank/core/published/routes.py
+++ b/sesameplank/core/published/routes.py
@@ -99,6 +99,12 @@
         for route in routes:
             self.by_host.setdefault(route.host.lower(), {})[route.prefix] = route
 
+    def get_routed_services(self) -> set[ServiceName]:
+        """Return the services that some route sends requests to."""
+        services = {item.service for route in self.routes for item in route.services}
+        shards = {shard for route in self.routes for shard in route.shards}
+        return services | shards
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of the host with the longest prefix of the path, or None.
 
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -385,9 +385,16 @@
         self.relay.notify()
 
     def get_probed_targets(self) -> list[ProbedTarget]:
-        """Return the listed targets, for probes."""
-        records = self.table.records.values()
-        return [ProbedTarget(record.service, record.address) for record in records]
+        """Return the targets that requests may be sent to, for probes.
+
+        Any program may list targets of other services, which need not exist.
+        """
+        routing = self.forwarder.routing
+        return [
+            ProbedTarget(service, record.address)
+            for service in (routing.get_routed_services() if routing else ())
+            for record in self.table.get_ready(service)
+        ]
 
     def on_reach_change(self, state: ReachState) -> None:
         """Announce lost or regained links to targets, and use other ways for calls."""
--- a/tests/integration/test_store_entries.py
+++ b/tests/integration/test_store_entries.py
@@ -8,6 +8,9 @@
 from .front_world import FrontTestCase, make_config, make_request
 
 PROPAGATION_S = 3.0
+IDLE_S = 3.0  # Without calls, so that links are probed.
+UNROUTED_SERVICES = 40
+CLOSED_ADDRESS = "127.0.0.1:1"
 DEPTH = 2_000
 NESTED = b"[" * DEPTH + b"]" * DEPTH
 
@@ -118,6 +121,19 @@
         self.check_changes_are_learnt(5)
         self.assertIn("singlea", self.get_state(1)["targets"])
 
+    def test_entries_of_services_without_a_route_do_not_cost_the_links(self):
+        for number in range(UNROUTED_SERVICES):
+            entry = encode(service=f"unrouted{number}", addr=CLOSED_ADDRESS)
+            self.store.put(f"servers/unrouted{number}", entry)
+        self.wait_for_tables()
+        time.sleep(IDLE_S)
+        for number in range(6 * self.front_count):
+            front = number % self.front_count
+            lost = self.get_state(front)["gauges"]["targets_lost"]
+            self.assertEqual(0, lost, "its links to targets are lost")
+            data = make_request("/one/x", f"idle{number}")
+            self.assertEqual(200, self.request(data, front).status)
+
     def test_configuration_that_cannot_be_read_leaves_the_last_one_in_force(self):
         document = msgspec.json.encode(make_config(9))
         self.store.put("op/config", document[:-1] + b',"owner":' + NESTED + b"}")
