Store: changes that exceed one response are read again in pages

What callers saw in the test: after bursts of large entries by another writer no process learnt of a moved route any more, for as long as the history was kept.

Cause: a watch returns all changes since a revision in one response. If that exceeds the greatest body (16 MiB), or isn't through before the call's timeout, the call failed and was made again with the same revision, in every process that reads the store. The next change only made the response larger.

Now a response that has begun and can't be read whole, or is malformed, makes the next call a full read, whose pages are small. A store that doesn't answer at all is watched again as before.

Evidence: test_changes_that_exceed_one_response_are_read_in_pages (real processes, 16 entries of 1 MB at a time) failed before (no process had the last revision after 30 s) and passes after 9 s; the tests of client and follower are new.

--- a/sesameplank/exceptions.py
+++ b/sesameplank/exceptions.py
@@ -29,6 +29,10 @@
     """The platform's service no longer holds the requested changes."""
 
 
+class UnreadableResponseError(PlatformError):
+    """The platform's service sent a response that could not be read whole."""
+
+
 class PeerProtocolError(SesameplankError):
     """A frame from another entry cannot be decoded."""
 
--- a/sesameplank/platform/store.py
+++ b/sesameplank/platform/store.py
@@ -8,7 +8,12 @@
 import msgspec
 
 from ..decoding import decode_json
-from ..exceptions import HistoryGoneError, MalformedDocumentError, PlatformError
+from ..exceptions import (
+    HistoryGoneError,
+    MalformedDocumentError,
+    PlatformError,
+    UnreadableResponseError,
+)
 from ..forwarding.http_messages import Response, ResponseReader, encode_request
 from ..logs import log_event
 from ..net import Address, set_no_delay
@@ -64,7 +69,10 @@
 
 
 class StoreClient:
-    """One connection to the store, which carries one call at a time."""
+    """One connection to the store, which carries one call at a time.
+
+    `received_bytes` counts what has arrived of the response to the last call.
+    """
 
     def __init__(self, address: Address, source_host: str) -> None:
         self.address = address
@@ -72,6 +80,7 @@
         self.sock: gevent.socket.socket | None = None
         self.reader = ResponseReader(MAX_HEADER_BYTES, MAX_BODY_BYTES)
         self.calls = 0
+        self.received_bytes = 0
         self.refused_era: str | None = None
 
     def read_page(self, prefix: str, after: str = "") -> WirePage:
@@ -87,8 +96,9 @@
     def watch(self, prefix: str, after: int, wait_s: float) -> WireEvents:
         """Wait up to `wait_s` seconds for changes after a revision, and return them.
 
-        Raises HistoryGoneError if the store no longer holds these changes, so that
-        everything has to be read again, and PlatformError on any other failure.
+        Raises HistoryGoneError if the store no longer holds these changes, and
+        UnreadableResponseError if they don't fit a response. Either way everything has
+        to be read again, page by page. Raises PlatformError on any other failure.
         """
         wait_ms = int(wait_s * 1_000)
         path = f"{WATCH_PATH}?prefix={quote(prefix)}&after={after}&wait_ms={wait_ms}"
@@ -97,18 +107,21 @@
     def get(self, path: str, timeout_s: float) -> Response:
         """Return a 200 response.
 
-        Raises HistoryGoneError on status 410, and PlatformError on any other
-        response or if there is none within `timeout_s` seconds.
+        Raises HistoryGoneError on status 410, UnreadableResponseError if a response
+        has begun and isn't whole within `timeout_s` seconds or is too large, and
+        PlatformError on any other response or if there is none.
         """
         self.calls += 1
+        self.received_bytes = 0
         try:
             with gevent.Timeout(timeout_s):
                 response = self.exchange(path)
         except (gevent.Timeout, OSError) as error:
             self.close()
-            raise PlatformError(
-                f"the store at {self.address} did not answer GET {path}: {error!r}; "
-                "check its address and health"
+            kind = UnreadableResponseError if self.received_bytes else PlatformError
+            raise kind(
+                f"the store at {self.address} did not answer GET {path}: {error!r} "
+                f"after {self.received_bytes} bytes; check its address and health"
             ) from error
         if response.status == HISTORY_GONE:
             raise HistoryGoneError(
@@ -128,6 +141,7 @@
         self.sock.sendall(encode_request(b"GET", path.encode(), headers, b""))
         while not self.reader.complete:
             data = self.sock.recv(READ_BYTES)
+            self.received_bytes += len(data)
             if not data or self.reader.is_corrupt:
                 raise ConnectionError(
                     "the store closed the connection or sent a malformed response"
@@ -155,11 +169,14 @@
             sock.close()
 
     def decode(self, response: Response, kind: type) -> WirePage | WireEvents:
-        """Return the typed body with the store's era, or raise PlatformError."""
+        """Return the typed body with the store's era.
+
+        Raises UnreadableResponseError.
+        """
         try:
             decoded = decode_json(bytes(response.body), kind)
         except MalformedDocumentError as error:
-            raise PlatformError(
+            raise UnreadableResponseError(
                 f"the store's answer is malformed: {error}; check its version"
             ) from error
         decoded.era = self.read_era(response)
--- a/sesameplank/published/follower.py
+++ b/sesameplank/published/follower.py
@@ -12,7 +12,7 @@
 from ..core.published.document_version import DocumentVersion
 from ..core.published.target_table import TargetChanges, TargetTable
 from ..core.published.versions import ConfigurationStore
-from ..exceptions import HistoryGoneError, PlatformError
+from ..exceptions import HistoryGoneError, PlatformError, UnreadableResponseError
 from ..logs import log_event
 
 WATCH_WAIT_S = 1.5
@@ -51,8 +51,9 @@
         If the store was restored, they are changes after that revision in a later
         era, which the version of the targets names.
 
-        Raises HistoryGoneError if the store no longer holds these changes, and
-        PlatformError on any other failure.
+        Raises HistoryGoneError if the store no longer holds these changes,
+        UnreadableResponseError if they could not be read whole, and PlatformError on
+        any other failure.
         """
 
 
@@ -104,13 +105,20 @@
         except HistoryGoneError:
             log_event("store_history_gone", **describe(self.version))
             self.request_full_read()
+        except UnreadableResponseError as error:  # The next one may be no better.
+            self.request_full_read()
+            self.wait_after_failure(error)
         except PlatformError as error:
-            self.note_failure(error)
-            gevent.sleep(self.rng.uniform(RETRY_DELAY_MIN_S, RETRY_DELAY_MAX_S))
+            self.wait_after_failure(error)
         except Exception:
             self.request_full_read()
             raise
 
+    def wait_after_failure(self, error: PlatformError) -> None:
+        """Record a failed call and wait before the next one."""
+        self.note_failure(error)
+        gevent.sleep(self.rng.uniform(RETRY_DELAY_MIN_S, RETRY_DELAY_MAX_S))
+
     def wait_for_election(self) -> None:
         """Wait until the next check of the reader election.
 
--- a/tests/integration/test_store_entries.py
+++ b/tests/integration/test_store_entries.py
@@ -10,6 +10,10 @@
 PROPAGATION_S = 3.0
 IDLE_S = 3.0  # Without calls, so that links are probed.
 UNROUTED_SERVICES = 40
+LARGE_VALUE = b"x" * 1_000_000
+LARGE_ENTRIES = 16  # A response holds 16 MiB at most.
+LARGE_ROUNDS = 4
+SETTLE_S = 1.0
 CLOSED_ADDRESS = "127.0.0.1:1"
 DEPTH = 2_000
 NESTED = b"[" * DEPTH + b"]" * DEPTH
@@ -134,6 +138,14 @@
             data = make_request("/one/x", f"idle{number}")
             self.assertEqual(200, self.request(data, front).status)
 
+    def test_changes_that_exceed_one_response_are_read_in_pages(self):
+        for _ in range(LARGE_ROUNDS):
+            for number in range(LARGE_ENTRIES):
+                self.store.put(f"servers/large{number}", LARGE_VALUE)
+            self.wait_for_tables()
+            time.sleep(SETTLE_S)  # All processes that read wait for changes again.
+        self.check_changes_are_learnt(5)
+
     def test_configuration_that_cannot_be_read_leaves_the_last_one_in_force(self):
         document = msgspec.json.encode(make_config(9))
         self.store.put("op/config", document[:-1] + b',"owner":' + NESTED + b"}")
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,11 +6,11 @@
 from gevent.server import StreamServer
 
 from sesameplank.core.published.document_version import DocumentVersion
-from sesameplank.exceptions import PlatformError
+from sesameplank.exceptions import PlatformError, UnreadableResponseError
 from sesameplank.forwarding.http_messages import Response
 from sesameplank.net import Address
 from sesameplank.platform.source import StoreSource
-from sesameplank.platform.store import UNKNOWN_ERA, StoreClient
+from sesameplank.platform.store import MAX_BODY_BYTES, UNKNOWN_ERA, StoreClient
 from sesameplank.standins.fleet import reserve_block
 from sesameplank.standins.front_store import PAGE_ITEMS, StoreStandin
 
@@ -72,6 +72,18 @@
         self.data = self.ANSWER
         self.assertEqual(1000, self.client.read_page("").as_of)
 
+    def test_only_an_answer_that_has_begun_cannot_be_read_whole(self):
+        for length in (0, 1, len(self.ANSWER) - 1):
+            self.data = self.ANSWER[:length]
+            error = self.assertRaises(PlatformError, self.client.read_page, "")
+            has_begun = isinstance(error, UnreadableResponseError)
+            self.assertEqual(length > 0, has_begun, length)
+
+    def test_too_large_an_answer(self):
+        length = b"%d" % (MAX_BODY_BYTES + 1)
+        self.data = self.ANSWER.replace(b"42", length)
+        self.assertRaises(UnreadableResponseError, self.client.watch, "", 1, 0.1)
+
 
 class SourceTests(testtools.TestCase):
     """Reads and watches of a store that is restored from a copy."""
--- a/tests/published/test_follower.py
+++ b/tests/published/test_follower.py
@@ -1,6 +1,7 @@
 """Tests of the follower of the platform's store, with a scripted store."""
 
 import random
+from unittest.mock import Mock
 
 import msgspec
 import testtools
@@ -15,7 +16,7 @@
     TargetTable,
 )
 from sesameplank.core.published.versions import ConfigurationStore
-from sesameplank.exceptions import PlatformError
+from sesameplank.exceptions import PlatformError, UnreadableResponseError
 from sesameplank.ids import ConfigVersion
 from sesameplank.published.follower import (
     Publication,
@@ -87,6 +88,14 @@
         self.source.add(1, 10, "a", version=7)
         self.follower.run_round()
 
+    def test_changes_that_cannot_be_read_whole_are_read_again_in_pages(self):
+        self.source.watch = Mock(side_effect=UnreadableResponseError("too large"))
+        self.follower.run_round()
+        self.source.add(1, 12, "a", "b")
+        self.follower.run_round()
+        self.assertEqual(["read", "read"], self.source.calls)
+        self.assertEqual({"a", "b"}, set(self.table.records))
+
     def test_next_round_reads_everything_again(self):
         apply, self.table.apply = self.table.apply, fail
         self.source.add(1, 12, "b", is_whole=False, version=8)
