Stops: an announcement that fails ends none, on the own interface too

What callers would have seen: an entry that stops and can't tell the others ended at once, with the requests in flight cut off.

Cause: only the forwarding process guarded its announcements. The guard is now in MembershipService.leave, which both stops use; it logs announcement_failed as before.

Evidence: test_stop_goes_on_if_the_others_cannot_be_told failed before (ValueError ended the drain) and passes; test_shutdown uses the real service with a membership that fails, instead of a stand-in for the service.

--- a/sesameplank/forwarding/shutdown.py
+++ b/sesameplank/forwarding/shutdown.py
@@ -90,7 +90,7 @@
         for server in (self.server, *self.other_servers):
             server.is_stopping = True
         self.forwarder.begin_stop(schedule)
-        self.announce(Phase.LEAVING)
+        self.membership_service.leave(Phase.LEAVING)
         self.wait_until(schedule.stop_accepting_at)
 
     def end(self, schedule: StopSchedule) -> None:
@@ -99,19 +99,12 @@
         self.server.stop_accepting()
         self.batch_server.is_stopping = True
         self.close_connections([self.server], schedule)
-        self.announce(Phase.LEFT)
+        self.membership_service.leave(Phase.LEFT)
         for server in self.other_servers:
             server.stop_accepting()
         self.close_connections(self.other_servers, schedule)
         self.log_step("left", **self.get_totals())
 
-    def announce(self, phase: Phase) -> None:
-        """Tell the other VMs; the shutdown goes on if that fails."""
-        try:
-            self.membership_service.leave(phase)
-        except Exception as error:
-            log_event("announcement_failed", phase=phase.name, error=repr(error))
-
     def wait_until(self, at: float) -> None:
         """Block until a time of the clock."""
         while (remaining_s := at - self.clock.now()) > 0:
--- a/sesameplank/peers/membership.py
+++ b/sesameplank/peers/membership.py
@@ -96,8 +96,14 @@
         )
 
     def leave(self, phase: Phase) -> None:
-        """Announce that this process is leaving or has left."""
-        self.send(self.membership.leave(phase, self.clock.now()))
+        """Announce that this process is leaving or has left.
+
+        A stop goes on if that fails: the others notice later that it is gone.
+        """
+        try:
+            self.send(self.membership.leave(phase, self.clock.now()))
+        except Exception as error:
+            log_event("announcement_failed", phase=phase.name, error=repr(error))
 
     def send(self, messages: Iterable[Outgoing]) -> None:
         """Send messages of the membership; add the versions to heartbeats."""
--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -6,6 +6,7 @@
 from sesameplank.forwarding.answer_accounts import StopTotals
 from sesameplank.forwarding.loop_delay import LoopDelay
 from sesameplank.forwarding.shutdown import Shutdown
+from tests.failing_membership import make_failing_membership_service
 
 TIMEOUT_S = 1.0
 
@@ -62,14 +63,6 @@
         """Do nothing: there is no batch."""
 
 
-class FailingMembership:
-    """A membership service that can't tell the other VMs."""
-
-    def leave(self, phase) -> None:
-        """Raise an error."""
-        raise ValueError("not an address")
-
-
 class ShutdownTests(testtools.TestCase):
     """A process ends its connections whatever goes wrong on the way."""
 
@@ -81,7 +74,7 @@
             StandInServer(),
             StandInForwarder(error),
             StandInBatchServer(),
-            FailingMembership(),
+            make_failing_membership_service(),
             LoopDelay(0.1),
         )
         shutdown.other_servers.append(StandInServer())
--- a/tests/test_draining.py
+++ b/tests/test_draining.py
@@ -13,6 +13,7 @@
 
 from .callers.raw_http import GOOD_BODY, RawResponse, make_post
 from .callers.served_app import ServedAppTestCase
+from .failing_membership import make_failing_membership_service
 
 HUGE_BYTES = 30_000_000  # More than the buffers of a connection hold.
 
@@ -66,6 +67,16 @@
         self.assertIn("finished=True cut_off=0 unanswered=0", self.get_event("left"))
         self.assertEqual([Phase.LEAVING, Phase.LEFT], self.membership.phases)
 
+    def test_stop_goes_on_if_the_others_cannot_be_told(self):
+        self.membership = make_failing_membership_service()
+        sock = self.connect()
+        sock.sendall(make_post(GOOD_BODY))
+        self.assertEqual(200, RawResponse(sock.makefile("rb")).status)
+        self.drain(1.0)
+        self.assertIn("finished=True cut_off=0 unanswered=0", self.get_event("left"))
+        failed = [line for line in self.lines if "event=announcement_failed" in line]
+        self.assertEqual(2, len(failed))
+
     def test_request_without_an_answer_at_the_end_is_cut_off_and_answered(self):
         self.release.clear()
         sock = self.connect()
