--- a/tests/forwarding/test_shutdown.py
+++ b/tests/forwarding/test_shutdown.py
@@ -6,7 +6,8 @@
 from sesameplank.forwarding.answer_accounts import StopTotals
 from sesameplank.forwarding.loop_delay import LoopDelay
 from sesameplank.forwarding.shutdown import Shutdown
-from tests.failing_membership import make_failing_membership_service
+
+from ..failing_membership import make_failing_membership_service
 
 TIMEOUT_S = 1.0
 
--- a/tests/integration/test_entry_stops.py
+++ b/tests/integration/test_entry_stops.py
@@ -78,9 +78,24 @@
             client.address_cache.get_addresses = lambda *_: [issuer.address]
             return client.make_key(10_000)
 
+    def get_record(self) -> str:
+        """Return the record that is booked."""
+        return next(iter(self.world.stores["order-desk"].records))
+
+    def find_booked_target(self) -> str:
+        """Return the target that runs the bookings first."""
+        collection = self.world.direct_configuration.collections["order-desk"]
+        return collection.get_shard(get_position(self.get_record())).replicas[0]
+
+    def find_home(self, target: str):
+        """Return the entry that holds the connections to a target, and another one."""
+        homes = [item for item in self.fleet.entries if target in get_pools(item)]
+        others = [item for item in self.fleet.entries if item not in homes]
+        return homes[0], others[0]
+
     def make_booking(self, key: str) -> bytes:
         """Return a request to book one item under a key."""
-        record = next(iter(self.world.stores["order-desk"].records))
+        record = self.get_record()
         body = msgspec.json.encode(
             {"collection": "order-desk", "record": record, "deadline_ms": 10_000}
         )
@@ -235,17 +250,9 @@
 class RelayTests(EntryStopTestCase):
     """An entry whose connections to a target others use lets their calls end."""
 
-    def find_home(self, target: str):
-        """Return the entry that holds the connections to a target, and another one."""
-        homes = [item for item in self.fleet.entries if target in get_pools(item)]
-        others = [item for item in self.fleet.entries if item not in homes]
-        return homes[0], others[0]
-
     def test_relayed_booking_in_flight_is_answered(self):
         self.start_fleet(3, *RELAY_FLAGS)
-        record = next(iter(self.world.stores["order-desk"].records))
-        collection = self.world.direct_configuration.collections["order-desk"]
-        target = collection.get_shard(get_position(record)).replicas[0]
+        target = self.find_booked_target()
         home, self.entry = self.find_home(target)
         self.world.targets[target].slow_factor = RELAYED_FACTOR
         key = self.make_key(self.entry)
