--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -64,7 +64,7 @@
 from .shutdown import Shutdown
 from .suspect_requests import SuspectRequests
 from .target_availability import TargetAvailability
-from .target_pools import TargetPools
+from .target_pools import PoolContext, TargetPools
 
 RELAY_CONFIRMATION_INTERVAL_S = 0.5  # To announce that the view is still current.
 # Over a few hops, this adds little to the seconds that an update may take.
@@ -141,14 +141,16 @@
             lambda event: self.forwarder.count(event),
         )
         self.pools = TargetPools(
-            clock,
-            dialect,
-            settings.vm,
-            self.limits,
-            self.reach,
-            self.crash_guard,
-            self.down_targets,
-            self.availability,
+            PoolContext(
+                clock,
+                dialect,
+                settings.vm,
+                self.limits,
+                self.reach,
+                self.crash_guard,
+                self.down_targets,
+                self.availability,
+            )
         )
         self.reach_probes = ReachProbes(
             self.reach,
--- a/sesameplank/forwarding/target_pools.py
+++ b/sesameplank/forwarding/target_pools.py
@@ -6,6 +6,7 @@
 
 import gevent
 import gevent.socket
+import msgspec
 
 from ..core.common.clock import Clock
 from ..core.common.outcomes import FailureReason
@@ -33,6 +34,19 @@
 CRASH_CHECK_TIMEOUT_S = 0.1
 
 
+class PoolContext(msgspec.Struct, frozen=True):
+    """What the pools of all targets use; connections are opened from `source_host`."""
+
+    clock: Clock
+    dialect: Dialect
+    source_host: str
+    limits: TargetLimits
+    reach: TargetReach
+    crash_guard: CrashGuard
+    down_targets: DownTargets
+    availability: TargetAvailability
+
+
 class TargetPool:
     """The connections to one target, and the calls that wait for a connection.
 
@@ -40,34 +54,18 @@
     since `dialled_at`.
     """
 
-    def __init__(
-        self,
-        record: TargetRecord,
-        limit: int,
-        clock: Clock,
-        dialect: Dialect,
-        source_host: str,
-        limits: TargetLimits,
-        reach: TargetReach,
-        crash_guard: CrashGuard,
-        down_targets: DownTargets,
-        availability: TargetAvailability,
-    ) -> None:
-        self.down_targets = down_targets
-        self.availability = availability
+    def __init__(self, record: TargetRecord, limit: int, context: PoolContext) -> None:
         self.record = record
         self.limit = limit
-        self.crash_guard = crash_guard
+        self.context = context
+        self.clock = context.clock
+        self.dialect = context.dialect
+        self.reach = context.reach
         self.broken: list[BrokenCall] = []
-        self.limits = limits
-        self.reach = reach
-        self.clock = clock
-        self.dialect = dialect
-        self.source_host = source_host
         self.idle: list[TargetConnection] = []
         self.connections: set[TargetConnection] = set()
         self.dialling = 0
-        self.dialled_at = clock.now()
+        self.dialled_at = self.clock.now()
         self.waiting: deque[Exchange] = deque()
         self.opened = 0
         self.next_warm_up_at = float("-inf")
@@ -107,11 +105,11 @@
 
     def find_reason_to_hold(self, exchange: Exchange) -> FailureReason | None:
         """Return why a call must not be sent now, or None if it may be."""
-        if not self.crash_guard.may_send(exchange.request):
+        if not self.context.crash_guard.may_send(exchange.request):
             return FailureReason.QUARANTINED
-        if not self.availability.may_send(self.record):
+        if not self.context.availability.may_send(self.record):
             return FailureReason.LIMITED
-        if not self.limits.take(self.record.id, self.clock.now()):
+        if not self.context.limits.take(self.record.id, self.clock.now()):
             return FailureReason.LIMITED
         return None
 
@@ -192,12 +190,12 @@
         """Record that nothing listens at the target's address."""
         self.reach.note_suspicion()
         if not self.reach.is_lost:
-            self.down_targets.note_down(self.record, self.clock.now())
+            self.context.down_targets.note_down(self.record, self.clock.now())
 
     def adopt(self, sock: socket.socket) -> None:
         """Add a new connection to the pool."""
         self.opened += 1
-        self.down_targets.release(self.record.id)
+        self.context.down_targets.release(self.record.id)
         self.reach.note_heard(self.clock.now())
         connection = TargetConnection(self, sock)
         self.connections.add(connection)
@@ -235,7 +233,7 @@
 
     def find_reason(self, call: BrokenCall) -> FailureReason:
         """Return why the call of a target that has ended failed."""
-        is_crash = self.crash_guard.note_ended(
+        is_crash = self.context.crash_guard.note_ended(
             self.record.id, call.exchange.request, call.sent_at
         )
         return FailureReason.CRASHED if is_crash else call.reason
@@ -245,7 +243,7 @@
         sock = gevent.socket.create_connection(
             Address.parse(self.record.address),
             timeout_s,
-            source_address=(self.source_host, 0),
+            source_address=(self.context.source_host, 0),
         )
         set_no_delay(sock)
         sock.setsockopt(
@@ -289,14 +287,14 @@
         """Record what the answer to a call sent at `sent_at` says of the rate limit."""
         if statement is not None:
             now = self.clock.now()
-            self.limits.note_answer(self.record.id, statement, sent_at, now)
+            self.context.limits.note_answer(self.record.id, statement, sent_at, now)
 
     def note_statements(self, metadata: ResponseMetadata) -> None:
         """Record that the target has said that it leaves, or wants no requests."""
         if metadata.is_leaving:
-            self.availability.note_leaving(self.record)
+            self.context.availability.note_leaving(self.record)
         if metadata.pause_s is not None:
-            self.availability.note_pause(self.record, metadata.pause_s)
+            self.context.availability.note_pause(self.record, metadata.pause_s)
 
     def remove(self, connection: TargetConnection) -> None:
         """Remove a closed connection; open a new one if a waiting call needs one."""
@@ -361,25 +359,8 @@
 class TargetPools:
     """The connection pools of all targets, shared by all requests."""
 
-    def __init__(
-        self,
-        clock: Clock,
-        dialect: Dialect,
-        source_host: str,
-        limits: TargetLimits,
-        reach: TargetReach,
-        crash_guard: CrashGuard,
-        down_targets: DownTargets,
-        availability: TargetAvailability,
-    ) -> None:
-        self.down_targets = down_targets
-        self.availability = availability
-        self.clock = clock
-        self.dialect = dialect
-        self.source_host = source_host
-        self.limits = limits
-        self.reach = reach
-        self.crash_guard = crash_guard
+    def __init__(self, context: PoolContext) -> None:
+        self.context = context
         self.pools: dict[TargetId, TargetPool] = {}
 
     def get(self, record: TargetRecord, limit: int) -> TargetPool:
@@ -391,18 +372,7 @@
         if pool is None or pool.record.address != record.address:
             if pool is not None:
                 pool.close()
-            pool = TargetPool(
-                record,
-                limit,
-                self.clock,
-                self.dialect,
-                self.source_host,
-                self.limits,
-                self.reach,
-                self.crash_guard,
-                self.down_targets,
-                self.availability,
-            )
+            pool = TargetPool(record, limit, self.context)
             self.pools[record.id] = pool
         pool.record = record
         pool.limit = limit
--- a/tests/forwarding/test_target_pools.py
+++ b/tests/forwarding/test_target_pools.py
@@ -13,7 +13,7 @@
 from sesameplank.core.published.target_table import TargetPhase, TargetRecord
 from sesameplank.core.quarantine.sent_request import SentRequest
 from sesameplank.forwarding.target_connections import Exchange
-from sesameplank.forwarding.target_pools import TargetPool
+from sesameplank.forwarding.target_pools import PoolContext, TargetPool
 from sesameplank.platform.headers import PlatformDialect
 
 from ..crash_guards import make_crash_guard
@@ -29,20 +29,19 @@
     def test_call_fails_at_once_as_not_run(self):
         clock = SystemClock()
         reach = TargetReach(random.Random(1), clock.now())
+        context = PoolContext(
+            clock,
+            PlatformDialect(),
+            "127.0.0.1",
+            None,
+            reach,
+            make_crash_guard(clock, reach),
+            DownTargets(),
+            None,
+        )
         for address in UNUSABLE_ADDRESSES:
             record = TargetRecord("t1", "s1", address, "dc", 2, TargetPhase.READY)
-            pool = TargetPool(
-                record,
-                1,
-                clock,
-                PlatformDialect(),
-                "127.0.0.1",
-                None,
-                reach,
-                make_crash_guard(clock, reach),
-                DownTargets(),
-                None,
-            )
+            pool = TargetPool(record, 1, context)
             outcomes = []
             exchange = Exchange(
                 Call(1, CallKind.FIRST, "s1", record, clock.now()),
