Target pools: calls that wait behind a failed dial fail too

What callers saw: when a target refused connections (or its host was silent), a call that waited for one of few connections was neither sent nor failed. An unsafe one waited until its deadline and was answered 504 although another replica was up; a safe one was hedged.

Cause: a failed dial failed the call that had waited longest, and started no other for the rest; there was none until another call came or a connection closed.

Now a failed dial starts the next one as long as calls wait, as the end of a connection did.

Evidence: test_calls_that_wait_behind_a_failed_dial_fail_too (five calls, one connection, nothing listens) timed out after 5 s before and passes within 0.05 s.

--- a/sesameplank/forwarding/target_pools.py
+++ b/sesameplank/forwarding/target_pools.py
@@ -180,12 +180,19 @@
             if isinstance(error, ConnectionRefusedError):
                 self.note_refused()
             self.reach.note_suspicion()
-            if self.waiting:
-                self.waiting.popleft().fail(FailureReason.CONNECT, repr(error))
+            longest_waiting = self.waiting.popleft() if self.waiting else None
+            self.dial_for_waiting()
+            if longest_waiting is not None:
+                longest_waiting.fail(FailureReason.CONNECT, repr(error))
             return
         self.dialling -= 1
         self.adopt(sock)
 
+    def dial_for_waiting(self) -> None:
+        """Open a connection if more calls wait than connections are being opened."""
+        if len(self.waiting) > self.dialling and self.size < self.limit:
+            self.start_dial()
+
     def note_refused(self) -> None:
         """Record that nothing listens at the target's address."""
         self.reach.note_suspicion()
@@ -301,8 +308,7 @@
         self.connections.discard(connection)
         if connection in self.idle:
             self.idle.remove(connection)
-        if len(self.waiting) > self.dialling and self.size < self.limit:
-            self.start_dial()
+        self.dial_for_waiting()
 
     def cancel(self, exchange: Exchange) -> None:
         """Cancel a call without reporting its outcome.
--- a/tests/forwarding/test_target_pools.py
+++ b/tests/forwarding/test_target_pools.py
@@ -21,15 +21,23 @@
 TIMEOUT_S = 5.0
 # Processes of older releases list such addresses.
 UNUSABLE_ADDRESSES = ("127.0.0.1:70000", "a" * 64 + ".example:80", "127.0.0.1")
+CLOSED_ADDRESS = "127.0.0.1:1"  # Nothing listens there.
+WAITING_CALLS = 5
 
 
-class UnusableAddressTests(testtools.TestCase):
-    """Guards against a call that waits until its deadline after a failed dial."""
+def make_record(address: str) -> TargetRecord:
+    """Return the record of a target that listens at an address."""
+    return TargetRecord("t1", "s1", address, "dc", 2, TargetPhase.READY)
 
-    def test_call_fails_at_once_as_not_run(self):
-        clock = SystemClock()
+
+class PoolTestCase(testtools.TestCase):
+    """Makes pools, and calls whose outcomes are kept in `outcomes`."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = clock = SystemClock()
         reach = TargetReach(random.Random(1), clock.now())
-        context = PoolContext(
+        self.context = PoolContext(
             clock,
             PlatformDialect(),
             "127.0.0.1",
@@ -39,24 +47,46 @@
             DownTargets(),
             None,
         )
-        for address in UNUSABLE_ADDRESSES:
-            record = TargetRecord("t1", "s1", address, "dc", 2, TargetPhase.READY)
-            pool = TargetPool(record, 1, context)
-            outcomes = []
-            exchange = Exchange(
-                Call(1, CallKind.FIRST, "s1", record, clock.now()),
-                SentRequest("r1", "0" * 32),
-                lambda: b"",
-                lambda call: None,
-                lambda exchange, outcome, outcomes=outcomes: outcomes.append(outcome),
-                is_idempotent=True,
-            )
-            pool.submit(exchange)
-            with gevent.Timeout(TIMEOUT_S):
-                while not outcomes:
-                    gevent.sleep(0.01)
-            outcome = outcomes[0]
+        self.outcomes = []
+
+    def make_exchange(self, record: TargetRecord) -> Exchange:
+        """Return a call to a target."""
+        return Exchange(
+            Call(1, CallKind.FIRST, "s1", record, self.clock.now()),
+            SentRequest("r1", "0" * 32),
+            lambda: b"",
+            lambda call: None,
+            lambda exchange, outcome: self.outcomes.append(outcome),
+            is_idempotent=True,
+        )
+
+    def wait_for_outcomes(self, count: int) -> None:
+        """Return once so many calls have ended, or fail after TIMEOUT_S."""
+        with gevent.Timeout(TIMEOUT_S):
+            while len(self.outcomes) < count:
+                gevent.sleep(0.01)
+
+
+class FailedDialTests(PoolTestCase):
+    """Guards against calls that wait until their deadline after a failed dial."""
+
+    def submit(self, address: str, calls: int) -> None:
+        """Submit calls to a pool of one connection, and check that each fails soon."""
+        record = make_record(address)
+        pool = TargetPool(record, 1, self.context)
+        for _ in range(calls):
+            pool.submit(self.make_exchange(record))
+        self.wait_for_outcomes(calls)
+        for outcome in self.outcomes:
             self.assertEqual(
                 (FailureReason.CONNECT, Ran.NOT_RUN), (outcome.reason, outcome.ran)
             )
-            self.assertEqual(0, pool.size)
+        self.assertEqual(0, pool.size)
+
+    def test_call_to_an_unusable_address_fails_at_once_as_not_run(self):
+        for address in UNUSABLE_ADDRESSES:
+            self.outcomes.clear()
+            self.submit(address, 1)
+
+    def test_calls_that_wait_behind_a_failed_dial_fail_too(self):
+        self.submit(CLOSED_ADDRESS, WAITING_CALLS)
