Calls are cancelled in the pool that they were submitted to

A target that starts again under its id at another address has a new pool; a call of before that was cancelled then looked its pool up by the target. That found or made another one: the call went on where it was, and the pool of the new address, with the calls that waited in it, was replaced by one for the old.

Now a call knows its pool.

Evidence: test_call_is_cancelled_where_it_was_submitted failed before (no such method; with the look-up in its place pools.get returned another pool) and passes.

--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -220,7 +220,7 @@
         """Take back a call that has not been transmitted."""
         exchange = self.exchanges.pop(index)
         call = exchange.call
-        self.server.connection_shares.get_pool(call.target).cancel(exchange)
+        exchange.cancel()
         self.server.placement.note_withdrawn(call.target.id, call.id)
         self.schedule.note_done(self.server.clock.now(), has_answer=False)
 
@@ -417,7 +417,7 @@
         for exchange in self.exchanges.values():
             call = exchange.call
             self.server.placement.note_abandoned(call.target.id, call.id, now)
-            self.server.connection_shares.get_pool(call.target).cancel(exchange)
+            exchange.cancel()
         self.exchanges.clear()
         self.end()
 
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -439,7 +439,7 @@
         """Take back a call that has not been transmitted, so it has not run."""
         call = exchange.call
         del self.exchanges[call.id]
-        self.forwarder.connection_shares.get_pool(call.target).cancel(exchange)
+        exchange.cancel()
         self.forwarder.placement.note_withdrawn(call.target.id, call.id)
         self.dispatch(self.fanout.on_failure(call, Ran.NOT_RUN, self.clock.now()))
 
@@ -456,4 +456,4 @@
         self.forwarder.placement.note_abandoned(
             call.target.id, call.id, self.clock.now()
         )
-        self.forwarder.connection_shares.get_pool(call.target).cancel(exchange)
+        exchange.cancel()
--- a/sesameplank/forwarding/target_connections.py
+++ b/sesameplank/forwarding/target_connections.py
@@ -43,7 +43,8 @@
     `encode` is called when a connection is free for the call, and `on_transmit`
     right before the first bytes are written. `on_done` gets the outcome, once; it is
     None afterwards, and also if the call was cancelled. `may_be_repeated` says that the
-    target may have got a call of the same request before.
+    target may have got a call of the same request before. `pool` is the pool that the
+    call was submitted to, which may no longer be that of its target.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         self.encode = encode
         self.on_transmit = on_transmit
         self.on_done: OnDone | None = on_done
+        self.pool: TargetPool | None = None
         self.is_idempotent = is_idempotent
         self.is_head = is_head
         self.is_transmitted = False
@@ -74,6 +76,12 @@
         if on_done is not None:
             on_done(self, outcome)
 
+    def cancel(self) -> None:
+        """Cancel the call without reporting its outcome."""
+        self.on_done = None
+        if self.pool is not None:
+            self.pool.release(self)
+
     def fail(self, reason: FailureReason, detail: str = "") -> None:
         """Report a failure; a call that was never transmitted has certainly not run."""
         ran = Ran.UNKNOWN if self.is_transmitted else Ran.NOT_RUN
--- a/sesameplank/forwarding/target_pools.py
+++ b/sesameplank/forwarding/target_pools.py
@@ -80,6 +80,7 @@
 
         Open a new connection for a queued call if the limit allows it.
         """
+        exchange.pool = self
         connection = self.take_idle(exchange)
         if connection is not None:
             if not self.transmit(connection, exchange):
@@ -310,13 +311,12 @@
             self.idle.remove(connection)
         self.dial_for_waiting()
 
-    def cancel(self, exchange: Exchange) -> None:
-        """Cancel a call without reporting its outcome.
+    def release(self, exchange: Exchange) -> None:
+        """Give up a call that has been cancelled.
 
         If it was transmitted and is not answered within a grace period, its
         connection is closed.
         """
-        exchange.on_done = None
         if not exchange.is_transmitted:
             if exchange in self.waiting:
                 self.waiting.remove(exchange)
--- a/tests/forwarding/test_batch_server.py
+++ b/tests/forwarding/test_batch_server.py
@@ -60,9 +60,10 @@
 
     def submit(self, exchange) -> None:
         """Hold a call."""
+        exchange.pool = self
         self.exchanges.append(exchange)
 
-    def cancel(self, exchange) -> None:
+    def release(self, exchange) -> None:
         """Forget a call."""
         self.exchanges.remove(exchange)
 
--- a/tests/forwarding/test_target_pools.py
+++ b/tests/forwarding/test_target_pools.py
@@ -13,7 +13,7 @@
 from sesameplank.core.published.target_table import TargetPhase, TargetRecord
 from sesameplank.core.quarantine.sent_request import SentRequest
 from sesameplank.forwarding.target_connections import Exchange
-from sesameplank.forwarding.target_pools import PoolContext, TargetPool
+from sesameplank.forwarding.target_pools import PoolContext, TargetPool, TargetPools
 from sesameplank.platform.headers import PlatformDialect
 
 from ..crash_guards import make_crash_guard
@@ -21,7 +21,7 @@
 TIMEOUT_S = 5.0
 # Processes of older releases list such addresses.
 UNUSABLE_ADDRESSES = ("127.0.0.1:70000", "a" * 64 + ".example:80", "127.0.0.1")
-CLOSED_ADDRESS = "127.0.0.1:1"  # Nothing listens there.
+CLOSED_ADDRESS, OTHER_ADDRESS = "127.0.0.1:1", "127.0.0.1:2"  # Nothing listens there.
 WAITING_CALLS = 5
 
 
@@ -90,3 +90,24 @@
 
     def test_calls_that_wait_behind_a_failed_dial_fail_too(self):
         self.submit(CLOSED_ADDRESS, WAITING_CALLS)
+
+
+class MovedTargetTests(PoolTestCase):
+    """Guards against a cancelled call that is looked for in another pool."""
+
+    def test_call_is_cancelled_where_it_was_submitted(self):
+        pools = TargetPools(self.context)
+        old, new = make_record(CLOSED_ADDRESS), make_record(OTHER_ADDRESS)
+        former_pool = pools.get(old, 0)
+        exchange = self.make_exchange(old)
+        former_pool.submit(exchange)
+        pool = pools.get(new, 0)
+        exchange.cancel()
+        self.assertNotIn(exchange, former_pool.waiting)
+        self.assertIs(pool, pools.get(new, 0))
+
+    def test_call_that_was_never_submitted_can_be_cancelled(self):
+        exchange = self.make_exchange(make_record(CLOSED_ADDRESS))
+        exchange.cancel()
+        exchange.fail(FailureReason.CONNECT)
+        self.assertEqual([], self.outcomes)
