Metrics: bytes on callers' connections, read and written

A process can't tell which data centre a caller's address belongs to, so they are totals. sesameplank-losses sums them. The test of the metrics page compares the bytes read with what was sent.

--- a/sesameplank/commands/losses.py
+++ b/sesameplank/commands/losses.py
@@ -37,6 +37,8 @@
     "remote_bytes_hedge",
     "remote_bytes_retry",
     "peer_bytes_sent",
+    "caller_bytes_read",
+    "caller_bytes_written",
 )
 
 
--- a/sesameplank/forwarding/answer_accounts.py
+++ b/sesameplank/forwarding/answer_accounts.py
@@ -84,7 +84,8 @@
     """Counts the requests that are read and answered, and reports the others.
 
     `log` is None if nothing is to be logged. `get_request_id` reads the id that the
-    caller sent with a request.
+    caller sent with a request. `bytes_read` and `bytes_written` count all that passed
+    on callers' connections.
     """
 
     def __init__(
@@ -97,6 +98,8 @@
         self.count = count
         self.get_request_id = get_request_id
         self.stop_totals = StopTotals()
+        self.bytes_read = 0
+        self.bytes_written = 0
 
     def note_read(self, request: Request, now: float, stopping: bool) -> PendingRequest:
         """Record that a request has been read completely."""
--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -107,6 +107,7 @@
         try:
             while self.is_open and not self.is_finishing:
                 data = self.receive(reader)
+                self.accounts.bytes_read += len(data)
                 limits = self.server.get_limits()
                 reader.set_limits(limits.max_header_bytes, limits.max_body_bytes)
                 if not data:
@@ -327,7 +328,9 @@
             if pending is not None:
                 pending.unwritten = len(unwritten)
             with contextlib.suppress(TimeoutError):  # That of the next read.
-                unwritten = unwritten[self.sock.send(unwritten) :]
+                written = self.sock.send(unwritten)
+                self.accounts.bytes_written += written
+                unwritten = unwritten[written:]
 
     def finish(self) -> None:
         """End the connection in a way that lets the caller receive all replies.
--- a/sesameplank/forwarding/front_report.py
+++ b/sesameplank/forwarding/front_report.py
@@ -38,6 +38,8 @@
         "limit_share": round(front.limit_parts.fleet.share, 4),
         "slack_share": round(front.budget.slack_share, 4),
         "peer_bytes_sent": front.links.counters.bytes_sent,
+        "caller_bytes_read": front.caller_server.accounts.bytes_read,
+        "caller_bytes_written": front.caller_server.accounts.bytes_written,
     }
 
 
--- a/tests/integration/test_front_operations.py
+++ b/tests/integration/test_front_operations.py
@@ -41,6 +41,9 @@
         self.assertIn('events_total{event="answers_written"} 3', text)
         self.assertIn("sesameplank_front_requests_pending 0", text)
         self.assertIn("sesameplank_front_config_version 3", text)
+        sent = sum(len(make_request("/all/x", f"m{number}")) for number in range(3))
+        self.assertIn(f"sesameplank_front_caller_bytes_read {sent}", text)
+        self.assertNotIn("sesameplank_front_caller_bytes_written 0", text)
         self.assertEqual(404, self.get_from_metrics_address("/other").status)
 
     def test_state_lists_members_and_targets(self):
