Entries of the store: one that is refused again counts as the newest

A bad entry that is written again and again stood first among those to be forgotten, with its newest revision, so that peers with an older list needed the complete one. The new test failed before.

--- a/sesameplank/core/published/target_table.py
+++ b/sesameplank/core/published/target_table.py
@@ -252,9 +252,9 @@
         record = self.records.pop(target, None)
         revision = max(revision, self.tombstones.pop(target, 0))
         self.tombstones[target] = revision  # The last one again, as the newest.
+        self.never_listed.pop(target, None)
         if record is not None:
             self.removed_records[target] = self.get_latest(record)
-            self.never_listed.pop(target, None)
         elif target not in self.removed_records:
             self.never_listed[target] = None
         was_held = self.release(target)
--- a/tests/core/published/test_target_table.py
+++ b/tests/core/published/test_target_table.py
@@ -85,6 +85,14 @@
         changes = self.table.get_changes(DocumentVersion(0, 3 + FLOOD - 100))
         self.assertEqual(100, len(changes.removed))
 
+    def test_entry_that_is_refused_again_is_the_newest(self):
+        flood = [(f"odd{number}", 4 + number) for number in range(MAX_TOMBSTONES)]
+        self.apply(4 + MAX_TOMBSTONES, removed=flood)
+        again = [("odd0", 5 + MAX_TOMBSTONES), ("another", 6 + MAX_TOMBSTONES)]
+        self.apply(6 + MAX_TOMBSTONES, removed=again)
+        self.assertIn("odd0", self.table.tombstones)
+        self.assertNotIn("odd1", self.table.tombstones)
+
     def test_draining_target_is_a_last_resort_during_its_grace_period(self):
         self.apply(3, [make_record("a", 3, TargetPhase.DRAINING)], now=10.0)
         self.assertEqual(["b"], self.get_ready())
