--- a/tests/integration/test_forwarding.py
+++ b/tests/integration/test_forwarding.py
@@ -1,5 +1,8 @@
 """Tests of requests through a real process to healthy and faulty targets."""
 
+import contextlib
+import time
+
 import gevent
 import gevent.pool
 
@@ -16,6 +19,10 @@
 )
 
 SINGLE_TARGETS = ("singlea", "singleb")
+KEPT_CONNECTIONS = 200
+IDLE_TIMEOUT_S = 4
+IDLE_SHARE = 0.8  # Callers use a connection again for so long.
+IDLE_ROUNDS = 3
 LARGE_BYTES = 8_000_000  # More than the kernel's buffers hold.
 SMALL_BUFFER_BYTES = 16_384
 
@@ -353,6 +360,25 @@
             client.sock.settimeout(3.0)
             self.assertTrue(client.is_closed())
 
+    def test_many_kept_connections_are_used_again_before_the_idle_timeout(self):
+        self.put_limits(5, idle_timeout_ms=IDLE_TIMEOUT_S * 1_000)
+        with contextlib.ExitStack() as stack:
+            clients = [
+                stack.enter_context(RawConnection(self.fronts[0].caller_address))
+                for _ in range(KEPT_CONNECTIONS)
+            ]
+            used_at = [-IDLE_SHARE * IDLE_TIMEOUT_S] * KEPT_CONNECTIONS
+            for _ in range(IDLE_ROUNDS):
+                for number, client in enumerate(clients):
+                    due_at = used_at[number] + IDLE_SHARE * IDLE_TIMEOUT_S
+                    gevent.sleep(max(0.0, due_at - time.monotonic()))
+                    data = make_request("/one/x", f"kept{number}")
+                    self.assertEqual(200, client.request(data).status, number)
+                    used_at[number] = time.monotonic()
+            self.assertEqual(
+                KEPT_CONNECTIONS, self.get_state(0)["gauges"]["caller_connections"]
+            )
+
     def test_answer_that_is_read_slowly_arrives_whole(self):
         # A connection is not idle while its answer is being written.
         for name in SINGLE_TARGETS:
