Soak: a call that a target refuses once has not run

The check was right, the record wrong: a target of the soak took each call for run unless its fault was SHED.

The target now says in one place whether it will refuse a call; test_refused_calls_have_not_run failed before.

--- a/sesameplank/standins/front_targets.py
+++ b/sesameplank/standins/front_targets.py
@@ -251,20 +251,21 @@
 
     def answer(self, sock: gevent.socket.socket, request: Request) -> bool:
         """Answer a request; return whether to keep the connection open."""
+        request_id = request.get(REQUEST_ID.lower()) or ""
+        is_shed = self.will_shed(request_id)
         self.arrived_at.append(time.monotonic())
-        self.arrived_ids.append(request.get(REQUEST_ID.lower()) or "")
+        self.arrived_ids.append(request_id)
         self.callers.append(self.sockets[sock])
         expected = request.get(EXPECTED_TARGET.lower())
         if expected not in (None, self.name):
-            self.misdirected_ids.append(request.get(REQUEST_ID.lower()) or "")
+            self.misdirected_ids.append(request_id)
             headers = [
                 (ANSWERING_TARGET, self.name.encode()),
-                (REQUEST_ID, (request.get(REQUEST_ID.lower()) or "").encode()),
+                (REQUEST_ID, request_id.encode()),
             ]
             sock.sendall(self.encode(MISDIRECTED, headers, b""))
             return True
-        request_id = request.get(REQUEST_ID.lower()) or ""
-        if self.is_shed(request_id):
+        if is_shed:
             headers = [(NOT_RUN, b"1"), (REQUEST_ID, request_id.encode())]
             if self.retry_after is not None:
                 headers.append((RETRY_AFTER, self.retry_after))
@@ -286,10 +287,10 @@
             return True
         return self.send(sock, request_id)
 
-    def is_shed(self, request_id: str) -> bool:
-        """Return whether to refuse a call that has just arrived."""
+    def will_shed(self, request_id: str) -> bool:
+        """Return whether a call that arrives now is refused without being run."""
         if self.fault_mode is TargetFaultMode.SHED_ONCE:
-            return self.arrived_ids.count(request_id) == 1
+            return request_id not in self.arrived_ids
         return self.fault_mode is TargetFaultMode.SHED
 
     def send(self, sock: gevent.socket.socket, request_id: str) -> bool:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -20,7 +20,7 @@
 from sesameplank.platform.headers import DEADLINE, EXPECTED_TARGET, REQUEST_ID
 from sesameplank.standins.fleet import reserve_block
 from sesameplank.standins.front_store import StoreStandin
-from sesameplank.standins.front_targets import FrontTarget, TargetFaultMode
+from sesameplank.standins.front_targets import FrontTarget
 from sesameplank.standins.proxy import FaultProxy
 
 from ..integration.front_world import FrontProcess, make_config
@@ -70,13 +70,14 @@
         """Answer a request, and record its arrival unless it is for another target."""
         expected = request.get(EXPECTED_TARGET.lower())
         is_addressee = expected in (None, self.name)
+        request_id = request.get(REQUEST_ID.lower()) or ""
         arrival = Arrival(
-            request.get(REQUEST_ID.lower()) or "",
+            request_id,
             self.service,
             self.name,
             request.path,
             time.monotonic(),
-            is_addressee and self.fault_mode is not TargetFaultMode.SHED,
+            is_addressee and not self.will_shed(request_id),
             int(request.get(DEADLINE.lower()) or 0),
         )
         if is_addressee:
