--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -52,11 +52,14 @@
     def __init__(self, world: SoakWorld, rng: random.Random) -> None:
         self.world = world
         self.rng = rng
+        self.detail = ""
 
     def run(self) -> None:
         """Inject the fault once, and record what it affects and for how long."""
+        subjects = self.begin()
         periods = [
-            self.world.note_fault(self.name, subject) for subject in self.begin()
+            self.world.note_fault(self.name, subject, self.detail)
+            for subject in subjects
         ]
         try:
             gevent.sleep(self.rng.uniform(MIN_DURATION_S, MAX_DURATION_S))
@@ -191,6 +194,7 @@
     def begin(self) -> list[str]:
         """Set one fault mode for random targets."""
         fault_mode = self.rng.choice(self.modes)
+        self.detail = fault_mode.value
         names = self.rng.sample(sorted(self.world.targets), self.rng.randint(1, 4))
         self.targets = [self.world.targets[name] for name in names]
         for target in self.targets:
--- a/tests/soak/observations.py
+++ b/tests/soak/observations.py
@@ -63,13 +63,15 @@
 class FaultPeriod(msgspec.Struct):
     """The period of a fault that affected one subject.
 
-    `subject` is the name of a process or of a target, or "store".
+    `subject` is the name of a process or of a target, or "store". `detail` says what a
+    target does, for a fault of one.
     """
 
     kind: str
     subject: str
     began_at: float
     ended_at: float = NEVER
+    detail: str = ""
 
 
 class ProcessExit(msgspec.Struct, frozen=True):
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -319,9 +319,9 @@
         self.record.asked.append(request)
         return request
 
-    def note_fault(self, kind: str, subject: str) -> FaultPeriod:
+    def note_fault(self, kind: str, subject: str, detail: str = "") -> FaultPeriod:
         """Record the beginning of a fault and return its period."""
-        period = FaultPeriod(kind, subject, time.monotonic())
+        period = FaultPeriod(kind, subject, time.monotonic(), detail=detail)
         self.record.troubles.append(period)
         return period
 
