Tests: added routes and draining targets are followed beside an unreadable entry

Seven real processes, an entry nested 2,000 levels deep, then an added route or a target that drains, asked for 3.2 s later.

--- /dev/null
+++ b/tests/integration/test_followed_views.py
@@ -0,0 +1,55 @@
+"""Tests that all processes follow the store, beside entries of other writers."""
+
+import time
+
+from .front_world import FrontTestCase, make_config, make_request
+
+STABLE_S = 4.0
+DUE_S = 3.2  # After the acknowledgement of a change: the bound of 3 s, and a margin.
+REQUESTS_PER_FRONT = 6
+DEPTH = 2_000
+NESTED_ENTRY = b'{"owner":' + b"[" * DEPTH + b"]" * DEPTH + b"}"
+
+
+class FollowedViewTests(FrontTestCase):
+    """Guards against processes that serve an old view for as long as they run."""
+
+    front_count = 7
+
+    def add_route(self, version: int) -> None:
+        """Publish a version that adds a route, to a service with a new target."""
+        service = f"added{version}"
+        self.add_target(f"{service}a", service)
+        document = make_config(version)
+        added = {**document["routes"][1], "name": service, "prefix": f"/{service}/"}
+        document["routes"].append({**added, "service": service})
+        self.store.put_config(document)
+
+    def ask_all(self, path: str, prefix: str) -> list[int]:
+        """Send requests to all processes in turn, and return the statuses."""
+        return [
+            self.request(
+                make_request(path, f"{prefix}-{number}"), number % self.front_count
+            ).status
+            for number in range(REQUESTS_PER_FRONT * self.front_count)
+        ]
+
+    def write_unreadable_entry(self) -> None:
+        """Write an entry that no decoder reads, while all processes are in touch."""
+        time.sleep(STABLE_S)
+        self.store.put("servers/nested", NESTED_ENTRY)
+        time.sleep(STABLE_S)
+
+    def test_added_route_is_served_beside_an_unreadable_entry(self):
+        self.write_unreadable_entry()
+        self.add_route(5)
+        time.sleep(DUE_S)
+        self.assertEqual({200}, set(self.ask_all("/added5/x", "added")))
+
+    def test_draining_target_is_not_called_beside_an_unreadable_entry(self):
+        self.write_unreadable_entry()
+        self.list_target("singlea", "single", state="draining", seq=2)
+        time.sleep(DUE_S)
+        runs = self.get_runs("singlea")
+        self.assertEqual({200}, set(self.ask_all("/one/x", "one")))
+        self.assertEqual(0, self.get_runs("singlea") - runs)
