--- a/sesameplank/forwarding/caller_connections.py
+++ b/sesameplank/forwarding/caller_connections.py
@@ -70,6 +70,7 @@
         self.served = 0
         self.round_trip_s = 0.0
         self.reader: RequestReader | None = None
+        self.head_began_at: float | None = None
 
     @property
     def in_flight(self) -> int:
@@ -130,14 +131,16 @@
 
         Wait while the queue of pipelined requests is full; a caller that leaves
         meanwhile ends the stream, although bytes are unread. Raise MessageError if a
-        request has arrived only in part and no bytes follow within the timeout. Bytes
-        that arrived in time are read even if the process is late. The timeouts in force
-        may change while this waits.
+        head isn't complete within the timeout, or if no bytes of a body follow within
+        it. Bytes that arrived in time are read even if the process is late. The
+        timeouts in force may change while this waits.
         """
         while len(self.queue) >= MAX_PIPELINED and self.worker is not None:
             if not self.wait_for_worker():
                 return b""
         waiting_since = self.server.now()
+        if self.head_began_at is not None:
+            waiting_since = self.head_began_at
         while True:
             rest_s = self.get_rest_s(reader, waiting_since)
             self.sock.settimeout(max(MIN_READ_TIMEOUT_S, rest_s))
@@ -181,10 +184,21 @@
             reader.feed(data)
         finally:
             complete, reader.complete = reader.complete, []
+            self.note_head(reader, is_next=bool(complete))
             self.queue.extend(map(self.note_read, complete))
             self.start_worker()
         self.send_interim_response()
 
+    def note_head(self, reader: RequestReader, *, is_next: bool) -> None:
+        """Record when the head that is being read began to arrive.
+
+        `is_next` says that the bytes just read completed the request before it.
+        """
+        if not (reader.in_message and reader.in_headers):
+            self.head_began_at = None
+        elif is_next or self.head_began_at is None:
+            self.head_began_at = self.server.now()
+
     def send_interim_response(self) -> None:
         """Ask for the body of the request that is being read, if its caller waits.
 
