Tests: processes on slow links renew each other's confirmation of an old view

What callers would see: a change of the configuration isn't in force in time on processes whose peers' links are slow, once the elected readers have stopped, although each process could read the store itself after 2.3 s.

--- a/tests/integration/front_world.py
+++ b/tests/integration/front_world.py
@@ -6,7 +6,9 @@
 import sys
 import tempfile
 import time
+from collections.abc import Iterable
 from pathlib import Path
+from typing import ClassVar
 
 import gevent
 import gevent.socket
@@ -79,7 +81,7 @@
 
     Callers connect to `caller_address`. `ready_address` serves the readiness check,
     and `directory_address` the directory of processes. `source` is the folder of the
-    release that runs.
+    release that runs. It connects first to the processes with the numbers `seeds`.
     """
 
     def __init__(
@@ -92,6 +94,8 @@
         store: str | None = None,
         retry_slack: int = 4000,
         source: Path = ROOT,
+        seed_port: int = 8106,
+        seeds: Iterable[int] = (1, 2),
     ) -> None:
         self.source = source
         self.module = module
@@ -106,7 +110,8 @@
             f"node=front-{number}\nip={self.host}\nzone=dc-{number % 2}\n"
             f"listen.front={self.caller_address}\nlisten.ready={self.ready_address}\n"
             f"listen.directory={self.directory_address}\nlisten.control={self.host}:8106\n"
-            f"port_range=7380,7395\nseeds={block}.1.1:8106,{block}.1.2:8106\n"
+            f"port_range=7380,7395\n"
+            f"seeds={','.join(f'{block}.1.{item}:{seed_port}' for item in seeds)}\n"
             f"platform.addr={store or block + '.200.1:8102'}\n"
             f"bounds.grace_s={grace_s}\nbounds.ttl_max_s=5\n"
             f"bounds.retry_ratio=0.2\nbounds.retry_slack={retry_slack}\n"
@@ -212,10 +217,12 @@
     front_count = 1
     grace_s = 3.0
     retry_slack = 4000
+    peer_settings: ClassVar[dict[str, object]] = {}
 
     def setUp(self):
         super().setUp()
         self.block = self.enterContext(reserve_block())
+        self.prepare()
         self.store = self.enterContext(
             StoreStandin(Address(f"{self.block}.200.1", 8102), time.monotonic)
         )
@@ -235,6 +242,7 @@
                     self.grace_s,
                     retry_slack=self.retry_slack,
                     source=self.get_source(number),
+                    **self.peer_settings,
                 )
             )
             for number in range(1, self.front_count + 1)
@@ -243,6 +251,10 @@
             self.wait_for(front.is_ready, "ready")
         self.addOnException(self.attach_logs)
 
+    def prepare(self) -> None:
+        """Prepare what has to be there before the processes start."""
+        return
+
     def get_source(self, number: int) -> Path:
         """Return the folder of the release that a process runs."""
         return ROOT
