Relay a reading of the store once, and count it once

Cause: a confirmation was an age alone, taken as of its arrival. Each passage made it younger by the time on the way, and every younger age was news to be passed on, so two processes renewed each other's as long as a round trip lasted.

Now a confirmation names its reading: the reader, its incarnation, the number of its reading. A process applies each reading once; later copies, earlier readings of the same reader and its own are no news and aren't announced. Readings are finite, so renewals are. A reading whose versions don't match here isn't used up: a later copy counts once they do. The time that a message took beyond its link's smallest delay is added to the age (a process that was frozen works through old messages), for an answer to a question the whole round trip; ages are rounded up. Open: the smallest delay of a link that was always slow isn't known, so an age may be too low by it for each hop, once, without growing.

Memory: readers without news for 60 s are forgotten, at most 1,000 are kept, and further ones aren't believed (the process reads the store itself). By time, not by membership: a process that starts doesn't know the members yet, and a reader whose clock was set back has a lower incarnation while it is a member.

Old builds send no reading. Such a confirmation doesn't count: the sender may have it from those it tells.

--- a/sesameplank/core/membership/peer_messages.py
+++ b/sesameplank/core/membership/peer_messages.py
@@ -19,6 +19,7 @@
     Incarnation,
     TargetId,
 )
+from ..published.readings import Reading
 
 
 class PeerMessage(msgspec.Struct, frozen=True, array_like=True):
@@ -93,6 +94,8 @@
     the configuration, to this process or to one that relayed the confirmation; it
     is -1 if there was none. `refused` is the highest refused version above `config`,
     or 0. `targets` is the revision of the target list in the era `targets_era`.
+    `reading` is the reading that this confirmation stems from; earlier releases send
+    none.
     """
 
     config: ConfigVersion = ConfigVersion(0)
@@ -101,6 +104,7 @@
     config_age_ms: int = -1
     targets: int = 0
     targets_era: int = 0
+    reading: Reading | None = None
 
 
 class Heartbeat(PeerMessage, frozen=True):
--- a/sesameplank/core/published/versions.py
+++ b/sesameplank/core/published/versions.py
@@ -14,6 +14,7 @@
 from ...exceptions import ConfigurationError
 from ...ids import ConfigVersion
 from ..common.clock import Clock
+from .readings import Reading
 
 
 class OfferResult(Enum):
@@ -60,6 +61,10 @@
 
     `decode` returns the typed value of a document or raises ConfigurationError.
 
+    `confirmed_at` is when the service confirmed the version in force, and
+    `confirmed_by` the reading that did, None if it is this process's own.
+    `own_readings` counts the confirmations by this process's own readings.
+
     A refused version does not block valid versions that arrive later, even if
     their numbers are lower. Otherwise a single wrong answer of the configuration
     service with a high version number would block every later change.
@@ -73,6 +78,8 @@
         self.current: AcceptedConfiguration | None = None
         self.refused: RefusedConfiguration | None = None
         self.confirmed_at: float | None = None
+        self.confirmed_by: Reading | None = None
+        self.own_readings = 0
         self.ignored: dict[OfferResult, int] = {}
         self.listeners: list[ConfigurationListener] = []
 
@@ -122,14 +129,18 @@
         if published.version > self.refused_version:
             self.refused = RefusedConfiguration(published.version, reason, published)
 
-    def confirm(self, age_s: float = 0.0) -> None:
+    def confirm(self, age_s: float = 0.0, reading: Reading | None = None) -> None:
         """Record that the service confirmed the version in force `age_s` seconds ago.
 
-        Only the newest confirmation counts.
+        `reading` is the reading of another process, None if this process read the
+        service itself. Only the newest confirmation counts.
         """
+        if reading is None:
+            self.own_readings += 1
         confirmed_at = self.clock.now() - age_s
         if self.confirmed_at is None or confirmed_at > self.confirmed_at:
             self.confirmed_at = confirmed_at
+            self.confirmed_by = reading
 
     @property
     def age_s(self) -> float | None:
--- a/sesameplank/peers/document_relay.py
+++ b/sesameplank/peers/document_relay.py
@@ -1,5 +1,6 @@
 """Relays the documents that the platform publishes from peer to peer."""
 
+import math
 import random
 from collections.abc import Callable, Iterable, Mapping
 
@@ -19,6 +20,7 @@
     Versions,
 )
 from ..core.published.document_version import DocumentVersion
+from ..core.published.readings import HeardReadings, Reading
 from ..core.published.versions import ConfigurationStore
 from ..ids import ConfigVersion, EntryId
 from ..logs import log_event
@@ -41,7 +43,8 @@
     this interval in seconds, that the configuration service confirmed the
     configuration. After each announcement the loop sleeps `announcement_interval_s`
     seconds, so that versions that increase in the meantime are announced together.
-    `offered_versions` holds the newer versions that peers have, by document and peer.
+    `offered_versions` holds the newer versions that peers have, by document and peer,
+    and `heard_readings` the readings that confirmed the configuration to others.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         self.offered_versions: dict[DocumentKind, dict[EntryId, DocumentVersion]] = {
             kind: {} for kind in DocumentKind
         }
+        self.heard_readings = HeardReadings(links.entry_id, links.incarnation)
         self.wake = Event()
         self.announced = Versions()
         links.register(Announcement, self.on_announcement)
@@ -81,9 +85,18 @@
             ConfigVersion(self.get_version(DocumentKind.CONFIG).number),
             ConfigVersion(self.get_version(DocumentKind.REFUSED).number),
             self.get_version(DocumentKind.VMS).number,
-            -1 if age_s is None else int(age_s * 1_000),
+            -1 if age_s is None else math.ceil(age_s * 1_000),
             targets.number,
             targets.era,
+            self.get_reading(),
+        )
+
+    def get_reading(self) -> Reading | None:
+        """Return the reading that confirmed the configuration last, or None."""
+        if self.store.confirmed_at is None:
+            return None
+        return self.store.confirmed_by or Reading(
+            self.links.entry_id, self.links.incarnation, self.store.own_readings
         )
 
     def get_version(self, kind: DocumentKind) -> DocumentVersion:
@@ -103,10 +116,12 @@
     def announce(self) -> None:
         """Announce the versions to the neighbours if one changed.
 
-        Also announce them if a confirmation is due. The age of the configuration is
+        Also announce them if a confirmation is due. What confirms the configuration is
         ignored in the comparison.
         """
-        versions = msgspec.structs.replace(self.get_versions(), config_age_ms=-1)
+        versions = msgspec.structs.replace(
+            self.get_versions(), config_age_ms=-1, reading=None
+        )
         if versions == self.announced and not self.pop_due_confirmation():
             return
         self.announced = versions
@@ -134,11 +149,16 @@
 
     def on_announcement(self, message: Announcement, context: PeerContext) -> None:
         """Apply the versions that a neighbour announced."""
-        self.on_versions(context.sender, message.versions)
+        self.on_versions(context.sender, message.versions, context.age_s)
 
-    def on_versions(self, sender: EntryId, versions: Versions) -> None:
-        """Record the newer documents that a peer offers, and apply its confirmation."""
-        self.apply_confirmation(versions)
+    def on_versions(
+        self, sender: EntryId, versions: Versions, age_s: float = 0.0
+    ) -> None:
+        """Record the newer documents that a peer offers, and apply its confirmation.
+
+        `age_s` is the time in seconds that the message took, as far as is known.
+        """
+        self.apply_confirmation(versions, age_s)
         offered = {
             DocumentKind.CONFIG: DocumentVersion(number=versions.config),
             DocumentKind.VMS: DocumentVersion(number=versions.vms),
@@ -152,9 +172,11 @@
                 self.offered_versions[kind][sender] = version
                 self.wake.set()
 
-    def apply_confirmation(self, versions: Versions) -> None:
+    def apply_confirmation(self, versions: Versions, age_s: float) -> None:
         """Record a confirmation by the configuration service that a peer relayed.
 
+        Each reading of the service counts once, and a confirmation that names none not
+        at all: an earlier release may have heard it from the peers that it tells.
         It applies only if the peer has the same configuration, no newer targets, and
         targets of the same era: a peer of an earlier era may still read the store as
         it was before it was restored.
@@ -167,9 +189,11 @@
             or has_newer_targets
             or versions.targets_era < own_targets.era
             or versions.config_age_ms < 0
+            or versions.reading is None
+            or not self.heard_readings.note(versions.reading, self.clock.now())
         ):
             return
-        self.store.confirm(versions.config_age_ms / 1_000)
+        self.store.confirm(versions.config_age_ms / 1_000 + age_s, versions.reading)
         if self.confirmation_interval_s is not None:
             self.wake.set()
 
@@ -238,11 +262,12 @@
 
     def request_versions(self, peer: EntryId) -> Versions | None:
         """Request one peer's versions and apply them; return None on failure."""
-        deadline_at = self.clock.now() + VERSIONS_TIMEOUT_S
+        asked_at = self.clock.now()
+        deadline_at = asked_at + VERSIONS_TIMEOUT_S
         outcome = self.links.call(peer, VersionQuestion(), deadline_at)
         if isinstance(outcome, Failure):
             return None
-        self.on_versions(peer, outcome.versions)
+        self.on_versions(peer, outcome.versions, self.clock.now() - asked_at)
         return outcome.versions
 
 
--- a/sesameplank/peers/membership.py
+++ b/sesameplank/peers/membership.py
@@ -27,7 +27,7 @@
 MAX_CONTACT_AGE_S = 1.0
 MESSAGE_TYPES = (Heartbeat, MemberUpdates, MemberTable, ProbeRequest, ProbeAnswer)
 
-VersionListener = Callable[[EntryId, Versions], None]
+VersionListener = Callable[[EntryId, Versions, float], None]
 
 
 class MembershipService:
@@ -70,7 +70,7 @@
     def on_message(self, message: PeerMessage, context: PeerContext) -> None:
         """Pass a message to the membership, and its versions to `on_versions`."""
         if isinstance(message, Heartbeat):
-            self.on_versions(context.sender, message.versions)
+            self.on_versions(context.sender, message.versions, context.age_s)
         self.send(self.membership.on_message(context.sender, message, self.clock.now()))
 
     def on_published(self, vms: PublishedVms) -> None:
--- a/tests/peers/test_document_relay.py
+++ b/tests/peers/test_document_relay.py
@@ -9,6 +9,7 @@
 from sesameplank.conf import PublishedConfiguration
 from sesameplank.core.common.clock import SystemClock
 from sesameplank.core.membership.peer_messages import Versions
+from sesameplank.core.published.readings import Reading
 from sesameplank.core.published.versions import ConfigurationStore, VmStore
 from sesameplank.loops import BackgroundLoops
 from sesameplank.net import Address
@@ -111,5 +112,8 @@
     def test_peer_confirmation_applies_to_the_same_version_only(self):
         self.publish("b", 5)
         for version, expected in ((4, False), (5, True)):
-            self.relays["b"].on_versions("a", Versions(version, config_age_ms=100))
+            self.relays["b"].on_versions(
+                "a",
+                Versions(version, config_age_ms=100, reading=Reading("a", 1, 1)),
+            )
             self.assertEqual(expected, self.relays["b"].store.age_s is not None)
