Put a version in force as a whole or not at all

What callers would see: an entry that has a configuration whose targets' list it couldn't use: no pools for the new targets, admission and policies of the old version, while the version counts as in force, is confirmed and relayed.

Cause: ConfigurationStore.offer (and VmStore.offer) set `current` before calling the listeners. If one raised, those after it were not called, and the same version offered again was KNOWN.

Now a version is in force after all listeners have taken it. If one fails, all are given the previous version again, which stays in force, and VersionNotAppliedError names the version and the errors. Documents that can't be applied are refused when decoded, alike in each process: addresses, counts over 2**31 - 1, integers over 63 bits, versions below 1.

--- a/sesameplank/conf/documents.py
+++ b/sesameplank/conf/documents.py
@@ -27,7 +27,8 @@
 Quantile = Annotated[float, msgspec.Meta(gt=0.0, lt=1.0)]
 ExtraLoad = Annotated[float, msgspec.Meta(ge=0.0, le=0.5)]
 LatencyFactor = Annotated[float, msgspec.Meta(ge=1.0, le=100.0)]
-Positive = Annotated[int, msgspec.Meta(ge=1)]
+MAX_COUNT = 2**31 - 1  # Greater ones don't fit the queues of connections.
+Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
 
 
 class PresetName(Enum):
--- a/sesameplank/conf/rules.py
+++ b/sesameplank/conf/rules.py
@@ -6,6 +6,7 @@
 
 from ..core.search.ranges import KEY_SPACE
 from ..ids import CollectionName
+from ..net import Address
 from .documents import Collection, Configuration
 
 
@@ -42,9 +43,14 @@
 
 
 def find_target_faults(configuration: Configuration) -> Iterator[DocumentFault]:
-    """Yield a fault for each target whose address another target has."""
+    """Yield a fault for each address that isn't one, or that another target has."""
     seen: dict[str, str] = {}
     for target_id, target in configuration.targets.items():
+        try:
+            Address.parse(target.address)
+        except ValueError as error:
+            path = f"$.targets.{target_id}.address"
+            yield DocumentFault(path, str(error), "correct the address")
         other = seen.setdefault(target.address, target_id)
         if other != target_id:
             yield DocumentFault(
--- a/sesameplank/core/published/versions.py
+++ b/sesameplank/core/published/versions.py
@@ -1,7 +1,8 @@
 """Stores of the configuration and VM list in force, whose versions never decrease."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from enum import Enum
+from typing import TypeVar
 
 import msgspec
 
@@ -11,7 +12,7 @@
     PublishedVms,
     decode_configuration,
 )
-from ...exceptions import ConfigurationError
+from ...exceptions import ConfigurationError, VersionNotAppliedError
 from ...ids import ConfigVersion
 from ..common.clock import Clock
 from .readings import Reading
@@ -54,6 +55,33 @@
 
 ConfigurationListener = Callable[[AcceptedConfiguration], None]
 VmListener = Callable[[PublishedVms], None]
+Applied = TypeVar("Applied", AcceptedConfiguration, PublishedVms)
+
+
+def apply_whole(
+    newer: Applied,
+    previous: Applied | None,
+    listeners: Iterable[Callable[[Applied], None]],
+) -> None:
+    """Pass a version to all listeners, or return them all to the previous one.
+
+    Raises VersionNotAppliedError, which names the version and the errors.
+    """
+    known = list(listeners)
+    try:
+        for listener in known:
+            listener(newer)
+    except Exception as error:
+        errors = [repr(error)]
+        for listener in known if previous is not None else ():
+            try:
+                listener(previous)
+            except Exception as another:
+                errors.append(repr(another))
+        raise VersionNotAppliedError(
+            f"version {newer.version} is not in force, since it could not be applied: "
+            f"{'; then '.join(errors)}; correct the document or report this"
+        ) from error
 
 
 class ConfigurationStore:
@@ -94,7 +122,11 @@
         return self.refused.version if self.refused else ConfigVersion(0)
 
     def offer(self, published: PublishedConfiguration) -> OfferResult:
-        """Put a published configuration in force if it is newer and valid."""
+        """Put a published configuration in force if it is newer and valid.
+
+        Raises VersionNotAppliedError if a listener fails. Then the previous version
+        stays in force, and this one counts as new when it is offered again.
+        """
         result = self.compare(published)
         if result is not OfferResult.ACCEPTED:
             self.ignored[result] = self.ignored.get(result, 0) + 1
@@ -104,18 +136,27 @@
         except ConfigurationError as error:
             self.refuse(published, str(error))
             return OfferResult.REFUSED
-        self.current = AcceptedConfiguration(
-            published.version, configuration, published, self.clock.now()
+        self.put_in_force(
+            AcceptedConfiguration(
+                published.version, configuration, published, self.clock.now()
+            )
         )
+        return OfferResult.ACCEPTED
+
+    def put_in_force(self, accepted: AcceptedConfiguration) -> None:
+        """Use a configuration from now on, or raise VersionNotAppliedError."""
+        previous, self.current = self.current, accepted
+        try:
+            apply_whole(accepted, previous, self.listeners)
+        except BaseException:
+            self.current = previous
+            raise
         if self.refused_version <= self.version:
             self.refused = None
-        for listener in self.listeners:
-            listener(self.current)
-        return OfferResult.ACCEPTED
 
     def compare(self, published: PublishedConfiguration) -> OfferResult:
         """Return ACCEPTED if the version is new, or else the reason to ignore it."""
-        if published.version < self.version:
+        if published.version < max(1, self.version):
             return OfferResult.OLDER
         if published.version == self.version:
             same = bytes(published.document) == bytes(self.current.published.document)
@@ -166,7 +207,10 @@
         return self.current.version if self.current else 0
 
     def offer(self, published: PublishedVms) -> OfferResult:
-        """Put a list in force if it is newer and not empty."""
+        """Put a list in force if it is newer and not empty.
+
+        Raises VersionNotAppliedError, as the store of configurations does.
+        """
         if published.version < self.version:
             return OfferResult.OLDER
         if published.version == self.version:
@@ -174,7 +218,10 @@
             return OfferResult.KNOWN if same else OfferResult.CONFLICT
         if not published.vms:
             return OfferResult.REFUSED
-        self.current = published
-        for listener in self.listeners:
-            listener(published)
+        previous, self.current = self.current, published
+        try:
+            apply_whole(published, previous, self.listeners)
+        except BaseException:
+            self.current = previous
+            raise
         return OfferResult.ACCEPTED
--- a/sesameplank/exceptions.py
+++ b/sesameplank/exceptions.py
@@ -13,6 +13,10 @@
     """A published document or a setting violates a rule."""
 
 
+class VersionNotAppliedError(SesameplankError):
+    """A published version is valid, but a component of this process can't apply it."""
+
+
 class MalformedDocumentError(SesameplankError):
     """A document from outside this process cannot be decoded."""
 
--- a/sesameplank/platform/items.py
+++ b/sesameplank/platform/items.py
@@ -37,6 +37,7 @@
 MAX_LOGGED_CHARACTERS = 300
 TARGET_ID_PATTERN = re.compile("[!-~]+")  # It is sent in a header.
 NonNegativeInt = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
+BoundedInt = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 NonEmptyStr = Annotated[str, msgspec.Meta(min_length=1)]
 ShortStr = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
 
@@ -81,7 +82,7 @@
 
     name: NonEmptyStr
     health_path: str = ""
-    max_conns: int = 0
+    max_conns: BoundedInt = 0
 
 
 class WireLimits(msgspec.Struct):
@@ -96,7 +97,7 @@
 class WireConfig(msgspec.Struct):
     """The configuration; each version replaces the previous one completely."""
 
-    version: int
+    version: Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
     routes: list[WireRoute] = []
     services: list[WireService] = []
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
--- a/tests/core/published/test_versions.py
+++ b/tests/core/published/test_versions.py
@@ -6,6 +6,7 @@
 from sesameplank.conf import PublishedConfiguration, PublishedVms, Vm
 from sesameplank.core.common.clock import ManualClock
 from sesameplank.core.published.versions import ConfigurationStore, OfferResult, VmStore
+from sesameplank.exceptions import VersionNotAppliedError
 from sesameplank.standins.deployments import VATUWAQA, make_configuration
 
 VALID = msgspec.json.encode(make_configuration(VATUWAQA, "127.20"))
@@ -68,6 +69,72 @@
         self.assertEqual(5.0, store.age_s)
 
 
+class FailingListenerTests(testtools.TestCase):
+    """Guards against a version that counts as in force but isn't applied."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = ConfigurationStore(ManualClock(100.0))
+        self.applied: list[int] = []
+        self.failing = {6}
+        self.store.listeners.append(
+            lambda accepted: self.applied.append(accepted.version)
+        )
+        self.store.listeners.append(self.fail_on_some)
+        self.store.offer(publish(5))
+
+    def fail_on_some(self, accepted) -> None:
+        """Fail as a component would that can't apply a version."""
+        if accepted.version in self.failing:
+            raise OverflowError("too large")
+
+    def test_version_that_a_listener_cannot_apply_is_not_in_force(self):
+        self.store.offer(publish(8, b"{}"))
+        error = self.assertRaises(VersionNotAppliedError, self.store.offer, publish(6))
+        self.assertIn("6", str(error))
+        self.assertIn("too large", str(error))
+        self.assertEqual((5, 8), (self.store.version, self.store.refused_version))
+
+    def test_listeners_return_to_the_version_in_force(self):
+        self.assertRaises(VersionNotAppliedError, self.store.offer, publish(6))
+        self.assertEqual([5, 6, 5], self.applied)
+
+    def test_listener_that_fails_again_on_the_return_is_named_too(self):
+        self.failing = {5, 6}
+        error = self.assertRaises(VersionNotAppliedError, self.store.offer, publish(6))
+        self.assertEqual(2, str(error).count("too large"))
+        self.assertEqual(5, self.store.version)
+
+    def test_version_is_applied_when_it_is_offered_again(self):
+        self.assertRaises(VersionNotAppliedError, self.store.offer, publish(6))
+        self.failing.clear()
+        self.assertIs(OfferResult.ACCEPTED, self.store.offer(publish(6)))
+        self.assertEqual([5, 6, 5, 6], self.applied)
+
+    def test_first_version_that_cannot_be_applied_leaves_none(self):
+        store = ConfigurationStore(ManualClock())
+        store.listeners.append(self.fail_on_some)
+        self.assertRaises(VersionNotAppliedError, store.offer, publish(6))
+        self.assertIsNone(store.current)
+
+    def test_vm_list_that_a_listener_cannot_apply_is_not_in_force(self):
+        vms = (Vm("a", "127.0.0.1:1", "127.0.0.1:2", "dc"),)
+        store = VmStore()
+        store.offer(PublishedVms(3, vms))
+        applied: list[int] = []
+        store.listeners.append(lambda published: applied.append(published.version))
+        store.listeners.append(self.fail_on_some)
+        for _ in range(2):
+            self.assertRaises(VersionNotAppliedError, store.offer, PublishedVms(6, vms))
+        self.assertEqual((3, [6, 3, 6, 3]), (store.version, applied))
+
+    def test_version_zero_is_never_in_force(self):
+        store = ConfigurationStore(ManualClock())
+        for version in (0, -1):
+            self.assertIs(OfferResult.OLDER, store.offer(publish(version)))
+        self.assertIsNone(store.current)
+
+
 class VmStoreTests(testtools.TestCase):
     """The version of the VM list never decreases, and an empty list is refused."""
 
