Relay: a document that can't be applied keeps no other back

What callers would see: changes of the targets, and of anything else that peers announce, aren't passed on by a process while one document's fetch raises.

Cause: run_round fetched the kinds in turn and then announced; an exception in one ended the round before the others, and it was offered again with the next heartbeat.

Shown by test_kind_that_raises_keeps_no_other_back: before, (5, 10) for (5, 11): the targets stayed at revision 10. Now each document has its turn, also from the other peers that offer it; the round announces, and then raises the first error, so that task_failed and its counter tell as before. Each one has a line fetched_not_applied.

--- a/sesameplank/peers/document_relay.py
+++ b/sesameplank/peers/document_relay.py
@@ -32,6 +32,7 @@
 VERSIONS_TIMEOUT_S = 1.0
 CATCH_UP_TIMEOUT_S = 2.0
 MAX_CATCH_UP_PEERS = 16
+MAX_LOGGED_CHARACTERS = 300
 
 
 class DocumentRelay:
@@ -105,13 +106,17 @@
         return document.version if document else DocumentVersion()
 
     def run_round(self) -> None:
-        """Wait for news, then fetch newer documents and announce newer versions."""
+        """Wait for news, then fetch newer documents and announce newer versions.
+
+        An error in one document is raised after all the others have had their turn.
+        """
         self.wake.wait(timeout=WAKE_INTERVAL_S)
         self.wake.clear()
-        for kind in self.documents:
-            self.fetch_newest(kind)
+        errors = [item for kind in self.documents for item in self.fetch_newest(kind)]
         self.announce()
         gevent.sleep(self.announcement_interval_s)
+        if errors:
+            raise errors[0]
 
     def announce(self) -> None:
         """Announce the versions to the neighbours if one changed.
@@ -197,14 +202,29 @@
         if self.confirmation_interval_s is not None:
             self.wake.set()
 
-    def fetch_newest(self, kind: DocumentKind) -> None:
-        """Fetch one document from the peers that offer it, highest version first."""
+    def fetch_newest(self, kind: DocumentKind) -> list[Exception]:
+        """Fetch one document from the peers that offer it, highest version first.
+
+        Return the errors of documents that could not be applied.
+        """
+        errors = []
         offered_versions = self.offered_versions[kind]
         while offered_versions:
             peer = max(offered_versions, key=offered_versions.get)
             version = offered_versions.pop(peer)
-            if version > self.get_version(kind):
+            if version <= self.get_version(kind):
+                continue
+            try:
                 self.fetch(kind, peer)
+            except Exception as error:
+                log_event(
+                    "fetched_not_applied",
+                    kind=kind.value,
+                    peer=peer,
+                    error=repr(error)[:MAX_LOGGED_CHARACTERS],
+                )
+                errors.append(error)
+        return errors
 
     def fetch(self, kind: DocumentKind, peer: EntryId) -> None:
         """Fetch one document from one peer and offer it to its store."""
