Gauge for readings that contradict the configuration in force

What an operator would see: nothing, but one log line config_offered result=conflict, while a forwarding process keeps the content that it has under a version and the store holds other content under the same number. Later watches don't return it again and confirm the view, so config_age_s stays low. (Entries don't confirm it, and count it in config_ignored.)

Not confirming was weighed and not done: every process would then read the store for itself until a higher version is published, and the targets, whose list is right, would suffer from the store's rate limit. Open: peers whose documents differ under one number confirm each other.

tests/published/test_watch shows for entries that a refused newer version, other content, an older version and one that can't be applied leave the age growing; no fault found there, no code changed for it.

--- a/sesameplank/forwarding/front_report.py
+++ b/sesameplank/forwarding/front_report.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from ..core.published.versions import OfferResult
 from ..core.quarantine.request_quarantine import Standing
 
 if TYPE_CHECKING:
@@ -18,6 +19,7 @@
         "fleet_size": front.connection_shares.fleet_size,
         "config_version": front.store.version,
         "config_age_s": -1.0 if age_s is None else age_s,
+        "config_conflicts": front.store.ignored.get(OfferResult.CONFLICT, 0),
         "targets_era": front.table.era,
         "targets_revision": front.table.revision,
         "targets": len(front.table.records),
--- a/tests/published/test_follower.py
+++ b/tests/published/test_follower.py
@@ -15,7 +15,7 @@
     TargetRecord,
     TargetTable,
 )
-from sesameplank.core.published.versions import ConfigurationStore
+from sesameplank.core.published.versions import ConfigurationStore, OfferResult
 from sesameplank.exceptions import PlatformError, UnreadableResponseError
 from sesameplank.ids import ConfigVersion
 from sesameplank.published.follower import (
@@ -108,6 +108,38 @@
         self.assertEqual({"a", "b"}, set(self.table.records))
 
 
+class ContradictingStoreTests(testtools.TestCase):
+    """Other content under the version in force is told, as it is read only once."""
+
+    def test_contradiction_is_counted_and_the_first_content_stays(self):
+        clock = ManualClock()
+        source = ScriptedSource()
+        configurations = ConfigurationStore(clock, bytes)
+        follower = PublicationFollower(
+            source,
+            configurations,
+            TargetTable(),
+            clock,
+            random.Random(1),
+            lambda: None,
+            lambda age_s: True,
+            lambda is_unavailable: None,
+        )
+        source.add(1, 10, "a", version=7)
+        follower.run_round()
+        source.add(1, 11, "a", version=7)
+        other = msgspec.Raw(b'"other"')
+        publication = source.publications.pop()
+        source.publications.append(
+            msgspec.structs.replace(
+                publication, configuration=PublishedConfiguration(7, other, 0.0)
+            )
+        )
+        follower.run_round()
+        self.assertEqual(1, configurations.ignored[OfferResult.CONFLICT])
+        self.assertEqual(b"7", configurations.current.configuration)
+
+
 def fail(*arguments) -> None:
     """Raise an error that no caller expects."""
     raise OverflowError("too large")
