--- a/sesameplank/peers/document_relay.py
+++ b/sesameplank/peers/document_relay.py
@@ -1,5 +1,6 @@
 """Relays the documents that the platform publishes from peer to peer."""
 
+import math
 import random
 from collections.abc import Callable, Iterable, Mapping
 
@@ -19,6 +20,7 @@
     Versions,
 )
 from ..core.published.document_version import DocumentVersion
+from ..core.published.readings import HeardReadings, Reading
 from ..core.published.versions import ConfigurationStore
 from ..ids import ConfigVersion, EntryId
 from ..logs import log_event
@@ -30,6 +32,7 @@
 VERSIONS_TIMEOUT_S = 1.0
 CATCH_UP_TIMEOUT_S = 2.0
 MAX_CATCH_UP_PEERS = 16
+MAX_LOGGED_CHARACTERS = 300
 
 
 class DocumentRelay:
@@ -41,7 +44,8 @@
     this interval in seconds, that the configuration service confirmed the
     configuration. After each announcement the loop sleeps `announcement_interval_s`
     seconds, so that versions that increase in the meantime are announced together.
-    `offered_versions` holds the newer versions that peers have, by document and peer.
+    `offered_versions` holds the newer versions that peers have, by document and peer,
+    and `heard_readings` the readings that confirmed the configuration to others.
     """
 
     def __init__(
@@ -67,6 +71,7 @@
         self.offered_versions: dict[DocumentKind, dict[EntryId, DocumentVersion]] = {
             kind: {} for kind in DocumentKind
         }
+        self.heard_readings = HeardReadings(links.entry_id, links.incarnation)
         self.wake = Event()
         self.announced = Versions()
         links.register(Announcement, self.on_announcement)
@@ -81,9 +86,18 @@
             ConfigVersion(self.get_version(DocumentKind.CONFIG).number),
             ConfigVersion(self.get_version(DocumentKind.REFUSED).number),
             self.get_version(DocumentKind.VMS).number,
-            -1 if age_s is None else int(age_s * 1_000),
+            -1 if age_s is None else math.ceil(age_s * 1_000),
             targets.number,
             targets.era,
+            self.get_reading(),
+        )
+
+    def get_reading(self) -> Reading | None:
+        """Return the reading that confirmed the configuration last, or None."""
+        if self.store.confirmed_at is None:
+            return None
+        return self.store.confirmed_by or Reading(
+            self.links.entry_id, self.links.incarnation, self.store.own_readings
         )
 
     def get_version(self, kind: DocumentKind) -> DocumentVersion:
@@ -92,21 +106,27 @@
         return document.version if document else DocumentVersion()
 
     def run_round(self) -> None:
-        """Wait for news, then fetch newer documents and announce newer versions."""
+        """Wait for news, then fetch newer documents and announce newer versions.
+
+        An error in one document is raised after all the others have had their turn.
+        """
         self.wake.wait(timeout=WAKE_INTERVAL_S)
         self.wake.clear()
-        for kind in self.documents:
-            self.fetch_newest(kind)
+        errors = [item for kind in self.documents for item in self.fetch_newest(kind)]
         self.announce()
         gevent.sleep(self.announcement_interval_s)
+        if errors:
+            raise errors[0]
 
     def announce(self) -> None:
         """Announce the versions to the neighbours if one changed.
 
-        Also announce them if a confirmation is due. The age of the configuration is
+        Also announce them if a confirmation is due. What confirms the configuration is
         ignored in the comparison.
         """
-        versions = msgspec.structs.replace(self.get_versions(), config_age_ms=-1)
+        versions = msgspec.structs.replace(
+            self.get_versions(), config_age_ms=-1, reading=None
+        )
         if versions == self.announced and not self.pop_due_confirmation():
             return
         self.announced = versions
@@ -134,11 +154,16 @@
 
     def on_announcement(self, message: Announcement, context: PeerContext) -> None:
         """Apply the versions that a neighbour announced."""
-        self.on_versions(context.sender, message.versions)
+        self.on_versions(context.sender, message.versions, context.age_s)
 
-    def on_versions(self, sender: EntryId, versions: Versions) -> None:
-        """Record the newer documents that a peer offers, and apply its confirmation."""
-        self.apply_confirmation(versions)
+    def on_versions(
+        self, sender: EntryId, versions: Versions, age_s: float = 0.0
+    ) -> None:
+        """Record the newer documents that a peer offers, and apply its confirmation.
+
+        `age_s` is the time in seconds that the message took, as far as is known.
+        """
+        self.apply_confirmation(versions, age_s)
         offered = {
             DocumentKind.CONFIG: DocumentVersion(number=versions.config),
             DocumentKind.VMS: DocumentVersion(number=versions.vms),
@@ -152,9 +177,11 @@
                 self.offered_versions[kind][sender] = version
                 self.wake.set()
 
-    def apply_confirmation(self, versions: Versions) -> None:
+    def apply_confirmation(self, versions: Versions, age_s: float) -> None:
         """Record a confirmation by the configuration service that a peer relayed.
 
+        Each reading of the service counts once, and a confirmation that names none not
+        at all: an earlier release may have heard it from the peers that it tells.
         It applies only if the peer has the same configuration, no newer targets, and
         targets of the same era: a peer of an earlier era may still read the store as
         it was before it was restored.
@@ -167,20 +194,37 @@
             or has_newer_targets
             or versions.targets_era < own_targets.era
             or versions.config_age_ms < 0
+            or versions.reading is None
+            or not self.heard_readings.note(versions.reading, self.clock.now())
         ):
             return
-        self.store.confirm(versions.config_age_ms / 1_000)
+        self.store.confirm(versions.config_age_ms / 1_000 + age_s, versions.reading)
         if self.confirmation_interval_s is not None:
             self.wake.set()
 
-    def fetch_newest(self, kind: DocumentKind) -> None:
-        """Fetch one document from the peers that offer it, highest version first."""
+    def fetch_newest(self, kind: DocumentKind) -> list[Exception]:
+        """Fetch one document from the peers that offer it, highest version first.
+
+        Return the errors of documents that could not be applied.
+        """
+        errors = []
         offered_versions = self.offered_versions[kind]
         while offered_versions:
             peer = max(offered_versions, key=offered_versions.get)
             version = offered_versions.pop(peer)
-            if version > self.get_version(kind):
+            if version <= self.get_version(kind):
+                continue
+            try:
                 self.fetch(kind, peer)
+            except Exception as error:
+                log_event(
+                    "fetched_not_applied",
+                    kind=kind.value,
+                    peer=peer,
+                    error=repr(error)[:MAX_LOGGED_CHARACTERS],
+                )
+                errors.append(error)
+        return errors
 
     def fetch(self, kind: DocumentKind, peer: EntryId) -> None:
         """Fetch one document from one peer and offer it to its store."""
@@ -238,11 +282,12 @@
 
     def request_versions(self, peer: EntryId) -> Versions | None:
         """Request one peer's versions and apply them; return None on failure."""
-        deadline_at = self.clock.now() + VERSIONS_TIMEOUT_S
+        asked_at = self.clock.now()
+        deadline_at = asked_at + VERSIONS_TIMEOUT_S
         outcome = self.links.call(peer, VersionQuestion(), deadline_at)
         if isinstance(outcome, Failure):
             return None
-        self.on_versions(peer, outcome.versions)
+        self.on_versions(peer, outcome.versions, self.clock.now() - asked_at)
         return outcome.versions
 
 
