Tests: odd keys and items that can't be decoded in the platform's store (red)

Processes that read the store page by page, or watch it, stop learning of changes while an item of another writer is there: a page that ends with an empty key is asked for again and again, without a line; one item without an integer revision, or with a key that is not UTF-8, makes the whole answer unreadable for as long as it is stored.

--- a/sesameplank/standins/front_store.py
+++ b/sesameplank/standins/front_store.py
@@ -2,6 +2,7 @@
 
 import base64
 from enum import Enum
+from itertools import accumulate
 from urllib.parse import parse_qs
 
 import gevent
@@ -19,12 +20,11 @@
     HISTORY_GONE,
     RANGE_PATH,
     WATCH_PATH,
-    WireEvents,
     WireItem,
-    WirePage,
 )
 
 PAGE_ITEMS = 5
+MAX_PAGE_BYTES = 1_000_000
 UNRESPONSIVE_S = 60.0
 
 
@@ -39,6 +39,27 @@
     SILENT = "silent"
 
 
+class RawItem(WireItem):
+    """An item that the store sends as the bytes `body`, whatever they are."""
+
+    body: bytes = b""
+
+
+class RawPage(msgspec.Struct):
+    """A page of encoded items."""
+
+    items: list[msgspec.Raw]
+    has_more: bool
+    as_of: int
+
+
+class RawEvents(msgspec.Struct):
+    """Encoded events up to the revision `as_of`."""
+
+    events: list[msgspec.Raw]
+    as_of: int
+
+
 class StoreStandin:
     """A key-value store with one increasing revision.
 
@@ -77,6 +98,12 @@
         text = base64.b64encode(value).decode()
         self.record_event(WireItem(key, self.revision, text))
 
+    def put_raw(self, key: str, body: bytes) -> None:
+        """Write an item that is sent as these bytes, with `%d` as its revision."""
+        self.revision += 1
+        body = body.replace(b"%d", b"%d" % self.revision)
+        self.record_event(RawItem(key, self.revision, body=body))
+
     def put_config(self, document: dict) -> None:
         """Publish a configuration."""
         self.put(CONFIG_KEY, msgspec.json.encode(document))
@@ -152,7 +179,8 @@
             gevent.sleep(UNRESPONSIVE_S)
         if self.fault_mode is StoreFaultMode.BUSY:
             return Reply(503)
-        query = parse_qs(request.target.partition(b"?")[2].decode())
+        text = request.target.partition(b"?")[2].decode()
+        query = parse_qs(text, errors="surrogateescape")
         prefix = query.get("prefix", [""])[0]
         after = query.get("after", [""])[0]
         if request.path == RANGE_PATH:
@@ -163,13 +191,21 @@
 
     def read(self, prefix: str, after: str) -> Reply:
         """Return the next page of items in the order of their keys."""
-        keys = sorted(key for key in self.items if key.startswith(prefix))
-        rest = [key for key in keys if key > after]
-        page = [self.items[key] for key in rest[:PAGE_ITEMS]]
-        has_more = len(rest) > PAGE_ITEMS
-        body = msgspec.json.encode(WirePage(page, has_more, self.revision))
+        keys = [key for key in self.items if key.startswith(prefix)]
+        start = encode_key(after)
+        rest = [key for key in keys if not after or encode_key(key) > start]
+        rest.sort(key=encode_key)
+        page = self.take_page([encode_item(self.items[key]) for key in rest])
+        has_more = len(rest) > len(page)
+        body = msgspec.json.encode(RawPage(page, has_more, self.revision))
         return Reply(200, body=body)
 
+    def take_page(self, items: list[msgspec.Raw]) -> list[msgspec.Raw]:
+        """Return the first items, up to the limits of a page, and at least one."""
+        sizes = accumulate(len(bytes(item)) for item in items)
+        fitting = sum(size <= MAX_PAGE_BYTES for size in sizes)
+        return items[: min(PAGE_ITEMS, max(1, fitting))]
+
     def watch(self, prefix: str, after: int, wait_s: float) -> Reply:
         """Return the events after a revision, waiting up to `wait_s` seconds for one.
 
@@ -180,8 +216,8 @@
                 self.changed.wait()
         if not self.has_history(after):
             return Reply(HISTORY_GONE)
-        events = self.find_events(prefix, after)
-        return Reply(200, body=msgspec.json.encode(WireEvents(events, self.revision)))
+        events = [encode_item(item) for item in self.find_events(prefix, after)]
+        return Reply(200, body=msgspec.json.encode(RawEvents(events, self.revision)))
 
     def has_history(self, after: int) -> bool:
         """Return whether the store knows a revision and all events after it."""
@@ -194,3 +230,15 @@
             for item in self.events
             if item.rev > after and item.key.startswith(prefix)
         ]
+
+
+def encode_key(key: str) -> bytes:
+    """Return the bytes of a key, by which the store orders its items."""
+    return key.encode("utf-8", "surrogatepass")
+
+
+def encode_item(item: WireItem) -> msgspec.Raw:
+    """Return an item as JSON."""
+    if isinstance(item, RawItem):
+        return msgspec.Raw(item.body)
+    return msgspec.Raw(msgspec.json.encode(item))
--- a/tests/integration/test_store_entries.py
+++ b/tests/integration/test_store_entries.py
@@ -54,6 +54,42 @@
 }
 
 
+ODD_KEYS = (
+    "",
+    "op/config ",
+    "servers/+",
+    "servers/%2F",
+    "servers/%",
+    "servers/a&prefix=x",
+    "servers/a\0",
+    "servers/a b",
+    "servers/\u00e9",
+    "servers/\u0e01" * 15,
+)
+ODD_KEY_BODIES = (
+    ("servers/a\udcff", b'{"key":"servers/a\xff","rev":%d,"value":"eA=="}'),
+    ("servers/a\udcfe", b'{"key":"servers/a\\udcfe","rev":%d,"value":"eA=="}'),
+    ("servers/a\ud800", b'{"key":"servers/a\\ud800","rev":%d,"value":"eA=="}'),
+)
+NOT_AN_INTEGER = b'{"key":"servers/singlea","rev":"%d","value":"eA=="}'
+NAMELESS_ITEM = "servers/nothing"
+BODIES = (
+    ("servers/text-revision", b'{"key":"servers/text-revision","rev":"%d"}'),
+    (
+        "servers/long-revision",
+        b'{"key":"servers/long-revision","rev":%d' + b"0" * 4_300 + b"}",
+    ),
+    ("servers/no-revision", b'{"key":"servers/no-revision","value":"eA=="}'),
+    ("servers/no-text", b'{"key":"servers/no-text","rev":%d,"value":5}'),
+    (
+        "servers/nested-item",
+        b'{"key":"servers/nested-item","rev":%d,"owner":' + NESTED + b"}",
+    ),
+    (NAMELESS_ITEM, b"null"),
+    *ODD_KEY_BODIES,
+)
+
+
 class OtherWritersTests(FrontTestCase):
     """Guards against an entry that ends the reading of the store in each process."""
 
@@ -98,16 +134,66 @@
             self.store.put(key, value)
         self.wait_for_tables()
         self.check_changes_are_learnt(5)
+        self.restart()
+        self.check_changes_are_learnt(8)
+        self.check_tasks()
+        targets = self.get_state(0)["targets"]
+        self.assertEqual(set(self.targets), set(targets))
+
+    def restart(self) -> None:
+        """Kill all processes, start them again and wait until they are ready."""
         for front in self.fronts:
             front.process.kill()
             front.process.wait()
             front.start()
         for front in self.fronts:
             self.wait_for(front.is_ready, "ready")
+
+    def read_logs(self) -> str:
+        """Return what all processes have logged."""
+        return "".join(front.log_path.read_text() for front in self.fronts)
+
+    def test_large_entry_without_a_key_does_not_end_the_reading(self):
+        self.store.put("", LARGE_VALUE)
+        self.wait_for_tables()
+        self.check_changes_are_learnt(5)
+        self.restart()
         self.check_changes_are_learnt(8)
         self.check_tasks()
-        targets = self.get_state(0)["targets"]
-        self.assertEqual(set(self.targets), set(targets))
+
+    def test_keys_that_a_page_ends_with_do_not_end_the_reading(self):
+        for key in ODD_KEYS:
+            self.store.put(key, LARGE_VALUE)
+        for key, body in ODD_KEY_BODIES:
+            self.store.put_raw(key, body.replace(b"eA==", b"eHh4" * 300_000))
+        self.wait_for_tables()
+        self.restart()
+        self.check_changes_are_learnt(5)
+        self.check_tasks()
+        self.assertEqual(set(self.targets), set(self.get_state(0)["targets"]))
+
+    def test_items_that_cannot_be_decoded_cost_only_themselves(self):
+        for key, body in BODIES:
+            self.store.put_raw(key, body)
+        self.check_changes_are_learnt(5)
+        self.restart()
+        self.check_changes_are_learnt(8)
+        self.check_tasks()
+        self.assertEqual(set(self.targets), set(self.get_state(0)["targets"]))
+        log = self.read_logs()
+        for key, _ in BODIES:
+            name = key.encode(errors="replace").decode()
+            self.assertTrue(key == NAMELESS_ITEM or name in log, name)
+
+    def test_item_that_replaces_a_good_one_removes_only_its_target(self):
+        self.store.put_raw("servers/singlea", NOT_AN_INTEGER)
+        self.check_changes_are_learnt(5)
+        for front in range(self.front_count):
+            listed = self.get_state(front)["targets"]
+            self.assertEqual({"singlea"}, set(self.targets) - set(listed))
+        self.list_target("singlea", "single", seq=2)
+        self.check_changes_are_learnt(8)
+        self.assertIn("singlea", self.get_state(1)["targets"])
 
     def test_entry_that_replaces_a_good_one_removes_only_its_target(self):
         for key, value in (
