Platform: no key and no item of another writer ends the reading of the store

Callers would be served by an old configuration and by targets that leave: a process that read pages past a large item with an empty key asked for the same page for ever; one item that can't be decoded (revision not an integer, key not UTF-8 or half a surrogate, nested too deeply) made every page and watch with it unreadable. Both hit all processes at once and stay after a restart.

Cause: the next page was asked for after the last key, whatever it is, without a check that it goes on; and all items of an answer were decoded at once. A page without items that says there are more was taken for the end of the list, so the rest would have counted as removed.

Now PageReader checks that pages go on, skips above keys that aren't printable, and fails the reading otherwise. An answer that can't be decoded is split without decoding it, and each item is decoded by itself; a bad one is logged and removes its target only. Revisions above 2^63 - 1 are refused, since no message between processes carries them. The two faults share the key of an unreadable last item, hence one commit.

--- a/sesameplank/platform/source.py
+++ b/sesameplank/platform/source.py
@@ -9,7 +9,7 @@
 from ..core.common.clock import Clock
 from ..core.published.document_version import DocumentVersion
 from ..core.published.target_table import TargetChanges, TargetRecord
-from ..exceptions import PlatformError
+from ..exceptions import ConfigurationError
 from ..ids import ConfigVersion, TargetId
 from ..logs import LogLimiter, log_event
 from ..published.follower import Publication, PublicationSource
@@ -20,9 +20,10 @@
     decode_target,
     decode_value,
 )
-from .store import StoreClient, WireItem
+from .pages import ALL_KEYS, PageReader
+from .store import StoreClient
+from .store_answers import UnreadableItem, WireItem
 
-ALL_KEYS = ""
 REFUSALS_PER_S = 20.0
 REFUSALS_BURST = 50.0
 
@@ -38,20 +39,13 @@
         """Return everything that is published, with the revision of the first page.
 
         Later pages may contain newer changes. A watch after that revision returns
-        them again. Raises PlatformError if the store was restored between two pages.
+        them again. Raises PlatformError if the pages don't fit together.
         """
-        page = first = self.client.read_page(ALL_KEYS)
         collector = ItemCollector(self.limiter)
-        collector.add(page.items)
-        while page.has_more and page.items:
-            page = self.client.read_page(ALL_KEYS, page.items[-1].key)
-            if page.era != first.era:
-                raise PlatformError(
-                    f"the store's era changed from {first.era} to {page.era} between "
-                    "two pages; read all items again"
-                )
+        reader = PageReader(self.client)
+        for page in reader.read_all():
             collector.add(page.items)
-        version = DocumentVersion(first.era, first.as_of)
+        version = DocumentVersion(reader.first.era, reader.first.as_of)
         return collector.make_publication(version, is_whole=True)
 
     def watch(self, after: int, wait_s: float) -> Publication:
@@ -82,6 +76,8 @@
                 self.add_target(item)
             elif item.key == CONFIG_KEY and not item.deleted:
                 self.configuration = read_configuration(item) or self.configuration
+            elif isinstance(item, UnreadableItem):
+                self.log_refusal(item, ConfigurationError(item.reason))
 
     def add_target(self, item: WireItem) -> None:
         """Add the item of a target, or its removal."""
@@ -89,10 +85,10 @@
         self.records.pop(target, None)
         self.removed.pop(target, None)
         record = None if item.deleted else self.read_target(item)
-        if record is None:
-            self.removed[target] = item.rev
-        else:
+        if record is not None:
             self.records[target] = record
+        elif is_encodable(target):
+            self.removed[target] = item.rev
 
     def read_target(self, item: WireItem) -> TargetRecord | None:
         """Return an item's target, or log the error and return None if malformed.
@@ -100,6 +96,7 @@
         Any program may write items, so that no error of one may concern the others.
         """
         try:
+            check_readable(item)
             return decode_target(item.key, decode_value(item.value), item.rev)
         except Exception as error:
             self.log_refusal(item, error)
@@ -136,6 +133,7 @@
 def read_configuration(item: WireItem) -> PublishedConfiguration | None:
     """Return an item's configuration, or log the error and return None if malformed."""
     try:
+        check_readable(item)
         document = decode_value(item.value)
         version = decode_routing(document).version
     except Exception as error:  # The last accepted configuration stays in force.
@@ -144,3 +142,20 @@
     return PublishedConfiguration(
         ConfigVersion(version), msgspec.Raw(document), time.time()
     )
+
+
+def check_readable(item: WireItem) -> None:
+    """Raise ConfigurationError if an item could not be decoded."""
+    if isinstance(item, UnreadableItem):
+        raise ConfigurationError(
+            f"the item could not be decoded: {item.reason}; check its writer"
+        )
+
+
+def is_encodable(text: str) -> bool:
+    """Return whether a text can be sent to other processes."""
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
--- a/sesameplank/platform/store.py
+++ b/sesameplank/platform/store.py
@@ -5,9 +5,7 @@
 
 import gevent
 import gevent.socket
-import msgspec
 
-from ..decoding import decode_json
 from ..exceptions import (
     HistoryGoneError,
     MalformedDocumentError,
@@ -17,6 +15,7 @@
 from ..forwarding.http_messages import Response, ResponseReader, encode_request
 from ..logs import log_event
 from ..net import Address, set_no_delay
+from .store_answers import UNKNOWN_ERA, WireEvents, WirePage, decode_answer
 
 CONNECT_TIMEOUT_S = 1.0
 CALL_TIMEOUT_S = 2.0
@@ -26,48 +25,12 @@
 RANGE_PATH = "/kv-range"
 WATCH_PATH = "/kv-watch"
 ERA = b"Store-Era"
-UNKNOWN_ERA = 0
 ERA_PATTERN = re.compile("[0-9]{1,18}")
 MAX_LOGGED_CHARACTERS = 100
 OK = 200
 HISTORY_GONE = 410
 
 
-class WireItem(msgspec.Struct):
-    """An item or its deletion event.
-
-    `rev` is the store's revision at the item's last change.
-    """
-
-    key: str
-    rev: int
-    value: str = ""
-    deleted: bool = False
-
-
-class WirePage(msgspec.Struct):
-    """A page of items. `as_of` is the store's revision when it was read.
-
-    `era` is not part of the body; it counts the restores of the store from a copy.
-    """
-
-    items: list[WireItem]
-    has_more: bool
-    as_of: int
-    era: int = UNKNOWN_ERA
-
-
-class WireEvents(msgspec.Struct):
-    """The changes after a requested revision, up to the revision `as_of`.
-
-    `era` is not part of the body, as in WirePage.
-    """
-
-    events: list[WireItem]
-    as_of: int
-    era: int = UNKNOWN_ERA
-
-
 class StoreClient:
     """One connection to the store, which carries one call at a time.
 
@@ -90,7 +53,7 @@
         """
         path = f"{RANGE_PATH}?prefix={quote(prefix)}"
         if after:
-            path += f"&after={quote(after)}"
+            path += f"&after={quote(encode_key(after))}"
         return self.decode(self.get(path, CALL_TIMEOUT_S), WirePage)
 
     def watch(self, prefix: str, after: int, wait_s: float) -> WireEvents:
@@ -174,7 +137,7 @@
         Raises UnreadableResponseError.
         """
         try:
-            decoded = decode_json(bytes(response.body), kind)
+            decoded = decode_answer(bytes(response.body), kind)
         except MalformedDocumentError as error:
             raise UnreadableResponseError(
                 f"the store's answer is malformed: {error}; check its version"
@@ -196,3 +159,11 @@
             self.refused_era = refused
             log_event("store_era_refused", value=refused[:MAX_LOGGED_CHARACTERS])
         return UNKNOWN_ERA
+
+
+def encode_key(key: str) -> bytes:
+    """Return the bytes of a key; lone surrogates may stand for bytes of the writer."""
+    try:
+        return key.encode(errors="surrogateescape")
+    except UnicodeEncodeError:
+        return key.encode(errors="surrogatepass")
--- a/sesameplank/standins/front_store.py
+++ b/sesameplank/standins/front_store.py
@@ -20,8 +20,8 @@
     HISTORY_GONE,
     RANGE_PATH,
     WATCH_PATH,
-    WireItem,
 )
+from ..platform.store_answers import WireItem
 
 PAGE_ITEMS = 5
 MAX_PAGE_BYTES = 1_000_000
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -19,7 +19,7 @@
 from sesameplank.platform.headers import PlatformDialect
 from sesameplank.platform.items import decode_routing, decode_target
 from sesameplank.platform.source import ItemCollector
-from sesameplank.platform.store import WireItem
+from sesameplank.platform.store_answers import WireItem
 from sesameplank.published.follower import Publication
 
 MANY = 3_000
