Tests: answers of an old instance of the store, and of a wrong era (red)

Real processes serve an old view: a process that got one answer with a far too high era refuses all later ones, and the lists of others, and goes on calling a target that drains; and answers that are older than what is known confirm the view as fresh.

--- a/sesameplank/standins/front_store.py
+++ b/sesameplank/standins/front_store.py
@@ -26,17 +26,20 @@
 PAGE_ITEMS = 5
 MAX_PAGE_BYTES = 1_000_000
 UNRESPONSIVE_S = 60.0
+WRONG_ERA = 10**17
 
 
 class StoreFaultMode(Enum):
     """The fault that the store injects into each call.
 
-    `BUSY` responds with 503; `SILENT` delays the response by UNRESPONSIVE_S.
+    `BUSY` responds with 503; `SILENT` delays the response by UNRESPONSIVE_S. `OLD`
+    responds as an old instance, which holds the last copy and names the era.
     """
 
     NONE = "none"
     BUSY = "busy"
     SILENT = "silent"
+    OLD = "old"
 
 
 class RawItem(WireItem):
@@ -67,7 +70,8 @@
 
     `compacted_revision` is the revision up to which the event history has been
     discarded. `era` counts the restores from a copy, and `lost_items` holds the
-    latest items, or deletions, that the last restore lost.
+    latest items, or deletions, that the last restore lost. The next
+    `wrong_era_answers` responses name WRONG_ERA.
     """
 
     def __init__(self, address: Address, now) -> None:
@@ -81,6 +85,7 @@
         self.lost_items: dict[str, WireItem] = {}
         self.fault_mode = StoreFaultMode.NONE
         self.refused_hosts: set[str] = set()
+        self.wrong_era_answers = 0
         self.changed = Event()
         self.calls = 0
         self.server = CallerServer(address, self.serve, RequestLimits, now)
@@ -169,9 +174,16 @@
     def serve(self, request: Request, context: RequestContext) -> Reply:
         """Respond to a call, and name the era in the response."""
         reply = self.answer(request)
-        reply.headers.append((ERA, b"%d" % self.era))
+        reply.headers.append((ERA, b"%d" % self.take_era()))
         return reply
 
+    def take_era(self) -> int:
+        """Return the era that the next response names."""
+        if not self.wrong_era_answers:
+            return self.era
+        self.wrong_era_answers -= 1
+        return WRONG_ERA
+
     def answer(self, request: Request) -> Reply:
         """Respond to a read or a watch, after injecting the fault in force."""
         self.calls += 1
@@ -179,6 +191,8 @@
             gevent.sleep(UNRESPONSIVE_S)
         if self.fault_mode is StoreFaultMode.BUSY:
             return Reply(503)
+        if self.fault_mode is StoreFaultMode.OLD:
+            return self.answer_as_old_instance(request)
         text = request.target.partition(b"?")[2].decode()
         query = parse_qs(text, errors="surrogateescape")
         prefix = query.get("prefix", [""])[0]
@@ -189,6 +203,14 @@
             return self.watch(prefix, int(after), int(query["wait_ms"][0]) / 1_000)
         return Reply(404)
 
+    def answer_as_old_instance(self, request: Request) -> Reply:
+        """Respond with the whole copy to a read, and without events to a watch."""
+        items = [encode_item(item) for item in self.copied_items.values()]
+        answer = RawPage(items, has_more=False, as_of=self.copied_revision)
+        if request.path == WATCH_PATH:
+            answer = RawEvents([], self.copied_revision)
+        return Reply(200, body=msgspec.json.encode(answer))
+
     def read(self, prefix: str, after: str) -> Reply:
         """Return the next page of items in the order of their keys."""
         keys = [key for key in self.items if key.startswith(prefix)]
