Store: doubtful answers neither confirm a view nor end its reading, and are told of

What was seen: with an old instance of the store answering, processes took their view for fresh for as long as it lasted; after one answer with a wrong, high era a process refused all later ones and every list of its peers, and went on calling a target that drained. Nothing told but one line store_lost, or none.

Cause: a list that is older than the known one of the same era was refused without a line, and the answer confirmed the configuration all the same; and the era of a single answer was believed at once and for good.

Now an answer below the version that was known when the call was sent (the store's reads are linearizable) is refused, confirms nothing, and counts as a failed call; only its configuration is offered, since versions of it never go back. One that a peer's newer list overtook confirms nothing either, but is no fault. A risen era needs two answers in a row; the one in between that names another is refused, so that no list of the lower era is taken while it is in doubt. Lists below a confirmed era are refused as before. A process that knows nothing yet still believes its first answer.

Decided: while answers of the same era stay lower, they stay refused. Revisions go back only with a risen era; taking the lower list would bring back targets that have left, and peers would offer the higher one again at once. The same holds if the era goes missing once known. If it appears later, the first whole list of it replaces the known one.

--- a/sesameplank/exceptions.py
+++ b/sesameplank/exceptions.py
@@ -33,6 +33,10 @@
     """The platform's service sent a response that could not be read whole."""
 
 
+class RefusedAnswerError(PlatformError):
+    """The platform's service sent an answer that may be older than what is known."""
+
+
 class PeerProtocolError(SesameplankError):
     """A frame from another entry cannot be decoded."""
 
--- a/sesameplank/platform/source.py
+++ b/sesameplank/platform/source.py
@@ -68,6 +68,8 @@
         self.records: dict[TargetId, TargetRecord] = {}
         self.removed: dict[TargetId, int] = {}
         self.configuration: PublishedConfiguration | None = None
+        self.refused_items = 0
+        self.refused_configurations = 0
 
     def add(self, items: Iterable[WireItem]) -> None:
         """Add items in the order of their changes."""
@@ -75,10 +77,18 @@
             if item.key.startswith(TARGET_PREFIX):
                 self.add_target(item)
             elif item.key == CONFIG_KEY and not item.deleted:
-                self.configuration = read_configuration(item) or self.configuration
+                self.add_configuration(item)
             elif isinstance(item, UnreadableItem):
                 self.log_refusal(item, ConfigurationError(item.reason))
 
+    def add_configuration(self, item: WireItem) -> None:
+        """Add the configuration unless it is malformed."""
+        configuration = read_configuration(item)
+        if configuration is None:
+            self.refused_configurations += 1
+        else:
+            self.configuration = configuration
+
     def add_target(self, item: WireItem) -> None:
         """Add the item of a target, or its removal."""
         target = TargetId(item.key.removeprefix(TARGET_PREFIX))
@@ -103,7 +113,8 @@
             return None
 
     def log_refusal(self, item: WireItem, error: Exception) -> None:
-        """Log that an item names no target, unless there are too many lines."""
+        """Count an item that names no target, and log it if lines are not too many."""
+        self.refused_items += 1
         left_out = self.limiter.take()
         if left_out is not None:
             log_event(
@@ -127,7 +138,12 @@
             is_whole,
             version.era,
         )
-        return Publication(changes, self.configuration)
+        return Publication(
+            changes,
+            self.configuration,
+            self.refused_items,
+            self.refused_configurations,
+        )
 
 
 def read_configuration(item: WireItem) -> PublishedConfiguration | None:
--- a/sesameplank/published/follower.py
+++ b/sesameplank/published/follower.py
@@ -10,9 +10,15 @@
 from ..conf import PublishedConfiguration
 from ..core.common.clock import Clock
 from ..core.published.document_version import DocumentVersion
+from ..core.published.era_gate import EraGate, EraVerdict
 from ..core.published.target_table import TargetChanges, TargetTable
-from ..core.published.versions import ConfigurationStore
-from ..exceptions import HistoryGoneError, PlatformError, UnreadableResponseError
+from ..core.published.versions import ConfigurationStore, OfferResult
+from ..exceptions import (
+    HistoryGoneError,
+    PlatformError,
+    RefusedAnswerError,
+    UnreadableResponseError,
+)
 from ..logs import log_event
 
 WATCH_WAIT_S = 1.5
@@ -25,16 +31,34 @@
 RETRY_DELAY_MAX_S = 0.6
 # A target that vanishes this soon after a failure may only have expired.
 RECENT_FAILURE_S = 5.0
+STILL_LOST_LOG_INTERVAL_S = 10.0
+NEVER = float("-inf")
 
 
 class Publication(msgspec.Struct, frozen=True):
     """The store's content, or the changes in it, up to a revision.
 
-    `configuration` is None if it is missing, malformed or unchanged.
+    `configuration` is None if it is missing, malformed or unchanged. The others are
+    the numbers of malformed items of targets and of the configuration.
     """
 
     targets: TargetChanges
     configuration: PublishedConfiguration | None = None
+    refused_items: int = 0
+    refused_configurations: int = 0
+
+
+class StoreCounts(msgspec.Struct):
+    """What went wrong with the reading of the store since the start.
+
+    `answers_refused` counts answers that were older than what was known, or of a wrong
+    era. Items and configurations count each time that they are read.
+    """
+
+    calls_failed: int = 0
+    answers_refused: int = 0
+    items_refused: int = 0
+    configurations_refused: int = 0
 
 
 class PublicationSource(ABC):
@@ -88,8 +112,12 @@
         self.is_elected_reader = is_elected_reader
         self.set_store_unavailable = set_store_unavailable
         self.version: DocumentVersion | None = None
-        self.failed_at = float("-inf")
+        self.era_gate = EraGate(table)
+        self.counts = StoreCounts()
+        self.failed_at = NEVER
         self.is_failing = False
+        self.failures = 0
+        self.failure_logged_at = NEVER
 
     def run_round(self) -> None:
         """Make one call to the store if it is this process's turn, else wait.
@@ -131,48 +159,92 @@
         gevent.sleep(ELECTION_CHECK_INTERVAL_S)
 
     def step(self) -> None:
-        """Make one call to the store and apply its response."""
+        """Make one call to the store and apply its response.
+
+        Raises RefusedAnswerError if it is older than what is known.
+        """
         sent_at = self.clock.now()
-        if self.version is None:
-            publication = self.source.read()
-        else:
-            publication = self.source.watch(self.version.number, WATCH_WAIT_S)
+        known = self.table.version
+        publication = self.call()
         version = publication.targets.version
-        self.check_era(version.era)
-        if self.is_failing:
-            log_event("store_regained", **describe(version))
-            self.is_failing = False
-            self.set_store_unavailable(False)
-        if self.version is not None and version.era > self.version.era:
+        verdict = self.judge_era(version.era)
+        self.check_revision(publication, known)
+        self.note_success(version)
+        is_restored = self.version is not None and version.era > self.version.era
+        if is_restored or verdict is EraVerdict.UNCONFIRMED:
             log_event("store_restored", **describe(version))
             self.request_full_read()
             return
         has_changes = self.version not in (None, version)
         self.apply(publication)
-        self.configuration_store.confirm(
-            min(MAX_RESPONSE_AGE_S, self.clock.now() - sent_at)
-        )
+        self.confirm(version, sent_at)
         self.on_response()
         if has_changes:
             gevent.sleep(BATCH_DELAY_S)
 
-    def check_era(self, era: int) -> None:
-        """Record the era of a response.
+    def call(self) -> Publication:
+        """Read everything, or wait for changes after the version that was read."""
+        if self.version is None:
+            return self.source.read()
+        return self.source.watch(self.version.number, WATCH_WAIT_S)
 
-        Raises PlatformError if it is lower than one that this process has heard of.
-        Such a response may come from a store that has not been restored yet.
+    def judge_era(self, era: int) -> EraVerdict:
+        """Return whether to believe the era of a response, and note it if so.
+
+        Raises RefusedAnswerError if it is lower than one that this process has heard
+        of. Such a response may come from a store that has not been restored yet.
         """
-        if era < self.table.known_era:
-            raise PlatformError(
-                f"the store answered in era {era} after era {self.table.known_era}; "
+        heard = max(self.table.known_era, self.era_gate.candidate or 0)
+        verdict = self.era_gate.judge(era)
+        if verdict is EraVerdict.REFUSED:
+            raise RefusedAnswerError(
+                f"the store answered in era {era} after era {heard}; "
                 "check that it sends its era and that no old instance still runs"
             )
-        self.table.note_era(era)
+        return verdict
+
+    def check_revision(self, publication: Publication, known: DocumentVersion) -> None:
+        """Raise RefusedAnswerError if a response is older than a known version.
+
+        The version is that of the targets when the call was sent. A configuration
+        counts all the same: its own version says whether it is newer.
+        """
+        version = publication.targets.version
+        if version >= known:
+            return
+        self.offer(publication.configuration)
+        self.request_full_read()
+        raise RefusedAnswerError(
+            f"the store answered with revision {version.number} of era {version.era} "
+            f"after revision {known.number}; check that no old instance still runs, "
+            "and that the era rises when the store is restored from a copy"
+        )
+
+    def note_success(self, version: DocumentVersion) -> None:
+        """Report the store as available if the last call failed."""
+        if not self.is_failing:
+            return
+        log_event("store_regained", **describe(version))
+        self.is_failing = False
+        self.set_store_unavailable(False)
+
+    def confirm(self, version: DocumentVersion, sent_at: float) -> None:
+        """Confirm the configuration as of an applied response.
+
+        A response doesn't count if the list has another version, such as a newer one
+        of a peer.
+        """
+        if self.table.version != version:
+            return
+        age_s = min(MAX_RESPONSE_AGE_S, self.clock.now() - sent_at)
+        self.configuration_store.confirm(age_s)
 
     def apply(self, publication: Publication) -> None:
         """Apply a publication to the table of targets and the configuration store."""
         now = self.clock.now()
         self.version = publication.targets.version
+        self.counts.items_refused += publication.refused_items
+        self.counts.configurations_refused += publication.refused_configurations
         has_failed_recently = now - self.failed_at < RECENT_FAILURE_S
         try:
             self.table.apply(publication.targets, now, has_failed_recently)
@@ -184,16 +256,43 @@
         if configuration is None:
             return
         result = self.configuration_store.offer(configuration)
+        self.counts.configurations_refused += result is OfferResult.REFUSED
         log_event("config_offered", version=configuration.version, result=result.value)
 
     def note_failure(self, error: PlatformError) -> None:
-        """Record a failed call; log and report only the first of a series."""
+        """Record a failed call; report only the first of a series."""
         self.failed_at = self.clock.now()
+        if isinstance(error, RefusedAnswerError):
+            self.counts.answers_refused += 1
+        else:
+            self.counts.calls_failed += 1
         if not self.is_failing:
-            log_event("store_lost", reason=str(error))
+            self.failures = 0
             self.set_store_unavailable(True)
+        self.failures += 1
+        self.log_failure(error)
         self.is_failing = True
 
+    def log_failure(self, error: PlatformError) -> None:
+        """Log the first failure of a series, then one each STILL_LOST_LOG_INTERVAL_S.
+
+        The age of the view is that of the configuration, -1 if there is none.
+        """
+        now = self.clock.now()
+        if not self.is_failing:
+            log_event("store_lost", reason=str(error))
+        elif now - self.failure_logged_at >= STILL_LOST_LOG_INTERVAL_S:
+            age_s = self.configuration_store.age_s
+            log_event(
+                "store_still_lost",
+                reason=str(error),
+                failures=self.failures,
+                view_age_s=-1.0 if age_s is None else age_s,
+            )
+        else:
+            return
+        self.failure_logged_at = now
+
     def request_full_read(self) -> None:
         """Make the next call a full read instead of a watch."""
         self.version = None
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -19,7 +19,7 @@
 from sesameplank.platform.headers import PlatformDialect
 from sesameplank.platform.items import decode_routing, decode_target
 from sesameplank.platform.source import ItemCollector
-from sesameplank.platform.store_answers import WireItem
+from sesameplank.platform.store_answers import UnreadableItem, WireItem
 from sesameplank.published.follower import Publication
 
 MANY = 3_000
@@ -240,6 +240,21 @@
         removed = dict(publication.targets.removed)
         self.assertEqual({"b": 5, "c": 6, "d": 7}, removed)
 
+    def test_refused_items_are_counted(self):
+        items = [
+            self.make("op/config", b"{}", 3),
+            self.make("servers/a", encode(TARGET), 4),
+            self.make("servers/b", b"\x00", 5),
+            UnreadableItem("servers/c", 6, reason="nested"),
+            UnreadableItem("", 6, reason="nested"),
+            UnreadableItem("servers/\ud800", 6, reason="nested"),
+            UnreadableItem("op/config", 6, reason="nested"),
+        ]
+        publication = make_publication(items, DocumentVersion(1, 6), is_whole=False)
+        self.assertEqual(4, publication.refused_items)
+        self.assertEqual(2, publication.refused_configurations)
+        self.assertEqual({"b": 5, "c": 6}, dict(publication.targets.removed))
+
     def test_last_event_of_a_target_prevails(self):
         items = [
             self.make("servers/a", encode(TARGET), 4),
--- a/tests/published/test_follower.py
+++ b/tests/published/test_follower.py
@@ -18,6 +18,7 @@
 from sesameplank.core.published.versions import ConfigurationStore
 from sesameplank.exceptions import PlatformError, UnreadableResponseError
 from sesameplank.ids import ConfigVersion
+from sesameplank.logs import output
 from sesameplank.published.follower import (
     Publication,
     PublicationFollower,
@@ -176,3 +177,125 @@
         self.source.add(2, 14, "b", "c")
         self.follower.step()
         self.assertEqual(["b", "c"], self.get_targets())
+
+
+class FollowerCase(testtools.TestCase):
+    """A follower that knows revision 10 of era 1, with a clock that is set by hand."""
+
+    def setUp(self):
+        super().setUp()
+        self.clock = ManualClock()
+        self.source = ScriptedSource()
+        self.table = TargetTable()
+        self.configurations = ConfigurationStore(self.clock, bytes)
+        self.unavailable: list[bool] = []
+        self.follower = PublicationFollower(
+            self.source,
+            self.configurations,
+            self.table,
+            self.clock,
+            random.Random(1),
+            lambda: None,
+            lambda age_s: True,
+            self.unavailable.append,
+        )
+        self.source.add(1, 10, "a", version=7)
+        self.follower.run_round()
+        self.clock.advance(1.0)
+        self.lines: list[str] = []
+        self.patch(output, "write", self.lines.append)
+
+    def get_targets(self) -> list[str]:
+        """Return the names of the known targets."""
+        return sorted(self.table.records)
+
+    def count_lines(self, event: str) -> int:
+        """Return how many lines of an event were written."""
+        return sum(line.startswith(f"event={event} ") for line in self.lines)
+
+
+class OlderAnswerTests(FollowerCase):
+    """An answer that is older than what is known confirms nothing, and is told of."""
+
+    def test_answer_older_than_the_known_list_does_not_confirm(self):
+        for is_whole in (False, True):
+            self.source.add(1, 9, "b", is_whole=is_whole)
+            self.follower.run_round()
+            self.assertAlmostEqual(1.0, self.configurations.age_s)
+            self.assertEqual(["a"], self.get_targets())
+        self.assertEqual(1, self.count_lines("store_lost"))
+        self.assertEqual(2, self.follower.counts.answers_refused)
+        self.source.add(1, 10, "a")
+        self.follower.run_round()
+        self.assertAlmostEqual(0.0, self.configurations.age_s)
+        self.assertEqual(["read", "watch after 10", "read", "read"], self.source.calls)
+
+    def test_newer_configuration_of_an_older_answer_is_taken(self):
+        self.source.add(1, 9, "b", version=8)
+        self.follower.run_round()
+        self.assertEqual(8, self.configurations.version)
+        self.assertAlmostEqual(1.0, self.configurations.age_s)
+
+    def test_answer_that_a_peers_list_overtakes_is_no_fault(self):
+        def overtake(after, wait_s):
+            records = (make_record("a", 10), make_record("b", 12))
+            self.table.apply(TargetChanges(12, records, (), True, 1), 0.0, False)
+            return Publication(TargetChanges(11, era=1))
+
+        self.source.watch = overtake
+        self.follower.run_round()
+        self.assertAlmostEqual(1.0, self.configurations.age_s)
+        self.assertEqual(0, self.follower.counts.answers_refused)
+        self.assertEqual(["a", "b"], self.get_targets())
+
+    def test_failure_that_lasts_is_told_of_again(self):
+        for _ in range(25):
+            self.source.add(1, 9, "b")
+            self.follower.run_round()
+            self.clock.advance(1.0)
+        self.assertEqual(1, self.count_lines("store_lost"))
+        self.assertEqual(2, self.count_lines("store_still_lost"))
+        self.assertIn("failures=21", self.lines[-1])
+        self.assertIn("view_age_s=21.000", self.lines[-1])
+
+
+class WrongEraTests(FollowerCase):
+    """One answer with a wrong era doesn't end the reading of the right one."""
+
+    def test_era_of_a_single_answer_is_not_believed(self):
+        self.source.add(9, 11, "z", is_whole=False)
+        self.follower.run_round()
+        for _ in range(2):
+            self.source.add(1, 12, "a", "b")
+            self.follower.run_round()
+        self.assertEqual(["a", "b"], self.get_targets())
+        self.assertAlmostEqual(0.0, self.configurations.age_s)
+
+    def test_era_of_a_single_complete_answer_is_not_believed(self):
+        self.follower.request_full_read()
+        self.source.add(9, 11, "z")
+        self.follower.run_round()
+        self.assertEqual(["a"], self.get_targets())
+        for _ in range(2):
+            self.source.add(1, 12, "a", "b")
+            self.follower.run_round()
+        self.assertEqual(["a", "b"], self.get_targets())
+
+    def test_eras_that_rise_with_each_answer_are_not_read_without_a_pause(self):
+        for era in range(20, 24):
+            self.source.add(era, 11, "z")
+            self.follower.run_round()
+        self.assertEqual(["a"], self.get_targets())
+        self.assertEqual(3, self.follower.counts.answers_refused)
+        self.assertAlmostEqual(1.0, self.configurations.age_s)
+
+    def test_answers_of_a_lower_era_stay_refused(self):
+        for _ in range(2):
+            self.source.add(2, 6, "b")
+            self.follower.run_round()
+        self.assertEqual(["b"], self.get_targets())
+        for era in (0, 1):
+            self.source.add(era, 99, "z")
+            self.follower.run_round()
+        self.assertEqual(["b"], self.get_targets())
+        self.assertEqual(2, self.follower.counts.answers_refused)
