Store: watches that bring nothing neither spin nor hide the changes

A store whose watches return at once without changes, or whose history is always gone, was called without a pause: by each reading process, against one limit for all. One whose watches always fail was never read again in pages, though reads succeed, so no change was learnt at all.

Now a watch that returned at once is followed by BATCH_DELAY_S, a full read that follows the last one at once by the usual delay after a failure, and from the second failed watch in a row on, a full read follows each.

Watches cut short, or answered by something unreadable, were read in pages before (test_changes_that_cannot_be_read_whole_are_read_again_in_pages).

--- a/sesameplank/published/follower.py
+++ b/sesameplank/published/follower.py
@@ -32,6 +32,7 @@
 # A target that vanishes this soon after a failure may only have expired.
 RECENT_FAILURE_S = 5.0
 STILL_LOST_LOG_INTERVAL_S = 10.0
+MAX_FAILED_WATCHES = 2  # Until each further failure is followed by a full read.
 NEVER = float("-inf")
 
 
@@ -117,7 +118,9 @@
         self.failed_at = NEVER
         self.is_failing = False
         self.failures = 0
+        self.failed_watches = 0
         self.failure_logged_at = NEVER
+        self.history_gone_at = NEVER
 
     def run_round(self) -> None:
         """Make one call to the store if it is this process's turn, else wait.
@@ -131,17 +134,33 @@
         try:
             self.step()
         except HistoryGoneError:
-            log_event("store_history_gone", **describe(self.version))
-            self.request_full_read()
+            self.note_history_gone()
         except UnreadableResponseError as error:  # The next one may be no better.
             self.request_full_read()
             self.wait_after_failure(error)
         except PlatformError as error:
+            self.note_failed_watch()
             self.wait_after_failure(error)
         except Exception:
             self.request_full_read()
             raise
 
+    def note_history_gone(self) -> None:
+        """Prepare a full read; wait before it if the last one did not help."""
+        log_event("store_history_gone", **describe(self.version))
+        self.request_full_read()
+        last, self.history_gone_at = self.history_gone_at, self.clock.now()
+        if self.history_gone_at - last < WATCH_WAIT_S:
+            gevent.sleep(self.rng.uniform(RETRY_DELAY_MIN_S, RETRY_DELAY_MAX_S))
+
+    def note_failed_watch(self) -> None:
+        """Prepare a full read if watches go on failing: reads may still succeed."""
+        if self.version is None:
+            return
+        self.failed_watches += 1
+        if self.failed_watches >= MAX_FAILED_WATCHES:
+            self.request_full_read()
+
     def wait_after_failure(self, error: PlatformError) -> None:
         """Record a failed call and wait before the next one."""
         self.note_failure(error)
@@ -165,6 +184,7 @@
         """
         sent_at = self.clock.now()
         known = self.table.version
+        is_watch = self.version is not None
         publication = self.call()
         version = publication.targets.version
         verdict = self.judge_era(version.era)
@@ -179,14 +199,16 @@
         self.apply(publication)
         self.confirm(version, sent_at)
         self.on_response()
-        if has_changes:
+        if has_changes or (is_watch and self.clock.now() - sent_at < BATCH_DELAY_S):
             gevent.sleep(BATCH_DELAY_S)
 
     def call(self) -> Publication:
         """Read everything, or wait for changes after the version that was read."""
         if self.version is None:
             return self.source.read()
-        return self.source.watch(self.version.number, WATCH_WAIT_S)
+        publication = self.source.watch(self.version.number, WATCH_WAIT_S)
+        self.failed_watches = 0
+        return publication
 
     def judge_era(self, era: int) -> EraVerdict:
         """Return whether to believe the era of a response, and note it if so.
--- a/tests/published/test_follower.py
+++ b/tests/published/test_follower.py
@@ -3,6 +3,7 @@
 import random
 from unittest.mock import Mock
 
+import gevent
 import msgspec
 import testtools
 
@@ -16,7 +17,11 @@
     TargetTable,
 )
 from sesameplank.core.published.versions import ConfigurationStore
-from sesameplank.exceptions import PlatformError, UnreadableResponseError
+from sesameplank.exceptions import (
+    HistoryGoneError,
+    PlatformError,
+    UnreadableResponseError,
+)
 from sesameplank.ids import ConfigVersion
 from sesameplank.logs import output
 from sesameplank.published.follower import (
@@ -299,3 +304,44 @@
             self.follower.run_round()
         self.assertEqual(["b"], self.get_targets())
         self.assertEqual(2, self.follower.counts.answers_refused)
+
+
+class FruitlessCallTests(FollowerCase):
+    """A store whose watches bring nothing is read all the same, and not too often."""
+
+    MAX_CALLS_PER_S = 12
+
+    def count_calls(self) -> int:
+        """Return the number of calls in one second of real time."""
+        start = len(self.source.calls)
+        with gevent.Timeout(1.0, exception=False):
+            while True:
+                self.follower.run_round()
+                gevent.sleep(0.001)
+        return len(self.source.calls) - start
+
+    def read(self) -> Publication:
+        """Return the whole list with one change more."""
+        self.source.calls.append("read")
+        return Publication(TargetChanges(20, (make_record("b", 20),), (), True, 1))
+
+    def test_watches_that_return_at_once_without_changes(self):
+        def watch(after, wait_s):
+            self.source.calls.append("watch")
+            return Publication(TargetChanges(10, era=1))
+
+        self.source.watch = watch
+        self.assertLess(self.count_calls(), self.MAX_CALLS_PER_S)
+
+    def test_watches_whose_history_is_always_gone(self):
+        self.source.watch = Mock(side_effect=HistoryGoneError("gone"))
+        self.source.read = self.read
+        self.assertLess(self.count_calls(), self.MAX_CALLS_PER_S)
+        self.assertEqual(["b"], self.get_targets())
+
+    def test_watches_that_always_fail_do_not_hide_changes(self):
+        self.source.watch = Mock(side_effect=PlatformError("no answer"))
+        self.source.read = self.read
+        for _ in range(3):
+            self.follower.run_round()
+        self.assertEqual(["b"], self.get_targets())
