Store: an answer that waited while the process stood still isn't taken for fresh

After a freeze a process confirmed its view as at most 0.3 s old by an answer that had waited in the socket since the freeze began; the full read that the noticed pause asked for was forgotten when the call under way returned. So a process that woke up told itself and others that an old view is current, until the next watch returned.

Now the age counts how long the loop may not have run (LoopDelay.get_stall_s), a call during which a pause was noticed confirms nothing, and the full read follows it. A read of pages is as old as its duration: it may begin before a pause and end long after it.

Measured on with the new tests, whose clock is set by hand: age below 60 s after a pause of 60 s, in both orders of noticing and answering; 60 s or more since.

--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -201,6 +201,7 @@
             self.relay.notify,
             self.is_elected_reader,
             self.membership_service.set_store_unavailable,
+            lambda: self.loop_delay.get_stall_s(clock.now()),
         )
         self.lookups = LookupNotices(self.links, clock, self.get_other_active)
         self.caller_server = CallerServer(
--- a/sesameplank/forwarding/loop_delay.py
+++ b/sesameplank/forwarding/loop_delay.py
@@ -25,6 +25,11 @@
         rounds = (self.previous_round_at, self.last_round_at, now)
         return next(at for at in rounds if at is not None)
 
+    def get_stall_s(self, now: float) -> float:
+        """Return how much longer than usual an event that is handled now waited."""
+        usual_s = 2 * self.interval_s
+        return max(0.0, now - self.get_earliest_event_at(now) - usual_s)
+
     def get_delay_s(self, now: float) -> float:
         """Return the delay of the last round, or of the next one if it is longer."""
         return max(self.last_delay_s, self.get_overdue_s(now))
--- a/sesameplank/published/follower.py
+++ b/sesameplank/published/follower.py
@@ -90,7 +90,8 @@
     configuration, or None if it never did. `set_store_unavailable` is called with
     True when calls to the store start to fail, and with False when they succeed
     again or the failure is no longer recent. `on_response` is called after every
-    successful call.
+    successful call. `get_stall_s` returns for how many seconds more than usual an
+    answer that is handled now may have waited in this process.
     """
 
     def __init__(
@@ -103,6 +104,7 @@
         on_response: Callable[[], None],
         is_elected_reader: Callable[[float | None], bool],
         set_store_unavailable: Callable[[bool], None],
+        get_stall_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         self.source = source
         self.configuration_store = configuration_store
@@ -113,8 +115,10 @@
         self.is_elected_reader = is_elected_reader
         self.set_store_unavailable = set_store_unavailable
         self.version: DocumentVersion | None = None
+        self.get_stall_s = get_stall_s
         self.era_gate = EraGate(table)
         self.counts = StoreCounts()
+        self.is_interrupted = False
         self.failed_at = NEVER
         self.is_failing = False
         self.failures = 0
@@ -184,6 +188,7 @@
         """
         sent_at = self.clock.now()
         known = self.table.version
+        self.is_interrupted = False
         is_watch = self.version is not None
         publication = self.call()
         version = publication.targets.version
@@ -197,7 +202,7 @@
             return
         has_changes = self.version not in (None, version)
         self.apply(publication)
-        self.confirm(version, sent_at)
+        self.confirm(version, sent_at, is_watch=is_watch)
         self.on_response()
         if has_changes or (is_watch and self.clock.now() - sent_at < BATCH_DELAY_S):
             gevent.sleep(BATCH_DELAY_S)
@@ -250,15 +255,22 @@
         self.is_failing = False
         self.set_store_unavailable(False)
 
-    def confirm(self, version: DocumentVersion, sent_at: float) -> None:
+    def confirm(
+        self, version: DocumentVersion, sent_at: float, *, is_watch: bool
+    ) -> None:
         """Confirm the configuration as of an applied response.
 
         A response doesn't count if the list has another version, such as a newer one
-        of a peer.
+        of a peer, or if this process stood still during the call.
         """
+        if self.is_interrupted:
+            self.request_full_read()
+            return
         if self.table.version != version:
             return
-        age_s = min(MAX_RESPONSE_AGE_S, self.clock.now() - sent_at)
+        age_s = self.clock.now() - sent_at
+        if is_watch:
+            age_s = min(age_s, MAX_RESPONSE_AGE_S + self.get_stall_s())
         self.configuration_store.confirm(age_s)
 
     def apply(self, publication: Publication) -> None:
@@ -316,8 +328,12 @@
         self.failure_logged_at = now
 
     def request_full_read(self) -> None:
-        """Make the next call a full read instead of a watch."""
+        """Make the next call a full read instead of a watch.
+
+        A call that is under way confirms nothing.
+        """
         self.version = None
+        self.is_interrupted = True
 
 
 def describe(version: DocumentVersion | None) -> dict[str, int]:
--- a/tests/forwarding/test_loop_delay.py
+++ b/tests/forwarding/test_loop_delay.py
@@ -36,3 +36,14 @@
         self.assertEqual(10.0, self.delay.get_earliest_event_at(12.0))
         self.delay.note_round(12.1)
         self.assertEqual(12.0, self.delay.get_earliest_event_at(12.15))
+
+    def test_stall_is_what_an_event_waited_beyond_the_usual(self):
+        self.assertEqual(0.0, self.delay.get_stall_s(9.0))
+        self.delay.note_round(9.9)
+        self.delay.note_round(10.0)
+        self.assertAlmostEqual(0.0, self.delay.get_stall_s(10.1))
+        self.assertAlmostEqual(59.9, self.delay.get_stall_s(70.0))
+        self.delay.note_round(70.0)
+        self.assertAlmostEqual(59.8, self.delay.get_stall_s(70.0))
+        self.delay.note_round(70.1)
+        self.assertAlmostEqual(0.0, self.delay.get_stall_s(70.15))
--- a/tests/published/test_follower.py
+++ b/tests/published/test_follower.py
@@ -194,6 +194,7 @@
         self.table = TargetTable()
         self.configurations = ConfigurationStore(self.clock, bytes)
         self.unavailable: list[bool] = []
+        self.stall_s = 0.0
         self.follower = PublicationFollower(
             self.source,
             self.configurations,
@@ -203,6 +204,7 @@
             lambda: None,
             lambda age_s: True,
             self.unavailable.append,
+            **self.get_options(),
         )
         self.source.add(1, 10, "a", version=7)
         self.follower.run_round()
@@ -210,6 +212,10 @@
         self.lines: list[str] = []
         self.patch(output, "write", self.lines.append)
 
+    def get_options(self) -> dict:
+        """Return further arguments of the follower."""
+        return {}
+
     def get_targets(self) -> list[str]:
         """Return the names of the known targets."""
         return sorted(self.table.records)
@@ -345,3 +351,37 @@
         for _ in range(3):
             self.follower.run_round()
         self.assertEqual(["b"], self.get_targets())
+
+
+class PauseTests(FollowerCase):
+    """An answer that waited while this process stood still isn't taken for fresh."""
+
+    PAUSE_S = 60.0
+
+    def get_options(self) -> dict:
+        """Return the delay of the event loop."""
+        return {"get_stall_s": lambda: self.stall_s}
+
+    def stand_still(self, after, wait_s):
+        """Answer at once, and let the answer wait."""
+        self.clock.advance(self.PAUSE_S)
+        return Publication(TargetChanges(10, era=1))
+
+    def test_pause_that_nothing_has_noticed_yet(self):
+        self.stall_s = self.PAUSE_S
+        self.source.watch = self.stand_still
+        self.follower.run_round()
+        self.assertTrue(self.configurations.age_s >= self.PAUSE_S)
+
+    def test_pause_that_was_noticed_during_the_call(self):
+        def watch(after, wait_s):
+            self.follower.request_full_read()
+            return self.stand_still(after, wait_s)
+
+        self.source.watch = watch
+        self.follower.run_round()
+        self.assertTrue(self.configurations.age_s >= self.PAUSE_S)
+        self.source.add(1, 12, "a", "b")
+        self.follower.run_round()
+        self.assertEqual(["read", "read"], self.source.calls)
+        self.assertAlmostEqual(0.0, self.configurations.age_s)
