Forwarding: bytes that a target has not acknowledged don't outlive their connection

A call that ends early (its caller leaves, a hedge has won, its deadline, lost links, a stop) ends by its connection's close. That was orderly, so the kernel went on sending what it held: once a cut healed, the call reached its target seconds later, on a connection that was closed by then.

All closes of connections to targets now go through `net.close_connection`: a reset where written bytes are unacknowledged, which drops them, and an orderly close otherwise. A target that has the call but whose acknowledgement is still on the way gets the call and the reset behind it, as it did the FIN. A connection that has carried a whole answer has nothing unacknowledged. As the process ends, it closes the connections of calls in progress itself; the kernel's own close is orderly.

--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -316,6 +316,7 @@
         with contextlib.ExitStack() as stack:
             stack.enter_context(self.links)
             self.add_seed_peers(self.settings.peers)
+            stack.enter_context(self.pools)
             stack.enter_context(self.loops)
             stack.enter_context(self.caller_server)
             self.resources = stack.pop_all()
--- a/sesameplank/forwarding/target_connections.py
+++ b/sesameplank/forwarding/target_connections.py
@@ -19,6 +19,7 @@
 from ..core.quarantine.sent_request import SentRequest
 from ..ids import RequestId
 from ..logs import log_event
+from ..net import close_connection
 from .http_messages import Response, ResponseReader
 
 if TYPE_CHECKING:
@@ -308,6 +309,6 @@
                 greenlet.kill(block=False)
         self.read_watcher.stop()
         self.read_watcher.close()
-        self.sock.close()
+        close_connection(self.sock)
         if exchange is not None:
             exchange.fail(reason, detail)
--- a/sesameplank/forwarding/target_pools.py
+++ b/sesameplank/forwarding/target_pools.py
@@ -361,14 +361,32 @@
         for connection in list(self.idle):
             connection.close(FailureReason.CANCELLED, "the target is gone")
 
+    def end(self) -> None:
+        """Cancel all calls and close all connections, as the process ends."""
+        self.waiting.clear()
+        for connection in list(self.connections):
+            if connection.exchange is not None:
+                connection.exchange.cancel()
+            connection.close(FailureReason.CANCELLED, "the process ends")
+
 
 class TargetPools:
-    """The connection pools of all targets, shared by all requests."""
+    """The connection pools of all targets, shared by all requests.
+
+    Leaving the context cancels all calls and closes all connections.
+    """
 
     def __init__(self, context: PoolContext) -> None:
         self.context = context
         self.pools: dict[TargetId, TargetPool] = {}
 
+    def __enter__(self) -> "TargetPools":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for pool in self.pools.values():
+            pool.end()
+
     def get(self, record: TargetRecord, limit: int) -> TargetPool:
         """Return the pool of a target, with its limit set to `limit` connections.
 
--- a/sesameplank/net.py
+++ b/sesameplank/net.py
@@ -1,5 +1,6 @@
 """Addresses, and the socket options that all processes of the project use."""
 
+import contextlib
 import fcntl
 import re
 import socket
@@ -19,6 +20,8 @@
 STATE_OFFSET = 0
 LAST_DATA_RECEIVED_MS_OFFSET = 52
 ROUND_TRIP_US_OFFSET = 68
+# A `struct linger` with a timeout of 0: close() sends a TCP reset, not a FIN.
+LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 class Address(tuple):
@@ -104,6 +107,23 @@
     return read_queue_bytes(sock, termios.TIOCOUTQ)
 
 
+def close_connection(sock: socket.socket) -> None:
+    """Close a connection, so that no byte leaves the kernel afterwards.
+
+    Bytes that the peer has not acknowledged would be sent again after an orderly close,
+    for seconds; a reset drops them. If there are none, the close is orderly, since the
+    kernel repeats the end of a connection that gets lost, but not a reset.
+
+    Closing again has no effect.
+    """
+    if sock.fileno() < 0:
+        return
+    with contextlib.suppress(OSError):  # The connection may have failed already.
+        if count_unacknowledged_bytes(sock):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+    sock.close()
+
+
 def read_queue_bytes(sock: socket.socket, request: int) -> int:
     """Return the number of bytes that an ioctl request reports for a socket."""
     data = fcntl.ioctl(sock.fileno(), request, b"\0" * struct.calcsize("=i"))
--- a/sesameplank/standins/front_targets.py
+++ b/sesameplank/standins/front_targets.py
@@ -2,7 +2,6 @@
 
 import contextlib
 import socket
-import struct
 import time
 from collections.abc import Callable
 from enum import Enum
@@ -18,7 +17,7 @@
     RequestReader,
     encode_response,
 )
-from ..net import Address
+from ..net import LINGER_RESET, Address
 from ..platform.headers import (
     ANSWERING_TARGET,
     EXPECTED_TARGET,
@@ -43,8 +42,6 @@
 )
 HEAD_END = b"\r\n\r\n"
 CUT_STEP_BYTES = 7
-# A `struct linger` with a timeout of 0: close() sends a TCP reset, not a FIN.
-LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 class TargetFaultMode(Enum):
--- a/sesameplank/standins/proxy.py
+++ b/sesameplank/standins/proxy.py
@@ -4,7 +4,6 @@
 import itertools
 import random
 import socket
-import struct
 from collections.abc import Collection
 from enum import Enum
 
@@ -13,12 +12,10 @@
 from gevent.event import Event
 from gevent.server import StreamServer
 
-from ..net import Address, open_connection, set_no_delay
+from ..net import LINGER_RESET, Address, open_connection, set_no_delay
 
 CHUNK_BYTES = 65_536
 CONNECT_TIMEOUT_S = 5.0
-# A `struct linger` with a timeout of 0: close() sends a TCP reset, not a FIN.
-LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 class Direction(Enum):
