Forwarding: an unsafe call that hasn't arrived ends when its caller has left

A call of an unsafe request that was transmitted is left to its target when its caller leaves, since it may be running.

If written bytes are then still unacknowledged, its connection is reset, which drops them. The call ends as "unreached" and may have run, as the acknowledgement alone may be lost: no further call follows and nothing is promised. The same holds for the calls of a batch that its VM takes back. A call that its target has received is left to it as before (test_departed_callers).

tests/forwarding/test_batch_server: the stand-in pool now answers `find_connection`, and one more assertion checks that a withdrawn batch asks for the connection of its transmitted call; nothing else there has changed.

--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -204,7 +204,10 @@
         self.cancel()
 
     def return_unsent(self) -> None:
-        """Return the calls that have not been transmitted, and keep the others."""
+        """Return the calls that have not been transmitted, and keep the others.
+
+        Of those, the ones that their targets don't receive are ended.
+        """
         unsent = [
             index
             for index, exchange in self.exchanges.items()
@@ -213,6 +216,8 @@
         for index in unsent:
             self.withdraw(index)
         self.return_failures(unsent, Ran.NOT_RUN)
+        for exchange in self.exchanges.values():
+            exchange.end_unless_received()
         if not self.exchanges:
             self.flush()
 
--- a/sesameplank/forwarding/forwarded_request.py
+++ b/sesameplank/forwarding/forwarded_request.py
@@ -103,11 +103,14 @@
         """Send no further calls, and withdraw those that no target has got.
 
         A call that a target has got is cancelled only if the request is idempotent.
-        Otherwise it may be running, and its outcome is waited for.
+        Otherwise it may be running, and its outcome is waited for. One that was
+        transmitted, but that its target doesn't receive, is ended.
         """
         self.fanout.note_caller_left()
         for exchange in list(self.exchanges.values()):
-            if not exchange.is_transmitted:
+            if exchange.is_transmitted:
+                exchange.end_unless_received()
+            else:
                 self.withdraw(exchange)
         self.batches.withdraw_unsent()
         self.wake.set()
--- a/sesameplank/forwarding/target_connections.py
+++ b/sesameplank/forwarding/target_connections.py
@@ -19,7 +19,7 @@
 from ..core.quarantine.sent_request import SentRequest
 from ..ids import RequestId
 from ..logs import log_event
-from ..net import close_connection
+from ..net import close_connection, count_unacknowledged_bytes
 from .http_messages import Response, ResponseReader
 
 if TYPE_CHECKING:
@@ -83,6 +83,14 @@
         if self.pool is not None:
             self.pool.release(self)
 
+    def end_unless_received(self) -> None:
+        """Fail the call soon if its target has not received it whole by then."""
+        connection = self.pool.find_connection(self) if self.pool else None
+        if connection is not None:
+            gevent.spawn_later(
+                ABANDONED_CALL_GRACE_S, connection.close_unless_received, self
+            )
+
     def fail(self, reason: FailureReason, detail: str = "") -> None:
         """Report a failure; a call that was never transmitted has certainly not run."""
         ran = Ran.UNKNOWN if self.is_transmitted else Ran.NOT_RUN
@@ -285,6 +293,13 @@
                 "the answer is no longer needed",
             )
 
+    def close_unless_received(self, exchange: Exchange) -> None:
+        """Close, so that a call in progress never arrives, unless it has arrived."""
+        if not self.is_open or self.exchange is not exchange:
+            return
+        if self.sender is not None or count_unacknowledged_bytes(self.sock):
+            self.close(FailureReason.UNREACHED, "the target has not received it")
+
     def break_off(self, reason: FailureReason, detail: str) -> None:
         """Close the connection, which the target has ended.
 
--- a/sesameplank/forwarding/target_pools.py
+++ b/sesameplank/forwarding/target_pools.py
@@ -321,10 +321,16 @@
             if exchange in self.waiting:
                 self.waiting.remove(exchange)
             return
+        connection = self.find_connection(exchange)
+        if connection is not None:
+            connection.abandon()
+
+    def find_connection(self, exchange: Exchange) -> TargetConnection | None:
+        """Return the connection of a transmitted call without an answer, or None."""
         for connection in self.connections:
             if connection.exchange is exchange:
-                connection.abandon()
-                return
+                return connection
+        return None
 
     def give_up(self, *, is_silent: bool) -> None:
         """Fail the calls that wait in vain, since the links to targets are lost.
--- a/tests/forwarding/test_batch_server.py
+++ b/tests/forwarding/test_batch_server.py
@@ -47,6 +47,7 @@
     def __init__(self) -> None:
         self.revision = 1
         self.exchanges = []
+        self.looked_for = []
 
     def find_ready(self, target) -> TargetRecord:
         """Return the record of a target."""
@@ -67,6 +68,10 @@
         """Forget a call."""
         self.exchanges.remove(exchange)
 
+    def find_connection(self, exchange) -> None:
+        """Record for which call a connection is looked for; there is none."""
+        self.looked_for.append(exchange)
+
 
 class BatchServerTestCase(testtools.TestCase):
     """Makes a server whose calls the test ends."""
@@ -142,6 +147,7 @@
             [(item.index, item.ran) for item in message.failures],
         )
         self.assertEqual([sent], self.targets.exchanges)
+        self.assertEqual([sent], self.targets.looked_for)
         self.assertEqual(1, len(self.server.batches))
         self.answer(sent)
         self.assertEqual({}, self.server.batches)
