Batches that waited for over 0.4 s on a link are returned unsent

The bytes of a batch that wait in the kernel on the way to a VM that is cut are of the same class: the message that takes the batch back comes behind it, in order, a round trip later, and the calls are transmitted at once. A batch up to 1 s old was made, so calls could reach targets over half a second after the caller had left. Now it is returned as not run from 0.4 s on; its sender, if its caller is still there, sends the calls again.

The test failed before: 3 calls were made of a batch 0.45 s old (0 expected). `serve` of the tests takes a context; nothing else in them has changed. Shown on the class only: the stand-ins can't cut one process from another.

--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -36,7 +36,9 @@
 
 MAX_BATCHES = 512
 MAX_LOOP_DELAY_S = 0.3
-MAX_BATCH_AGE_S = 1.0  # A batch that waited longer is not worth its calls.
+# A batch that waited longer is not worth its calls, and its caller may have left: the
+# message that says so arrives behind it.
+MAX_BATCH_AGE_S = 0.4
 
 # The sender, its incarnation and the number of the batch.
 BatchKey = tuple[EntryId, Incarnation, int]
--- a/tests/forwarding/test_batch_server.py
+++ b/tests/forwarding/test_batch_server.py
@@ -100,10 +100,10 @@
             RequestLog(self.clock),
         )
 
-    def serve(self, **changes) -> None:
+    def serve(self, *, context: PeerContext = CONTEXT, **changes) -> None:
         """Serve a batch of one call to each target."""
         calls = BatchedCalls(7, "r1", b"", b"", 5, 60_000, 100, TARGETS, **changes)
-        self.server.on_calls(calls, CONTEXT)
+        self.server.on_calls(calls, context)
 
     def answer(self, exchange) -> None:
         """End a call with a successful response."""
@@ -133,6 +133,22 @@
         self.assertEqual(["batches_returned"], self.counts)
 
 
+class OverdueTests(BatchServerTestCase):
+    """Guards against calls of a batch that waited on a link until its caller left."""
+
+    def test_batch_over_which_its_caller_may_have_left_is_returned_as_not_run(self):
+        for age_s, calls in ((0.3, 3), (0.45, 0), (0.6, 0), (2.0, 0)):
+            self.targets.exchanges.clear()
+            self.links.sent.clear()
+            context = PeerContext("vm2", 1, age_s, float("inf"))
+            self.serve(context=context)
+            self.assertEqual(calls, len(self.targets.exchanges), age_s)
+            returned = [
+                item.ran for message in self.get_messages() for item in message.failures
+            ]
+            self.assertEqual([Ran.NOT_RUN] * (len(TARGETS) - calls), returned, age_s)
+
+
 class WithdrawalTests(BatchServerTestCase):
     """A VM whose caller has left takes back what no target has got yet."""
 
