Tests: no batch is sent to a process once it is known to be cut from its targets

Shown here: a process that sends gathered requests every 50 ms knows within 1.5 s of the cut, and from then on no batch reaches the one that is cut, for 2 s.

--- a/tests/integration/test_lost_targets.py
+++ b/tests/integration/test_lost_targets.py
@@ -1,13 +1,21 @@
 """Tests of a forwarding process that loses its links to all targets."""
 
+import itertools
+import time
+
 import gevent
 import msgspec
 
+from sesameplank.net import Address
 from sesameplank.standins.front_targets import LinkFault
 
-from .front_world import SHARDS, FrontTestCase, make_request
+from .front_world import METRICS_PORT, SHARDS, FrontTestCase, make_request
 
 REQUESTS = 20
+BATCH_EVENTS = ("batches_served", "batches_returned", "batches_overdue")
+SEND_INTERVAL_S = 0.05
+NOTICE_S = 1.5  # Probes of a VM whose calls are silent fail within 0.7 s.
+OBSERVED_S = 2.0
 KINDS = (("/all/x", "GET"), ("/one/x", "GET"), ("/book/x", "POST"))
 
 
@@ -82,6 +90,41 @@
                 runs = self.count_runs(f"{fault.value}all{number}")
                 self.assertLessEqual(runs, 2 * SHARDS, fault)
 
+    def count_batches(self, front: int) -> int:
+        """Return how many batches of other processes have reached a process."""
+        address = Address(self.fronts[front].host, METRICS_PORT)
+        text = bytes(self.fronts[front].get(address, "/metrics").body).decode()
+        return sum(
+            int(line.split()[-1])
+            for line in text.splitlines()
+            if any(f'event="{event}"' in line for event in BATCH_EVENTS)
+        )
+
+    def keep_sending(self, front: int) -> None:
+        """Send gathered requests until killed, without waiting for their answers."""
+        for number in itertools.count():
+            gevent.spawn(self.serve, "/all/x", "GET", f"kept{number}", front)
+            gevent.sleep(SEND_INTERVAL_S)
+
+    def knows_of_cut(self, front: int) -> bool:
+        """Return whether a process knows that the one that is cut is so."""
+        member = self.get_state(front)["members"][self.fronts[self.cut].host]
+        return not member["reaches_targets"]
+
+    def test_no_batch_is_sent_to_a_process_once_it_is_known_to_be_cut(self):
+        sender = gevent.spawn(self.keep_sending, 0)
+        self.wait_for(lambda: self.count_batches(self.cut) > REQUESTS, "batches")
+        for target in self.targets.values():
+            target.lose_link(self.fronts[self.cut].host, LinkFault.HANG)
+        cut_at = time.monotonic()
+        self.wait_for(lambda: self.knows_of_cut(0), "notice of the cut")
+        self.assertLess(time.monotonic() - cut_at, NOTICE_S)
+        gevent.sleep(SEND_INTERVAL_S)
+        received = self.count_batches(self.cut)
+        gevent.sleep(OBSERVED_S)
+        self.assertEqual(received, self.count_batches(self.cut))
+        sender.kill()
+
     def test_addresses_leave_out_processes_without_targets(self):
         self.lose_links(LinkFault.HANG, (self.cut,))
         expected = {
