--- a/sesameplank/forwarding/batch_server.py
+++ b/sesameplank/forwarding/batch_server.py
@@ -36,7 +36,9 @@
 
 MAX_BATCHES = 512
 MAX_LOOP_DELAY_S = 0.3
-MAX_BATCH_AGE_S = 1.0  # A batch that waited longer is not worth its calls.
+# A batch that waited longer is not worth its calls, and its caller may have left: the
+# message that says so arrives behind it.
+MAX_BATCH_AGE_S = 0.4
 
 # The sender, its incarnation and the number of the batch.
 BatchKey = tuple[EntryId, Incarnation, int]
@@ -204,7 +206,10 @@
         self.cancel()
 
     def return_unsent(self) -> None:
-        """Return the calls that have not been transmitted, and keep the others."""
+        """Return the calls that have not been transmitted, and keep the others.
+
+        Of those, the ones that their targets don't receive are ended.
+        """
         unsent = [
             index
             for index, exchange in self.exchanges.items()
@@ -213,6 +218,8 @@
         for index in unsent:
             self.withdraw(index)
         self.return_failures(unsent, Ran.NOT_RUN)
+        for exchange in self.exchanges.values():
+            exchange.end_unless_received()
         if not self.exchanges:
             self.flush()
 
--- a/sesameplank/forwarding/target_pools.py
+++ b/sesameplank/forwarding/target_pools.py
@@ -321,10 +321,16 @@
             if exchange in self.waiting:
                 self.waiting.remove(exchange)
             return
+        connection = self.find_connection(exchange)
+        if connection is not None:
+            connection.abandon()
+
+    def find_connection(self, exchange: Exchange) -> TargetConnection | None:
+        """Return the connection of a transmitted call without an answer, or None."""
         for connection in self.connections:
             if connection.exchange is exchange:
-                connection.abandon()
-                return
+                return connection
+        return None
 
     def give_up(self, *, is_silent: bool) -> None:
         """Fail the calls that wait in vain, since the links to targets are lost.
@@ -361,14 +367,32 @@
         for connection in list(self.idle):
             connection.close(FailureReason.CANCELLED, "the target is gone")
 
+    def end(self) -> None:
+        """Cancel all calls and close all connections, as the process ends."""
+        self.waiting.clear()
+        for connection in list(self.connections):
+            if connection.exchange is not None:
+                connection.exchange.cancel()
+            connection.close(FailureReason.CANCELLED, "the process ends")
+
 
 class TargetPools:
-    """The connection pools of all targets, shared by all requests."""
+    """The connection pools of all targets, shared by all requests.
+
+    Leaving the context cancels all calls and closes all connections.
+    """
 
     def __init__(self, context: PoolContext) -> None:
         self.context = context
         self.pools: dict[TargetId, TargetPool] = {}
 
+    def __enter__(self) -> "TargetPools":
+        return self
+
+    def __exit__(self, *exc_info: object) -> None:
+        for pool in self.pools.values():
+            pool.end()
+
     def get(self, record: TargetRecord, limit: int) -> TargetPool:
         """Return the pool of a target, with its limit set to `limit` connections.
 
