--- a/tests/integration/test_store_entries.py
+++ b/tests/integration/test_store_entries.py
@@ -54,6 +54,60 @@
 }
 
 
+NUMBERS = {
+    "400-digits": b"9" * 400,
+    "4300-digits": b"9" * 4_300,
+    "5000-digits": b"9" * 5_000,
+    "below-64-bits": b"-" + b"9" * 400,
+    "beyond-64-bits": b"9223372036854775808",
+    "exponent": b"1e400",
+    "nested": NESTED,
+    "text": b'"1"',
+    "nothing": b"null",
+}
+PLACE = "@"
+
+
+def replace_value(document: bytes, value: bytes) -> bytes:
+    """Return a JSON text with a value in the place of the text PLACE."""
+    return document.replace(json.dumps(PLACE).encode(), value)
+
+
+NUMBER_ENTRIES = {
+    f"servers/{field}-{name}": replace_value(encode(**{field: PLACE}), value)
+    for field in ("slots", "seq", "born", "cold_left_ms")
+    for name, value in NUMBERS.items()
+} | {
+    "servers/negative-slots": encode(slots=-1),
+    "servers/negative-seq": encode(seq=-1),
+    "servers/negative-born": encode(born=-1),
+    "servers/two-slots": encode()[:-1] + b',"slots":' + NUMBERS["400-digits"] + b"}",
+    "servers/port-below-0": encode(addr="127.0.0.1:-1"),
+    "servers/port-0": encode(addr="127.0.0.1:0"),
+    "servers/port-65536": encode(addr="127.0.0.1:65536"),
+}
+
+
+def make_odd_configurations() -> list[bytes]:
+    """Return configurations of high versions, each with one odd whole number."""
+    document = make_config(90)
+    holders = (
+        (document, "version"),
+        (document["routes"][0], "attempts"),
+        (document["routes"][0], "priority"),
+        (document["routes"][0], "top_k"),
+        (document["services"][0], "max_conns"),
+        (document["limits"], "max_body_bytes"),
+    )
+    configurations = []
+    for holder, field in holders:
+        kept, holder[field] = holder[field], PLACE
+        encoded = msgspec.json.encode(document)
+        configurations += [replace_value(encoded, value) for value in NUMBERS.values()]
+        holder[field] = kept
+    return configurations
+
+
 ODD_KEYS = (
     "",
     "op/config ",
@@ -153,6 +207,30 @@
         """Return what all processes have logged."""
         return "".join(front.log_path.read_text() for front in self.fronts)
 
+    def test_odd_numbers_cost_only_their_entries(self):
+        for key, value in NUMBER_ENTRIES.items():
+            self.store.put(key, value)
+        self.wait_for_tables()
+        log = self.read_logs()
+        for key in NUMBER_ENTRIES:
+            self.assertIn(f"event=target_entry_refused key={key} ", log)
+        self.check_changes_are_learnt(5)
+        self.restart()
+        self.check_changes_are_learnt(8)
+        self.check_tasks()
+        self.assertEqual(set(self.targets), set(self.get_state(0)["targets"]))
+
+    def test_configurations_with_odd_numbers_leave_the_last_one_in_force(self):
+        for configuration in make_odd_configurations():
+            self.store.put("op/config", configuration)
+            time.sleep(0.01)
+        self.wait_for_tables()
+        time.sleep(SETTLE_S)
+        for front in range(self.front_count):
+            self.assertEqual(3, self.get_state(front)["gauges"]["config_version"])
+        self.check_changes_are_learnt(5)
+        self.check_tasks()
+
     def test_large_entry_without_a_key_does_not_end_the_reading(self):
         self.store.put("", LARGE_VALUE)
         self.wait_for_tables()
