Platform: whole numbers of the configuration within 64 bits, and no target on port 0

A version of 400 digits was put in force by every process and could not be replaced, as each later one is lower; such limits also can't be sent to other processes. An entry with port 0 was listed, and calls to it fail.

Cause: the decoder takes whole numbers of up to 4,300 digits for fields without bounds. Now each has the bounds of 64 bits, so such a configuration is refused, logged and counted, and the last one stays in force; port 0 is refused like other ports that don't exist. A wrong version within 64 bits can't be told from a right one.

--- a/sesameplank/platform/items.py
+++ b/sesameplank/platform/items.py
@@ -36,6 +36,7 @@
 MAX_NAME_CHARACTERS = 200
 MAX_LOGGED_CHARACTERS = 300
 TARGET_ID_PATTERN = re.compile("[!-~]+")  # It is sent in a header.
+WireInt = Annotated[int, msgspec.Meta(ge=-MAX_INTEGER, le=MAX_INTEGER)]
 NonNegativeInt = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 NonEmptyStr = Annotated[str, msgspec.Meta(min_length=1)]
 ShortStr = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
@@ -62,13 +63,13 @@
     type: str
     timeout_ms: float
     goal_ms: float = 0.0
-    attempts: int = 1
-    priority: int = 0
+    attempts: WireInt = 1
+    priority: WireInt = 0
     service: str = ""
     weighted_services: list[WireWeightedService] = []
     # The services that are searched together; each holds one shard of an index.
     gather: list[str] = []
-    top_k: int = 0
+    top_k: WireInt = 0
     min_share: float = 1.0
 
 
@@ -81,14 +82,14 @@
 
     name: NonEmptyStr
     health_path: str = ""
-    max_conns: int = 0
+    max_conns: WireInt = 0
 
 
 class WireLimits(msgspec.Struct):
     """Limits on the size of callers' requests, the time to send one and idle time."""
 
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 262_144
+    max_header_bytes: WireInt = 16_384
+    max_body_bytes: WireInt = 262_144
     header_timeout_ms: float = 3_000
     idle_timeout_ms: float = 15_000
 
@@ -96,7 +97,7 @@
 class WireConfig(msgspec.Struct):
     """The configuration; each version replaces the previous one completely."""
 
-    version: int
+    version: WireInt
     routes: list[WireRoute] = []
     services: list[WireService] = []
     limits: WireLimits = msgspec.field(default_factory=WireLimits)
@@ -188,7 +189,7 @@
     try:
         target = parse_target_id(key)
         wire = decode_json(value, WireTarget)
-        ipaddress.IPv4Address(Address.parse(wire.addr).host)
+        check_address(Address.parse(wire.addr))
         phase = PHASES[wire.state]
     except (MalformedDocumentError, ValueError, KeyError) as error:
         reason = repr(error)[:MAX_LOGGED_CHARACTERS]
@@ -208,6 +209,13 @@
     )
 
 
+def check_address(address: Address) -> None:
+    """Raise ValueError unless calls can be sent to an address."""
+    ipaddress.IPv4Address(address.host)
+    if not address.port:
+        raise ValueError("port 0 accepts no calls; name the port that listens")
+
+
 def parse_target_id(key: str) -> TargetId:
     """Return the target's id that ends a key, or raise ValueError."""
     name = key.removeprefix(TARGET_PREFIX)
