Store client: bytes beyond an answer are never taken for the next one

A second copy of an answer on the connection to the store made the client one answer late for as long as the connection lasts: each call got the answer to the call before, at once. A process would confirm its view by answers as old as its last call, and take the answer to a watch for a page.

Cause: the client took the last answer that had been read and kept the others, and sent calls on a connection without a look at what was already there.

Now a connection that has ended, or holds bytes beyond the last answer, is replaced before the next call (store_connection_dropped), and so is one with a malformed answer. A store that closes idle connections no longer costs a failed call.

Also new: tests of an era that appears late or goes missing and of watches that are cut each time, which passed without a change.

--- a/sesameplank/platform/store.py
+++ b/sesameplank/platform/store.py
@@ -5,6 +5,7 @@
 
 import gevent
 import gevent.socket
+from gevent.select import select
 
 from ..exceptions import (
     HistoryGoneError,
@@ -98,6 +99,11 @@
 
     def exchange(self, path: str) -> Response:
         """Send one request and return its response, or raise OSError."""
+        if self.sock is not None and self.has_stray_bytes():
+            log_event(
+                "store_connection_dropped", reason="bytes beyond an answer, or end"
+            )
+            self.close()
         if self.sock is None:
             self.connect()
         headers = [(b"Host", str(self.address).encode())]
@@ -110,11 +116,18 @@
                     "the store closed the connection or sent a malformed response"
                 )
             self.reader.feed(data)
-        response = self.reader.complete.pop()
+        response = self.reader.complete.pop(0)
         if not response.keep_alive or not self.reader.has_length:
             self.close()
         return response
 
+    def has_stray_bytes(self) -> bool:
+        """Return whether the connection has ended, or has more than was asked for."""
+        reader = self.reader
+        if reader.complete or reader.in_message or reader.is_corrupt:
+            return True
+        return bool(select([self.sock], [], [], 0)[0])
+
     def connect(self) -> None:
         """Open the connection, or raise OSError."""
         sock = gevent.socket.create_connection(
@@ -139,6 +152,7 @@
         try:
             decoded = decode_answer(bytes(response.body), kind)
         except MalformedDocumentError as error:
+            self.close()  # It may be the answer to another call.
             raise UnreadableResponseError(
                 f"the store's answer is malformed: {error}; check its version"
             ) from error
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,7 @@
 
 import time
 
+import gevent
 import testtools
 from gevent.server import StreamServer
 
@@ -86,6 +87,54 @@
         self.assertRaises(UnreadableResponseError, self.client.watch, "", 1, 0.1)
 
 
+class ExtraAnswerTests(testtools.TestCase):
+    """Bytes beyond an answer are never taken for the answer to a later call."""
+
+    def setUp(self):
+        super().setUp()
+        block = self.enterContext(reserve_block())
+        self.address = Address(f"{block}.200.1", 8102)
+        self.calls = 0
+        self.extra = b""
+        self.delay_s = 0.0
+        server = StreamServer(tuple(self.address), self.handle)
+        server.start()
+        self.addCleanup(server.stop, 0)
+        self.client = StoreClient(self.address, f"{block}.1.1")
+        self.addCleanup(self.client.close)
+
+    def handle(self, sock, source) -> None:
+        """Answer each call with its number, and the first with `extra` behind it."""
+        while sock.recv(65_536):
+            self.calls += 1
+            sock.sendall(self.encode(self.calls))
+            if self.calls == 1:
+                gevent.sleep(self.delay_s)
+                sock.sendall(self.extra)
+
+    def encode(self, number: int) -> bytes:
+        """Return an answer whose revision is a number."""
+        body = b'{"items":[],"has_more":false,"as_of":%d}' % number
+        head = b"HTTP/1.1 200 OK\r\nStore-Era: 1\r\nContent-Length: %d\r\n\r\n"
+        return head % len(body) + body
+
+    def test_extra_bytes(self):
+        cases = (
+            ("a copy", self.encode(1), 0.0),
+            ("a late copy", self.encode(1), 0.05),
+            ("a part of an answer", self.encode(1)[:30], 0.05),
+            ("no answer", b"\0" * 10, 0.05),
+        )
+        for name, self.extra, self.delay_s in cases:
+            self.calls = 0
+            self.client.close()
+            revisions = []
+            for _ in range(3):
+                revisions.append(self.client.read_page("").as_of)
+                gevent.sleep(0.1)
+            self.assertEqual([1, 2, 3], revisions, name)
+
+
 class SourceTests(testtools.TestCase):
     """Reads and watches of a store that is restored from a copy."""
 
--- a/tests/published/test_follower.py
+++ b/tests/published/test_follower.py
@@ -185,7 +185,9 @@
 
 
 class FollowerCase(testtools.TestCase):
-    """A follower that knows revision 10 of era 1, with a clock that is set by hand."""
+    """A follower that knows revision 10, with a clock that is set by hand."""
+
+    FIRST_ERA = 1
 
     def setUp(self):
         super().setUp()
@@ -206,7 +208,7 @@
             self.unavailable.append,
             **self.get_options(),
         )
-        self.source.add(1, 10, "a", version=7)
+        self.source.add(self.FIRST_ERA, 10, "a", version=7)
         self.follower.run_round()
         self.clock.advance(1.0)
         self.lines: list[str] = []
@@ -300,6 +302,15 @@
         self.assertEqual(3, self.follower.counts.answers_refused)
         self.assertAlmostEqual(1.0, self.configurations.age_s)
 
+    def test_era_that_is_named_no_longer(self):
+        for _ in range(25):
+            self.source.add(0, 12, "b")
+            self.follower.run_round()
+            self.clock.advance(1.0)
+        self.assertEqual(["a"], self.get_targets())
+        self.assertAlmostEqual(26.0, self.configurations.age_s)
+        self.assertEqual(2, self.count_lines("store_still_lost"))
+
     def test_answers_of_a_lower_era_stay_refused(self):
         for _ in range(2):
             self.source.add(2, 6, "b")
@@ -312,6 +323,21 @@
         self.assertEqual(2, self.follower.counts.answers_refused)
 
 
+class LateEraTests(FollowerCase):
+    """A store that names no era at first is followed when it does."""
+
+    FIRST_ERA = 0
+
+    def test_era_that_appears_later(self):
+        self.source.add(1, 11, "a", is_whole=False)
+        self.source.add(1, 11, "a", "b")
+        for _ in range(2):
+            self.follower.run_round()
+        self.assertEqual(["a", "b"], self.get_targets())
+        self.assertEqual(DocumentVersion(1, 11), self.table.version)
+        self.assertAlmostEqual(0.0, self.configurations.age_s)
+
+
 class FruitlessCallTests(FollowerCase):
     """A store whose watches bring nothing is read all the same, and not too often."""
 
@@ -345,6 +371,13 @@
         self.assertLess(self.count_calls(), self.MAX_CALLS_PER_S)
         self.assertEqual(["b"], self.get_targets())
 
+    def test_watches_that_are_always_cut_short(self):
+        self.source.watch = Mock(side_effect=UnreadableResponseError("cut"))
+        self.source.read = self.read
+        self.assertLess(self.count_calls(), self.MAX_CALLS_PER_S)
+        self.assertEqual(["b"], self.get_targets())
+        self.assertTrue(self.count_lines("store_lost") > 1)
+
     def test_watches_that_always_fail_do_not_hide_changes(self):
         self.source.watch = Mock(side_effect=PlatformError("no answer"))
         self.source.read = self.read
