Store: a newest configuration that is refused is told of for as long as it stands

A process whose newest configuration can't be read goes on with an older one, while each answer confirms its view as fresh: one line config_refused at the moment it was read, then nothing. Now config_still_refused follows each 10 s, until a good one comes.

Measured: the new test of the follower passes; there was no such line before (not run on the older code, which lacks the field).

--- a/sesameplank/platform/source.py
+++ b/sesameplank/platform/source.py
@@ -70,6 +70,7 @@
         self.configuration: PublishedConfiguration | None = None
         self.refused_items = 0
         self.refused_configurations = 0
+        self.is_newest_refused = False
 
     def add(self, items: Iterable[WireItem]) -> None:
         """Add items in the order of their changes."""
@@ -84,6 +85,7 @@
     def add_configuration(self, item: WireItem) -> None:
         """Add the configuration unless it is malformed."""
         configuration = read_configuration(item)
+        self.is_newest_refused = configuration is None
         if configuration is None:
             self.refused_configurations += 1
         else:
@@ -143,6 +145,7 @@
             self.configuration,
             self.refused_items,
             self.refused_configurations,
+            self.is_newest_refused,
         )
 
 
--- a/sesameplank/published/follower.py
+++ b/sesameplank/published/follower.py
@@ -32,6 +32,7 @@
 # A target that vanishes this soon after a failure may only have expired.
 RECENT_FAILURE_S = 5.0
 STILL_LOST_LOG_INTERVAL_S = 10.0
+STILL_REFUSED_LOG_INTERVAL_S = 10.0
 MAX_FAILED_WATCHES = 2  # Until each further failure is followed by a full read.
 NEVER = float("-inf")
 
@@ -39,14 +40,16 @@
 class Publication(msgspec.Struct, frozen=True):
     """The store's content, or the changes in it, up to a revision.
 
-    `configuration` is None if it is missing, malformed or unchanged. The others are
-    the numbers of malformed items of targets and of the configuration.
+    `configuration` is None if it is missing, malformed or unchanged. Then follow the
+    numbers of malformed items of targets and of the configuration, and whether the
+    newest configuration is malformed.
     """
 
     targets: TargetChanges
     configuration: PublishedConfiguration | None = None
     refused_items: int = 0
     refused_configurations: int = 0
+    is_newest_refused: bool = False
 
 
 class StoreCounts(msgspec.Struct):
@@ -125,6 +128,8 @@
         self.failed_watches = 0
         self.failure_logged_at = NEVER
         self.history_gone_at = NEVER
+        self.is_newest_refused = False
+        self.refusal_logged_at = NEVER
 
     def run_round(self) -> None:
         """Make one call to the store if it is this process's turn, else wait.
@@ -284,6 +289,23 @@
             self.table.apply(publication.targets, now, has_failed_recently)
         finally:
             self.offer(publication.configuration)
+            self.note_refusal(publication)
+
+    def note_refusal(self, publication: Publication) -> None:
+        """Log again and again that the newest configuration is malformed.
+
+        The source has logged the reason when it read it.
+        """
+        now = self.clock.now()
+        if publication.is_newest_refused and not self.is_newest_refused:
+            self.refusal_logged_at = now
+        if publication.is_newest_refused or publication.configuration is not None:
+            self.is_newest_refused = publication.is_newest_refused
+        is_due = now - self.refusal_logged_at >= STILL_REFUSED_LOG_INTERVAL_S
+        if self.is_newest_refused and is_due:
+            self.refusal_logged_at = now
+            version = self.configuration_store.version
+            log_event("config_still_refused", version_in_force=version)
 
     def offer(self, configuration: PublishedConfiguration | None) -> None:
         """Offer a published configuration, if there is one, to its store."""
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -253,6 +253,10 @@
         publication = make_publication(items, DocumentVersion(1, 6), is_whole=False)
         self.assertEqual(4, publication.refused_items)
         self.assertEqual(2, publication.refused_configurations)
+        self.assertTrue(publication.is_newest_refused)
+        items.append(self.make("op/config", encode(CONFIG), 7))
+        publication = make_publication(items, DocumentVersion(1, 7), is_whole=False)
+        self.assertFalse(publication.is_newest_refused)
         self.assertEqual({"b": 5, "c": 6}, dict(publication.targets.removed))
 
     def test_last_event_of_a_target_prevails(self):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -118,6 +118,23 @@
         head = b"HTTP/1.1 200 OK\r\nStore-Era: 1\r\nContent-Length: %d\r\n\r\n"
         return head % len(body) + body
 
+    def test_connection_that_ends_after_each_answer(self):
+        server = StreamServer((self.address.host, 8103), self.answer_once)
+        server.start()
+        self.addCleanup(server.stop, 0)
+        client = StoreClient(Address(self.address.host, 8103), self.client.source_host)
+        self.addCleanup(client.close)
+        for number in range(1, 4):
+            self.assertEqual(number, client.read_page("").as_of)
+            gevent.sleep(0.05)
+
+    def answer_once(self, sock, source) -> None:
+        """Answer one call, and end the connection."""
+        sock.recv(65_536)
+        self.calls += 1
+        sock.sendall(self.encode(self.calls))
+        sock.close()
+
     def test_extra_bytes(self):
         cases = (
             ("a copy", self.encode(1), 0.0),
--- a/tests/published/test_follower.py
+++ b/tests/published/test_follower.py
@@ -323,6 +323,29 @@
         self.assertEqual(2, self.follower.counts.answers_refused)
 
 
+class RefusedConfigurationTests(FollowerCase):
+    """A confirmed view whose newest configuration is not used is told of."""
+
+    def test_refusal_that_lasts_is_told_of_again(self):
+        refused = Publication(TargetChanges(11, era=1), None, 0, 1, True)
+        self.source.publications.append(refused)
+        self.follower.run_round()
+        for _ in range(25):
+            self.source.add(1, 11, is_whole=False)
+            self.follower.run_round()
+            self.clock.advance(1.0)
+        self.assertEqual(2, self.count_lines("config_still_refused"))
+        self.assertIn("version_in_force=7", self.lines[-1])
+        self.source.add(1, 12, version=9, is_whole=False)
+        self.follower.run_round()
+        for _ in range(25):
+            self.source.add(1, 12, is_whole=False)
+            self.follower.run_round()
+            self.clock.advance(1.0)
+        self.assertEqual(2, self.count_lines("config_still_refused"))
+        self.assertEqual(1, self.follower.counts.configurations_refused)
+
+
 class LateEraTests(FollowerCase):
     """A store that names no era at first is followed when it does."""
 
