--- a/tests/published/test_follower.py
+++ b/tests/published/test_follower.py
@@ -217,7 +217,9 @@
 
 
 class FollowerCase(testtools.TestCase):
-    """A follower that knows revision 10 of era 1, with a clock that is set by hand."""
+    """A follower that knows revision 10, with a clock that is set by hand."""
+
+    FIRST_ERA = 1
 
     def setUp(self):
         super().setUp()
@@ -238,7 +240,7 @@
             self.unavailable.append,
             **self.get_options(),
         )
-        self.source.add(1, 10, "a", version=7)
+        self.source.add(self.FIRST_ERA, 10, "a", version=7)
         self.follower.run_round()
         self.clock.advance(1.0)
         self.lines: list[str] = []
@@ -332,6 +334,15 @@
         self.assertEqual(3, self.follower.counts.answers_refused)
         self.assertAlmostEqual(1.0, self.configurations.age_s)
 
+    def test_era_that_is_named_no_longer(self):
+        for _ in range(25):
+            self.source.add(0, 12, "b")
+            self.follower.run_round()
+            self.clock.advance(1.0)
+        self.assertEqual(["a"], self.get_targets())
+        self.assertAlmostEqual(26.0, self.configurations.age_s)
+        self.assertEqual(2, self.count_lines("store_still_lost"))
+
     def test_answers_of_a_lower_era_stay_refused(self):
         for _ in range(2):
             self.source.add(2, 6, "b")
@@ -344,6 +355,44 @@
         self.assertEqual(2, self.follower.counts.answers_refused)
 
 
+class RefusedConfigurationTests(FollowerCase):
+    """A confirmed view whose newest configuration is not used is told of."""
+
+    def test_refusal_that_lasts_is_told_of_again(self):
+        refused = Publication(TargetChanges(11, era=1), None, 0, 1, True)
+        self.source.publications.append(refused)
+        self.follower.run_round()
+        for _ in range(25):
+            self.source.add(1, 11, is_whole=False)
+            self.follower.run_round()
+            self.clock.advance(1.0)
+        self.assertEqual(2, self.count_lines("config_still_refused"))
+        self.assertIn("version_in_force=7", self.lines[-1])
+        self.source.add(1, 12, version=9, is_whole=False)
+        self.follower.run_round()
+        for _ in range(25):
+            self.source.add(1, 12, is_whole=False)
+            self.follower.run_round()
+            self.clock.advance(1.0)
+        self.assertEqual(2, self.count_lines("config_still_refused"))
+        self.assertEqual(1, self.follower.counts.configurations_refused)
+
+
+class LateEraTests(FollowerCase):
+    """A store that names no era at first is followed when it does."""
+
+    FIRST_ERA = 0
+
+    def test_era_that_appears_later(self):
+        self.source.add(1, 11, "a", is_whole=False)
+        self.source.add(1, 11, "a", "b")
+        for _ in range(2):
+            self.follower.run_round()
+        self.assertEqual(["a", "b"], self.get_targets())
+        self.assertEqual(DocumentVersion(1, 11), self.table.version)
+        self.assertAlmostEqual(0.0, self.configurations.age_s)
+
+
 class FruitlessCallTests(FollowerCase):
     """A store whose watches bring nothing is read all the same, and not too often."""
 
@@ -377,6 +426,13 @@
         self.assertLess(self.count_calls(), self.MAX_CALLS_PER_S)
         self.assertEqual(["b"], self.get_targets())
 
+    def test_watches_that_are_always_cut_short(self):
+        self.source.watch = Mock(side_effect=UnreadableResponseError("cut"))
+        self.source.read = self.read
+        self.assertLess(self.count_calls(), self.MAX_CALLS_PER_S)
+        self.assertEqual(["b"], self.get_targets())
+        self.assertTrue(self.count_lines("store_lost") > 1)
+
     def test_watches_that_always_fail_do_not_hide_changes(self):
         self.source.watch = Mock(side_effect=PlatformError("no answer"))
         self.source.read = self.read
