Test: a change is in force in time while the readers' calls to the store hang

The stand-in of the store can leave the calls of some hosts unanswered. Five processes on links of 0.3 s one way; both readers get no answer, a change 1.5 s later, the other three asked 3.2 s after it. The check of the older test is the same; its parts became methods that both tests use.

--- a/sesameplank/standins/front_store.py
+++ b/sesameplank/standins/front_store.py
@@ -60,6 +60,7 @@
         self.lost_items: dict[str, WireItem] = {}
         self.fault_mode = StoreFaultMode.NONE
         self.refused_hosts: set[str] = set()
+        self.silent_hosts: set[str] = set()
         self.changed = Event()
         self.calls = 0
         self.server = CallerServer(address, self.serve, RequestLimits, now)
@@ -140,7 +141,12 @@
             self.record_event(msgspec.structs.replace(item, rev=self.revision))
 
     def serve(self, request: Request, context: RequestContext) -> Reply:
-        """Respond to a call, and name the era in the response."""
+        """Respond to a call, and name the era in the response.
+
+        Calls from `silent_hosts` get no response for UNRESPONSIVE_S.
+        """
+        if context.caller_host in self.silent_hosts:
+            gevent.sleep(UNRESPONSIVE_S)
         reply = self.answer(request)
         reply.headers.append((ERA, b"%d" % self.era))
         return reply
--- a/tests/integration/test_slow_peer_links.py
+++ b/tests/integration/test_slow_peer_links.py
@@ -2,15 +2,17 @@
 
 import random
 import signal
-import time
 from typing import ClassVar
 
+import gevent
+
 from sesameplank.core.membership.homes import rank
 from sesameplank.core.membership.reader_election import ELECTION_KEY, READERS
 from sesameplank.net import Address
+from sesameplank.published.follower import WATCH_WAIT_S
 from sesameplank.standins.proxy import FaultProxy, Faults
 
-from .front_world import FrontTestCase, make_config, make_request
+from .front_world import FrontProcess, FrontTestCase, make_config, make_request
 
 CONTROL_PORT = 8106
 PROXY_PORT = 9106
@@ -43,17 +45,17 @@
                 )
             )
 
-    def freeze_readers(self) -> list[int]:
-        """Freeze the processes that read the store; return the numbers of the others.
+    def slow_down(self) -> None:
+        """Delay all links between processes, and wait for a steady state."""
+        self.wait_for_members()
+        for proxy in self.proxies:
+            proxy.set_faults(Faults(delay_s=ONE_WAY_DELAY_S))
+        gevent.sleep(STABLE_S)
 
-        The frozen ones hold their connections, so that nothing tells that they stopped.
-        """
-        hosts = [front.host for front in self.fronts]
-        readers = rank(ELECTION_KEY, hosts)[:READERS]
-        for front in self.fronts:
-            if front.host in readers:
-                front.process.send_signal(signal.SIGSTOP)
-        return [n for n, host in enumerate(hosts) if host not in readers]
+    def get_readers(self) -> list[FrontProcess]:
+        """Return the processes that read the store."""
+        readers = rank(ELECTION_KEY, [front.host for front in self.fronts])[:READERS]
+        return [front for front in self.fronts if front.host in readers]
 
     def publish_route(self, version: int) -> None:
         """Publish a version that adds a route, to a service with a new target."""
@@ -64,17 +66,27 @@
         document["routes"].append({**added, "service": service})
         self.store.put_config(document)
 
-    def test_change_is_in_force_in_time_after_the_readers_froze_on_slow_links(self):
-        self.wait_for_members()
-        for proxy in self.proxies:
-            proxy.set_faults(Faults(delay_s=ONE_WAY_DELAY_S))
-        time.sleep(STABLE_S)
-        others = self.freeze_readers()
+    def assert_change_is_in_force_in_time(self) -> None:
+        """Publish a change, and assert that those that don't read use it when due."""
+        readers = self.get_readers()
+        others = [n for n, front in enumerate(self.fronts) if front not in readers]
         self.publish_route(5)
-        time.sleep(DUE_S)
+        gevent.sleep(DUE_S)
         statuses = [
             self.request(make_request("/added5/x", f"added{number}-{front}"), front)
             for number in range(3)
             for front in others
         ]
         self.assertEqual({200}, {item.status for item in statuses})
+
+    def test_change_is_in_force_in_time_after_the_readers_froze_on_slow_links(self):
+        self.slow_down()
+        for front in self.get_readers():
+            front.process.send_signal(signal.SIGSTOP)
+        self.assert_change_is_in_force_in_time()
+
+    def test_change_is_in_force_in_time_while_the_readers_wait_for_the_store(self):
+        self.slow_down()
+        self.store.silent_hosts = {front.host for front in self.get_readers()}
+        gevent.sleep(WATCH_WAIT_S)  # The watches that wait are answered till then.
+        self.assert_change_is_in_force_in_time()
