Refuse version numbers beyond 63 bits in the own interface's documents

Now a document with such a version, or a negative one, is malformed: from the service a failed read that is logged, from a peer refused. The new test fails before at its first version, -1 ('older' is not 'refused').

--- a/sesameplank/conf/documents.py
+++ b/sesameplank/conf/documents.py
@@ -29,6 +29,8 @@
 LatencyFactor = Annotated[float, msgspec.Meta(ge=1.0, le=100.0)]
 MAX_COUNT = 2**31 - 1  # Greater ones don't fit the queues of connections.
 Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
+# The integers that every encoding of the project can carry.
+VERSION_BOUNDS = msgspec.Meta(ge=0, le=2**63 - 1)
 
 
 class PresetName(Enum):
@@ -161,7 +163,7 @@
     since the Unix epoch by the platform's clock.
     """
 
-    version: ConfigVersion
+    version: Annotated[ConfigVersion, VERSION_BOUNDS]
     document: msgspec.Raw
     published_at: float = 0.0
 
@@ -179,7 +181,7 @@
 class PublishedVms(msgspec.Struct, frozen=True):
     """The platform's list of entry VMs."""
 
-    version: int
+    version: Annotated[int, VERSION_BOUNDS]
     vms: tuple[Vm, ...]
 
 
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -25,6 +25,7 @@
 from sesameplank.forwarding.front import Front, FrontSettings
 from sesameplank.net import Address
 from sesameplank.peers.frames import EnvelopeKind
+from sesameplank.peers.relayed_documents import ConfigurationDocument, VmDocument
 from sesameplank.platform.headers import PlatformDialect
 from sesameplank.platform.items import decode_routing
 from sesameplank.standins.deployments import VATUWAQA, make_configuration
@@ -170,6 +171,20 @@
         heartbeat = Heartbeat(1, 1, False, front.relay.get_versions())
         front.links.encode(EnvelopeKind.ONE_WAY, heartbeat)
 
+    def test_versions_beyond_every_encoding_are_refused(self):
+        entry = make_entry()
+        for document, rest in (
+            (ConfigurationDocument(entry.store), {"document": BASE}),
+            (
+                VmDocument(entry.coordination.vms),
+                {"vms": [msgspec.to_builtins(VMS[0])]},
+            ),
+        ):
+            for version in (-1, 2**63, 10**20, 10**400):
+                payload = json.dumps({"version": version, **rest}).encode()
+                self.assertIs(OfferResult.REFUSED, document.offer(payload))
+        entry.metrics.render()
+
     def test_entry_refuses_a_configuration_or_uses_all_of_it(self):
         results = []
         for document in make_configurations():
