Entries read the VM list themselves once no reader confirms it

What callers saw: none yet; they would get addresses of VMs that are leaving, for as long as the elected readers hang or are refused, and nothing told. Cause: the age of the VM list was always 0, so only elected readers ever read it. Now the list has an age, as the configuration has: peers relay confirmations in the new last field of their versions, and after 15 s without one the others read. Old builds send no age; beside old readers alone a new entry therefore reads for itself, at most about once a second over the fleet. It tells: vms_age_seconds, vms_version, read_failures_total; the lines config_ and vms_read_failed come again each 10 s while reads fail (before: once), and a refused configuration, an unconfirmed document and the end of a series have lines.

VmDocument and make_entry_documents get the clock, so two tests pass it.

--- a/sesameplank/coordination.py
+++ b/sesameplank/coordination.py
@@ -92,7 +92,7 @@
         self.document_relay = DocumentRelay(
             links,
             store,
-            make_entry_documents(store, self.vms),
+            make_entry_documents(store, self.vms, clock),
             lambda: self.membership.neighbours,
             clock,
             rng,
@@ -107,6 +107,15 @@
         self.reader_election = ReaderElection(self.membership, self.vms)
         self.config_reader = PlatformReader(settings.platform_address)
         self.vm_reader = PlatformReader(settings.platform_address)
+        policy = ReadPolicy(
+            self.reader_election.is_elected,
+            lambda: len(self.membership.get_present()),
+            settings.start_spread_s,
+        )
+        self.vm_watch = VmWatch(self.vms, self.vm_reader, policy, clock, rng)
+        self.config_watch = ConfigurationWatch(
+            store, self.config_reader, policy, clock, rng
+        )
         self.pause_detector = PauseDetector(BootClock())
         self.event_age = EventAge(BootClock())
         self.refresh_greenlet: gevent.Greenlet | None = None
@@ -135,20 +144,11 @@
 
     def add_loops(self, loops: BackgroundLoops) -> None:
         """Add the loops of this component, which run as long as the process."""
-        policy = ReadPolicy(
-            self.reader_election.is_elected,
-            lambda: len(self.membership.get_present()),
-            self.settings.start_spread_s,
-        )
-        vms = VmWatch(self.vms, self.vm_reader, policy, self.clock, self.rng)
-        configuration = ConfigurationWatch(
-            self.store, self.config_reader, policy, self.clock, self.rng
-        )
         loops.add("membership", self.membership_service.run_round)
         loops.add("relay", self.document_relay.run_round)
         loops.add("pauses", self.watch_pauses)
-        loops.add("vms", vms.run_round)
-        loops.add("configuration", configuration.run_round)
+        loops.add("vms", self.vm_watch.run_round)
+        loops.add("configuration", self.config_watch.run_round)
         loops.add_once("start", self.become_ready)
 
     def become_ready(self) -> None:
@@ -249,6 +249,11 @@
             "sent": counters.sent,
             "received": counters.received,
             "dropped": counters.dropped,
+            "vms_age_s": self.vms.get_age_s(self.clock.now()),
+            "read_failures": {
+                watch.name: watch.failures
+                for watch in (self.config_watch, self.vm_watch)
+            },
             "platform_calls": self.config_reader.calls + self.vm_reader.calls,
             "pauses": self.pause_detector.pauses,
             "longest_pause_s": self.pause_detector.longest_s,
--- a/sesameplank/core/membership/peer_messages.py
+++ b/sesameplank/core/membership/peer_messages.py
@@ -93,6 +93,7 @@
     the configuration, to this process or to one that relayed the confirmation; it
     is -1 if there was none. `refused` is the highest refused version above `config`,
     or 0. `targets` is the revision of the target list in the era `targets_era`.
+    `vms_age_ms` is for the VM list what `config_age_ms` is for the configuration.
     """
 
     config: ConfigVersion = ConfigVersion(0)
@@ -101,6 +102,7 @@
     config_age_ms: int = -1
     targets: int = 0
     targets_era: int = 0
+    vms_age_ms: int = -1
 
 
 class Heartbeat(PeerMessage, frozen=True):
--- a/sesameplank/core/published/versions.py
+++ b/sesameplank/core/published/versions.py
@@ -147,6 +147,7 @@
 
     def __init__(self) -> None:
         self.current: PublishedVms | None = None
+        self.confirmed_at: float | None = None
         self.listeners: list[VmListener] = []
 
     @property
@@ -154,6 +155,20 @@
         """The version of the list, or 0 if there is none yet."""
         return self.current.version if self.current else 0
 
+    def confirm(self, confirmed_at: float) -> None:
+        """Record when the service confirmed the version; the newest time counts."""
+        if self.confirmed_at is None or confirmed_at > self.confirmed_at:
+            self.confirmed_at = confirmed_at
+
+    def get_age_s(self, now: float) -> float | None:
+        """Return the seconds since the service last confirmed the list, or None.
+
+        Confirmations that peers relayed count too.
+        """
+        if self.confirmed_at is None:
+            return None
+        return max(0.0, now - self.confirmed_at)
+
     def offer(self, published: PublishedVms) -> OfferResult:
         """Put a list in force if it is newer and not empty."""
         if published.version < self.version:
--- a/sesameplank/monitoring/metrics.py
+++ b/sesameplank/monitoring/metrics.py
@@ -63,6 +63,18 @@
             "Seconds since the platform last confirmed the configuration.",
         ),
         ("config_refused", "gauge", "1 while a newer version stands refused."),
+        ("vms_version", "gauge", "Version of the VM list in force."),
+        (
+            "vms_age_seconds",
+            "gauge",
+            "Seconds since the platform last confirmed the VM list.",
+        ),
+        (
+            "read_failures_total",
+            "counter",
+            "Failed reads of a document of the platform.",
+            ("document",),
+        ),
         ("preset", "gauge", "1 for the preset in force.", ("preset",)),
         ("members", "gauge", "Entries known, by health.", ("health",)),
         (
@@ -216,6 +228,8 @@
     store = entry.store
     current = store.current
     age_s = store.age_s
+    fleet = entry.coordination.get_state()
+    vms_age_s = fleet["vms_age_s"]
     return {
         "serving": [
             ((state.value,), state is entry.gate.state)
@@ -224,6 +238,11 @@
         "config_version": make_unlabelled_sample(store.version),
         "config_age_seconds": [] if age_s is None else make_unlabelled_sample(age_s),
         "config_refused": make_unlabelled_sample(store.refused is not None),
+        "vms_version": make_unlabelled_sample(entry.coordination.vms.version),
+        "vms_age_seconds": []
+        if vms_age_s is None
+        else make_unlabelled_sample(vms_age_s),
+        "read_failures_total": make_labelled_samples(fleet["read_failures"]),
         "preset": [
             ((name.value,), bool(current and current.configuration.preset is name))
             for name in PresetName
--- a/sesameplank/peers/document_relay.py
+++ b/sesameplank/peers/document_relay.py
@@ -84,8 +84,15 @@
             -1 if age_s is None else int(age_s * 1_000),
             targets.number,
             targets.era,
+            self.get_vms_age_ms(),
         )
 
+    def get_vms_age_ms(self) -> int:
+        """Return the age of the VM list in milliseconds, -1 if it is not known."""
+        document = self.documents.get(DocumentKind.VMS)
+        age_s = document.get_age_s() if document else None
+        return -1 if age_s is None else int(age_s * 1_000)
+
     def get_version(self, kind: DocumentKind) -> DocumentVersion:
         """Return the version that this process has of one document."""
         document = self.documents.get(kind)
@@ -103,10 +110,11 @@
     def announce(self) -> None:
         """Announce the versions to the neighbours if one changed.
 
-        Also announce them if a confirmation is due. The age of the configuration is
-        ignored in the comparison.
+        Also announce them if a confirmation is due. Ages are ignored in the comparison.
         """
-        versions = msgspec.structs.replace(self.get_versions(), config_age_ms=-1)
+        versions = msgspec.structs.replace(
+            self.get_versions(), config_age_ms=-1, vms_age_ms=-1
+        )
         if versions == self.announced and not self.pop_due_confirmation():
             return
         self.announced = versions
@@ -139,6 +147,7 @@
     def on_versions(self, sender: EntryId, versions: Versions) -> None:
         """Record the newer documents that a peer offers, and apply its confirmation."""
         self.apply_confirmation(versions)
+        self.apply_vms_confirmation(versions)
         offered = {
             DocumentKind.CONFIG: DocumentVersion(number=versions.config),
             DocumentKind.VMS: DocumentVersion(number=versions.vms),
@@ -173,6 +182,14 @@
         if self.confirmation_interval_s is not None:
             self.wake.set()
 
+    def apply_vms_confirmation(self, versions: Versions) -> None:
+        """Record a confirmation of the VM list by a peer that has the same list."""
+        document = self.documents.get(DocumentKind.VMS)
+        if document is None or versions.vms_age_ms < 0:
+            return
+        if versions.vms == document.version.number:
+            document.confirm(versions.vms_age_ms / 1_000)
+
     def fetch_newest(self, kind: DocumentKind) -> None:
         """Fetch one document from the peers that offer it, highest version first."""
         offered_versions = self.offered_versions[kind]
--- a/sesameplank/peers/relayed_documents.py
+++ b/sesameplank/peers/relayed_documents.py
@@ -26,6 +26,21 @@
         """Record that a peer has a version; by default, do nothing."""
         return
 
+    def get_age_s(self) -> float | None:
+        """Return the seconds since the service confirmed the version.
+
+        It is None if there was no confirmation, or if they are not relayed with the
+        document, which is the default.
+        """
+        return None
+
+    def confirm(self, age_s: float) -> None:
+        """Record that the service confirmed the version `age_s` seconds ago.
+
+        By default, do nothing.
+        """
+        return
+
     @abstractmethod
     def encode(self, after: DocumentVersion) -> bytes:
         """Return the encoded document for a peer that has the version `after`."""
@@ -75,14 +90,23 @@
 class VmDocument(RelayedDocument):
     """The list of VMs."""
 
-    def __init__(self, vms: VmStore) -> None:
+    def __init__(self, vms: VmStore, clock: Clock) -> None:
         self.vms = vms
+        self.clock = clock
 
     @property
     def version(self) -> DocumentVersion:
         """The version of the list."""
         return DocumentVersion(number=self.vms.version)
 
+    def get_age_s(self) -> float | None:
+        """Return the seconds since the service confirmed the list, or None."""
+        return self.vms.get_age_s(self.clock.now())
+
+    def confirm(self, age_s: float) -> None:
+        """Record that the service confirmed the list `age_s` seconds ago."""
+        self.vms.confirm(self.clock.now() - age_s)
+
     def encode(self, after: DocumentVersion) -> bytes:
         """Return the list as it was published."""
         return msgspec.json.encode(self.vms.current)
@@ -127,13 +151,13 @@
 
 
 def make_entry_documents(
-    store: ConfigurationStore, vms: VmStore
+    store: ConfigurationStore, vms: VmStore, clock: Clock
 ) -> dict[DocumentKind, RelayedDocument]:
     """Return the documents that an entry relays."""
     return {
         DocumentKind.CONFIG: ConfigurationDocument(store),
         DocumentKind.REFUSED: RefusedDocument(store),
-        DocumentKind.VMS: VmDocument(vms),
+        DocumentKind.VMS: VmDocument(vms, clock),
     }
 
 
--- a/sesameplank/published/watch.py
+++ b/sesameplank/published/watch.py
@@ -1,7 +1,7 @@
 """Reading of the configuration and the VM list by a fleet's elected readers.
 
 Other entries read a document only if no peer sends a first version after their
-start, and the configuration also while no reader confirms that it is current.
+start, or while no reader confirms that it is current.
 """
 
 import random
@@ -25,6 +25,8 @@
 CALL_DELAY_MIN_S = 0.5
 CALL_DELAY_MAX_S = 1.5
 MAX_START_WINDOW_S = 16.0
+LOG_INTERVAL_S = 10.0  # Between two lines on reads that keep failing.
+MAX_LOGGED_CHARACTERS = 300
 
 
 class ReadPolicy(msgspec.Struct, frozen=True):
@@ -42,7 +44,11 @@
 
 
 class DocumentWatch(ABC):
-    """Keeps one document current; subclasses define which one."""
+    """Keeps one document current; subclasses define which one.
+
+    `failures` counts the failed reads since the start, and `failures_in_a_row` those
+    since the last one that succeeded.
+    """
 
     name = ""
 
@@ -59,7 +65,10 @@
         self.rng = rng
         self.checked_at = float("-inf")
         self.read_at = clock.now()
-        self.is_failing = False
+        self.failures = 0
+        self.failures_in_a_row = 0
+        self.failure_logged_at = float("-inf")
+        self.age_logged_at = float("-inf")
 
     @property
     @abstractmethod
@@ -77,6 +86,10 @@
     def offer(self, published) -> OfferResult:
         """Offer a document to its store and return the result."""
 
+    @abstractmethod
+    def get_refusal_reason(self) -> str:
+        """Return why the store refused the last document that it refused."""
+
     @abstractmethod
     def get_age_s(self) -> float:
         """Return the seconds since the service last confirmed the version.
@@ -102,6 +115,7 @@
             size = self.policy.get_fleet_size()
             gevent.sleep(self.rng.uniform(CALL_DELAY_MIN_S, CALL_DELAY_MAX_S) * size)
             if self.get_age_s() > FALLBACK_AGE_S:
+                self.log_age()
                 self.check_service()
         else:
             gevent.sleep(ELECTION_CHECK_INTERVAL_S)
@@ -141,7 +155,7 @@
         self.checked_at = self.clock.now()
         published = self.try_read(max(0, self.version - 1), 0.0)
         if published is None:
-            if not self.is_failing and self.version:
+            if not self.failures_in_a_row and self.version:
                 log_event(f"{self.name}_service_behind", version=self.version)
             return
         self.offer_and_confirm(published)
@@ -149,21 +163,50 @@
     def try_read(self, after: int, wait_s: float):
         """Return the document that the service returns, or None.
 
-        If the call fails, wait before returning and log the first failure of a
-        series.
+        If the call fails, wait before returning.
         """
         self.read_at = self.clock.now()
         try:
             published = self.read(after, wait_s)
         except PlatformError as error:
-            if not self.is_failing:
-                log_event(f"{self.name}_read_failed", reason=str(error))
-            self.is_failing = True
+            self.note_failure(error)
             self.wait_before_call()
             return None
-        self.is_failing = False
+        self.note_success()
         return published
 
+    def note_failure(self, error: PlatformError) -> None:
+        """Count a failed read; log it unless one was logged a short time ago."""
+        self.failures += 1
+        self.failures_in_a_row += 1
+        now = self.clock.now()
+        if now - self.failure_logged_at < LOG_INTERVAL_S:
+            return
+        self.failure_logged_at = now
+        log_event(
+            f"{self.name}_read_failed",
+            reason=str(error)[:MAX_LOGGED_CHARACTERS],
+            failures=self.failures_in_a_row,
+            version=self.version,
+        )
+
+    def note_success(self) -> None:
+        """Record that a read succeeded, and log that reads do again."""
+        if self.failures_in_a_row:
+            log_event(f"{self.name}_read_recovered", failures=self.failures_in_a_row)
+            self.failures_in_a_row = 0
+            self.failure_logged_at = float("-inf")
+
+    def log_age(self) -> None:
+        """Log that no reader confirms the version, unless logged a short time ago."""
+        now = self.clock.now()
+        if now - self.age_logged_at < LOG_INTERVAL_S:
+            return
+        self.age_logged_at = now
+        log_event(
+            f"{self.name}_unconfirmed", version=self.version, age_s=self.get_age_s()
+        )
+
     def offer_and_confirm(self, published) -> OfferResult:
         """Offer a document to its store and return the result.
 
@@ -177,6 +220,9 @@
             log_event(
                 f"{self.name}_offered", version=published.version, result=result.value
             )
+        if result is OfferResult.REFUSED:
+            reason = self.get_refusal_reason()[:MAX_LOGGED_CHARACTERS]
+            log_event(f"{self.name}_refused", version=published.version, reason=reason)
         return result
 
     def wait_before_call(self) -> None:
@@ -206,6 +252,10 @@
         """Offer a configuration to the store and return the result."""
         return self.store.offer(published)
 
+    def get_refusal_reason(self) -> str:
+        """Return why the newest refused configuration is not valid."""
+        return self.store.refused.reason if self.store.refused else "-"
+
     def get_age_s(self) -> float:
         """Return the seconds since the service last confirmed the version.
 
@@ -228,7 +278,6 @@
     def __init__(self, store: VmStore, *args) -> None:
         super().__init__(*args)
         self.store = store
-        self.confirmed_list_at = self.clock.now()
 
     @property
     def version(self) -> int:
@@ -243,12 +292,19 @@
         """Offer a list to the store and return the result."""
         return self.store.offer(published)
 
+    def get_refusal_reason(self) -> str:
+        """Return the one reason for which a store refuses a list."""
+        return "the VM list is empty"
+
     def get_age_s(self) -> float:
-        """Return 0, so that only elected readers keep reading the list.
+        """Return the seconds since the service last confirmed the list.
 
-        Its changes arrive from the readers or peers.
+        If it never did, return the seconds since the last attempt to read or, if
+        there was none, since the start.
         """
-        return 0.0
+        age_s = self.store.get_age_s(self.clock.now())
+        return self.clock.now() - self.read_at if age_s is None else age_s
 
     def confirm(self) -> None:
-        """Do nothing, since the list's age is not reported."""
+        """Record that the service holds the version in force."""
+        self.store.confirm(self.clock.now())
--- a/tests/peers/test_document_relay.py
+++ b/tests/peers/test_document_relay.py
@@ -6,9 +6,9 @@
 import msgspec
 import testtools
 
-from sesameplank.conf import PublishedConfiguration
+from sesameplank.conf import PublishedConfiguration, PublishedVms, Vm
 from sesameplank.core.common.clock import SystemClock
-from sesameplank.core.membership.peer_messages import Versions
+from sesameplank.core.membership.peer_messages import DocumentKind, Versions
 from sesameplank.core.published.versions import ConfigurationStore, VmStore
 from sesameplank.loops import BackgroundLoops
 from sesameplank.net import Address
@@ -53,7 +53,7 @@
             self.relays[name] = DocumentRelay(
                 links,
                 store,
-                make_entry_documents(store, VmStore()),
+                make_entry_documents(store, VmStore(), clock),
                 lambda others=others: others,
                 clock,
                 random.Random(1),
@@ -113,3 +113,13 @@
         for version, expected in ((4, False), (5, True)):
             self.relays["b"].on_versions("a", Versions(version, config_age_ms=100))
             self.assertEqual(expected, self.relays["b"].store.age_s is not None)
+
+    def test_peer_confirmation_of_the_vm_list_applies_to_the_same_list_only(self):
+        vms = self.relays["b"].documents[DocumentKind.VMS].vms
+        vm = Vm("a", "10.0.0.1:80", "10.0.0.1:81", "dc")
+        vms.offer(PublishedVms(5, (vm,)))
+        for version, expected in ((4, -1), (6, -1), (5, 100)):
+            versions = Versions(vms=version, vms_age_ms=100)
+            self.relays["b"].on_versions("a", versions)
+            age_ms = self.relays["b"].get_versions().vms_age_ms
+            self.assertAlmostEqual(expected, age_ms, delta=50)
--- a/tests/test_decoding.py
+++ b/tests/test_decoding.py
@@ -71,7 +71,7 @@
         clock = ManualClock()
         documents = (
             ConfigurationDocument(ConfigurationStore(clock)),
-            VmDocument(VmStore()),
+            VmDocument(VmStore(), clock),
             TargetsDocument(TargetTable(), clock),
         )
         for document in documents:
