Odd documents are refused whole, and never end the reading of the next

Callers would see old targets, or VMs that are leaving, for as long as entries run. Causes and cures, each shown by tests/integration/test_odd_documents.py before: - integers had no upper bound: a VM list with a version of 400 digits was newer than every later one. Versions, counts and times have bounds now. - a configuration whose target has no usable address was in force by halves, since updating the pools raised after it was stored. Validation refuses such addresses. - a VM list that names no running entry left no reader for either document.

--- a/sesameplank/conf/documents.py
+++ b/sesameplank/conf/documents.py
@@ -27,7 +27,11 @@
 Quantile = Annotated[float, msgspec.Meta(gt=0.0, lt=1.0)]
 ExtraLoad = Annotated[float, msgspec.Meta(ge=0.0, le=0.5)]
 LatencyFactor = Annotated[float, msgspec.Meta(ge=1.0, le=100.0)]
-Positive = Annotated[int, msgspec.Meta(ge=1)]
+MAX_COUNT = 1_000_000_000  # Of calls, connections or milliseconds.
+MAX_VERSION = 2**63 - 1
+MAX_VMS = 4_096  # Entries do work for each VM of the list.
+Positive = Annotated[int, msgspec.Meta(ge=1, le=MAX_COUNT)]
+Version = Annotated[int, msgspec.Meta(ge=0, le=MAX_VERSION)]
 
 
 class PresetName(Enum):
@@ -160,7 +164,7 @@
     since the Unix epoch by the platform's clock.
     """
 
-    version: ConfigVersion
+    version: Annotated[ConfigVersion, msgspec.Meta(ge=0, le=MAX_VERSION)]
     document: msgspec.Raw
     published_at: float = 0.0
 
@@ -176,10 +180,18 @@
 
 
 class PublishedVms(msgspec.Struct, frozen=True):
-    """The platform's list of entry VMs."""
-
-    version: int
-    vms: tuple[Vm, ...]
+    """The platform's list of entry VMs, each listed once."""
+
+    version: Version
+    vms: Annotated[tuple[Vm, ...], msgspec.Meta(max_length=MAX_VMS)]
+
+    def __post_init__(self) -> None:
+        """Raise ValueError if the list contradicts itself."""
+        seen: set[EntryId] = set()
+        for vm in self.vms:
+            if vm.id in seen:
+                raise ValueError(f"the VM {vm.id!r} is listed more than once")
+            seen.add(vm.id)
 
 
 DEFAULT_POLICIES = {
--- a/sesameplank/conf/rules.py
+++ b/sesameplank/conf/rules.py
@@ -1,11 +1,13 @@
 """Rules for the consistency of the parts of a configuration document."""
 
+import ipaddress
 from collections.abc import Iterator
 
 import msgspec
 
 from ..core.search.ranges import KEY_SPACE
 from ..ids import CollectionName
+from ..net import Address
 from .documents import Collection, Configuration
 
 
@@ -42,9 +44,16 @@
 
 
 def find_target_faults(configuration: Configuration) -> Iterator[DocumentFault]:
-    """Yield a fault for each target whose address another target has."""
+    """Yield a fault for each address that can't be used or that another target has."""
     seen: dict[str, str] = {}
     for target_id, target in configuration.targets.items():
+        problem = find_address_problem(target.address)
+        if problem:
+            yield DocumentFault(
+                f"$.targets.{target_id}.address",
+                problem,
+                "write it as IP:PORT, with a port from 1 to 65535",
+            )
         other = seen.setdefault(target.address, target_id)
         if other != target_id:
             yield DocumentFault(
@@ -54,6 +63,16 @@
             )
 
 
+def find_address_problem(text: str) -> str:
+    """Return why a target can't have an address, or an empty string if it can."""
+    try:
+        address = Address.parse(text)
+        ipaddress.ip_address(address.host)
+    except ValueError as error:
+        return str(error)
+    return "" if address.port else f"{text!r} has the port 0"
+
+
 def find_collection_faults(
     configuration: Configuration, name: CollectionName, collection: Collection
 ) -> Iterator[DocumentFault]:
--- a/sesameplank/core/membership/readers.py
+++ b/sesameplank/core/membership/readers.py
@@ -25,7 +25,9 @@
     """Return the entries that read the service: a fixed number per data centre.
 
     Only published entries that are present are chosen. The number of readers
-    depends on the number of data centres and not on the size of the fleet.
+    depends on the number of data centres and not on the size of the fleet. If no
+    entry that is present is published, one of them reads, so that a list which leaves
+    all out is followed by the next one.
     """
     running = set(present)
     by_data_centre: dict[str, list[EntryId]] = {}
@@ -36,7 +38,7 @@
     for data_centre, entries in by_data_centre.items():
         ranked = rank(f"reader-{data_centre}", entries)
         readers.update(ranked[:READERS_PER_DATA_CENTRE])
-    return readers
+    return readers or set(rank("reader", running)[:READERS_PER_DATA_CENTRE])
 
 
 def draw_start_delay(window_s: float, rng: random.Random) -> float:
--- a/sesameplank/net.py
+++ b/sesameplank/net.py
@@ -9,6 +9,9 @@
 import gevent.socket
 
 PORT_PATTERN = re.compile("[0-9]{1,5}")
+# Other hosts make the resolver raise errors that are no OSError.
+HOST_LABEL = r"[0-9A-Za-z_:%\[\]-]{1,63}"
+HOST_PATTERN = re.compile(rf"{HOST_LABEL}(\.{HOST_LABEL})*")
 MAX_PORT = 65_535
 # Connection states of Linux: closed, and closed by the peer alone.
 TCP_CLOSE = 7
@@ -36,6 +39,8 @@
         host, separator, port = text.rpartition(":")
         if not separator or not host or not PORT_PATTERN.fullmatch(port):
             raise ValueError(f"{text!r} is not an address; write it as IP:PORT")
+        if not HOST_PATTERN.fullmatch(host):
+            raise ValueError(f"{text!r} has no usable host; write it as IP:PORT")
         if int(port) > MAX_PORT:
             raise ValueError(f"{text!r} has a port over {MAX_PORT}; write a lower one")
         return cls(host, int(port))
--- a/tests/conf/test_validation.py
+++ b/tests/conf/test_validation.py
@@ -30,6 +30,29 @@
     targets["payments-00"]["address"] = targets["payments-01"]["address"]
 
 
+def set_target_field(field: str, value: object):
+    """Return a function that sets a field of a target."""
+
+    def corrupt(document: dict) -> None:
+        document["targets"]["payments-00"][field] = value
+
+    return corrupt
+
+
+ODD_ADDRESSES = (
+    "",
+    "10.0.0.1",
+    "10.0.0.1:-1",
+    "10.0.0.1:0",
+    "10.0.0.1:65536",
+    "10.0.0.1:" + "9" * 80,
+    "10.0.0.1\0:80",
+    "10.0.0.1\n:80",
+    "nowhere:80",
+    "a" * 70 + ".example:80",
+)
+
+
 class ValidationTests(testtools.TestCase):
     """Invalid documents are refused with the path of each fault."""
 
@@ -54,3 +77,20 @@
             encoded = msgspec.json.encode(document)
             self.assertIn(path, [fault.path for fault in list_faults(encoded)])
             self.assertRaises(ConfigurationError, decode_configuration, encoded)
+
+    def test_target_that_cannot_be_called_is_refused_with_its_path(self):
+        faults = [("address", value) for value in ODD_ADDRESSES]
+        faults += [
+            (field, value)
+            for field in ("slots", "connections")
+            for value in (-1, 0, 10**10, 10**400)
+        ]
+        for field, value in faults:
+            document = make_document()
+            set_target_field(field, value)(document)
+            encoded = msgspec.json.encode(document)
+            paths = [fault.path for fault in list_faults(encoded)]
+            found = [path for path in paths if path.endswith(f".{field}")]
+            self.assertEqual(1, len(found), (value, paths))
+            error = self.assertRaises(ConfigurationError, decode_configuration, encoded)
+            self.assertIn(f".{field}", str(error))
--- a/tests/core/membership/test_homes.py
+++ b/tests/core/membership/test_homes.py
@@ -68,6 +68,11 @@
             self.assertEqual(3, len(readers))
             self.assertNotIn(reader, readers)
 
+    def test_one_process_reads_if_the_list_names_none_that_is_present(self):
+        readers = choose_readers(make_vms(8, 3), ["x1", "x2", "x3"])
+        self.assertEqual(1, len(readers))
+        self.assertTrue(readers < {"x1", "x2", "x3"})
+
     def test_few_processes_read_early_when_all_start_together(self):
         for count, most in ((8, 8), (128, 20), (1_400, 20)):
             rng = random.Random(count)
--- a/tests/integration/test_odd_documents.py
+++ b/tests/integration/test_odd_documents.py
@@ -183,6 +183,8 @@
         ]
         self.world.platform.publish_vms((*self.world.published_vms, *added))
         gevent.sleep(WATCHED_S)
+        self.assertEqual([], self.find_differences())
+        self.assertIn("$.vms", self.read_logs())
         self.assert_good_documents_follow()
 
     def test_entries_that_start_beside_odd_documents(self):
