--- a/sesameplank/core/membership/peer_messages.py
+++ b/sesameplank/core/membership/peer_messages.py
@@ -95,7 +95,7 @@
     is -1 if there was none. `refused` is the highest refused version above `config`,
     or 0. `targets` is the revision of the target list in the era `targets_era`.
     `reading` is the reading that this confirmation stems from; earlier releases send
-    none.
+    none. `vms_age_ms` and `vms_reading` are the same for the VM list.
     """
 
     config: ConfigVersion = ConfigVersion(0)
@@ -105,6 +105,8 @@
     targets: int = 0
     targets_era: int = 0
     reading: Reading | None = None
+    vms_age_ms: int = -1
+    vms_reading: Reading | None = None
 
 
 class Heartbeat(PeerMessage, frozen=True):
--- a/sesameplank/core/published/versions.py
+++ b/sesameplank/core/published/versions.py
@@ -15,6 +15,7 @@
 from ...exceptions import ConfigurationError, VersionNotAppliedError
 from ...ids import ConfigVersion
 from ..common.clock import Clock
+from .confirmations import Confirmation
 from .readings import Reading
 
 
@@ -89,10 +90,6 @@
 
     `decode` returns the typed value of a document or raises ConfigurationError.
 
-    `confirmed_at` is when the service confirmed the version in force, and
-    `confirmed_by` the reading that did, None if it is this process's own.
-    `own_readings` counts the confirmations by this process's own readings.
-
     A refused version does not block valid versions that arrive later, even if
     their numbers are lower. Otherwise a single wrong answer of the configuration
     service with a high version number would block every later change.
@@ -105,9 +102,7 @@
         self.decode = decode
         self.current: AcceptedConfiguration | None = None
         self.refused: RefusedConfiguration | None = None
-        self.confirmed_at: float | None = None
-        self.confirmed_by: Reading | None = None
-        self.own_readings = 0
+        self.confirmation = Confirmation()
         self.ignored: dict[OfferResult, int] = {}
         self.listeners: list[ConfigurationListener] = []
 
@@ -176,12 +171,7 @@
         `reading` is the reading of another process, None if this process read the
         service itself. Only the newest confirmation counts.
         """
-        if reading is None:
-            self.own_readings += 1
-        confirmed_at = self.clock.now() - age_s
-        if self.confirmed_at is None or confirmed_at > self.confirmed_at:
-            self.confirmed_at = confirmed_at
-            self.confirmed_by = reading
+        self.confirmation.note(self.clock.now() - age_s, reading)
 
     @property
     def age_s(self) -> float | None:
@@ -189,9 +179,7 @@
 
         Confirmations that peers relayed count too. None if there was none.
         """
-        if self.confirmed_at is None:
-            return None
-        return max(0.0, self.clock.now() - self.confirmed_at)
+        return self.confirmation.get_age_s(self.clock.now())
 
 
 class VmStore:
@@ -199,6 +187,7 @@
 
     def __init__(self) -> None:
         self.current: PublishedVms | None = None
+        self.confirmation = Confirmation()
         self.listeners: list[VmListener] = []
 
     @property
--- a/sesameplank/peers/document_relay.py
+++ b/sesameplank/peers/document_relay.py
@@ -19,6 +19,7 @@
     VersionQuestion,
     Versions,
 )
+from ..core.published.confirmations import Confirmation
 from ..core.published.document_version import DocumentVersion
 from ..core.published.readings import HeardReadings, Reading
 from ..core.published.versions import ConfigurationStore
@@ -45,7 +46,8 @@
     configuration. After each announcement the loop sleeps `announcement_interval_s`
     seconds, so that versions that increase in the meantime are announced together.
     `offered_versions` holds the newer versions that peers have, by document and peer,
-    and `heard_readings` the readings that confirmed the configuration to others.
+    and `heard_readings` the readings that confirmed the configuration to others, as
+    `heard_vms_readings` does for the VM list.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
             kind: {} for kind in DocumentKind
         }
         self.heard_readings = HeardReadings(links.entry_id, links.incarnation)
+        self.heard_vms_readings = HeardReadings(links.entry_id, links.incarnation)
         self.wake = Event()
         self.announced = Versions()
         links.register(Announcement, self.on_announcement)
@@ -89,17 +92,29 @@
             -1 if age_s is None else math.ceil(age_s * 1_000),
             targets.number,
             targets.era,
-            self.get_reading(),
+            self.get_reading(self.store.confirmation),
+            self.get_vms_age_ms(),
+            self.get_reading(self.get_vms_confirmation()),
         )
 
-    def get_reading(self) -> Reading | None:
-        """Return the reading that confirmed the configuration last, or None."""
-        if self.store.confirmed_at is None:
+    def get_reading(self, confirmation: Confirmation) -> Reading | None:
+        """Return the reading that confirmed a document last, or None."""
+        if confirmation.confirmed_at is None:
             return None
-        return self.store.confirmed_by or Reading(
-            self.links.entry_id, self.links.incarnation, self.store.own_readings
+        return confirmation.confirmed_by or Reading(
+            self.links.entry_id, self.links.incarnation, confirmation.own_readings
         )
 
+    def get_vms_age_ms(self) -> int:
+        """Return the age of the VM list in milliseconds, -1 if it is not known."""
+        age_s = self.get_vms_confirmation().get_age_s(self.clock.now())
+        return -1 if age_s is None else math.ceil(age_s * 1_000)
+
+    def get_vms_confirmation(self) -> Confirmation:
+        """Return the confirmation of the VM list; an empty one without a list."""
+        document = self.documents.get(DocumentKind.VMS)
+        return document.confirmation if document else Confirmation()
+
     def get_version(self, kind: DocumentKind) -> DocumentVersion:
         """Return the version that this process has of one document."""
         document = self.documents.get(kind)
@@ -121,11 +136,15 @@
     def announce(self) -> None:
         """Announce the versions to the neighbours if one changed.
 
-        Also announce them if a confirmation is due. What confirms the configuration is
+        Also announce them if a confirmation is due. What confirms the documents is
         ignored in the comparison.
         """
         versions = msgspec.structs.replace(
-            self.get_versions(), config_age_ms=-1, reading=None
+            self.get_versions(),
+            config_age_ms=-1,
+            reading=None,
+            vms_age_ms=-1,
+            vms_reading=None,
         )
         if versions == self.announced and not self.pop_due_confirmation():
             return
@@ -140,7 +159,7 @@
         If so, record the confirmation as announced. Each process relays a confirmation
         once, so that it floods the overlay.
         """
-        confirmed_at = self.store.confirmed_at
+        confirmed_at = self.store.confirmation.confirmed_at
         if self.confirmation_interval_s is None or confirmed_at is None:
             return False
         if confirmed_at - self.announced_confirmation_at < self.confirmation_interval_s:
@@ -159,11 +178,12 @@
     def on_versions(
         self, sender: EntryId, versions: Versions, age_s: float = 0.0
     ) -> None:
-        """Record the newer documents that a peer offers, and apply its confirmation.
+        """Record the newer documents that a peer offers, and apply its confirmations.
 
         `age_s` is the time in seconds that the message took, as far as is known.
         """
         self.apply_confirmation(versions, age_s)
+        self.apply_vms_confirmation(versions, age_s)
         offered = {
             DocumentKind.CONFIG: DocumentVersion(number=versions.config),
             DocumentKind.VMS: DocumentVersion(number=versions.vms),
@@ -202,6 +222,21 @@
         if self.confirmation_interval_s is not None:
             self.wake.set()
 
+    def apply_vms_confirmation(self, versions: Versions, age_s: float) -> None:
+        """Record a confirmation of the VM list by a peer that has the same list.
+
+        Each reading counts once, as for the configuration.
+        """
+        if (
+            versions.vms != self.get_version(DocumentKind.VMS).number
+            or versions.vms_age_ms < 0
+            or versions.vms_reading is None
+            or not self.heard_vms_readings.note(versions.vms_reading, self.clock.now())
+        ):
+            return
+        confirmed_at = self.clock.now() - versions.vms_age_ms / 1_000 - age_s
+        self.get_vms_confirmation().note(confirmed_at, versions.vms_reading)
+
     def fetch_newest(self, kind: DocumentKind) -> list[Exception]:
         """Fetch one document from the peers that offer it, highest version first.
 
--- a/sesameplank/peers/relayed_documents.py
+++ b/sesameplank/peers/relayed_documents.py
@@ -7,6 +7,7 @@
 from ..conf import PublishedConfiguration, PublishedVms
 from ..core.common.clock import Clock
 from ..core.membership.peer_messages import DocumentKind
+from ..core.published.confirmations import Confirmation
 from ..core.published.document_version import DocumentVersion
 from ..core.published.target_table import TargetChanges, TargetTable
 from ..core.published.versions import ConfigurationStore, OfferResult, VmStore
@@ -83,6 +84,11 @@
         """The version of the list."""
         return DocumentVersion(number=self.vms.version)
 
+    @property
+    def confirmation(self) -> Confirmation:
+        """When the service last confirmed the list."""
+        return self.vms.confirmation
+
     def encode(self, after: DocumentVersion) -> bytes:
         """Return the list as it was published."""
         return msgspec.json.encode(self.vms.current)
--- a/tests/peers/test_relayed_confirmations.py
+++ b/tests/peers/test_relayed_confirmations.py
@@ -10,7 +10,7 @@
 import msgspec
 import testtools
 
-from sesameplank.conf import PublishedConfiguration
+from sesameplank.conf import PublishedConfiguration, PublishedVms, Vm
 from sesameplank.core.common.clock import ManualClock
 from sesameplank.core.membership.overlay import choose_neighbours
 from sesameplank.core.membership.peer_messages import Announcement, Versions
@@ -34,6 +34,7 @@
 READING_INTERVAL_S = 1.5
 READING_S = 6.0
 PUBLISHED = PublishedConfiguration(5, msgspec.Raw(b"5"))
+PUBLISHED_VMS = PublishedVms(5, (Vm("vm0", "10.0.0.1:80", "10.0.0.1:81", "dc"),))
 SIZES = (3, 7)
 DELAYS_S = (0.2, 0.45, 1.0)
 
@@ -106,7 +107,9 @@
         arguments = (lambda: neighbours, self.clock, random.Random(1))
         links = SimulatedLinks(self, name)
         if not self.is_front:
-            documents = make_entry_documents(store, VmStore())
+            vms = VmStore()
+            vms.offer(PUBLISHED_VMS)
+            documents = make_entry_documents(store, vms)
             return relay_type(links, store, documents, *arguments)
         return relay_type(
             links,
@@ -150,6 +153,7 @@
         """Let the readers hear from the store that their view is current."""
         for name in readers:
             self.relays[name].store.confirm()
+            self.relays[name].get_vms_confirmation().note(self.clock.now())
             self.relays[name].notify()
 
     def send_heartbeats(self) -> None:
@@ -178,6 +182,12 @@
         self.resting_until[name] = now + relay.announcement_interval_s
         self.due_at[name] = self.resting_until[name] + WAKE_INTERVAL_S
 
+    def get_vms_ages_s(self) -> list[float]:
+        """Return how old each relay takes its VM list to be."""
+        now = self.clock.now()
+        confirmations = [relay.get_vms_confirmation() for relay in self.relays.values()]
+        return [confirmation.get_age_s(now) for confirmation in confirmations]
+
     def get_ages_s(self, numbers: list[int] | None = None) -> list[float]:
         """Return how old each relay, or some of them, takes its view to be."""
         chosen = self.names if numbers is None else [self.names[n] for n in numbers]
@@ -235,3 +245,4 @@
                     network.run(READING_S, ("vm0",))
                     network.run(silent_s)
                     self.assertGreater(min(network.get_ages_s()), FALLBACK_AGE_S)
+                    self.assertGreater(min(network.get_vms_ages_s()), FALLBACK_AGE_S)
--- a/tests/test_odd_documents.py
+++ b/tests/test_odd_documents.py
@@ -35,7 +35,8 @@
 BASE = msgspec.json.decode(msgspec.json.encode(make_configuration(VATUWAQA, "127.9")))
 VMS = (Vm("e1", "127.0.0.1:1", "127.0.0.1:2", "dc"),)
 VERSION = 9
-INTEGERS = (-(2**70), -1, 0, 1, 2**31, 2**53, 2**63, 2**64, 10**308, 10**309, 10**4000)
+BOUNDED_INTEGERS = (-(2**62), -1, 0, 1, 2, 2**16, 2**31 - 1, 2**31, 2**53, 2**62)
+INTEGERS = (*BOUNDED_INTEGERS, -(2**70), 2**63, 2**64, 10**308, 10**309, 10**4000)
 NUMBERS = (0, -1, 1e308, -1e308, 1e-320, 10**309, 10**400)
 STRINGS = ("", "\0", "\n", "\u00e9", "\u2028", "/", "%2f", "\ud800", "a" * 100_000)
 ADDRESSES = ("x", ":80", "1.2.3.4", "1.2.3.4:99999", "1.2.3.4:\u0663", "1.2.3.4:-1")
