--- a/sesameplank/platform/store.py
+++ b/sesameplank/platform/store.py
@@ -5,7 +5,6 @@
 
 import gevent
 import gevent.socket
-from gevent.select import select
 
 from ..exceptions import (
     HistoryGoneError,
@@ -15,7 +14,7 @@
 )
 from ..forwarding.http_messages import Response, ResponseReader, encode_request
 from ..logs import log_event
-from ..net import Address, set_no_delay
+from ..net import Address, count_unread_bytes, has_peer_closed, set_no_delay
 from .store_answers import UNKNOWN_ERA, WireEvents, WirePage, decode_answer
 
 CONNECT_TIMEOUT_S = 1.0
@@ -126,7 +125,7 @@
         reader = self.reader
         if reader.complete or reader.in_message or reader.is_corrupt:
             return True
-        return bool(select([self.sock], [], [], 0)[0])
+        return has_peer_closed(self.sock) or count_unread_bytes(self.sock) > 0
 
     def connect(self) -> None:
         """Open the connection, or raise OSError."""
