Store: a restore that a peer confirms first is no failed call

A process that had seen a risen era in one answer asked again; if a peer announced that era before the second answer, this answer was refused ("the store answered in era 2 after era 2"): a line store_lost, the store reported as unavailable to the members, and the restored list 0.2 to 0.6 s later.

Cause: the gate refused each answer in the known era while another one was pending, also if that one was the same era. Now only a different one is doubtful.

Both tests failed before: verdicts [REFUSED, CURRENT, REFUSED] instead of [CURRENT, CURRENT, REFUSED], and targets ['a'] instead of ['b']. Both modules: 29 passed.

--- a/sesameplank/core/published/era_gate.py
+++ b/sesameplank/core/published/era_gate.py
@@ -37,7 +37,8 @@
         if era < self.table.known_era:
             return EraVerdict.REFUSED
         if era == self.table.known_era:
-            return EraVerdict.CURRENT if candidate is None else EraVerdict.REFUSED
+            is_doubtful = candidate not in (None, era)
+            return EraVerdict.REFUSED if is_doubtful else EraVerdict.CURRENT
         is_first = not self.table.known_era and self.table.version == DocumentVersion()
         if not is_first and era != candidate:
             self.candidate = era
--- a/tests/core/published/test_era_gate.py
+++ b/tests/core/published/test_era_gate.py
@@ -43,3 +43,15 @@
     def test_process_that_knows_nothing(self):
         for eras, verdicts in (((0, 0), [CURRENT] * 2), ((4, 3), [CURRENT, REFUSED])):
             self.assertEqual(verdicts, self.judge(EraGate(TargetTable()), eras))
+
+    def test_era_that_a_peer_confirms_between_two_answers_is_not_refused(self):
+        for heard, eras, verdicts in (
+            (3, (3, 3, 2), [CURRENT, CURRENT, REFUSED]),
+            (4, (3, 4), [REFUSED, CURRENT]),
+        ):
+            table = TargetTable()
+            table.apply(TargetChanges(5, (), (), True, 2), 0.0, False)
+            gate = EraGate(table)
+            self.assertIs(UNCONFIRMED, gate.judge(3))
+            table.note_era(heard)
+            self.assertEqual(verdicts, self.judge(gate, eras))
--- a/tests/published/test_follower.py
+++ b/tests/published/test_follower.py
@@ -343,6 +343,16 @@
         self.assertAlmostEqual(26.0, self.configurations.age_s)
         self.assertEqual(2, self.count_lines("store_still_lost"))
 
+    def test_restore_that_a_peer_confirms_first_is_no_failure(self):
+        for confirm in (lambda: self.table.note_era(2), lambda: None):
+            self.source.add(2, 6, "b", version=8)
+            self.follower.run_round()
+            confirm()
+        self.assertEqual(["b"], self.get_targets())
+        self.assertAlmostEqual(0.0, self.configurations.age_s)
+        self.assertEqual([], self.unavailable)
+        self.assertEqual(0, self.count_lines("store_lost"))
+
     def test_answers_of_a_lower_era_stay_refused(self):
         for _ in range(2):
             self.source.add(2, 6, "b")
