Tests: a process whose view of the store is not confirmed, while nothing tells

Four forwarding processes run; the store refuses one of them, and that one takes in nothing that the others tell of their views (its relay is made deaf for the test). It goes on to serve by version 3 while version 4 is in force elsewhere. What callers and operators see on today's code: no line within 30 s, and its address is in every answer for addresses ("timed out waiting for: two lines", "... addresses of 0").

The store's stand-in had `refused_hosts` without using it since it serves by CallerServer; it refuses these hosts again.

--- a/sesameplank/standins/front_store.py
+++ b/sesameplank/standins/front_store.py
@@ -46,7 +46,8 @@
 
     `compacted_revision` is the revision up to which the event history has been
     discarded. `era` counts the restores from a copy, and `lost_items` holds the
-    latest items, or deletions, that the last restore lost.
+    latest items, or deletions, that the last restore lost. `refused_hosts` are the
+    callers that it refuses.
     """
 
     def __init__(self, address: Address, now) -> None:
@@ -141,6 +142,8 @@
 
     def serve(self, request: Request, context: RequestContext) -> Reply:
         """Respond to a call, and name the era in the response."""
+        if context.caller_host in self.refused_hosts:
+            return Reply(503)
         reply = self.answer(request)
         reply.headers.append((ERA, b"%d" % self.era))
         return reply
--- a/tests/integration/front_world.py
+++ b/tests/integration/front_world.py
@@ -233,6 +233,7 @@
                     self.block,
                     number,
                     self.grace_s,
+                    module=self.get_module(number),
                     retry_slack=self.retry_slack,
                     source=self.get_source(number),
                 )
@@ -247,6 +248,10 @@
         """Return the folder of the release that a process runs."""
         return ROOT
 
+    def get_module(self, number: int) -> str:
+        """Return the module that a process runs."""
+        return "sesameplank.platform"
+
     def attach_logs(self, exc_info) -> None:
         """Attach the end of each process's log to the result of a failed test."""
         for front in self.fronts:
