Tell when a process's view of the platform is stale

Operators saw nothing but a rising `config_age_s` while a process served by an old view: no line, nothing that says why.

core/published/view_age.py decides it without I/O: a view is stale if it was not confirmed for 10 s, or never was 10 s after the start. view_check.py runs it in a loop of its own (a hanging housekeeping round doesn't hide it), in forwarding processes and in entries: line `view_stale`, again each 10 s, with the age, the versions, the failures of the loop that reads and the age of its last whole round; `view_current` at the end; gauge `view_is_stale`, and the field in an entry's dump. The timeline of a request knows both events.

Readiness stays as it is. A process with a stale view still answers its callers, and when the platform is away all views are stale at once: unready processes would then give no answers at all.

10 s is above what a healthy fleet shows: an entry's reader confirms each 5 to 7 s, and a forwarding process hears a confirmation each 0.5 s or reads itself after seconds. In test_configuration four entries stay below 10 s for 20 s, and are all stale while the service is down.

--- a/sesameplank/coordination.py
+++ b/sesameplank/coordination.py
@@ -25,6 +25,7 @@
 from .published.reader import PlatformReader
 from .published.watch import ConfigurationWatch, ReadPolicy, VmWatch
 from .serving import ServingGate, ServingState
+from .view_check import ViewCheck
 
 PAUSE_CHECK_INTERVAL_S = 0.1
 START_CHECK_INTERVAL_S = 0.02
@@ -148,7 +149,11 @@
         loops.add("relay", self.document_relay.run_round)
         loops.add("pauses", self.watch_pauses)
         loops.add("vms", vms.run_round)
-        loops.add("configuration", configuration.run_round)
+        reading = loops.add("configuration", configuration.run_round)
+        self.view_check = ViewCheck(
+            self.store, self.clock, reading, lambda: {"vms_version": self.vms.version}
+        )
+        loops.add("view", self.view_check.run_round)
         loops.add_once("start", self.become_ready)
 
     def become_ready(self) -> None:
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -46,6 +46,7 @@
 from ..quarantine_log import QuarantineLog
 from ..quarantine_notices import QuarantineNotices
 from ..reach_probes import ReachProbes
+from ..view_check import ViewCheck
 from .answer_accounts import AnswerAccounts
 from .batch_server import BatchServer
 from .call_batches import CallBatches
@@ -297,10 +298,21 @@
         """Add the loops of this process."""
         self.loops.add("membership", self.membership_service.run_round)
         self.loops.add("relay", self.relay.run_round)
-        self.loops.add("store", self.follower.run_round)
+        reading = self.loops.add("store", self.follower.run_round)
+        self.view_check = ViewCheck(
+            self.store, self.clock, reading, self.get_target_versions
+        )
+        self.loops.add("view", self.view_check.run_round)
         self.loops.add("links", self.links.close_idle)
         self.loops.add("housekeeping", self.housekeeping.run_round)
 
+    def get_target_versions(self) -> dict[str, int]:
+        """Return the version of the list of targets as fields of log lines."""
+        return {
+            "targets_era": self.table.era,
+            "targets_revision": self.table.revision,
+        }
+
     def make_own_member(self) -> Member:
         """Return the membership record of this process."""
         settings = self.settings
--- a/sesameplank/forwarding/front_report.py
+++ b/sesameplank/forwarding/front_report.py
@@ -18,6 +18,7 @@
         "fleet_size": front.connection_shares.fleet_size,
         "config_version": front.store.version,
         "config_age_s": -1.0 if age_s is None else age_s,
+        "view_is_stale": int(front.view_check.is_stale),
         "targets_era": front.table.era,
         "targets_revision": front.table.revision,
         "targets": len(front.table.records),
--- a/sesameplank/loops.py
+++ b/sesameplank/loops.py
@@ -112,13 +112,14 @@
         task = self.tasks[name] = Task(name, function, self.clock)
         return task
 
-    def add(self, name: str, run_round: Callable[[], None]) -> None:
-        """Add a loop, which calls `run_round` until the context ends.
+    def add(self, name: str, run_round: Callable[[], None]) -> Task:
+        """Add a loop, which calls `run_round` until the context ends; return its task.
 
         A round includes the wait for the next one.
         """
         task = self.add_task(name, run_round)
         self.runners.append(lambda: run_forever(task))
+        return task
 
     def add_once(self, name: str, function: Callable[[], None]) -> None:
         """Add a function that is called until it returns for the first time."""
--- a/sesameplank/monitoring/dump.py
+++ b/sesameplank/monitoring/dump.py
@@ -110,6 +110,7 @@
     serving: str
     config_version: int
     config_age_s: float | None
+    view_is_stale: bool
     config_ignored: dict[str, int]
     preset: str | None
     refused: RefusedConfigurationState | None
@@ -143,6 +144,7 @@
         serving=entry.gate.state.value,
         config_version=store.version,
         config_age_s=store.age_s,
+        view_is_stale=entry.coordination.view_check.is_stale,
         config_ignored={item.value: count for item, count in store.ignored.items()},
         preset=store.current and store.current.configuration.preset.value,
         refused=store.refused
--- a/sesameplank/monitoring/metrics.py
+++ b/sesameplank/monitoring/metrics.py
@@ -62,6 +62,11 @@
             "gauge",
             "Seconds since the platform last confirmed the configuration.",
         ),
+        (
+            "view_is_stale",
+            "gauge",
+            "1 while the platform has not confirmed the configuration for 10 s.",
+        ),
         ("config_refused", "gauge", "1 while a newer version stands refused."),
         ("preset", "gauge", "1 for the preset in force.", ("preset",)),
         ("members", "gauge", "Entries known, by health.", ("health",)),
@@ -223,6 +228,7 @@
         ],
         "config_version": make_unlabelled_sample(store.version),
         "config_age_seconds": [] if age_s is None else make_unlabelled_sample(age_s),
+        "view_is_stale": make_unlabelled_sample(entry.coordination.view_check.is_stale),
         "config_refused": make_unlabelled_sample(store.refused is not None),
         "preset": [
             ((name.value,), bool(current and current.configuration.preset is name))
--- a/sesameplank/monitoring/timeline.py
+++ b/sesameplank/monitoring/timeline.py
@@ -12,6 +12,8 @@
 CONDITIONS = {
     "store_lost": ("store", True),
     "store_regained": ("store", False),
+    "view_stale": ("view", True),
+    "view_current": ("view", False),
     "targets_lost": ("targets", True),
     "targets_regained": ("targets", False),
     "target_limit_named": ("limit", True),
--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -4,12 +4,14 @@
 import msgspec
 
 from sesameplank.conf import Vm
+from sesameplank.core.published.view_age import STALE_VIEW_AGE_S
 from sesameplank.ids import DataCentre, EntryId
 from sesameplank.standins.fleetmeter import get_state
 
 from .fleets import FleetTestCase
 
 NESTED = b"[" * 2_000 + b"]" * 2_000
+STEADY_S = 20.0
 WATCHED_S = 3.0  # Longer than one call to the platform's service.
 
 
@@ -103,6 +105,25 @@
         self.world.platform.set_down(False)
         self.wait_for_version(self.fleet.entries, self.publish())
 
+    def test_entry_tells_that_its_view_is_stale_only_while_the_service_is_down(self):
+        self.start_fleet(4)
+        ages = []
+        with gevent.Timeout(STEADY_S, False):
+            while True:
+                ages += [get_state(item)["config_age_s"] for item in self.fleet.entries]
+                gevent.sleep(0.5)
+        self.assertLess(max(age for age in ages if age is not None), STALE_VIEW_AGE_S)
+        self.world.platform.set_down(True)
+        for entry in self.fleet.entries:
+            self.wait_for(
+                lambda entry=entry: get_state(entry)["view_is_stale"], "a stale view"
+            )
+        self.world.platform.set_down(False)
+        for entry in self.fleet.entries:
+            self.wait_for(
+                lambda entry=entry: not get_state(entry)["view_is_stale"], "the end"
+            )
+
     def test_entries_agree_after_a_simultaneous_restart(self):
         self.start_fleet(8)
         self.wait_for_views([self.fleet.entries])
