Send callers no more to a process whose view is stale

Callers were sent to a process that served by an old view for as long as it ran: the others didn't know. Its member record now says so (`is_view_stale`, at the end, false by default: older builds ignore it, and may drop it when they pass a record on; then callers are sent there as before).

Answers for addresses leave such VMs out, and batches of calls go to others, while those with a current view are at least half of the VMs that callers are sent to and have half of their capacity. Otherwise all are used as before: callers keep addresses for 5 s, so after an outage of the store the first VM that is current again would get the load of all. With the half, the load of the others at most doubles. Ways that were weighed: to choose other active VMs in their place (these hold neither connections nor parts of limits yet, and the parts of a stale VM, which still serves what reaches it, would be given away); to refuse requests (no better answer exists when all are stale).

So the choice of the active VMs, and with it limits, connections and notices between VMs, stays as it was. A stale VM is served with all notices and stays ready.

Entries use the same function for `/v1/addresses`.

With the store away for all, all stay.

--- a/sesameplank/coordination.py
+++ b/sesameplank/coordination.py
@@ -10,6 +10,7 @@
 from .conf import Vm, VmState
 from .core.common.clock import Clock
 from .core.common.pauses import BootClock, EventAge, PauseDetector
+from .core.membership.directory import leave_out_stale
 from .core.membership.members import make_own_record
 from .core.membership.membership import Membership
 from .core.membership.readers import choose_readers
@@ -151,7 +152,11 @@
         loops.add("vms", vms.run_round)
         reading = loops.add("configuration", configuration.run_round)
         self.view_check = ViewCheck(
-            self.store, self.clock, reading, lambda: {"vms_version": self.vms.version}
+            self.store,
+            self.clock,
+            reading,
+            lambda: {"vms_version": self.vms.version},
+            self.membership_service.set_view_stale,
         )
         loops.add("view", self.view_check.run_round)
         loops.add_once("start", self.become_ready)
@@ -218,20 +223,22 @@
 
         An entry is left out if the VM list or the entry itself states that it is
         leaving, if peers confirmed that it is dead, or if it has lost its links to
-        targets while others have not. An entry without any contact so far is included
-        only if no entry is known to serve.
+        targets while others have not. One with a stale view is left out while enough
+        others are current. An entry without any contact so far is included only if no
+        entry is known to serve.
         """
         listed = {vm.id: vm for vm in self.vms.current.vms} if self.vms.current else {}
-        serving = []
-        for entry in self.membership.get_serving_with_targets():
-            vm = listed.get(entry)
-            if vm is None:
-                serving.append(self.membership.members[entry].address)
-            elif vm.state is VmState.LIVE:
-                serving.append(vm.address)
-        return serving or [
-            vm.address for vm in listed.values() if vm.state is VmState.LIVE
+        live = [vm for vm in listed.values() if vm.state is VmState.LIVE]
+        serving = [
+            self.membership.members[entry]
+            for entry in self.membership.get_serving_with_targets()
+            if entry not in listed or listed[entry].state is VmState.LIVE
         ]
+        addresses = [
+            listed[member.id].address if member.id in listed else member.address
+            for member in leave_out_stale(serving)
+        ]
+        return addresses or [vm.address for vm in live]
 
     def get_state(self) -> dict:
         """Return the part of the state dump that describes the fleet."""
@@ -244,6 +251,7 @@
                     "phase": member.phase.name.lower(),
                     "health": member.health.name.lower(),
                     "reaches_targets": member.reaches_targets,
+                    "is_view_stale": member.is_view_stale,
                     "is_published": member.id in self.membership.published,
                 }
                 for member in self.membership.members.values()
--- a/sesameplank/core/membership/directory.py
+++ b/sesameplank/core/membership/directory.py
@@ -9,6 +9,10 @@
 Every VM makes the same choice: VMs near the replicas, then those with the greatest
 capacity, then by rank. The other VMs are on standby and take over as soon as an
 active one leaves.
+
+Callers aren't sent to active VMs with a stale view while enough others are current.
+These VMs stay active otherwise: requests that reach them are served, so they keep their
+parts of limits and connections.
 """
 
 from collections.abc import Mapping, Sequence
@@ -27,6 +31,9 @@
 # Least share of the fleet's capacity that is active, because the number of useful
 # connections says nothing about the load.
 MIN_ACTIVE_SHARE = 0.25
+# VMs with a stale view are left out while the others have this share of the VMs and of
+# their capacity: then the load of the others at most doubles.
+MIN_CURRENT_SHARE = 0.5
 WEAK_FACTOR = 0.5  # VMs below this share of the strongest one's capacity are weak.
 RANKING_KEY = "active"
 ADDRESS_TTL_S = 5.0  # A look-up costs the caller two round trips.
@@ -77,3 +84,19 @@
         or sum(item.capacity for item in chosen[:place]) < enough_capacity
         or (place < useful_vms and member.capacity >= WEAK_FACTOR * chosen[0].capacity)
     ]
+
+
+def leave_out_stale(members: Sequence[Member]) -> list[Member]:
+    """Return the members with a current view, or all if too few have one.
+
+    Callers keep addresses for seconds. If the store is away for most VMs, or is back
+    for the first of them, these few couldn't carry the load of all.
+    """
+    current = [member for member in members if not member.is_view_stale]
+    capacity = sum(member.capacity for member in members)
+    current_capacity = sum(member.capacity for member in current)
+    is_enough = (
+        len(current) >= MIN_CURRENT_SHARE * len(members)
+        and current_capacity >= MIN_CURRENT_SHARE * capacity
+    )
+    return current if is_enough else list(members)
--- a/sesameplank/core/membership/membership.py
+++ b/sesameplank/core/membership/membership.py
@@ -452,6 +452,12 @@
             return []
         return self.publish(now, reaches_targets=reaches_targets)
 
+    def set_view_stale(self, is_view_stale: bool, now: float) -> list[Outgoing]:
+        """Publish whether the view of this process is stale."""
+        if self.own.is_view_stale == is_view_stale:
+            return []
+        return self.publish(now, is_view_stale=is_view_stale)
+
     def publish(self, now: float, **changes: object) -> list[Outgoing]:
         """Change the record of this process, and return messages to the neighbours."""
         own = msgspec.structs.replace(self.own, epoch=self.own.epoch + 1, **changes)
--- a/sesameplank/core/membership/peer_messages.py
+++ b/sesameplank/core/membership/peer_messages.py
@@ -59,7 +59,8 @@
     the entry. `capacity` is the relative load that its processor and link can
     carry, compared with other entries. `reaches_targets` says that the entry's links to
     targets are not lost, and `serves_single_calls` that it makes calls for others whose
-    answers are not merged.
+    answers are not merged. `is_view_stale` says that nobody has confirmed its view of
+    what the platform publishes for a while.
     """
 
     id: EntryId
@@ -74,6 +75,7 @@
     capacity: int = 1
     reaches_targets: bool = True
     serves_single_calls: bool = False
+    is_view_stale: bool = False
 
     @property
     def precedence(self) -> tuple[int, int]:
--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -20,7 +20,7 @@
 )
 from ..core.limits.limit_parts import ActiveVmParts
 from ..core.limits.target_limits import TargetLimits
-from ..core.membership.directory import MAX_ADDRESSES, choose_active
+from ..core.membership.directory import MAX_ADDRESSES, choose_active, leave_out_stale
 from ..core.membership.members import make_own_record
 from ..core.membership.membership import Membership
 from ..core.membership.peer_messages import Member
@@ -239,7 +239,7 @@
             settings.data_centre,
             clock,
             self.aggregator_choice,
-            self.get_active,
+            self.get_addressed,
             self.forwarder.count,
         )
         self.forwarder.late_notices = LateNotices(
@@ -300,7 +300,11 @@
         self.loops.add("relay", self.relay.run_round)
         reading = self.loops.add("store", self.follower.run_round)
         self.view_check = ViewCheck(
-            self.store, self.clock, reading, self.get_target_versions
+            self.store,
+            self.clock,
+            reading,
+            self.get_target_versions,
+            self.membership_service.set_view_stale,
         )
         self.loops.add("view", self.view_check.run_round)
         self.loops.add("links", self.links.close_idle)
@@ -438,10 +442,14 @@
 
     def get_addresses(self) -> list[str]:
         """Return the addresses that callers should use."""
-        return [member.address for member in self.get_active()][:MAX_ADDRESSES]
+        return [member.address for member in self.get_addressed()][:MAX_ADDRESSES]
+
+    def get_addressed(self) -> list[Member]:
+        """Return the active members, without those whose view is stale."""
+        return leave_out_stale(self.get_active())
 
     def get_active(self) -> list[Member]:
-        """Return the members that callers are sent to.
+        """Return the members that callers are sent to while their view is current.
 
         VMs that have lost their links to targets are left out, unless all have. They
         are chosen again, and `useful_vms` and `heard_vms` are counted, only after the
--- a/sesameplank/forwarding/front_report.py
+++ b/sesameplank/forwarding/front_report.py
@@ -64,6 +64,7 @@
                 "phase": member.phase.name.lower(),
                 "health": member.health.name.lower(),
                 "reaches_targets": member.reaches_targets,
+                "is_view_stale": member.is_view_stale,
             }
             for member in front.membership.members.values()
         },
--- a/sesameplank/peers/membership.py
+++ b/sesameplank/peers/membership.py
@@ -95,6 +95,10 @@
             self.membership.set_reaches_targets(reaches_targets, self.clock.now())
         )
 
+    def set_view_stale(self, is_view_stale: bool) -> None:
+        """Announce whether this process's view of the platform is stale."""
+        self.send(self.membership.set_view_stale(is_view_stale, self.clock.now()))
+
     def leave(self, phase: Phase) -> None:
         """Announce that this process is leaving or has left.
 
--- a/tests/core/membership/test_directory.py
+++ b/tests/core/membership/test_directory.py
@@ -3,7 +3,11 @@
 import msgspec
 import testtools
 
-from sesameplank.core.membership.directory import choose_active, get_capacity
+from sesameplank.core.membership.directory import (
+    choose_active,
+    get_capacity,
+    leave_out_stale,
+)
 from sesameplank.core.membership.peer_messages import Health, Member, Phase
 
 
@@ -93,3 +97,36 @@
         self.assertEqual(
             1, len({m.id for m in choose_active(remaining, {}, 12)} - first)
         )
+
+
+class LeaveOutStaleTests(testtools.TestCase):
+    """Guards against callers who are all sent to the first few current VMs."""
+
+    CASES = (
+        # the view of each VM ("s" is stale), capacities, the VMs that callers get
+        ("cccc", "1111", "0123"),
+        ("cscc", "1111", "023"),
+        ("csc", "111", "02"),
+        ("cs", "11", "0"),
+        ("sc", "11", "1"),
+        ("css", "111", "012"),
+        ("ccsss", "11111", "01234"),
+        ("ccss", "1199", "0123"),
+        ("csss", "9111", "0123"),
+        ("ssss", "1111", "0123"),
+        ("s", "1", "0"),
+        ("", "", ""),
+    )
+
+    def test_table(self):
+        for views, capacities, expected in self.CASES:
+            members = [
+                msgspec.structs.replace(
+                    member, is_view_stale=view == "s", capacity=int(capacity)
+                )
+                for member, view, capacity in zip(
+                    make_members(*"a" * len(views)), views, capacities, strict=True
+                )
+            ]
+            found = "".join(member.id[1:] for member in leave_out_stale(members))
+            self.assertEqual(expected, found, (views, capacities))
--- a/tests/integration/test_stale_views.py
+++ b/tests/integration/test_stale_views.py
@@ -79,3 +79,10 @@
         self.store.refused_hosts.clear()
         for front in range(self.front_count):
             self.wait_for_addresses(front, range(self.front_count))
+
+    def test_all_addresses_stay_while_the_store_is_away_for_all(self):
+        self.store.refused_hosts.update(front.host for front in self.fronts)
+        for front in range(self.front_count):
+            self.wait_for_state(front, lambda state: state["gauges"]["view_is_stale"])
+        for front in range(self.front_count):
+            self.wait_for_addresses(front, range(self.front_count))
