Tests: rounds of loops that block for good

In a real process, the first call to the store after 3 s never returns, or a task of housekeeping doesn't. On today's code: the only process keeps version 3 for 30 s after version 4 was published ("timed out waiting for: state of 0"), and writes no second line `counts` ("timed out waiting for: lines of counters").

--- /dev/null
+++ b/tests/hanging_front.py
@@ -0,0 +1,39 @@
+"""A forwarding process in which one round of two loops blocks for good.
+
+The first call to the store after HANG_AFTER_S never returns, and neither does the first
+round of a housekeeping task then. The limits of rounds are short.
+"""
+
+import time
+from collections.abc import Callable
+
+from gevent.event import Event
+
+from sesameplank.forwarding.housekeeping import Housekeeping
+from sesameplank.loops import BackgroundLoops
+from sesameplank.platform.__main__ import run
+from sesameplank.platform.source import StoreSource
+
+HANG_AFTER_S = 3.0
+LIMIT_S = 4.0
+
+
+def hang_once(function: Callable) -> Callable:
+    """Return a function that blocks for good the first time after HANG_AFTER_S."""
+    hang_at = time.monotonic() + HANG_AFTER_S
+    hung = []
+
+    def call(*arguments):
+        if not hung and time.monotonic() >= hang_at:
+            hung.append(True)
+            Event().wait()
+        return function(*arguments)
+
+    return call
+
+
+if __name__ == "__main__":
+    BackgroundLoops.round_limit_s = LIMIT_S
+    StoreSource.watch = hang_once(StoreSource.watch)
+    Housekeeping.drop_ended_pauses = hang_once(Housekeeping.drop_ended_pauses)
+    run()
