End a round of a loop that hangs, and run it again

A round that raised was logged and repeated, but one that blocked for good ended its loop for as long as the process ran; only `task_max_age_s` rose. A process whose call to the store never returned kept its view, and a task of housekeeping that hung stopped all others, the line `counts` included.

Each round of a loop now has a limit of 60 s. RoundOverdue is raised in it, which is neither an Exception nor a gevent.Timeout, so that no handler in the round (StoreClient, PlatformReader, TargetPool) takes it for its own; it is counted and logged as `task_failed` with the line that waited, and the round is run again. Each task of housekeeping has a limit of its own of 5 s, and lets another round's RoundOverdue pass. Rounds over all targets of an entry have 300 s, and a function that runs once (the start of an entry, which waits for the platform) has none.

What an interrupted round left behind: a half-read connection to the store (closed now), a version of the follower that may not have been applied (read again now), polls and openings that outlived their round (ended now). Versions offered by peers whose fetch hung come again with heartbeats (tested; no change).

Two legitimate rounds had no bound: an entry's first read while the platform has nothing, and the wait before a fallback read, which grows with the fleet (up to 2,100 s for 1,400 entries). Both now wait over many rounds, with the same delays.

In tests/hanging_front.py the short limit now applies to the loop that reads the store only, since a round of `links` takes 20 s; so the test of housekeeping asks for tasks by name (under 1 s each) instead of the greatest age of all.

--- a/sesameplank/entry.py
+++ b/sesameplank/entry.py
@@ -44,7 +44,7 @@
 from .ids import DataCentre, EntryId, Incarnation, TargetId
 from .limit_log import LimitLog
 from .logs import log_event
-from .loops import BackgroundLoops
+from .loops import LONG_ROUND_LIMIT_S, BackgroundLoops
 from .monitoring import DecisionLog, RequestLedger
 from .monitoring.dump import make_dump
 from .monitoring.metrics import EntryMetrics
@@ -239,8 +239,14 @@
     def add_loops(self) -> None:
         """Add the loops that update the configuration, VM list and target health."""
         self.coordination.add_loops(self.loops)
-        self.loops.add("health", self.poller.run_round)
-        self.loops.add("connections", self.direct_dispatcher.run_round)
+        self.loops.add(
+            "health",
+            self.poller.run_round,
+            LONG_ROUND_LIMIT_S + self.settings.health_interval_s,
+        )
+        self.loops.add(
+            "connections", self.direct_dispatcher.run_round, LONG_ROUND_LIMIT_S
+        )
         self.loops.add("reach", self.reach_probes.run_round)
         self.loops.add("quarantine", self.quarantine_notices.run_round)
         self.loops.add("links", self.links.close_idle)
--- a/sesameplank/forwarding/housekeeping.py
+++ b/sesameplank/forwarding/housekeeping.py
@@ -17,12 +17,16 @@
 
 HOUSEKEEPING_INTERVAL_S = 0.1
 FLEET_SIZE_WINDOW_S = 60.0
+TASK_LIMIT_S = 5.0  # None of the tasks waits for anything.
 WARM_UP_TARGETS = 8  # Per round, to avoid a connection burst at start.
 COUNTS_INTERVAL_S = 10.0
 
 
 class Housekeeping:
-    """Runs the periodic tasks of a process; one that fails doesn't stop the others."""
+    """Runs the periodic tasks of a process; one that fails doesn't stop the others.
+
+    Nor does one that hangs, since each has a limit.
+    """
 
     def __init__(self, front: Front) -> None:
         self.front = front
@@ -47,7 +51,7 @@
             ("warm_up", self.warm_up),
             ("counts", self.log_counts),
         )
-        return [self.front.loops.add_task(*item) for item in functions]
+        return [self.front.loops.add_task(*item, TASK_LIMIT_S) for item in functions]
 
     def run_round(self) -> None:
         """Run each of the tasks, and wait for HOUSEKEEPING_INTERVAL_S."""
--- a/sesameplank/platform/store.py
+++ b/sesameplank/platform/store.py
@@ -116,8 +116,10 @@
         try:
             with gevent.Timeout(timeout_s):
                 response = self.exchange(path)
-        except (gevent.Timeout, OSError) as error:
+        except BaseException as error:  # The response is not whole.
             self.close()
+            if not isinstance(error, (gevent.Timeout, OSError)):
+                raise
             kind = UnreadableResponseError if self.received_bytes else PlatformError
             raise kind(
                 f"the store at {self.address} did not answer GET {path}: {error!r} "
--- a/sesameplank/published/follower.py
+++ b/sesameplank/published/follower.py
@@ -94,8 +94,8 @@
     def run_round(self) -> None:
         """Make one call to the store if it is this process's turn, else wait.
 
-        After an unexpected error everything is read again, since a part of the
-        response may not have been applied.
+        After an unexpected error, or if the round is ended, everything is read again,
+        since a part of the response may not have been applied.
         """
         if not self.is_elected_reader(self.configuration_store.age_s):
             self.wait_for_election()
@@ -110,7 +110,7 @@
             self.wait_after_failure(error)
         except PlatformError as error:
             self.wait_after_failure(error)
-        except Exception:
+        except BaseException:
             self.request_full_read()
             raise
 
--- a/sesameplank/published/watch.py
+++ b/sesameplank/published/watch.py
@@ -60,6 +60,8 @@
         self.checked_at = float("-inf")
         self.read_at = clock.now()
         self.is_failing = False
+        self.start_window_s = policy.start_window_s
+        self.fallback_at: float | None = None
 
     @property
     @abstractmethod
@@ -95,32 +97,44 @@
         was not confirmed for FALLBACK_AGE_S, after a random delay that grows with
         the size of the fleet.
         """
-        self.start()
-        if self.policy.is_elected_reader():
+        if not self.version:
+            self.start()
+        elif self.policy.is_elected_reader():
             self.read_as_reader()
-        elif self.get_age_s() > FALLBACK_AGE_S:
-            size = self.policy.get_fleet_size()
-            gevent.sleep(self.rng.uniform(CALL_DELAY_MIN_S, CALL_DELAY_MAX_S) * size)
-            if self.get_age_s() > FALLBACK_AGE_S:
-                self.check_service()
+        elif self.is_fallback_due():
+            self.check_service()
         else:
             gevent.sleep(ELECTION_CHECK_INTERVAL_S)
 
     def start(self) -> None:
         """Wait for a first version from peers; read the service if none arrives.
 
-        Once there is one, return at once.
+        The next wait may be longer.
         """
-        window_s = self.policy.start_window_s
-        while not self.version:
-            wait_until = self.clock.now() + draw_start_delay(window_s, self.rng)
-            while not self.version and self.clock.now() < wait_until:
-                gevent.sleep(
-                    min(ELECTION_CHECK_INTERVAL_S, wait_until - self.clock.now())
-                )
-            if not self.version:
-                self.check_service()
-            window_s = min(MAX_START_WINDOW_S, window_s * 2)
+        wait_until = self.clock.now() + draw_start_delay(self.start_window_s, self.rng)
+        while not self.version and self.clock.now() < wait_until:
+            gevent.sleep(min(ELECTION_CHECK_INTERVAL_S, wait_until - self.clock.now()))
+        if not self.version:
+            self.check_service()
+        self.start_window_s = min(MAX_START_WINDOW_S, self.start_window_s * 2)
+
+    def is_fallback_due(self) -> bool:
+        """Return whether to read although this entry is no elected reader.
+
+        The random delay begins when the version is found not to be confirmed.
+        """
+        if self.get_age_s() <= FALLBACK_AGE_S:
+            self.fallback_at = None
+            return False
+        now = self.clock.now()
+        if self.fallback_at is None:
+            size = self.policy.get_fleet_size()
+            delay_s = self.rng.uniform(CALL_DELAY_MIN_S, CALL_DELAY_MAX_S) * size
+            self.fallback_at = now + delay_s
+        if now < self.fallback_at:
+            return False
+        self.fallback_at = None
+        return True
 
     def read_as_reader(self) -> None:
         """Wait for a newer version, or confirm the one in force if that is due."""
--- a/sesameplank/targets/dispatch.py
+++ b/sesameplank/targets/dispatch.py
@@ -261,7 +261,11 @@
     def warm_all(self) -> None:
         """Open one more connection to each target whose pool is not fully open."""
         incomplete = [pool for pool in self.pools.values() if not pool.is_warm]
-        Pool(MAX_CONCURRENT_OPENS).map(TargetPool.warm, incomplete)
+        openings = Pool(MAX_CONCURRENT_OPENS)
+        try:
+            openings.map(TargetPool.warm, incomplete)
+        finally:
+            openings.kill(block=False)
 
     def wait_until_warm(self) -> None:
         """Wait for the end of the hold-down, then until all connections are open.
--- a/sesameplank/targets/health.py
+++ b/sesameplank/targets/health.py
@@ -39,7 +39,10 @@
     def poll_all(self) -> None:
         """Poll each target once and wait for all reports."""
         pool = Pool(MAX_CONCURRENT_POLLS)
-        pool.map(self.poll, self.dispatcher.get_targets())
+        try:
+            pool.map(self.poll, self.dispatcher.get_targets())
+        finally:
+            pool.kill(block=False)
 
     def poll(self, target: TargetId) -> None:
         """Poll one target and record its state and the snapshots that it holds.
--- a/tests/hanging_front.py
+++ b/tests/hanging_front.py
@@ -1,11 +1,12 @@
 """A forwarding process in which one round of two loops blocks for good.
 
 The first call to the store after HANG_AFTER_S never returns, and neither does the first
-round of a housekeeping task then. The limits of rounds are short.
+round of a housekeeping task then. The limit of the loop that reads the store is short.
 """
 
 import time
 from collections.abc import Callable
+from functools import partialmethod
 
 from gevent.event import Event
 
@@ -32,8 +33,15 @@
     return call
 
 
+def add_loop(loops, add: Callable, name: str, *arguments):
+    """Add a loop, with the short limit if it is the one that reads the store."""
+    if name == "store":
+        return add(loops, name, *arguments, limit_s=LIMIT_S)
+    return add(loops, name, *arguments)
+
+
 if __name__ == "__main__":
-    BackgroundLoops.round_limit_s = LIMIT_S
+    BackgroundLoops.add = partialmethod(add_loop, BackgroundLoops.add)
     StoreSource.watch = hang_once(StoreSource.watch)
     Housekeeping.drop_ended_pauses = hang_once(Housekeeping.drop_ended_pauses)
     run()
--- a/tests/integration/test_hanging_loops.py
+++ b/tests/integration/test_hanging_loops.py
@@ -2,7 +2,7 @@
 
 import time
 
-from tests.hanging_front import HANG_AFTER_S, LIMIT_S
+from tests.hanging_front import HANG_AFTER_S
 
 from .front_world import FrontTestCase, make_config
 
@@ -40,5 +40,8 @@
     def test_other_housekeeping_goes_on_beside_a_task_that_hangs(self):
         self.wait_for(lambda: len(self.read_lines("counts")) >= 2, "lines of counters")
         state = self.get_state(0)
-        self.assertEqual(1, state["tasks"]["target_pauses"]["failures"])
-        self.assertLess(state["gauges"]["task_max_age_s"], LIMIT_S)
+        tasks = state["tasks"]
+        self.assertEqual(1, tasks["target_pauses"]["failures"])
+        self.assertEqual(0, tasks["housekeeping"]["failures"])
+        for name in ("housekeeping", "target_pauses", "counts"):
+            self.assertLess(tasks[name]["completed_s_ago"], MARGIN_S, name)
--- a/tests/peers/test_document_relay.py
+++ b/tests/peers/test_document_relay.py
@@ -5,6 +5,7 @@
 import gevent
 import msgspec
 import testtools
+from gevent.event import Event
 
 from sesameplank.conf import PublishedConfiguration
 from sesameplank.core.common.clock import SystemClock
@@ -20,6 +21,7 @@
 from sesameplank.standins.fleet import reserve_block
 
 WAIT_S = 30.0
+HANG_LIMIT_S = 1.0  # Longer than a round without a hang.
 VALID = msgspec.json.encode(make_configuration(VATUWAQA, "127.20"))
 
 
@@ -80,6 +82,20 @@
         self.relays["a"].notify()
         self.wait_for(lambda: {r.store.version for r in self.relays.values()} == {7})
 
+    def test_version_whose_fetch_hung_is_fetched_after_the_next_heartbeat(self):
+        relay = self.relays["b"]
+        self.publish("a", 7)
+        call, relay.links.call = relay.links.call, lambda *arguments: Event().wait()
+        relay.on_versions("a", self.relays["a"].get_versions())
+        loops = BackgroundLoops(SystemClock())
+        task = loops.add("relay", relay.run_round, HANG_LIMIT_S)
+        with loops:
+            self.wait_for(lambda: task.failures)
+            relay.links.call = call
+            relay.on_versions("a", self.relays["a"].get_versions())
+            self.wait_for(lambda: relay.store.version == 7)
+        self.assertEqual(0, task.failures_in_a_row)
+
     def test_refused_version_and_reason_reach_every_entry(self):
         self.run_relays()
         self.publish("a", 7)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -2,6 +2,7 @@
 
 import time
 
+import gevent
 import testtools
 from gevent.server import StreamServer
 
@@ -9,6 +10,7 @@
 from sesameplank.core.published.document_version import DocumentVersion
 from sesameplank.exceptions import PlatformError, UnreadableResponseError
 from sesameplank.forwarding.http_messages import Response
+from sesameplank.loops import RoundOverdue
 from sesameplank.net import Address
 from sesameplank.platform.source import StoreSource
 from sesameplank.platform.store import MAX_BODY_BYTES, UNKNOWN_ERA, StoreClient
@@ -54,6 +56,7 @@
         block = self.enterContext(reserve_block())
         self.address = Address(f"{block}.200.1", 8102)
         self.data = b""
+        self.is_held = False
         server = StreamServer(tuple(self.address), self.handle)
         server.start()
         self.addCleanup(server.stop, 0)
@@ -61,9 +64,14 @@
         self.addCleanup(self.client.close)
 
     def handle(self, sock, source) -> None:
-        """Send the prepared bytes to each call, and end the connection."""
+        """Send the prepared bytes to each call, and end the connection.
+
+        If `is_held`, the client has to end it.
+        """
         sock.recv(65_536)
         sock.sendall(self.data)
+        if self.is_held:
+            sock.recv(1)
         sock.close()
 
     def test_cut_answers(self):
@@ -80,6 +88,16 @@
             has_begun = isinstance(error, UnreadableResponseError)
             self.assertEqual(length > 0, has_begun, length)
 
+    def test_connection_of_an_ended_round_is_not_used_again(self):
+        self.data, self.is_held = self.ANSWER[:-1], True
+        overdue = gevent.Timeout(0.2, RoundOverdue("store", 0.2))
+        with testtools.ExpectedException(RoundOverdue), overdue:
+            self.client.read_page("")
+        self.is_held = False
+        self.assertIsNone(self.client.sock)
+        self.data = self.ANSWER.replace(b"1000", b"2000")
+        self.assertEqual(2000, self.client.read_page("").as_of)
+
     def test_too_large_an_answer(self):
         length = b"%d" % (MAX_BODY_BYTES + 1)
         self.data = self.ANSWER.replace(b"42", length)
--- a/tests/published/test_follower.py
+++ b/tests/published/test_follower.py
@@ -18,6 +18,7 @@
 from sesameplank.core.published.versions import ConfigurationStore
 from sesameplank.exceptions import PlatformError, UnreadableResponseError
 from sesameplank.ids import ConfigVersion
+from sesameplank.loops import RoundOverdue
 from sesameplank.published.follower import (
     Publication,
     PublicationFollower,
@@ -96,6 +97,14 @@
         self.assertEqual(["read", "read"], self.source.calls)
         self.assertEqual({"a", "b"}, set(self.table.records))
 
+    def test_everything_is_read_again_after_a_round_that_was_ended(self):
+        self.source.watch = Mock(side_effect=RoundOverdue("store", 60.0))
+        self.assertRaises(RoundOverdue, self.follower.run_round)
+        self.source.add(1, 12, "a", "b")
+        self.follower.run_round()
+        self.assertEqual(["read", "read"], self.source.calls)
+        self.assertEqual({"a", "b"}, set(self.table.records))
+
     def test_next_round_reads_everything_again(self):
         apply, self.table.apply = self.table.apply, fail
         self.source.add(1, 12, "b", is_whole=False, version=8)
--- a/tests/test_loops.py
+++ b/tests/test_loops.py
@@ -1,7 +1,10 @@
 """Tests of background loops, which go on after a failed round."""
 
+import contextlib
+
 import gevent
 import testtools
+from gevent.event import Event
 
 from sesameplank import logs
 from sesameplank.core.common.clock import ManualClock, SystemClock
@@ -11,10 +14,12 @@
     RETRY_DELAY_MAX_S,
     RETRY_DELAY_MIN_S,
     BackgroundLoops,
+    RoundOverdue,
     Task,
 )
 
 WAIT_S = 10.0
+LIMIT_S = 0.2
 
 
 class Round:
@@ -132,3 +137,77 @@
         calls = running.calls
         gevent.sleep(0.1)
         self.assertEqual(calls, running.calls)
+
+
+class OverdueRoundTests(testtools.TestCase):
+    """Guards against a round that blocks for good, and with it its loop."""
+
+    def setUp(self):
+        super().setUp()
+        self.events: list[str] = []
+        self.patch(logs.output, "write", self.events.append)
+        self.calls = 0
+
+    def block(self) -> None:
+        """Block for good in the first call, and return from later ones."""
+        self.calls += 1
+        if self.calls == 1:
+            Event().wait()
+        gevent.sleep(0.01)
+
+    def block_in_handlers(self) -> None:
+        """Block for good within handlers that a client of a service may have."""
+        with contextlib.suppress(gevent.Timeout, Exception), gevent.Timeout(WAIT_S):
+            self.block()
+
+    def run_loop(self, run_round) -> Task:
+        """Run a loop with a short limit until its rounds are whole again."""
+        background = BackgroundLoops(SystemClock())
+        task = background.add("reading", run_round, LIMIT_S)
+        with background, gevent.Timeout(WAIT_S):
+            while self.calls < 3:
+                gevent.sleep(0.01)
+        return task
+
+    def test_overdue_round_is_ended_and_counted_and_the_next_one_follows(self):
+        for run_round in (self.block, self.block_in_handlers):
+            self.calls = 0
+            self.events.clear()
+            task = self.run_loop(run_round)
+            self.assertEqual((1, 0), (task.failures, task.failures_in_a_row))
+            self.assertLess(task.age_s, LIMIT_S)
+            names = [line.partition(" ")[0] for line in self.events]
+            self.assertEqual(["event=task_failed", "event=task_recovered"], names)
+            self.assertIn("task=reading", self.events[0])
+            self.assertIn("RoundOverdue", self.events[0])
+            self.assertIn("at=tests/test_loops.py:", self.events[0])
+
+    def test_timeout_of_the_round_itself_is_told_apart(self):
+        def time_out() -> None:
+            with gevent.Timeout(LIMIT_S / 4):
+                self.block()
+
+        self.run_loop(time_out)
+        self.assertIn("Timeout", self.events[0])
+        self.assertNotIn("RoundOverdue", self.events[0])
+
+    def test_task_within_an_overdue_round_does_not_take_the_error(self):
+        part = Task("part", self.block, SystemClock())
+        task = self.run_loop(part.run)
+        self.assertEqual((1, 0), (task.failures, part.failures))
+
+    def test_part_of_a_round_has_a_limit_of_its_own(self):
+        part = Task("part", self.block, SystemClock(), LIMIT_S / 4)
+        task = self.run_loop(part.run)
+        self.assertEqual((0, 1), (task.failures, part.failures))
+
+    def test_function_that_runs_once_may_wait_as_long_as_it_needs(self):
+        background = BackgroundLoops(SystemClock())
+        background.add_once("start", self.block)
+        self.assertIsNone(background.tasks["start"].limit_s)
+        with background:
+            gevent.sleep(3 * LIMIT_S)
+        self.assertEqual((1, 0), (self.calls, background.failures))
+
+    def test_error_of_an_overdue_round_is_neither_exception_nor_timeout(self):
+        self.assertFalse(issubclass(RoundOverdue, (Exception, gevent.Timeout)))
