--- a/sesameplank/forwarding/front_report.py
+++ b/sesameplank/forwarding/front_report.py
@@ -20,6 +20,7 @@
         "config_version": front.store.version,
         "config_age_s": -1.0 if age_s is None else age_s,
         "config_conflicts": front.store.ignored.get(OfferResult.CONFLICT, 0),
+        "view_is_stale": int(front.view_check.is_stale),
         "targets_era": front.table.era,
         "targets_revision": front.table.revision,
         "targets": len(front.table.records),
@@ -69,6 +70,7 @@
                 "phase": member.phase.name.lower(),
                 "health": member.health.name.lower(),
                 "reaches_targets": member.reaches_targets,
+                "is_view_stale": member.is_view_stale,
             }
             for member in front.membership.members.values()
         },
--- a/sesameplank/standins/front_store.py
+++ b/sesameplank/standins/front_store.py
@@ -70,8 +70,9 @@
 
     `compacted_revision` is the revision up to which the event history has been
     discarded. `era` counts the restores from a copy, and `lost_items` holds the
-    latest items, or deletions, that the last restore lost. The next
-    `wrong_era_answers` responses name WRONG_ERA.
+    latest items, or deletions, that the last restore lost. `refused_hosts` are the
+    callers that it refuses, and `silent_hosts` those that get no response for
+    UNRESPONSIVE_S. The next `wrong_era_answers` responses name WRONG_ERA.
     """
 
     def __init__(self, address: Address, now) -> None:
@@ -173,12 +174,11 @@
             self.record_event(msgspec.structs.replace(item, rev=self.revision))
 
     def serve(self, request: Request, context: RequestContext) -> Reply:
-        """Respond to a call, and name the era in the response.
-
-        Calls from `silent_hosts` get no response for UNRESPONSIVE_S.
-        """
+        """Respond to a call, and name the era in the response."""
         if context.caller_host in self.silent_hosts:
             gevent.sleep(UNRESPONSIVE_S)
+        if context.caller_host in self.refused_hosts:
+            return Reply(503)
         reply = self.answer(request)
         reply.headers.append((ERA, b"%d" % self.take_era()))
         return reply
