--- a/sesameplank/core/search/messages.py
+++ b/sesameplank/core/search/messages.py
@@ -24,6 +24,9 @@
 
 MAX_LIMIT = 1_000
 Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+MAX_SNAPSHOT = 2**63 - 1
+MAX_TOTAL = 2**63 - 1
+StatedSnapshot = Annotated[Snapshot, msgspec.Meta(ge=0, le=MAX_SNAPSHOT)]
 
 
 class Message(msgspec.Struct, frozen=True, omit_defaults=True):
@@ -206,9 +209,9 @@
 
     shard: ShardId
     status: ShardStatus
-    oldest: Snapshot
-    newest: Snapshot
-    total: int = 0
+    oldest: StatedSnapshot
+    newest: StatedSnapshot
+    total: Annotated[int, msgspec.Meta(ge=0, le=MAX_TOTAL)] = 0
     hits: tuple[Record, ...] = ()
 
 
@@ -221,7 +224,7 @@
     """
 
     request_id: RequestId
-    snapshot: Snapshot
+    snapshot: StatedSnapshot
     results: tuple[ShardResult, ...]
     draining: bool = False
     limit_per_s: Any = None
@@ -258,7 +261,7 @@
     request_id: RequestId
     status: TargetBookingStatus
     result: BookingResult | None = None
-    snapshot: Snapshot = Snapshot(0)
+    snapshot: StatedSnapshot = Snapshot(0)
     draining: bool = False
     limit_per_s: Any = None
 
@@ -268,8 +271,8 @@
 
     collection: CollectionName
     shard: ShardId
-    oldest: Snapshot
-    newest: Snapshot
+    oldest: StatedSnapshot
+    newest: StatedSnapshot
 
 
 class TargetHealth(Message, frozen=True):
--- a/sesameplank/targets/dispatch.py
+++ b/sesameplank/targets/dispatch.py
@@ -1,7 +1,7 @@
 """Sending of search calls and bookings to targets."""
 
 import functools
-import math
+import sys
 from abc import ABC, abstractmethod
 from typing import Any
 
@@ -76,9 +76,9 @@
     if value is None:
         return LimitNews(None)
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
-    if is_number and 0.0 <= value < math.inf:
-        return LimitNews(value)
-    return UnreadableLimit("not a number of at least 0")
+    if is_number and 0.0 <= value <= sys.float_info.max:
+        return LimitNews(float(value))
+    return UnreadableLimit("not a number of at least 0 that a float can hold")
 
 
 class Dispatcher(ABC):
--- a/tests/targets/test_limits.py
+++ b/tests/targets/test_limits.py
@@ -130,7 +130,7 @@
             self.assertLessEqual(self.target.arrivals - before, allowed, per_s)
 
     def test_values_that_are_no_rate_are_ignored(self):
-        for stated in ("8", -1.0, [1], True, {"a": 1}):
+        for stated in ("8", -1.0, 10**400, [1], True, {"a": 1}):
             self.target.stated = stated
             self.assertTrue(self.search(), stated)
             self.assertFalse(self.dispatcher.limits.is_limited(TARGET), stated)
