The client library leaves out addresses that it can't read

What callers saw: a VM list with one odd address of a running VM, such as port 70000, went on to the library in /v1/addresses, whose answer as a whole raised ValueError in the caller's call. Now such an address is logged and left out, and an answer without any usable one counts as none. test_addresses failed before ("ValueError: '10.0.0.2:70000' has a port over 65535") and passes.

--- a/sesameplank/client/addresses.py
+++ b/sesameplank/client/addresses.py
@@ -3,10 +3,11 @@
 import math
 import random
 import time
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from ..core.membership.addresses import AddressAnswer
 from ..exceptions import CallError
+from ..logs import log_event
 from ..net import Address
 from .connections import Connections
 
@@ -73,7 +74,21 @@
                 )
             except CallError:
                 continue
-            self.addresses = [Address.parse(item) for item in answer.addresses]
+            listed = parse_usable(answer.addresses)
+            if not listed:
+                continue
+            self.addresses = listed
             self.addresses_expire_at = time.monotonic() + answer.ttl_ms / 1_000
             return self.addresses
         return self.addresses or self.seeds
+
+
+def parse_usable(texts: Iterable[str]) -> list[Address]:
+    """Return the addresses that can be read; log the others."""
+    addresses = []
+    for text in texts:
+        try:
+            addresses.append(Address.parse(text))
+        except ValueError as error:
+            log_event("entry_address_refused", reason=str(error))
+    return addresses
