A task of housekeeping that hangs is not taken for a pause

The check for pauses of a forwarding process ran only in housekeeping, between whose rounds a hanging task leaves up to 5 s. Seen in a real process: `pause_noticed pause_s=5.102`, with a full read and all timeouts of members begun anew, although the process ran. The check now also runs in a loop of its own, each 0.1 s; housekeeping still begins with it, since the tasks after it rely on it.

--- a/sesameplank/forwarding/front.py
+++ b/sesameplank/forwarding/front.py
@@ -308,6 +308,7 @@
         )
         self.loops.add("view", self.view_check.run_round)
         self.loops.add("links", self.links.close_idle)
+        self.loops.add("pause_checks", self.housekeeping.watch_pauses)
         self.loops.add("housekeeping", self.housekeeping.run_round)
 
     def get_target_versions(self) -> dict[str, int]:
--- a/sesameplank/forwarding/housekeeping.py
+++ b/sesameplank/forwarding/housekeeping.py
@@ -60,6 +60,15 @@
             task.run()
         gevent.sleep(HOUSEKEEPING_INTERVAL_S)
 
+    def watch_pauses(self) -> None:
+        """Check for a pause, and wait for HOUSEKEEPING_INTERVAL_S.
+
+        This loop goes on while a task hangs, which is no pause. The tasks begin with a
+        check too, since those after it rely on it.
+        """
+        self.check_pause()
+        gevent.sleep(HOUSEKEEPING_INTERVAL_S)
+
     def check_pause(self) -> None:
         """Refresh members, targets and documents after a pause of this process."""
         pause_s = self.pauses.check()
--- a/tests/integration/test_hanging_loops.py
+++ b/tests/integration/test_hanging_loops.py
@@ -45,3 +45,10 @@
         self.assertEqual(0, tasks["housekeeping"]["failures"])
         for name in ("housekeeping", "target_pauses", "counts"):
             self.assertLess(tasks[name]["completed_s_ago"], MARGIN_S, name)
+
+    def test_hanging_task_is_not_taken_for_a_pause_of_the_process(self):
+        self.wait_for_state(
+            0, lambda state: state["tasks"]["target_pauses"]["failures"] == 1
+        )
+        time.sleep(MARGIN_S)
+        self.assertEqual([], self.read_lines("pause_noticed"))
