--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,6 @@
 """Tests of the client of the platform's store and of the source built on it."""
 
+import os
 import time
 
 import gevent
@@ -16,6 +17,8 @@
 from sesameplank.standins.fleet import reserve_block
 from sesameplank.standins.front_store import PAGE_ITEMS, StoreStandin
 
+MANY_FILES = 1_100  # More than select() can watch.
+
 
 class EraTests(testtools.TestCase):
     """The era is read from every response; an unreadable one counts as unknown."""
@@ -135,6 +138,12 @@
         sock.sendall(self.encode(self.calls))
         sock.close()
 
+    def test_calls_of_a_process_with_many_open_files(self):
+        for _ in range(MANY_FILES):
+            self.addCleanup(os.close, os.dup(0))
+        for number in range(1, 4):
+            self.assertEqual(number, self.client.read_page("").as_of)
+
     def test_extra_bytes(self):
         cases = (
             ("a copy", self.encode(1), 0.0),
