Store client: calls go on in a process with over 1,024 open files

Callers saw: after the store was slow or down for a moment, a process with over 1,000 connections served the old configuration and the old targets as long as it had them.

Cause: looks for stray bytes with select(), which raises ValueError for a descriptor from 1,024 up. The store's connection gets one when it is opened again and a caller has taken its number meanwhile. ValueError is no OSError, so that the connection was kept, and each further round failed in the same way.

The check now peeks at the connection without waiting, as the targets' connections do; that knows no bound of descriptors. Nothing else in sesameplank calls select().

--- a/sesameplank/platform/store.py
+++ b/sesameplank/platform/store.py
@@ -5,7 +5,6 @@
 
 import gevent
 import gevent.socket
-from gevent.select import select
 
 from ..exceptions import (
     HistoryGoneError,
@@ -126,7 +125,16 @@
         reader = self.reader
         if reader.complete or reader.in_message or reader.is_corrupt:
             return True
-        return bool(select([self.sock], [], [], 0)[0])
+        self.sock.settimeout(0.0)
+        try:
+            self.sock.recv(1, gevent.socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        finally:
+            self.sock.settimeout(None)
+        return True
 
     def connect(self) -> None:
         """Open the connection, or raise OSError."""
