--- a/sesameplank/__init__.py
+++ b/sesameplank/__init__.py
@@ -1,3 +1,3 @@
 """A query tier between callers and many shards."""
 
-__version__ = "0.9.0"
+__version__ = "0.10.0"
