Store: a full read that replaces failed watches, and fails, is followed by a watch

After two failed watches a reader made only full reads. One of a list of several pages takes as many calls, so while the store refuses many calls, reads hardly ever succeed where a watch would, and the view grows old.

A read that something else asks for, such as a pause or an answer of another era, is still not replaced by a watch.

test_reads_that_always_fail_do_not_hide_changes failed before (['a'] instead of ['a', 'b']); tests.published.test_follower: 27 passed.

--- a/sesameplank/published/follower.py
+++ b/sesameplank/published/follower.py
@@ -94,7 +94,8 @@
     True when calls to the store start to fail, and with False when they succeed
     again or the failure is no longer recent. `on_response` is called after every
     successful call. `get_stall_s` returns for how many seconds more than usual an
-    answer that is handled now may have waited in this process.
+    answer that is handled now may have waited in this process. `resumable` is the
+    version to watch after if the full read that replaces failed watches fails.
     """
 
     def __init__(
@@ -118,6 +119,7 @@
         self.is_elected_reader = is_elected_reader
         self.set_store_unavailable = set_store_unavailable
         self.version: DocumentVersion | None = None
+        self.resumable: DocumentVersion | None = None
         self.get_stall_s = get_stall_s
         self.era_gate = EraGate(table)
         self.counts = StoreCounts()
@@ -148,7 +150,7 @@
             self.request_full_read()
             self.wait_after_failure(error)
         except PlatformError as error:
-            self.note_failed_watch()
+            self.note_failed_call()
             self.wait_after_failure(error)
         except Exception:
             self.request_full_read()
@@ -162,13 +164,20 @@
         if self.history_gone_at - last < WATCH_WAIT_S:
             gevent.sleep(self.rng.uniform(RETRY_DELAY_MIN_S, RETRY_DELAY_MAX_S))
 
-    def note_failed_watch(self) -> None:
-        """Prepare a full read if watches go on failing: reads may still succeed."""
+    def note_failed_call(self) -> None:
+        """Prepare a full read if watches go on failing: reads may still succeed.
+
+        A full read that fails, too, is followed by a watch, since a read may take many
+        calls to the store, each of which can fail.
+        """
         if self.version is None:
+            self.version, self.resumable = self.resumable, None
             return
         self.failed_watches += 1
         if self.failed_watches >= MAX_FAILED_WATCHES:
+            version = self.version
             self.request_full_read()
+            self.resumable = version
 
     def wait_after_failure(self, error: PlatformError) -> None:
         """Record a failed call and wait before the next one."""
@@ -229,6 +238,7 @@
         heard = max(self.table.known_era, self.era_gate.candidate or 0)
         verdict = self.era_gate.judge(era)
         if verdict is EraVerdict.REFUSED:
+            self.resumable = None
             raise RefusedAnswerError(
                 f"the store answered in era {era} after era {heard}; "
                 "check that it sends its era and that no old instance still runs"
@@ -355,6 +365,7 @@
         A call that is under way confirms nothing.
         """
         self.version = None
+        self.resumable = None
         self.is_interrupted = True
 
 
--- a/tests/published/test_follower.py
+++ b/tests/published/test_follower.py
@@ -450,6 +450,29 @@
             self.follower.run_round()
         self.assertEqual(["b"], self.get_targets())
 
+    def test_reads_that_always_fail_do_not_hide_changes(self):
+        failure = PlatformError("busy")
+        changes = TargetChanges(12, (make_record("b", 12),), (), False, 1)
+        self.source.watch = Mock(side_effect=[failure] * 3 + [Publication(changes)])
+        self.source.read = Mock(side_effect=failure)
+        for _ in range(6):
+            self.follower.run_round()
+        self.assertEqual(["a", "b"], self.get_targets())
+        self.assertEqual(2, self.source.read.call_count)
+        self.assertAlmostEqual(0.0, self.configurations.age_s)
+
+    def test_read_that_a_pause_calls_for_is_not_replaced_by_a_watch(self):
+        self.source.watch = Mock(side_effect=PlatformError("busy"))
+        self.source.read = Mock(side_effect=PlatformError("busy"))
+        for _ in range(2):
+            self.follower.run_round()
+        self.follower.request_full_read()
+        for _ in range(3):
+            self.follower.run_round()
+        self.assertEqual(
+            (2, 3), (self.source.watch.call_count, self.source.read.call_count)
+        )
+
 
 class PauseTests(FollowerCase):
     """An answer that waited while this process stood still isn't taken for fresh."""
