Tests: one wrong era told to a starting process (red)

A process that restarts gets one answer that names a wrong, high era, before any peer has told it of the right one.

The stand-in of the store can now send wrong eras to one host alone.

--- a/sesameplank/standins/front_store.py
+++ b/sesameplank/standins/front_store.py
@@ -71,7 +71,8 @@
     `compacted_revision` is the revision up to which the event history has been
     discarded. `era` counts the restores from a copy, and `lost_items` holds the
     latest items, or deletions, that the last restore lost. The next
-    `wrong_era_answers` responses name WRONG_ERA.
+    `wrong_era_answers` responses name WRONG_ERA, those to `wrong_era_host` alone unless
+    that is empty.
     """
 
     def __init__(self, address: Address, now) -> None:
@@ -86,6 +87,7 @@
         self.fault_mode = StoreFaultMode.NONE
         self.refused_hosts: set[str] = set()
         self.wrong_era_answers = 0
+        self.wrong_era_host = ""
         self.silent_hosts: set[str] = set()
         self.changed = Event()
         self.calls = 0
@@ -180,12 +182,12 @@
         if context.caller_host in self.silent_hosts:
             gevent.sleep(UNRESPONSIVE_S)
         reply = self.answer(request)
-        reply.headers.append((ERA, b"%d" % self.take_era()))
+        reply.headers.append((ERA, b"%d" % self.take_era(context.caller_host)))
         return reply
 
-    def take_era(self) -> int:
-        """Return the era that the next response names."""
-        if not self.wrong_era_answers:
+    def take_era(self, host: str) -> int:
+        """Return the era that the next response, to a host, names."""
+        if not self.wrong_era_answers or self.wrong_era_host not in ("", host):
             return self.era
         self.wrong_era_answers -= 1
         return WRONG_ERA
--- a/tests/integration/test_doubtful_stores.py
+++ b/tests/integration/test_doubtful_stores.py
@@ -2,12 +2,14 @@
 
 import time
 
+from sesameplank.standins import front_store
 from sesameplank.standins.front_store import StoreFaultMode
 
 from .front_world import FrontTestCase, make_config, make_request
 
 STABLE_S = 4.0
 OLD_S = 4.0
+MANY_ITEMS = 500
 DUE_S = 3.2  # After the acknowledgement of a change: the bound of 3 s, and a margin.
 
 
@@ -62,3 +64,18 @@
         self.assertEqual(0, self.store.wrong_era_answers)
         self.check_changes_are_learnt()
         self.assertEqual({1}, set(self.get_gauges("targets_era")))
+
+    def test_wrong_era_of_a_starting_process_ends_no_reading(self):
+        time.sleep(STABLE_S)
+        self.patch(front_store, "PAGE_ITEMS", MANY_ITEMS)
+        front = self.fronts[0]
+        self.terminate(front)
+        front.process.wait()
+        self.store.wrong_era_host = front.host
+        self.store.wrong_era_answers = 1
+        front.start()
+        self.wait_for(front.is_ready, "ready")
+        self.assertEqual(0, self.store.wrong_era_answers)
+        time.sleep(STABLE_S)
+        self.check_changes_are_learnt()
+        self.assertEqual({1}, set(self.get_gauges("targets_era")))
