--- a/tests/integration/front_world.py
+++ b/tests/integration/front_world.py
@@ -280,6 +280,15 @@
         self.list_target(name, service)
         return target
 
+    def add_route(self, version: int) -> None:
+        """Publish a version that adds a route, to a service with a new target."""
+        service = f"added{version}"
+        self.add_target(f"{service}a", service)
+        document = make_config(version)
+        added = {**document["routes"][1], "name": service, "prefix": f"/{service}/"}
+        document["routes"].append({**added, "service": service})
+        self.store.put_config(document)
+
     def list_target(self, name: str, service: str, state="ready", seq=1) -> None:
         """Write the item of a target to the store."""
         self.store.put_target(
--- a/tests/integration/test_followed_views.py
+++ b/tests/integration/test_followed_views.py
@@ -22,15 +22,6 @@
 
     front_count = 7
 
-    def add_route(self, version: int) -> None:
-        """Publish a version that adds a route, to a service with a new target."""
-        service = f"added{version}"
-        self.add_target(f"{service}a", service)
-        document = make_config(version)
-        added = {**document["routes"][1], "name": service, "prefix": f"/{service}/"}
-        document["routes"].append({**added, "service": service})
-        self.store.put_config(document)
-
     def ask_all(self, path: str, prefix: str) -> list[int]:
         """Send requests to all processes in turn, and return the statuses."""
         return [
--- a/tests/integration/test_slow_peer_links.py
+++ b/tests/integration/test_slow_peer_links.py
@@ -12,7 +12,7 @@
 from sesameplank.published.follower import WATCH_WAIT_S
 from sesameplank.standins.proxy import FaultProxy, Faults
 
-from .front_world import FrontProcess, FrontTestCase, make_config, make_request
+from .front_world import FrontProcess, FrontTestCase, make_request
 
 CONTROL_PORT = 8106
 PROXY_PORT = 9106
@@ -57,20 +57,11 @@
         readers = rank(ELECTION_KEY, [front.host for front in self.fronts])[:READERS]
         return [front for front in self.fronts if front.host in readers]
 
-    def publish_route(self, version: int) -> None:
-        """Publish a version that adds a route, to a service with a new target."""
-        service = f"added{version}"
-        self.add_target(f"{service}a", service)
-        document = make_config(version)
-        added = {**document["routes"][1], "name": service, "prefix": f"/{service}/"}
-        document["routes"].append({**added, "service": service})
-        self.store.put_config(document)
-
     def assert_change_is_in_force_in_time(self) -> None:
         """Publish a change, and assert that those that don't read use it when due."""
         readers = self.get_readers()
         others = [n for n, front in enumerate(self.fronts) if front not in readers]
-        self.publish_route(5)
+        self.add_route(5)
         gevent.sleep(DUE_S)
         statuses = [
             self.request(make_request("/added5/x", f"added{number}-{front}"), front)
