Test of a stale view: no watch of the cut process waits while the change comes

Traced in its logs: the process that is cut had version 4, since the store's stand-in refuses calls when they begin, and a watch of that process, an elected reader in that run, waited as version 4 was published. Its premise, not the product. The test waits now until such a watch is over before it publishes; the checks are the same.

--- a/tests/deaf_front.py
+++ b/tests/deaf_front.py
@@ -7,7 +7,7 @@
 from sesameplank.platform.__main__ import run
 
 
-def ignore_versions(relay, sender, versions) -> None:
+def ignore_versions(relay, sender, versions, age_s=0.0) -> None:
     """Do nothing with the versions and the confirmation that a peer sent."""
 
 
--- a/tests/integration/test_stale_views.py
+++ b/tests/integration/test_stale_views.py
@@ -1,10 +1,15 @@
 """Tests of a forwarding process whose view of the store is confirmed no more."""
 
+import time
+
 import msgspec
 
+from sesameplank.published.follower import WATCH_WAIT_S
+
 from .front_world import FrontProcess, FrontTestCase, make_config, make_request
 
 DEAF = 2
+MARGIN_S = 0.5
 
 
 class StaleViewTests(FrontTestCase):
@@ -27,8 +32,12 @@
         self.deaf = self.fronts[DEAF]
 
     def refuse_store(self) -> None:
-        """Cut the process off from the store, and publish a newer version."""
+        """Cut the process off from the store, and publish a newer version.
+
+        A watch that waits is still answered, so that it has to be over by then.
+        """
         self.store.refused_hosts.add(self.deaf.host)
+        time.sleep(WATCH_WAIT_S + MARGIN_S)
         self.store.put_config(make_config(4))
 
     def read_events(self, front: FrontProcess, name: str) -> list[str]:
